--- a/failover/view.go
+++ b/failover/view.go
@@ -112,3 +112,20 @@
 		return a <= r.Tolerance || reached && a <= r.MaxAge
 	}
 }
+
+// Settled reports whether a term after t has begun and a majority holds an
+// entry of it. From then on every later primary has the log of the new term's
+// primary, whose name it returns.
+func (g *Group) Settled(t uint64) (string, bool) {
+	p := g.top()
+	if p == nil || p.status.Term <= t || p.status.Term < g.highest {
+		return "", false
+	}
+	n := 0
+	for _, m := range g.members {
+		if m.known && m.status.Term == p.status.Term && m.status.Position.Term == p.status.Term {
+			n++
+		}
+	}
+	return p.Name, n >= g.majority()
+}
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -31,6 +31,9 @@
 	// ready carries the end of each answer to the forwarding side.
 	ready chan struct{}
 
+	// out is held while the connection is written to.
+	out sync.Mutex
+
 	mu sync.Mutex
 	k  ticket
 	// holds tells that the ticket is held.
@@ -100,13 +103,18 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.returned {
-		_ = e.c.SetReadDeadline(time.Unix(1, 0))
+		_ = e.c.SetDeadline(time.Unix(1, 0))
 	}
 }
 
 // release gives back the slot and the connection, if they are still held.
 func (e *exchange) release(broken bool) {
 	e.pauseSlot()
+	if broken {
+		e.cut()
+	}
+	e.out.Lock()
+	defer e.out.Unlock()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.returned {
@@ -145,18 +153,32 @@
 			return err
 		}
 		e.note(m)
-		if err := e.c.W.Write(m); err != nil {
-			return Error.Wrap(err)
-		}
-		if m.Type != wire.Sync && m.Type != wire.Query && m.Type != wire.Flush && e.t.s.Buffered() > 0 {
-			continue
-		}
-		if err := e.c.W.Flush(); err != nil {
-			return Error.Wrap(err)
+		if err := e.write(m); err != nil {
+			return err
 		}
 	}
 }
 
+// write sends one message to the backend server, unless the connection went
+// back to the pool.
+func (e *exchange) write(m wire.Message) error {
+	e.out.Lock()
+	defer e.out.Unlock()
+	e.mu.Lock()
+	r := e.returned
+	e.mu.Unlock()
+	if r {
+		return Error.Wrap(net.ErrClosed)
+	}
+	if err := e.c.W.Write(m); err != nil {
+		return Error.Wrap(err)
+	}
+	if m.Type != wire.Sync && m.Type != wire.Query && m.Type != wire.Flush && e.t.s.Buffered() > 0 {
+		return nil
+	}
+	return Error.Wrap(e.c.W.Flush())
+}
+
 // begin takes a slot again for the first message after an answer.
 func (e *exchange) begin(x context.Context) error {
 	select {
@@ -275,7 +297,7 @@
 			return true, v
 		}
 	}
-	if e.pass(append(e.tail, m)...) != nil || e.t.s.Flush() != nil {
+	if e.t.s.Write(append(e.tail, m)...) != nil || e.t.s.Flush() != nil {
 		return true, peer.Verdict{Outcome: peer.NotRun, Reason: "entry-gone"}
 	}
 	e.tail = nil
