--- a/bundle/encode.go
+++ b/bundle/encode.go
@@ -20,8 +20,18 @@
 const PayloadType = "application/vnd.dragonflypick.bundle+json"
 
 // Parse reads a bundle from YAML. Unknown keys and duplicate keys are errors
-// that name line and column.
-func Parse(b []byte) (*Bundle, error) {
+// that name line and column. The YAML library panics on some malformed input;
+// this too is a *FormatError.
+func Parse(b []byte) (v *Bundle, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			v, err = nil, Error.Wrap(&FormatError{Reason: "the YAML reader can't take it"})
+		}
+	}()
+	return parse(b)
+}
+
+func parse(b []byte) (*Bundle, error) {
 	var v Bundle
 	d := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict(), yaml.DisallowUnknownField())
 	if err := d.Decode(&v); err != nil {
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -113,7 +113,10 @@
 	g := &errgroup.Group{}
 	err := s.accept(x, g)
 	_ = g.Wait()
-	if x.Err() != nil || s.isDraining() {
+	if s.isDraining() {
+		<-x.Done()
+	}
+	if x.Err() != nil {
 		return nil
 	}
 	return err
--- /dev/null
+++ b/command/status/status.go
@@ -0,0 +1,176 @@
+// Package status shows what daemons do.
+package status
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"text/tabwriter"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+	"github.com/dragonflypick/dragonflypick/operator"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("status")
+
+// timeout bounds asking one daemon.
+const timeout = 3 * time.Second
+
+// Options are the flags of the command.
+type Options struct {
+	Admins []string `long:"admin" env:"DRAGONFLYPICK_ADMINS" env-delim:"," required:"true" description:"Admin address of a daemon"`
+	JSON   bool     `long:"json" description:"Print JSON"`
+
+	factory *factory.Factory
+	get     func(context.Context, string) (operator.Status, error)
+}
+
+// NewCmdStatus returns the command; runF replaces its work in tests.
+func NewCmdStatus(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{factory: f, get: fetch}
+	if runF == nil {
+		runF = statusRun
+	}
+	return &command.Command{
+		Name: "status", Short: "Show daemons, versions, groups and queues", Options: o,
+		Long:    "Ask daemons for their status. Exits with 1 if a daemon doesn't answer.",
+		Example: "dragonflypick status --admin 127.0.0.1:6201 --admin 127.0.0.1:6202\ndragonflypick status --admin 127.0.0.1:6201 --json",
+		Run:     func(x context.Context, _ []string) error { return runF(x, o) },
+	}
+}
+
+// Answer is one daemon's answer.
+type Answer struct {
+	Admin  string           `json:"admin"`
+	Error  string           `json:"error,omitempty"`
+	Status *operator.Status `json:"status,omitempty"`
+}
+
+func statusRun(x context.Context, o *Options) error {
+	l := make([]Answer, len(o.Admins))
+	g := &errgroup.Group{}
+	for i, a := range o.Admins {
+		g.Go(func() error {
+			l[i] = o.ask(x, a)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	if err := o.print(l); err != nil {
+		return err
+	}
+	for _, a := range l {
+		if a.Status == nil {
+			return &command.SilentError{Code: command.ExitError}
+		}
+	}
+	return nil
+}
+
+func (o *Options) ask(x context.Context, a string) Answer {
+	x, stop := context.WithTimeout(x, timeout)
+	defer stop()
+	s, err := o.get(x, a)
+	if err != nil {
+		return Answer{Admin: a, Error: err.Error()}
+	}
+	return Answer{Admin: a, Status: &s}
+}
+
+func fetch(x context.Context, a string) (operator.Status, error) {
+	var s operator.Status
+	q, err := http.NewRequestWithContext(x, http.MethodGet, "http://"+a+"/status", nil)
+	if err != nil {
+		return s, Error.Wrap(err)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return s, Error.Wrap(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		return s, Error.Wrap(&AnswerError{Status: r.StatusCode})
+	}
+	return s, Error.Wrap(json.NewDecoder(r.Body).Decode(&s))
+}
+
+func (o *Options) print(l []Answer) error {
+	if o.JSON {
+		return o.factory.Streams.JSON(l)
+	}
+	w := tabwriter.NewWriter(o.factory.Streams.Out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "ADMIN\tDAEMON\tREGION\tDOMAIN\tVERSION\tCALLERS\tHOSTS")
+	for _, a := range l {
+		if a.Status == nil {
+			_, _ = fmt.Fprintf(w, "%s\tno answer: %s\n", a.Admin, a.Error)
+			continue
+		}
+		s := a.Status
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%d\n", a.Admin, s.ID, s.Region, s.FailureDomain, s.Version, s.Callers, len(s.Hosts))
+	}
+	_, _ = fmt.Fprintln(w, "\nGROUP\tTERM\tMEMBER\tROLE\tPOSITION\tREACHABLE\tOWNER\tWAITING")
+	for _, g := range merge(l) {
+		for _, m := range g.Members {
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%t\t%s\t%s\n", g.Name, g.Term, m.Name, m.Role, m.Position, m.Reachable, m.Owner, waiting(m.Queues))
+		}
+	}
+	return w.Flush()
+}
+
+// merge takes each group from the daemon that knows its latest term, with the
+// queues of the members' owners.
+func merge(l []Answer) []operator.Group {
+	best := map[string]operator.Group{}
+	queues := map[string][bundle.RankCount]int{}
+	for _, a := range l {
+		if a.Status == nil {
+			continue
+		}
+		for _, g := range a.Status.Groups {
+			if b, ok := best[g.Name]; !ok || g.Term > b.Term {
+				best[g.Name] = g
+			}
+			for _, m := range g.Members {
+				if m.Owner == a.Status.ID {
+					queues[m.Name] = m.Queues
+				}
+			}
+		}
+	}
+	var o []operator.Group
+	for _, g := range best {
+		g.Members = append([]operator.Member(nil), g.Members...)
+		for i := range g.Members {
+			g.Members[i].Queues = queues[g.Members[i].Name]
+		}
+		o = append(o, g)
+	}
+	sort.Slice(o, func(i, j int) bool { return o[i].Name < o[j].Name })
+	return o
+}
+
+func waiting(q [bundle.RankCount]int) string {
+	s := ""
+	for i, n := range q {
+		if i > 0 {
+			s += "/"
+		}
+		s += strconv.Itoa(n)
+	}
+	return s
+}
+
+// AnswerError reports a daemon's answer that isn't a status.
+type AnswerError struct{ Status int }
+
+func (e *AnswerError) Error() string { return "daemon answered with status " + strconv.Itoa(e.Status) }
--- /dev/null
+++ b/command/status/status_test.go
@@ -0,0 +1,76 @@
+package status
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+	"github.com/dragonflypick/dragonflypick/operator"
+)
+
+func TestStatus(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Status")
+}
+
+func daemonStatus(id string, term uint64, owner string, waiting int) operator.Status {
+	return operator.Status{ID: id, Version: 3, Groups: []operator.Group{{
+		Name: "orders", Term: term, Members: []operator.Member{{
+			Name: "orders-1", Role: "primary", Position: "2/9", Owner: owner, Queues: [bundle.RankCount]int{waiting, 0, 1},
+		}},
+	}}}
+}
+
+var _ = Describe("status", func() {
+	answers := map[string]operator.Status{
+		"a": daemonStatus("daemon-a", 1, "daemon-b", 0),
+		"b": daemonStatus("daemon-b", 2, "daemon-b", 7),
+	}
+	run := func(args ...string) (string, int) {
+		var out bytes.Buffer
+		f := &factory.Factory{Streams: &factory.Streams{Out: &out, Err: &bytes.Buffer{}}}
+		c := NewCmdStatus(f, func(x context.Context, o *Options) error {
+			o.get = func(_ context.Context, a string) (operator.Status, error) {
+				s, ok := answers[a]
+				if !ok {
+					return s, errors.New("connection refused")
+				}
+				return s, nil
+			}
+			return statusRun(x, o)
+		})
+		r := &command.Command{Name: "dragonflypick", Commands: []*command.Command{c}}
+		n := command.Execute(context.Background(), f, r, append([]string{"status"}, args...))
+		return out.String(), n
+	}
+
+	It("takes a group from the daemon with the latest term and queues from the owner", func() {
+		s, n := run("--admin", "a", "--admin", "b")
+		Expect(n).To(Equal(command.ExitOK))
+		Expect(s).To(MatchRegexp(`orders\s+2\s+orders-1\s+primary\s+2/9\s+false\s+daemon-b\s+7/0/1`))
+	})
+
+	It("says which daemon doesn't answer and fails", func() {
+		s, n := run("--admin", "a", "--admin", "z")
+		Expect(n).To(Equal(command.ExitError))
+		Expect(s).To(ContainSubstring("z      no answer: connection refused"))
+	})
+
+	It("prints JSON", func() {
+		s, n := run("--admin", "a", "--json")
+		Expect(n).To(Equal(command.ExitOK))
+		Expect(s).To(ContainSubstring(`"id": "daemon-a"`))
+	})
+
+	It("wants an address", func() {
+		_, n := run()
+		Expect(n).To(Equal(command.ExitUsage))
+	})
+})
--- a/statement/lex.go
+++ b/statement/lex.go
@@ -12,12 +12,15 @@
 	at, end int
 }
 
+// space are the bytes that PostgreSQL takes for white space.
+const space = " \t\n\r\f\v"
+
 // lex splits SQL text into tokens. Quoted strings and identifiers become a
 // single token, so that their content can't be taken for a keyword.
 func lex(s string) []token {
 	var o []token
 	for i := 0; i < len(s); {
-		if strings.IndexByte(" \t\n\r\f", s[i]) >= 0 {
+		if strings.IndexByte(space, s[i]) >= 0 {
 			i++
 			continue
 		}
--- a/statement/split.go
+++ b/statement/split.go
@@ -10,7 +10,7 @@
 func Split(sql string) []string {
 	var o []string
 	for _, p := range spans(sql) {
-		t := strings.TrimSpace(sql[p.from:p.to])
+		t := strings.Trim(sql[p.from:p.to], space)
 		if len(lexWords(t)) > 0 {
 			o = append(o, t)
 		}
