Cancel requests reach their session through any daemon

Cause: behind a balancer a cancel request arrives anywhere, and only the session's own daemon knew its key. Change: 15 bits of the process ID carry the host's mark, and a daemon passes an unknown key on to the hosts with that mark only, so the cost doesn't grow with the fleet. The new test found that a cancel during the look-up of a floor was answered 57P03; it is 57014 now.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/hashicorp/go-hclog"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
@@ -69,7 +70,11 @@
 	// Bundle returns the bundle in force, or nil.
 	Bundle func() *bundle.Bundle
 	Router Router
-	Log    hclog.Logger
+	// Host is the ID of this host; cancel keys carry its mark.
+	Host string
+	// Forward passes a cancel request on to the hosts with the given mark.
+	Forward func(x context.Context, mark uint16, pid, secret uint32)
+	Log     hclog.Logger
 }
 
 // Server accepts callers.
@@ -163,7 +168,7 @@
 		return &RefusedError{Code: codeTooMany, Message: "too many callers on this host"}
 	}
 	for {
-		n.key = newKey()
+		n.key = newKey(Mark(s.c.Host))
 		if _, ok := s.sessions[n.key]; !ok {
 			s.sessions[n.key] = n
 			return nil
@@ -171,10 +176,27 @@
 	}
 }
 
-func newKey() cancelKey {
+// markBits is the number of bits of a process ID that hold the host's mark;
+// the bits below it are random, and the sign bit is never set.
+const markBits = 15
+
+// Mark returns the mark of a host in the cancel keys of its sessions.
+func Mark(host string) uint16 { return uint16(xxhash.Sum64String(host) & (1<<markBits - 1)) }
+
+func newKey(mark uint16) cancelKey {
 	var b [8]byte
 	_, _ = rand.Read(b[:])
-	return cancelKey{pid: binary.BigEndian.Uint32(b[:4]) &^ (1 << 31), secret: binary.BigEndian.Uint32(b[4:])}
+	low := binary.BigEndian.Uint32(b[:4]) & (1<<(31-markBits) - 1)
+	return cancelKey{pid: uint32(mark)<<(31-markBits) | low, secret: binary.BigEndian.Uint32(b[4:])}
+}
+
+// cancelAnywhere cancels a statement of this host, or passes the request on to
+// the hosts whose mark the key carries.
+func (s *Server) cancelAnywhere(x context.Context, pid, secret uint32) {
+	m := uint16(pid >> (31 - markBits))
+	if !s.Cancel(pid, secret) && s.c.Forward != nil {
+		s.c.Forward(x, m, pid, secret)
+	}
 }
 
 func (s *Server) remove(n *client) {
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -88,6 +88,10 @@
 	return n.attempts(x, w, r, d)
 }
 
+func canceled() *RefusedError {
+	return &RefusedError{Code: codeCanceled, Message: "canceling statement due to user request"}
+}
+
 // end refuses work and ends its answer.
 func (n *client) end(w work, e *RefusedError) error {
 	for _, s := range w.names {
@@ -127,10 +131,10 @@
 	if r.Header.Kind != peer.KindRead || r.Primary || r.Header.AgeOnly || n.floor.Known {
 		return nil
 	}
-	x, stop := context.WithTimeout(x, r.Header.Remaining)
+	y, stop := context.WithTimeout(x, r.Header.Remaining)
 	defer stop()
 	for {
-		p, err := n.s.c.Router.Floor(x, n.group)
+		p, err := n.s.c.Router.Floor(y, n.group)
 		if err == nil {
 			n.floor = n.floor.Raise(p)
 			r.Header.Floor = n.floor.Position
@@ -138,9 +142,12 @@
 		}
 		n.s.c.Log.Debug("floor unknown", "group", n.group, "error", err)
 		if x.Err() != nil {
+			return canceled()
+		}
+		if y.Err() != nil {
 			return refusal(peer.Verdict{Outcome: peer.NotRun, Reason: "floor-unknown", RetryAfter: time.Second})
 		}
-		pause(x, retryPause)
+		pause(y, retryPause)
 	}
 }
 
@@ -154,7 +161,7 @@
 		case err != nil || o == answered || o == settled:
 			return err
 		case x.Err() != nil:
-			return n.end(w, &RefusedError{Code: codeCanceled, Message: "canceling statement due to user request"})
+			return n.end(w, canceled())
 		case o == readOnly:
 			r.Primary, r.Header.Kind = true, peer.KindWrite
 			continue
--- a/caller/login.go
+++ b/caller/login.go
@@ -29,7 +29,7 @@
 	if err := c.SetDeadline(time.Now().Add(loginTimeout)); err != nil {
 		return nil, Error.Wrap(err)
 	}
-	c, m, err := s.startup(c)
+	c, m, err := s.startup(x, c)
 	if err != nil || m == nil {
 		return nil, err
 	}
@@ -60,7 +60,7 @@
 
 // startup answers requests for encryption and returns the start-up message, or
 // none after a cancel request.
-func (s *Server) startup(c net.Conn) (net.Conn, *pgproto3.StartupMessage, error) {
+func (s *Server) startup(x context.Context, c net.Conn) (net.Conn, *pgproto3.StartupMessage, error) {
 	for {
 		m, err := pgproto3.NewBackend(c, c).ReceiveStartupMessage()
 		if err != nil {
@@ -77,7 +77,7 @@
 			}
 		case *pgproto3.CancelRequest:
 			if len(t.SecretKey) == 4 {
-				s.Cancel(t.ProcessID, binary.BigEndian.Uint32(t.SecretKey))
+				s.cancelAnywhere(x, t.ProcessID, binary.BigEndian.Uint32(t.SecretKey))
 			}
 			return c, nil, nil
 		case *pgproto3.StartupMessage:
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -9,6 +9,7 @@
 
 	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/caller"
 	"github.com/dragonflypick/dragonflypick/failover"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
@@ -22,6 +23,7 @@
 	methodBundle   = "bundle.get"
 	methodVersion  = "bundle.version"
 	methodLeave    = "host.leave"
+	methodCancel   = "session.cancel"
 )
 
 // memberParams names a member of a group.
@@ -41,6 +43,12 @@
 	Hosts   []membership.Host `json:"hosts"`
 }
 
+// cancelParams names a session by its cancel key.
+type cancelParams struct {
+	PID    uint32 `json:"pid"`
+	Secret uint32 `json:"secret"`
+}
+
 // hostParams names a host.
 type hostParams struct {
 	ID string `json:"id"`
@@ -75,6 +83,12 @@
 			return nil, err
 		}
 		return d.localVersion(), nil
+	case methodCancel:
+		var p cancelParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.callers.Cancel(p.PID, p.Secret), nil
 	case methodLeave:
 		var p hostParams
 		if err := params(r, &p); err != nil {
@@ -229,3 +243,19 @@
 }
 
 func (e *NotPrimaryError) Error() string { return e.Member + " is not the confirmed primary" }
+
+// forwardCancel passes a cancel request on to the hosts with the given mark.
+func (d *Daemon) forwardCancel(x context.Context, mark uint16, pid, secret uint32) {
+	d.mu.Lock()
+	l := d.view.Live(time.Now())
+	d.mu.Unlock()
+	for _, h := range l {
+		if h.ID == d.c.Host.ID || caller.Mark(h.ID) != mark {
+			continue
+		}
+		y, stop := context.WithTimeout(x, callTimeout)
+		err := d.node.Call(y, h, methodCancel, cancelParams{PID: pid, Secret: secret}, nil)
+		stop()
+		d.c.Log.Debug("cancel request passed on", "host", h.ID, "error", err)
+	}
+}
--- a/standin/cluster/cluster_test.go
+++ b/standin/cluster/cluster_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"net"
 	"testing"
 	"time"
 
@@ -9,12 +11,25 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/standin/cluster"
 	"github.com/dragonflypick/dragonflypick/standin/load"
 )
 
+// cancel sends a cancel request.
+func cancel(address string, pid, secret uint32) {
+	n, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = n.Close() }()
+	b := []byte{0, 0, 0, 16, 4, 210, 22, 46}
+	b = binary.BigEndian.AppendUint32(b, pid)
+	_, err = n.Write(binary.BigEndian.AppendUint32(b, secret))
+	Expect(err).NotTo(HaveOccurred())
+	_, _ = n.Read(make([]byte, 1))
+}
+
 func TestCluster(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "Cluster")
@@ -127,6 +142,29 @@
 		Expect(err).To(HaveOccurred())
 	})
 
+	It("cancels a statement by a request that arrives at another daemon", func() {
+		n := connect(0)
+		e := make(chan error, 1)
+		g := &errgroup.Group{}
+		g.Go(func() error {
+			_, err := n.Exec(x, "WITH RECURSIVE s(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM s) SELECT count(*) FROM s")
+			e <- err
+			return nil
+		})
+		k := binary.BigEndian.Uint32(n.PgConn().SecretKey())
+		Eventually(func() bool {
+			cancel(c.Daemons[1].CallerAddress(), n.PgConn().PID(), k)
+			select {
+			case err := <-e:
+				Expect(err).To(MatchError(ContainSubstring("57014")))
+				return true
+			default:
+				return false
+			}
+		}).WithTimeout(10 * time.Second).Should(BeTrue())
+		Expect(g.Wait()).To(Succeed())
+	})
+
 	It("loses and doubles nothing when the primary is killed under load", func() {
 		l := load.Config{
 			User: cluster.CallerName, Password: cluster.CallerPassword, Group: "orders", Seed: 1, Sessions: 20,
