Check both signatures of a bundle; name file, line and path of every fault

Cause: bundle.Open counted any second key identifier as the author's signature, without checking it, and faults of the content named no line. Ruled out: a rule inside the bundle itself, since a bundle must not loosen the rule by which it is judged. Change: bundle.Trust holds authors (--author, DRAGONFLYPICK_AUTHORS) and approvers; a bundle needs valid signatures of an approver and of another trusted key. Positions come from the YAML's syntax tree. Worth of a rank; connections must leave room for control; a caller's group named once.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -95,14 +95,18 @@
 	FailureDomain string `json:"failure-domain" yaml:"failure-domain"`
 	// Slots is the number of statements that the server runs at a time.
 	Slots int `json:"slots" yaml:"slots"`
-	// Connections is the number of connections that the server takes; it is
-	// greater than Slots.
+	// Connections is the number of connections that the server takes; it is at
+	// least Slots and ControlConnections together.
 	Connections int `json:"connections" yaml:"connections"`
 	// Leaving marks a backend server that is being returned: it gets no new
 	// work.
 	Leaving bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
 }
 
+// ControlConnections is the number of connections of a backend server that are
+// kept for status calls of all daemons.
+const ControlConnections = 4
+
 // Ranks holds the limits of each rank.
 type Ranks struct {
 	Urgent     RankLimits `json:"urgent" yaml:"urgent"`
@@ -129,6 +133,9 @@
 	// Share is the least share of a backend server's slot time that the rank
 	// gets while higher ranks flood, from 0 to 1. The shares sum to at most 1.
 	Share float64 `json:"share" yaml:"share"`
+	// Worth is the worth of one answer in time, in any one unit for all ranks;
+	// reports and measurements weigh answers by it.
+	Worth float64 `json:"worth,omitempty" yaml:"worth,omitempty"`
 	// IdleInTransaction is the longest pause inside an open transaction.
 	IdleInTransaction Duration `json:"idle-in-transaction" yaml:"idle-in-transaction"`
 }
--- a/bundle/check.go
+++ b/bundle/check.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// shareSlack is how far a sum of shares may exceed 1 by rounding.
+const shareSlack = 1e-9
+
 // Check reports every fault of the content as one *ContentError.
 func Check(b *Bundle) error {
 	k := &checker{names: map[string]string{}}
@@ -96,8 +99,9 @@
 	if m.Slots <= 0 {
 		k.add(path+".slots", "must be above zero")
 	}
-	if m.Connections <= m.Slots {
-		k.add(path+".connections", "must be above slots, which is "+strconv.Itoa(m.Slots))
+	if m.Connections < m.Slots+ControlConnections {
+		k.add(path+".connections", "must be at least "+strconv.Itoa(m.Slots+ControlConnections)+": slots and "+
+			strconv.Itoa(ControlConnections)+" for control")
 	}
 }
 
@@ -124,9 +128,12 @@
 		if l.Share < 0 || l.Share > 1 {
 			k.add(p+".share", "must be from 0 to 1")
 		}
+		if l.Worth < 0 {
+			k.add(p+".worth", "must not be below zero")
+		}
 		s += l.Share
 	}
-	if s > 1 {
+	if s > 1+shareSlack {
 		k.add("ranks", "the shares sum to "+strconv.FormatFloat(s, 'g', 4, 64)+", over 1")
 	}
 }
@@ -142,7 +149,12 @@
 	if len(c.Groups) == 0 {
 		k.add(path+".groups", "must name at least one database group")
 	}
+	n := map[string]bool{}
 	for i, g := range c.Groups {
+		if n[g] {
+			k.add(path+".groups["+strconv.Itoa(i)+"]", "group "+strconv.Quote(g)+" stands there twice")
+		}
+		n[g] = true
 		if _, ok := b.Group(g); !ok {
 			k.add(path+".groups["+strconv.Itoa(i)+"]", "group "+strconv.Quote(g)+" does not exist")
 		}
--- a/bundle/encode.go
+++ b/bundle/encode.go
@@ -10,6 +10,7 @@
 	"encoding/base64"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"strconv"
 
 	"github.com/goccy/go-yaml"
@@ -19,20 +20,38 @@
 // PayloadType names the signed content in the DSSE envelope.
 const PayloadType = "application/vnd.dragonflypick.bundle+json"
 
-// Parse reads a bundle from YAML. Unknown keys and duplicate keys are errors
-// that name line and column.
-func Parse(b []byte) (*Bundle, error) {
+// Parse reads a bundle from YAML. Unknown and duplicate keys give a
+// *FormatError, faults of the content a *ContentError; both name file, line and
+// column. The file's name is used in errors only.
+func Parse(file string, b []byte) (*Bundle, error) {
 	var v Bundle
 	d := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict(), yaml.DisallowUnknownField())
 	if err := d.Decode(&v); err != nil {
-		return nil, Error.Wrap(&FormatError{Reason: yaml.FormatError(err, false, true)})
+		return nil, Error.Wrap(malformed(file, err))
 	}
-	if err := Check(&v); err != nil {
+	err := Check(&v)
+	var c *ContentError
+	if errors.As(err, &c) {
+		locate(file, b, c.Faults)
+	}
+	if err != nil {
 		return nil, err
 	}
 	return &v, nil
 }
 
+func malformed(file string, err error) *FormatError {
+	e := &FormatError{File: file, Reason: err.Error()}
+	var y yaml.Error
+	if errors.As(err, &y) {
+		e.Reason = y.GetMessage()
+		if t := y.GetToken(); t != nil {
+			e.Line, e.Column = t.Position.Line, t.Position.Column
+		}
+	}
+	return e
+}
+
 // Canonical returns the bundle's canonical JSON: fields in the order of the
 // type, without white space.
 func Canonical(b *Bundle) ([]byte, error) {
@@ -48,6 +67,8 @@
 	Digest string
 	// Envelope is the signed form as it travels.
 	Envelope []byte
+	// Signers are the names of the trusted keys that signed.
+	Signers []string
 }
 
 // Key is an ed25519 key of an author or approver.
@@ -120,10 +141,10 @@
 	return o, Error.Wrap(err)
 }
 
-// Open checks the envelope against the trusted approvers and returns the
-// bundle. It needs the signature of one trusted approver and a second
-// signature by another key.
-func Open(c context.Context, b []byte, approvers []*Key) (*Signed, error) {
+// Open checks the envelope's signatures by the rule of Trust and returns the
+// bundle. It returns *FormatError, *SignatureError, *TrustError or
+// *ContentError.
+func Open(c context.Context, b []byte, t Trust) (*Signed, error) {
 	if len(b) > MaxSize {
 		return nil, Error.Wrap(&FormatError{Reason: "signed bundle has " + strconv.Itoa(len(b)) + " bytes, over " + strconv.Itoa(MaxSize)})
 	}
@@ -134,7 +155,8 @@
 	if e.PayloadType != PayloadType {
 		return nil, Error.Wrap(&FormatError{Reason: "payload type " + strconv.Quote(e.PayloadType)})
 	}
-	if err := checkSignatures(c, &e, approvers); err != nil {
+	n, err := t.check(c, &e)
+	if err != nil {
 		return nil, err
 	}
 	p, err := e.DecodeB64Payload()
@@ -151,32 +173,7 @@
 		return nil, err
 	}
 	h := sha256.Sum256(p)
-	return &Signed{Bundle: &v, Digest: hex.EncodeToString(h[:]), Envelope: b}, nil
-}
-
-func checkSignatures(c context.Context, e *dsse.Envelope, approvers []*Key) error {
-	if len(approvers) == 0 {
-		return Error.Wrap(&SignatureError{Reason: "no trusted approver is set"})
-	}
-	n := make(map[string]bool)
-	for _, s := range e.Signatures {
-		n[s.KeyID] = true
-	}
-	if len(n) < 2 {
-		return Error.Wrap(&SignatureError{Reason: "author and approver must both sign"})
-	}
-	v := make([]dsse.Verifier, 0, len(approvers))
-	for _, k := range approvers {
-		v = append(v, k)
-	}
-	x, err := dsse.NewMultiEnvelopeVerifier(1, v...)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if _, err := x.Verify(c, e); err != nil {
-		return Error.Wrap(&SignatureError{Reason: "no trusted approver signed this bundle"})
-	}
-	return nil
+	return &Signed{Bundle: &v, Digest: hex.EncodeToString(h[:]), Envelope: b, Signers: n}, nil
 }
 
 // ParsePublicKey reads the form "name:base64".
--- a/bundle/errors.go
+++ b/bundle/errors.go
@@ -7,11 +7,21 @@
 
 // FormatError reports a bundle that can't be read.
 type FormatError struct {
+	// File is the file's name; empty if there is none.
+	File string
+	// Line and Column count from 1; they are 0 if they aren't known.
+	Line   int
+	Column int
 	// Reason names the place and the fault.
 	Reason string
 }
 
-func (e *FormatError) Error() string { return "bundle is malformed: " + e.Reason }
+func (e *FormatError) Error() string {
+	if p := (Fault{File: e.File, Line: e.Line, Column: e.Column}).place(); p != "" {
+		return "bundle is malformed: " + p + e.Reason
+	}
+	return "bundle is malformed: " + e.Reason
+}
 
 // SignatureError reports a bundle that is not signed as it must be.
 type SignatureError struct {
@@ -29,6 +39,11 @@
 
 // Fault is one thing wrong with a bundle's content.
 type Fault struct {
+	// File is the file's name; empty if there is none.
+	File string
+	// Line and Column count from 1; they are 0 if the bundle has no text.
+	Line   int
+	Column int
 	// Path is the place in the bundle, such as "groups[0].members[1].slots".
 	Path string
 	// Reason tells what is wrong there.
@@ -45,7 +60,7 @@
 	var s strings.Builder
 	s.WriteString("bundle has faults:")
 	for _, f := range e.Faults {
-		s.WriteString("\n  " + f.Path + ": " + f.Reason)
+		s.WriteString("\n  " + f.place() + ": " + f.Reason)
 	}
 	return s.String()
 }
--- /dev/null
+++ b/bundle/position.go
@@ -0,0 +1,77 @@
+package bundle
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// locate sets the file and the line and column of each fault. A fault at a key
+// that is missing gets the place of the nearest part above it.
+func locate(file string, text []byte, l []Fault) {
+	f, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return
+	}
+	for i := range l {
+		l[i].File = file
+		l[i].Line, l[i].Column = position(f, l[i].Path)
+	}
+}
+
+func position(f *ast.File, path string) (int, int) {
+	for p := path; ; {
+		if n := node(f, p); n != nil && n.GetToken() != nil {
+			t := n.GetToken().Position
+			return t.Line, t.Column
+		}
+		if p == "" {
+			return 1, 1
+		}
+		p = p[:max(strings.LastIndexAny(p, ".["), 0)]
+	}
+}
+
+func node(f *ast.File, path string) ast.Node {
+	s := "$"
+	if path != "" {
+		s += "." + path
+	}
+	p, err := yaml.PathString(s)
+	if err != nil {
+		return nil
+	}
+	n, err := p.FilterFile(f)
+	if err != nil {
+		return nil
+	}
+	return n
+}
+
+// place formats the place of a fault as "file:line:column: path".
+func (f Fault) place() string {
+	var p []string
+	if f.File != "" {
+		p = append(p, f.File)
+	}
+	if f.Line > 0 {
+		p = append(p, strconv.Itoa(f.Line), strconv.Itoa(f.Column))
+	}
+	if len(p) == 0 {
+		return f.Path
+	}
+	return strings.Join(p, ":") + ": " + f.Path
+}
+
+// UnmarshalYAML reads the form of time.ParseDuration; its error knows the
+// place in the text.
+func (d *Duration) UnmarshalYAML(n ast.Node) error {
+	t := n.GetToken()
+	if d.UnmarshalText([]byte(t.Value)) != nil {
+		return &yaml.SyntaxError{Message: strconv.Quote(t.Value) + " is no duration such as 2s or 1m30s", Token: t}
+	}
+	return nil
+}
--- a/command/bundle/push/push.go
+++ b/command/bundle/push/push.go
@@ -14,6 +14,7 @@
 // Options are the flags of the command.
 type Options struct {
 	Platform  string   `long:"platform" env:"DRAGONFLYPICK_PLATFORM" required:"true" description:"IP address and port of the platform's key-value service"`
+	Authors   []string `long:"author" env:"DRAGONFLYPICK_AUTHORS" env-delim:"," description:"Public key (name:base64) that may write bundles"`
 	Approvers []string `long:"approver" env:"DRAGONFLYPICK_APPROVERS" env-delim:"," required:"true" description:"Public key (name:base64) that may approve bundles"`
 
 	factory *factory.Factory
@@ -29,7 +30,7 @@
 	return &command.Command{
 		Name: "push", Short: "Roll out a signed bundle", Options: o,
 		Long:    "Put a signed bundle in force on all daemons, if its version is above the one in force.",
-		Example: "dragonflypick bundle push --platform 127.0.0.1:8500 --approver ops:BASE64 bundle.json",
+		Example: "dragonflypick bundle push --platform 127.0.0.1:8500 --author anna:BASE64 --approver ops:BASE64 bundle.json",
 		Run: func(x context.Context, a []string) error {
 			if len(a) != 1 {
 				return &command.FlagError{Reason: "name one signed bundle"}
@@ -45,15 +46,11 @@
 	if err != nil {
 		return err
 	}
-	var k []*bundle.Key
-	for _, a := range o.Approvers {
-		p, err := bundle.ParsePublicKey(a)
-		if err != nil {
-			return &command.FlagError{Reason: err.Error()}
-		}
-		k = append(k, p)
+	t, err := bundle.ParseTrust(o.Authors, o.Approvers)
+	if err != nil {
+		return &command.FlagError{Reason: err.Error()}
 	}
-	r, err := platform.Push(x, platform.New(platform.Config{Address: o.Platform}), e, k)
+	r, err := platform.Push(x, platform.New(platform.Config{Address: o.Platform}), e, t)
 	if err != nil {
 		return &command.RefusedError{Reason: err.Error()}
 	}
--- a/command/bundle/sign/sign.go
+++ b/command/bundle/sign/sign.go
@@ -48,9 +48,9 @@
 	if err != nil {
 		return err
 	}
-	b, err := bundle.Parse(t)
+	b, err := bundle.Parse(o.file, t)
 	if err != nil {
-		return &command.RefusedError{Reason: o.file + ": " + err.Error()}
+		return &command.RefusedError{Reason: err.Error()}
 	}
 	a, err := key(o.Author)
 	if err != nil {
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -30,6 +30,7 @@
 	FailureDomain   string             `long:"failure-domain" env:"DRAGONFLYPICK_FAILURE_DOMAIN" description:"Failure domain of this host"`
 	Platform        string             `long:"platform" env:"DRAGONFLYPICK_PLATFORM" description:"IP address and port of the platform's key-value service"`
 	Seeds           []string           `long:"seed" env:"DRAGONFLYPICK_SEEDS" env-delim:"," description:"Peer address of another daemon, asked while the platform doesn't answer"`
+	Authors         []string           `long:"author" env:"DRAGONFLYPICK_AUTHORS" env-delim:"," description:"Public key (name:base64) that may write bundles"`
 	Approvers       []string           `long:"approver" env:"DRAGONFLYPICK_APPROVERS" env-delim:"," description:"Public key (name:base64) that may approve bundles"`
 	Secret          string             `long:"secret" env:"DRAGONFLYPICK_SECRET" description:"Secret shared by all daemons; better given by environment"`
 	BackendUser     string             `long:"backend-user" env:"DRAGONFLYPICK_BACKEND_USER" default:"dragonflypick" description:"User name at backend servers"`
@@ -52,7 +53,7 @@
 		Name: "serve", Short: "Run the daemon", Options: o,
 		Long: "Run one proxy daemon until SIGTERM or SIGINT, which drain it.",
 		Example: `dragonflypick serve --region west --failure-domain west-1 --platform 127.0.0.1:8500 \
-  --approver ops:BASE64 --secret SECRET`,
+  --author anna:BASE64 --approver ops:BASE64 --secret SECRET`,
 		Run: func(x context.Context, _ []string) error { return runF(x, o) },
 	}
 }
@@ -93,16 +94,9 @@
 	k.set("--region", o.Region)
 	k.set("--failure-domain", o.FailureDomain)
 	k.set("--secret", o.Secret)
-	if len(o.Approvers) == 0 {
-		k.add("--approver must be given at least once")
-	}
-	for _, a := range o.Approvers {
-		p, err := bundle.ParsePublicKey(a)
-		if err != nil {
-			k.add("--approver: " + err.Error())
-			continue
-		}
-		c.Approvers = append(c.Approvers, p)
+	var err error
+	if c.Trust, err = bundle.ParseTrust(o.Authors, o.Approvers); err != nil {
+		k.add("--author and --approver: " + err.Error())
 	}
 	if o.DrainTime <= 0 {
 		k.add("--drain-time must be above zero")
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -72,7 +72,7 @@
 
 // adopt puts a bundle in force if it is accepted and newer than the one held.
 func (d *Daemon) adopt(x context.Context, envelope []byte, from string) {
-	s, err := bundle.Open(x, envelope, d.c.Approvers)
+	s, err := bundle.Open(x, envelope, d.c.Trust)
 	if err != nil {
 		d.c.Log.Error("bundle refused", "from", from, "error", err)
 		return
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -50,8 +50,8 @@
 	Platform string
 	// Seeds are peer addresses to ask while the platform doesn't answer.
 	Seeds []string
-	// Approvers are the trusted approvers of bundles.
-	Approvers []*bundle.Key
+	// Trust holds the keys whose signatures on bundles count.
+	Trust bundle.Trust
 	// Secret is shared by all daemons.
 	Secret string
 	// BackendUser and BackendPassword are for backend servers.
--- a/owner/server.go
+++ b/owner/server.go
@@ -11,10 +11,6 @@
 	"github.com/dragonflypick/dragonflypick/bundle"
 )
 
-// controlConnections is the number of connections of a backend server that are
-// kept for status calls of this and other daemons.
-const controlConnections = 4
-
 // backgroundReserve is the number of slots that background work leaves free.
 const backgroundReserve = 1
 
@@ -40,7 +36,7 @@
 
 func newServer(c backend.Config, b *bundle.Bundle, m *bundle.Member) *server {
 	return &server{
-		name: m.Name, pool: backend.NewPool(c, max(m.Connections-controlConnections, 1)),
+		name: m.Name, pool: backend.NewPool(c, max(m.Connections-bundle.ControlConnections, 1)),
 		q: admit.New(queueConfig(b, m)), waiting: map[uint64]chan admit.Action{},
 	}
 }
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -217,13 +217,17 @@
 	}
 }
 
+func (c *Cluster) trust() bundle.Trust {
+	return bundle.Trust{Authors: []*bundle.Key{c.author}, Approvers: []*bundle.Key{c.approver}}
+}
+
 // Push signs a bundle and rolls it out.
 func (c *Cluster) Push(b *bundle.Bundle) error {
 	e, err := bundle.Sign(c.x, b, c.author, c.approver)
 	if err != nil {
 		return err
 	}
-	_, err = platform.Push(c.x, platform.New(platform.Config{Address: c.Platform.Address()}), e, []*bundle.Key{c.approver})
+	_, err = platform.Push(c.x, platform.New(platform.Config{Address: c.Platform.Address()}), e, c.trust())
 	return err
 }
 
@@ -237,7 +241,7 @@
 	d, err := daemon.New(daemon.Config{
 		Host:         membership.Host{ID: id, Region: c.Config.Region, FailureDomain: c.domain(i)},
 		CallerListen: l, PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Platform: c.Platform.Address(),
-		Approvers: []*bundle.Key{c.approver}, Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
+		Trust: c.trust(), Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
 		DrainTime: drainTime, Log: c.Config.Log.Named(id),
 	})
 	if err != nil {
