Relay, system of separate processes, and the first measurements

Change: standin/relay (drop, reset, refuse, delay, silence), standin/process (runs platform, members and daemons as processes and ends only those, by id; they end with the process that started them), standin/measure with the command standin measure path|throughput|memory.

Ruled out: in-process measurement, since the daemon's memory and processor time can't be told from the load's.

--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -24,6 +24,7 @@
 type Options struct {
 	Listen          string             `long:"listen" env:"DRAGONFLYPICK_LISTEN" default:"127.0.0.1:6432" description:"IP address and port for callers"`
 	PeerListen      string             `long:"peer-listen" env:"DRAGONFLYPICK_PEER_LISTEN" default:"127.0.0.1:6433" description:"IP address and port for other daemons"`
+	PeerAdvertise   string             `long:"peer-advertise" env:"DRAGONFLYPICK_PEER_ADVERTISE" description:"IP address and port that other daemons are told (default: that of --peer-listen)"`
 	AdminListen     string             `long:"admin-listen" env:"DRAGONFLYPICK_ADMIN_LISTEN" default:"127.0.0.1:6434" description:"IP address and port for metrics, health and status"`
 	ID              string             `long:"id" env:"DRAGONFLYPICK_ID" description:"Unique name of this process (default: random)"`
 	Region          string             `long:"region" env:"DRAGONFLYPICK_REGION" description:"Region of this host"`
@@ -76,7 +77,7 @@
 	k := &checker{}
 	c := daemon.Config{
 		Host: membership.Host{ID: o.ID, Region: o.Region, FailureDomain: o.FailureDomain}, CallerListen: o.Listen,
-		PeerListen: o.PeerListen, AdminListen: o.AdminListen, Platform: o.Platform, Seeds: o.Seeds, Secret: o.Secret,
+		PeerListen: o.PeerListen, PeerAdvertise: o.PeerAdvertise, AdminListen: o.AdminListen, Platform: o.Platform, Seeds: o.Seeds, Secret: o.Secret,
 		BackendUser: o.BackendUser, BackendPassword: o.BackendPassword, DrainTime: o.DrainTime,
 		Log: o.factory.Logger("dragonflypick", o.Log),
 	}
@@ -86,6 +87,9 @@
 	k.address("--listen", o.Listen)
 	k.address("--peer-listen", o.PeerListen)
 	k.address("--admin-listen", o.AdminListen)
+	if o.PeerAdvertise != "" {
+		k.address("--peer-advertise", o.PeerAdvertise)
+	}
 	k.address("--platform", o.Platform)
 	for _, s := range o.Seeds {
 		k.address("--seed", s)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -46,6 +46,9 @@
 	CallerListen string
 	PeerListen   string
 	AdminListen  string
+	// PeerAdvertise is the address that other daemons are told; empty for that
+	// of PeerListen.
+	PeerAdvertise string
 	// Platform is the address of the platform's service.
 	Platform string
 	// Seeds are peer addresses to ask while the platform doesn't answer.
@@ -122,7 +125,10 @@
 	if err != nil {
 		return err
 	}
-	d.c.Host.PeerAddress = d.node.Address()
+	d.c.Host.PeerAddress = d.c.PeerAdvertise
+	if d.c.Host.PeerAddress == "" {
+		d.c.Host.PeerAddress = d.node.Address()
+	}
 	d.node.SetSelf(d.c.Host)
 	d.callers, err = caller.New(caller.Config{
 		Listen: d.c.CallerListen, TLS: d.c.TLS, Bundle: d.bundle, Router: routerOf{d}, Log: d.c.Log.Named("caller"),
--- /dev/null
+++ b/standin/measure/measure.go
@@ -0,0 +1,152 @@
+// Package measure measures a system of separate processes on loopback: what the
+// proxy adds to a statement, what a daemon carries and costs, and how long
+// service stops during a failover.
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5"
+	"github.com/zeebo/errs"
+
+	"github.com/dragonflypick/dragonflypick/standin/cluster"
+	"github.com/dragonflypick/dragonflypick/standin/process"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("standin measure")
+
+// Bounds of the latency histograms.
+const (
+	minLatency    = int64(time.Microsecond)
+	maxLatency    = int64(time.Minute)
+	latencyDigits = 3
+)
+
+// ticksPerSecond is the unit of processor time in /proc.
+const ticksPerSecond = 100
+
+// connectTimeout bounds connecting a session.
+const connectTimeout = 10 * time.Second
+
+// Latency is a distribution of latencies.
+type Latency struct {
+	Name  string        `json:"name"`
+	Count int64         `json:"count"`
+	P50   time.Duration `json:"p50-ns"`
+	P99   time.Duration `json:"p99-ns"`
+	Max   time.Duration `json:"max-ns"`
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minLatency, maxLatency, latencyDigits)
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	_ = h.RecordValue(min(max(int64(d), minLatency), maxLatency))
+}
+
+func latency(name string, h *hdrhistogram.Histogram) Latency {
+	return Latency{
+		Name: name, Count: h.TotalCount(), P50: time.Duration(h.ValueAtQuantile(50)),
+		P99: time.Duration(h.ValueAtQuantile(99)), Max: time.Duration(h.Max()),
+	}
+}
+
+// dial connects a session.
+func dial(x context.Context, address, user, password string) (*pgx.Conn, error) {
+	x, stop := context.WithTimeout(x, connectTimeout)
+	defer stop()
+	f, err := pgx.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	h, p, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	n, err := strconv.ParseUint(p, 10, 16)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	f.Host, f.Port, f.User, f.Password, f.Database, f.Fallbacks = h, uint16(n), user, password, process.Group, nil
+	c, err := pgx.ConnectConfig(x, f)
+	return c, Error.Wrap(err)
+}
+
+// dialDaemon connects a caller's session.
+func dialDaemon(x context.Context, address string) (*pgx.Conn, error) {
+	return dial(x, address, cluster.CallerName, cluster.CallerPassword)
+}
+
+// dialMember connects to a member without a proxy.
+func dialMember(x context.Context, address string) (*pgx.Conn, error) {
+	return dial(x, address, "dragonflypick", process.BackendPassword)
+}
+
+// processorTime returns the processor time that a process has used.
+func processorTime(pid int) (time.Duration, error) {
+	b, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	l := strings.Fields(string(b[strings.LastIndexByte(string(b), ')')+1:]))
+	if len(l) < statFields {
+		return 0, Error.Wrap(&FormatError{File: "stat"})
+	}
+	u, _ := strconv.ParseInt(l[11], 10, 64)
+	s, _ := strconv.ParseInt(l[12], 10, 64)
+	return time.Duration(u+s) * time.Second / ticksPerSecond, nil
+}
+
+// statFields is the least number of fields after the name in a stat file.
+const statFields = 13
+
+// residentBytes returns the memory of a process that is resident.
+func residentBytes(pid int) (int64, error) {
+	b, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
+	if err != nil {
+		return 0, Error.Wrap(err)
+	}
+	for _, l := range strings.Split(string(b), "\n") {
+		f := strings.Fields(l)
+		if len(f) == 3 && f[0] == "VmRSS:" {
+			k, err := strconv.ParseInt(f[1], 10, 64)
+			return k << 10, Error.Wrap(err)
+		}
+	}
+	return 0, Error.Wrap(&FormatError{File: "status"})
+}
+
+// FormatError reports a file of the operating system that can't be read.
+type FormatError struct{ File string }
+
+func (e *FormatError) Error() string { return e.File + " can't be read" }
+
+// table prints rows, the first of which is the head.
+func table(o io.Writer, rows [][]string) {
+	w := tabwriter.NewWriter(o, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, r := range rows {
+		_, _ = fmt.Fprintln(w, strings.Join(r, "\t")+"\t")
+	}
+	_ = w.Flush()
+}
+
+func round(d time.Duration) string { return d.Round(time.Microsecond).String() }
+
+func latencyTable(o io.Writer, l []Latency) {
+	t := [][]string{{"operation", "count", "p50", "p99", "max"}}
+	for _, y := range l {
+		t = append(t, []string{y.Name, strconv.FormatInt(y.Count, 10), round(y.P50), round(y.P99), round(y.Max)})
+	}
+	table(o, t)
+}
--- /dev/null
+++ b/standin/measure/path.go
@@ -0,0 +1,284 @@
+package measure
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/jackc/pgx/v5"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/standin/process"
+)
+
+// Statements of the measurement.
+const (
+	makeTable = "CREATE TABLE IF NOT EXISTS measure_orders (id INTEGER NOT NULL, rolls INTEGER NOT NULL)"
+	readOne   = "SELECT rolls FROM measure_orders WHERE id = $1 LIMIT 1"
+	writeOne  = "INSERT INTO measure_orders (id, rolls) VALUES ($1, $2)"
+)
+
+// warmUp is the number of rounds that are not counted.
+const warmUp = 50
+
+// maxSessions bounds the sessions of a measurement.
+const maxSessions = 10000
+
+// PathConfig holds the settings of Path.
+type PathConfig struct {
+	Process process.Config
+	// Rounds is the number of reads and of writes on each way.
+	Rounds int
+}
+
+// PathReport tells what the proxy adds to a statement.
+type PathReport struct {
+	Latencies []Latency `json:"latencies"`
+}
+
+// way is a session on one of the compared ways.
+type way struct {
+	name        string
+	c           *pgx.Conn
+	read, write *hdrhistogram.Histogram
+}
+
+// Path runs reads and writes in turn on a direct connection to the primary and
+// through each daemon, one at a time.
+func Path(x context.Context, c PathConfig) (PathReport, error) {
+	s, err := process.Start(x, c.Process)
+	if err != nil {
+		return PathReport{}, err
+	}
+	defer s.Stop()
+	l, err := ways(x, s)
+	if err != nil {
+		return PathReport{}, err
+	}
+	for i := range c.Rounds + warmUp {
+		for _, w := range l {
+			if err := w.round(x, i); err != nil {
+				return PathReport{}, err
+			}
+		}
+	}
+	var o PathReport
+	for _, w := range l {
+		o.Latencies = append(o.Latencies, latency("read, "+w.name, w.read), latency("write, "+w.name, w.write))
+	}
+	return o, nil
+}
+
+// ways connects a session on each way.
+func ways(x context.Context, s *process.System) ([]*way, error) {
+	c, err := dialMember(x, s.Members[0].Address)
+	if err != nil {
+		return nil, err
+	}
+	l := []*way{{name: "direct", c: c, read: newHistogram(), write: newHistogram()}}
+	for _, d := range s.Daemons {
+		if c, err = dialDaemon(x, d.Address); err != nil {
+			return nil, err
+		}
+		l = append(l, &way{name: d.Name, c: c, read: newHistogram(), write: newHistogram()})
+	}
+	_, err = l[1].c.Exec(x, makeTable)
+	return l, Error.Wrap(err)
+}
+
+// round runs a write and a read.
+func (w *way) round(x context.Context, i int) error {
+	b := time.Now()
+	if _, err := w.c.Exec(x, writeOne, i, i); err != nil {
+		return Error.Wrap(err)
+	}
+	m := time.Now()
+	var n int
+	if err := w.c.QueryRow(x, readOne, i).Scan(&n); err != nil {
+		return Error.Wrap(err)
+	}
+	if i >= warmUp {
+		record(w.write, m.Sub(b))
+		record(w.read, time.Since(m))
+	}
+	return nil
+}
+
+// Print writes the report as text.
+func (r *PathReport) Print(o io.Writer) { latencyTable(o, r.Latencies) }
+
+// ThroughputConfig holds the settings of Throughput.
+type ThroughputConfig struct {
+	Process process.Config
+	// Sessions is the number of sessions, each with one statement at a time.
+	Sessions int
+	// Duration is that of each part.
+	Duration time.Duration
+}
+
+// Rate is what one part of a throughput measurement has shown.
+type Rate struct {
+	Latency
+	PerSecond float64 `json:"per-second"`
+	// Cores is the daemon's processor time a second; zero on the direct way.
+	Cores float64 `json:"cores"`
+	// PerStatement is the daemon's processor time for a statement.
+	PerStatement time.Duration `json:"per-statement-ns"`
+}
+
+// ThroughputReport tells what one daemon carries.
+type ThroughputReport struct {
+	Sessions int    `json:"sessions"`
+	Rates    []Rate `json:"rates"`
+}
+
+// Throughput runs sessions without pause directly on the primary and through
+// one daemon.
+func Throughput(x context.Context, c ThroughputConfig) (ThroughputReport, error) {
+	o := ThroughputReport{Sessions: c.Sessions}
+	c.Process.Daemons = 1
+	s, err := process.Start(x, c.Process)
+	if err != nil {
+		return o, err
+	}
+	defer s.Stop()
+	m, d := s.Members[0], s.Daemons[0]
+	p, err := dialDaemon(x, d.Address)
+	if err != nil {
+		return o, err
+	}
+	if _, err := p.Exec(x, makeTable); err != nil {
+		return o, Error.Wrap(err)
+	}
+	direct := func() (*pgx.Conn, error) { return dialMember(x, m.Address) }
+	through := func() (*pgx.Conn, error) { return dialDaemon(x, d.Address) }
+	for _, y := range []struct {
+		name string
+		dial func() (*pgx.Conn, error)
+		read bool
+		pid  int
+	}{
+		{"read, direct", direct, true, 0},
+		{"read, one daemon", through, true, d.PID()},
+		{"write, direct", direct, false, 0},
+		{"write, one daemon", through, false, d.PID()},
+	} {
+		r, err := rate(x, c, y.dial, y.read, y.pid)
+		if err != nil {
+			return o, err
+		}
+		r.Name = y.name
+		o.Rates = append(o.Rates, r)
+	}
+	return o, nil
+}
+
+// rate runs one part.
+func rate(x context.Context, c ThroughputConfig, dial func() (*pgx.Conn, error), read bool, pid int) (Rate, error) {
+	l, err := connect(c.Sessions, dial)
+	defer closeAll(l)
+	if err != nil {
+		return Rate{}, err
+	}
+	u, err := used(pid)
+	if err != nil {
+		return Rate{}, err
+	}
+	b := time.Now()
+	h, err := run(x, l, b.Add(c.Duration), read)
+	if err != nil {
+		return Rate{}, err
+	}
+	e := time.Since(b)
+	v, err := used(pid)
+	if err != nil {
+		return Rate{}, err
+	}
+	r := Rate{Latency: latency("", h), PerSecond: float64(h.TotalCount()) / e.Seconds(), Cores: (v - u).Seconds() / e.Seconds()}
+	r.PerStatement = (v - u) / time.Duration(max(h.TotalCount(), 1))
+	return r, nil
+}
+
+func used(pid int) (time.Duration, error) {
+	if pid == 0 {
+		return 0, nil
+	}
+	return processorTime(pid)
+}
+
+// dialers is the number of sessions that connect at a time.
+const dialers = 32
+
+// connect opens n sessions.
+func connect(n int, dial func() (*pgx.Conn, error)) ([]*pgx.Conn, error) {
+	l := make([]*pgx.Conn, n)
+	g := &errgroup.Group{}
+	g.SetLimit(dialers)
+	for i := range l {
+		g.Go(func() error {
+			var err error
+			l[i], err = dial()
+			return err
+		})
+	}
+	return l, g.Wait()
+}
+
+func closeAll(l []*pgx.Conn) {
+	for _, c := range l {
+		if c != nil {
+			_ = c.PgConn().Conn().Close()
+		}
+	}
+}
+
+// run repeats a statement on every session until the end, and returns the
+// latencies.
+func run(x context.Context, l []*pgx.Conn, end time.Time, read bool) (*hdrhistogram.Histogram, error) {
+	h := make([]*hdrhistogram.Histogram, len(l))
+	var id atomic.Int64
+	g, x := errgroup.WithContext(x)
+	for i, c := range l {
+		h[i] = newHistogram()
+		g.Go(func() error {
+			for time.Now().Before(end) {
+				b := time.Now()
+				if err := one(x, c, read, id.Add(1)); err != nil {
+					return err
+				}
+				record(h[i], time.Since(b))
+			}
+			return nil
+		})
+	}
+	err := g.Wait()
+	o := newHistogram()
+	for _, y := range h {
+		o.Merge(y)
+	}
+	return o, err
+}
+
+func one(x context.Context, c *pgx.Conn, read bool, id int64) error {
+	if !read {
+		_, err := c.Exec(x, writeOne, id, 1)
+		return Error.Wrap(err)
+	}
+	var n int64
+	return Error.Wrap(c.QueryRow(x, "SELECT 1").Scan(&n))
+}
+
+// Print writes the report as text.
+func (r *ThroughputReport) Print(o io.Writer) {
+	t := [][]string{{"part", "statements/s", "p50", "p99", "daemon cores", "daemon time/statement"}}
+	for _, y := range r.Rates {
+		t = append(t, []string{
+			y.Name, strconv.FormatFloat(y.PerSecond, 'f', 0, 64), round(y.P50), round(y.P99),
+			strconv.FormatFloat(y.Cores, 'f', 2, 64), round(y.PerStatement),
+		})
+	}
+	table(o, t)
+}
--- /dev/null
+++ b/standin/relay/relay.go
@@ -0,0 +1,220 @@
+// Package relay forwards TCP connections from one address to another and can
+// be made to fail like the network between two hosts.
+package relay
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("standin relay")
+
+// Mode tells what happens to connections.
+type Mode int
+
+// The modes of a relay.
+const (
+	// Pass forwards everything.
+	Pass Mode = iota
+	// Drop holds all bytes back, on open connections and new ones, until the
+	// mode changes.
+	Drop
+	// Reset resets open connections, and new ones as soon as they are opened.
+	Reset
+	// Refuse refuses new connections; open ones go on.
+	Refuse
+)
+
+// dialTimeout bounds connecting to the target.
+const dialTimeout = 2 * time.Second
+
+// Config holds a relay's settings.
+type Config struct {
+	// Listen is the IP address and port to accept on.
+	Listen string
+	// Target is the IP address and port to connect to.
+	Target string
+}
+
+// Relay forwards connections. It is safe for concurrent use.
+type Relay struct {
+	c       Config
+	address string
+	g       *errgroup.Group
+	x       context.Context
+	stop    context.CancelFunc
+
+	mu    sync.Mutex
+	l     net.Listener
+	mode  Mode
+	delay time.Duration
+	// changed is closed and replaced when the mode changes.
+	changed chan struct{}
+	links   map[*link]struct{}
+}
+
+// link is one forwarded connection.
+type link struct {
+	from, to net.Conn
+	// silent tells that nothing is forwarded any more; it is guarded by the
+	// relay's mu.
+	silent bool
+}
+
+// Start opens the listening socket and forwards until Stop.
+func Start(c Config) (*Relay, error) {
+	x, stop := context.WithCancel(context.Background())
+	r := &Relay{c: c, g: &errgroup.Group{}, x: x, stop: stop, changed: make(chan struct{}), links: map[*link]struct{}{}}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		stop()
+		return nil, Error.Wrap(err)
+	}
+	r.address = l.Addr().String()
+	r.accept(l)
+	return r, nil
+}
+
+// Address returns the address that the relay accepts on.
+func (r *Relay) Address() string { return r.address }
+
+// Stop ends all connections and waits for the relay's end.
+func (r *Relay) Stop() {
+	r.stop()
+	r.mu.Lock()
+	r.unlisten()
+	r.closeLinks(false)
+	r.mu.Unlock()
+	_ = r.g.Wait()
+}
+
+// Set changes the mode.
+func (r *Relay) Set(m Mode) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.mode = m
+	close(r.changed)
+	r.changed = make(chan struct{})
+	if m == Reset {
+		r.closeLinks(true)
+	}
+	if m == Refuse {
+		r.unlisten()
+		return nil
+	}
+	return r.listen()
+}
+
+// Delay sets the delay of each direction.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Silence makes all connections that are open now silent for good, while new
+// ones work.
+func (r *Relay) Silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for k := range r.links {
+		k.silent = true
+	}
+}
+
+// listen opens the listening socket again; r.mu is held.
+func (r *Relay) listen() error {
+	if r.l != nil || r.x.Err() != nil {
+		return nil
+	}
+	l, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	r.accept(l)
+	return nil
+}
+
+// unlisten closes the listening socket; r.mu is held.
+func (r *Relay) unlisten() {
+	if r.l != nil {
+		_ = r.l.Close()
+		r.l = nil
+	}
+}
+
+// closeLinks ends open connections; r.mu is held.
+func (r *Relay) closeLinks(reset bool) {
+	for k := range r.links {
+		k.close(reset)
+	}
+}
+
+func (k *link) close(reset bool) {
+	for _, c := range []net.Conn{k.from, k.to} {
+		if t, ok := c.(*net.TCPConn); ok && reset {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// accept forwards the connections that l takes.
+func (r *Relay) accept(l net.Listener) {
+	r.l = l
+	r.g.Go(func() error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return nil
+			}
+			r.g.Go(func() error {
+				r.serve(c)
+				return nil
+			})
+		}
+	})
+}
+
+func (r *Relay) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	t, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(r.x, "tcp", r.c.Target)
+	if err != nil {
+		(&link{from: c, to: c}).close(true)
+		return
+	}
+	k := &link{from: c, to: t}
+	defer k.close(false)
+	if !r.add(k) {
+		k.close(true)
+		return
+	}
+	defer r.remove(k)
+	g := &errgroup.Group{}
+	g.Go(func() error { return r.pump(k, k.from, k.to) })
+	g.Go(func() error { return r.pump(k, k.to, k.from) })
+	_ = g.Wait()
+}
+
+// add notes an open connection, and reports whether it may go on.
+func (r *Relay) add(k *link) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.mode == Reset || r.x.Err() != nil {
+		return false
+	}
+	r.links[k] = struct{}{}
+	return true
+}
+
+func (r *Relay) remove(k *link) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.links, k)
+}
