--- a/command/serve/serve_test.go
+++ b/command/serve/serve_test.go
@@ -20,6 +20,7 @@
 var _ = Describe("settings", func() {
 	good := []string{
 		"--region", "west", "--failure-domain", "west-1", "--platform", "127.0.0.1:8500", "--secret", "s3cret-value",
+		"--author", "anna:AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=",
 		"--approver", "ops:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=",
 	}
 	run := func(args ...string) (string, int) {
--- a/standin/process/system.go
+++ b/standin/process/system.go
@@ -230,7 +230,7 @@
 	}
 	c := platform.New(platform.Config{Address: s.platform})
 	return s.await(x, func() bool {
-		_, err := platform.Push(x, c, e, []*bundle.Key{s.approver})
+		_, err := platform.Push(x, c, e, bundle.Trust{Authors: []*bundle.Key{s.author}, Approvers: []*bundle.Key{s.approver}})
 		return err == nil
 	})
 }
@@ -255,7 +255,7 @@
 	d.Process, err = s.s.start(s.Config.Dir, n, s.Config.Programs.Dragonflypick, e,
 		"serve", "--id", n, "--region", region, "--failure-domain", domain(len(s.Daemons)),
 		"--listen", l[0], "--peer-listen", l[1], "--peer-advertise", front, "--admin-listen", l[2],
-		"--platform", s.platform, "--approver", s.approver.PublicText(), "--log-level", s.Config.LogLevel, "--log-json")
+		"--platform", s.platform, "--author", s.author.PublicText(), "--approver", s.approver.PublicText(), "--log-level", s.Config.LogLevel, "--log-json")
 	if err != nil {
 		stopRelay(d.Relay)
 		return nil, err
