--- a/caller/answer.go
+++ b/caller/answer.go
@@ -83,11 +83,11 @@
 	return answered, a.pass(m)
 }
 
-// elsewhere reports whether the error says that a replica can't run the
-// statement, while the primary could.
+// elsewhere reports whether the error says that the member is a replica and has
+// run nothing, while the primary could run the statement.
 func (a *answer) elsewhere(m wire.Message) bool {
 	var e pgproto3.ErrorResponse
-	if a.sent || !a.w.whole || a.n.open != nil || kindOf(a.w.class) != peer.KindRead {
+	if a.sent || !a.w.whole || a.n.open != nil {
 		return false
 	}
 	return e.Decode(m.Body) == nil && e.Code == codeReadOnly
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -162,21 +162,30 @@
 			return err
 		case x.Err() != nil:
 			return n.end(w, canceled())
-		case o == readOnly:
-			r.Primary, r.Header.Kind = true, peer.KindWrite
-			continue
 		case o == lost && r.Header.Kind != peer.KindRead:
 			return n.end(w, refusal(peer.Verdict{Outcome: peer.InDoubt, Reason: "owner-lost"}))
 		case !w.whole || !again(v) || time.Until(deadline) < retryPause:
 			return n.end(w, refusal(v))
 		}
-		if v.Outcome != peer.Moved {
+		if o == readOnly {
+			r.asWrite()
+		} else if v.Outcome != peer.Moved {
 			r.Tried = map[string]bool{}
+		}
+		if v.Outcome != peer.Moved {
 			pause(x, retryPause)
 		}
 	}
 }
 
+// asWrite sends the request to the primary from now on.
+func (r *Request) asWrite() {
+	r.Primary = true
+	if r.Header.Kind == peer.KindRead {
+		r.Header.Kind = peer.KindWrite
+	}
+}
+
 // again reports whether a request that was not run should be sent again.
 func again(v peer.Verdict) bool {
 	switch v.Reason {
@@ -208,12 +217,15 @@
 	if o == declined || o == answered && v.Outcome != "" {
 		n.s.c.Router.Learn(n.group, t.Member, v)
 	}
-	if v.Outcome == peer.Moved || o == lost {
+	if v.Outcome == peer.Moved || o == lost || o == readOnly {
 		r.Tried[t.Member] = true
 	}
 	if o == lost {
 		v = peer.Verdict{Outcome: peer.NotRun, Reason: "owner-lost", RetryAfter: retryPause}
 	}
+	if o == readOnly {
+		v = peer.Verdict{Outcome: peer.NotRun, Reason: "read-only-member", RetryAfter: retryPause}
+	}
 	return o, v, err
 }
 
