Few watchers of the platform; bundles and hosts relayed by neighbours

Cause: every daemon watched the bundle and the host list and renewed its session each 3.3 s, so that calls grew with the fleet; each exchange carried all hosts; a host dropped from the list lost its servers at once. Ruled out: differences between lists for a daemon whose list the sender never held (the property test found a removed host that stayed listed). Change: pure package rollout picks two watchers a failure domain, five neighbours a daemon, and the pause between renewals (it grows with the root of the fleet); more daemons watch while no sign of a watcher comes. News goes to the neighbours at once and by exchange each 0.75 to 1.5 s; host lists travel as differences. Leave notices are passed on. Membership keeps live hosts that a wrong list omits, doubles suspicion, and remembers owners.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -11,7 +11,6 @@
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/failover"
 	"github.com/dragonflypick/dragonflypick/logpos"
-	"github.com/dragonflypick/dragonflypick/membership"
 )
 
 // Methods of control calls between daemons.
@@ -21,6 +20,7 @@
 	methodPosition = "group.position"
 	methodBundle   = "bundle.get"
 	methodVersion  = "bundle.version"
+	methodHosts    = "host.list"
 	methodLeave    = "host.leave"
 )
 
@@ -30,17 +30,6 @@
 	Member string `json:"member"`
 }
 
-// versionParams names a bundle version.
-type versionParams struct {
-	Version uint64 `json:"version"`
-}
-
-// versionResult is the answer to versionParams.
-type versionResult struct {
-	Version uint64            `json:"version"`
-	Hosts   []membership.Host `json:"hosts"`
-}
-
 // hostParams names a host.
 type hostParams struct {
 	ID string `json:"id"`
@@ -74,13 +63,19 @@
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
-		return d.localVersion(), nil
+		return d.localVersion(p), nil
+	case methodHosts:
+		var p versionParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.localHosts(p.Roster), nil
 	case methodLeave:
 		var p hostParams
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
-		d.noteMember(membership.Left{ID: p.ID})
+		d.heardLeave(p.ID)
 		return true, nil
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
@@ -105,14 +100,6 @@
 	return g, m, nil
 }
 
-func (d *Daemon) localVersion() versionResult {
-	v := versionResult{Version: d.version()}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	v.Hosts = d.view.Known()
-	return v
-}
-
 // localStatus asks a member that this daemon is taken to own.
 func (d *Daemon) localStatus(x context.Context, p memberParams) (failover.Status, error) {
 	g, m, err := d.member(p)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -23,6 +23,7 @@
 	"github.com/dragonflypick/dragonflypick/owner"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/rollout"
 )
 
 // Error is the class of all failures of this package.
@@ -77,11 +78,19 @@
 	group *errgroup.Group
 	ctx   context.Context
 
-	mu       sync.Mutex
-	held     *bundle.Signed
-	view     *membership.View
+	mu     sync.Mutex
+	held   *bundle.Signed
+	view   *membership.View
+	roster *rollout.Roster
+	// watcher is the time of the last sign of a watcher of the platform.
+	watcher  time.Time
 	watches  map[string]*watch
 	controls map[string]*backend.Control
+
+	// fetching is held while a bundle or a host list is fetched from a peer.
+	fetching sync.Mutex
+	// news holds a token while the neighbours are to be told something.
+	news chan struct{}
 }
 
 // watch is a running monitor.
@@ -97,6 +106,7 @@
 	d := &Daemon{
 		c: c, platform: platform.New(platform.Config{Address: c.Platform}),
 		watches: map[string]*watch{}, controls: map[string]*backend.Control{},
+		roster: rollout.NewRoster(), watcher: time.Now(), news: make(chan struct{}, 1),
 		group: &errgroup.Group{}, ctx: context.Background(),
 	}
 	d.owner = owner.New(owner.Config{
@@ -117,7 +127,7 @@
 		Serve: func(x context.Context, s *peer.Stream) { d.owner.Serve(x, s) },
 		Lost:  func(id string) { d.noteMember(membership.Lost{ID: id}) },
 		Seen:  func(id string) { d.noteMember(membership.Seen{ID: id}) },
-		Met:   func(h membership.Host) { d.noteMember(membership.Met{Host: h}) },
+		Met:   func(h membership.Host) { d.noteMember(membership.Met{Host: h, Direct: true}) },
 	})
 	if err != nil {
 		return err
@@ -191,10 +201,10 @@
 		{"peers", d.node.Run},
 		{"callers", d.callers.Run},
 		{"admin", d.admin.Run},
-		{"bundle", d.watchBundle},
-		{"hosts", d.watchHosts},
+		{"platform", d.watchPlatform},
 		{"register", d.register},
 		{"versions", d.exchangeVersions},
+		{"news", d.tell},
 		{"reconcile", d.reconcile},
 		{"sweep", d.sweep},
 	} {
@@ -222,19 +232,23 @@
 	d.c.Log.Info("drain ends", "id", d.c.Host.ID, "sessions", d.callers.Sessions())
 }
 
-func (d *Daemon) noteMember(e membership.Event) {
+// noteMember reports whether the event changed what is known.
+func (d *Daemon) noteMember(e membership.Event) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.view == nil {
-		return
+		return false
+	}
+	if !d.view.Handle(e, time.Now()) {
+		return false
 	}
-	d.view.Handle(e, time.Now())
 	switch y := e.(type) {
 	case membership.Lost:
 		d.c.Log.Debug("host passed over", "host", y.ID)
 	case membership.Left:
 		d.c.Log.Info("host leaves", "host", y.ID)
 	}
+	return true
 }
 
 func (d *Daemon) ownerOf(m *bundle.Member) (membership.Host, bool) {
--- /dev/null
+++ b/membership/membership_test.go
@@ -0,0 +1,184 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/membership"
+)
+
+const seed = "6"
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		t.Fatal(err)
+	}
+	t.Log("rapid seed", seed)
+	RunSpecs(t, "Membership")
+}
+
+func host(n int) membership.Host {
+	return membership.Host{ID: fmt.Sprintf("h%02d", n), Region: "west", FailureDomain: fmt.Sprintf("west-%d", n%3)}
+}
+
+func hosts(n int) []membership.Host {
+	var o []membership.Host
+	for i := range n {
+		o = append(o, host(i))
+	}
+	return o
+}
+
+func members(n int) []bundle.Member {
+	var o []bundle.Member
+	for i := range n {
+		o = append(o, bundle.Member{Name: fmt.Sprintf("m%02d", i), Region: "west", FailureDomain: fmt.Sprintf("west-%d", i%3)})
+	}
+	return o
+}
+
+var start = time.Unix(1000, 0)
+
+func listed(h []membership.Host) *membership.View {
+	v := membership.New(h[0])
+	v.Handle(membership.Listed{Hosts: h}, start)
+	return v
+}
+
+var _ = Describe("ownership", func() {
+	It("moves only from the host that goes, and only to the host that comes", func() {
+		moved, all := 0, 0
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			h := hosts(rapid.IntRange(4, 12).Draw(t, "hosts"))
+			k := rapid.IntRange(1, len(h)-1).Draw(t, "goes")
+			v, w := listed(h), listed(h)
+			w.Handle(membership.Left{ID: h[k].ID}, start)
+			for _, m := range members(30) {
+				a, _ := v.Owner(&m, start)
+				b, ok := w.Owner(&m, start)
+				if !ok || b.ID == h[k].ID || a.ID != h[k].ID && a != b {
+					t.Fatalf("%s moved from %s to %s while %s went", m.Name, a.ID, b.ID, h[k].ID)
+				}
+				all++
+				if a != b {
+					moved++
+				}
+			}
+		})
+		GinkgoWriter.Printf("seed %s: %d of %d owners moved\n", seed, moved, all)
+	})
+
+	It("stays in the failure domain, then in the region", func() {
+		v := listed(hosts(6))
+		m := members(2)[1]
+		h, _ := v.Owner(&m, start)
+		Expect(h.FailureDomain).To(Equal("west-1"))
+		v.Handle(membership.Lost{ID: "h01"}, start)
+		v.Handle(membership.Lost{ID: "h04"}, start)
+		h, _ = v.Owner(&m, start)
+		Expect(h.FailureDomain).NotTo(Equal("west-1"))
+		h, _ = v.Owner(&m, start.Add(membership.SuspectTime))
+		Expect(h.FailureDomain).To(Equal("west-1"))
+	})
+
+	It("is the same by memory as by reckoning anew, after any events", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			v, now := listed(hosts(6)), start
+			var past []func(*membership.View)
+			for range rapid.IntRange(1, 30).Draw(t, "events") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+				e, at := event(t), now
+				past = append(past, func(w *membership.View) { w.Handle(e, at) })
+				v.Handle(e, now)
+				w := listed(hosts(6))
+				for _, f := range past {
+					f(w)
+				}
+				for _, m := range members(6) {
+					a, _ := v.Owner(&m, now)
+					b, _ := w.Owner(&m, now)
+					if a != b {
+						t.Fatalf("owner of %s is %s by memory, %s anew", m.Name, a.ID, b.ID)
+					}
+				}
+			}
+		})
+	})
+})
+
+func event(t *rapid.T) membership.Event {
+	h := host(rapid.IntRange(0, 8).Draw(t, "host"))
+	switch rapid.IntRange(0, 4).Draw(t, "event") {
+	case 0:
+		return membership.Listed{Hosts: hosts(rapid.IntRange(0, 9).Draw(t, "length"))}
+	case 1:
+		return membership.Met{Host: h, Direct: rapid.Bool().Draw(t, "direct")}
+	case 2:
+		return membership.Lost{ID: h.ID}
+	case 3:
+		return membership.Seen{ID: h.ID}
+	default:
+		return membership.Left{ID: h.ID}
+	}
+}
+
+var _ = Describe("a view", func() {
+	It("always has its own host live unless it leaves", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			v, now, left := listed(hosts(6)), start, false
+			for range rapid.IntRange(1, 40).Draw(t, "events") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "s")) * time.Second)
+				e := event(t)
+				if x, ok := e.(membership.Left); ok && x.ID == "h00" {
+					left = true
+				}
+				v.Handle(e, now)
+				l := v.Live(now)
+				if !left && (len(l) == 0 || l[0].ID != "h00") {
+					t.Fatalf("own host isn't live: %v", l)
+				}
+			}
+		})
+	})
+
+	It("keeps the last list when the list is empty, and live hosts that a wrong list omits", func() {
+		v := listed(hosts(6))
+		v.Handle(membership.Listed{}, start)
+		Expect(v.Live(start)).To(HaveLen(6))
+		v.Handle(membership.Listed{Hosts: hosts(2)}, start)
+		Expect(v.Live(start)).To(HaveLen(6))
+		v.Handle(membership.Lost{ID: "h05"}, start)
+		Expect(v.Live(start.Add(time.Minute))).To(HaveLen(5))
+		later := start.Add(membership.LingerTime + time.Second)
+		v.Handle(membership.Seen{ID: "h04"}, start.Add(time.Minute))
+		v.Handle(membership.Listed{Hosts: hosts(2)}, later)
+		Expect(v.Live(later)).To(HaveLen(3))
+	})
+
+	It("doesn't believe hearsay of a host that it has lost for good", func() {
+		v := membership.New(host(0))
+		v.Handle(membership.Met{Host: host(7)}, start)
+		Expect(v.Hearsay(start)).To(HaveLen(2))
+		for range 4 {
+			v.Handle(membership.Lost{ID: "h07"}, start)
+		}
+		Expect(v.Handle(membership.Met{Host: host(7)}, start)).To(BeFalse())
+		Expect(v.Handle(membership.Met{Host: host(7), Direct: true}, start)).To(BeTrue())
+	})
+
+	It("holds a leave notice against the list, for as long as the notice says", func() {
+		v := listed(hosts(3))
+		v.Handle(membership.Left{ID: "h01", Remaining: 10 * time.Second}, start)
+		v.Handle(membership.Listed{Hosts: hosts(3)}, start)
+		Expect(v.Live(start.Add(9 * time.Second))).To(HaveLen(2))
+		Expect(v.Live(start.Add(11 * time.Second))).To(HaveLen(3))
+	})
+})
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,190 @@
+package rollout_test
+
+import (
+	"flag"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/rollout"
+)
+
+const seed = "6"
+
+func TestRollout(t *testing.T) {
+	RegisterFailHandler(Fail)
+	if err := flag.Set("rapid.seed", seed); err != nil {
+		t.Fatal(err)
+	}
+	t.Log("rapid seed", seed)
+	RunSpecs(t, "Rollout")
+}
+
+func fleet(n, domains int) []membership.Host {
+	l := make([]membership.Host, n)
+	for i := range l {
+		d := i % domains
+		l[i] = membership.Host{ID: "host-" + strconv.Itoa(i), Region: "r" + strconv.Itoa(d%2), FailureDomain: "d" + strconv.Itoa(d)}
+	}
+	return l
+}
+
+var _ = Describe("watchers", func() {
+	DescribeTable("are few in each failure domain, however large the fleet", func(n, domains int) {
+		l := fleet(n, domains)
+		w := map[string]int{}
+		for _, h := range l {
+			if rollout.Watches(h, l, 0) {
+				w[h.FailureDomain]++
+			}
+		}
+		Expect(w).To(HaveLen(domains))
+		for _, k := range w {
+			Expect(k).To(Equal(rollout.DomainWatchers))
+		}
+	}, Entry("9", 9, 3), Entry("50", 50, 3), Entry("5000", 5000, 7))
+
+	It("become more while no sign of any comes, until all watch", func() {
+		l := fleet(200, 2)
+		before := 0
+		for s := rollout.WatcherSilence; s < 2*time.Minute; s += 5 * time.Second {
+			k := 0
+			for _, h := range l {
+				if rollout.Watches(h, l, s) {
+					k++
+				}
+			}
+			Expect(k).To(BeNumerically(">=", before))
+			before = k
+		}
+		Expect(before).To(Equal(200))
+	})
+
+	It("renew less often in a larger fleet, so that calls grow slower than the fleet", func() {
+		rate := func(n int) float64 { return float64(n) / rollout.RenewInterval(n).Minutes() }
+		Expect(rate(5000) / rate(50)).To(BeNumerically("<", 11))
+		Expect(rollout.SessionTTL(9)).To(Equal(time.Minute))
+	})
+})
+
+var _ = Describe("neighbours", func() {
+	DescribeTable("reach the whole fleet in few steps", func(n, domains, steps int) {
+		l := fleet(n, domains)
+		links := map[string][]string{}
+		for _, h := range l {
+			for _, k := range rollout.Neighbours(h, l) {
+				links[h.ID] = append(links[h.ID], k.ID)
+				links[k.ID] = append(links[k.ID], h.ID)
+			}
+		}
+		seen := map[string]bool{l[0].ID: true}
+		edge := []string{l[0].ID}
+		for range steps {
+			var next []string
+			for _, a := range edge {
+				for _, b := range links[a] {
+					if !seen[b] {
+						seen[b] = true
+						next = append(next, b)
+					}
+				}
+			}
+			edge = next
+		}
+		Expect(seen).To(HaveLen(n))
+	}, Entry("9", 9, 3, 3), Entry("200", 200, 4, 5), Entry("600", 600, 7, 6))
+
+	It("change little when a host goes", func() {
+		l := fleet(100, 4)
+		changed := 0
+		for _, h := range l[1:] {
+			a, b := rollout.Neighbours(h, l), rollout.Neighbours(h, l[1:])
+			for _, k := range b {
+				if !slices.Contains(a, k) {
+					changed++
+				}
+			}
+			Expect(a).To(HaveLen(5))
+		}
+		Expect(changed).To(BeNumerically("<=", 20))
+	})
+})
+
+var _ = Describe("a roster", func() {
+	It("reaches the platform's list by any path of updates, and never goes back", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			l := fleet(8, 2)
+			truth := map[int]bool{0: true}
+			index := uint64(1)
+			list := func() []membership.Host {
+				var o []membership.Host
+				for i, h := range l {
+					if truth[i] {
+						o = append(o, h)
+					}
+				}
+				return o
+			}
+			r := make([]*rollout.Roster, 4)
+			for i := range r {
+				r[i] = rollout.NewRoster()
+			}
+			for range rapid.IntRange(1, 60).Draw(t, "steps") {
+				i := rapid.IntRange(0, 3).Draw(t, "daemon")
+				old := r[i].Stamp()
+				switch rapid.IntRange(0, 3).Draw(t, "step") {
+				case 0:
+					k := rapid.IntRange(1, 7).Draw(t, "host")
+					truth[k] = !truth[k]
+					index++
+				case 1:
+					r[i].Read(index, list())
+				case 2:
+					r[i].Read(index, nil)
+				default:
+					r[i].Apply(r[rapid.IntRange(0, 3).Draw(t, "from")].Since(old))
+				}
+				if old.After(r[i].Stamp()) {
+					t.Fatalf("stamp fell from %v to %v", old, r[i].Stamp())
+				}
+			}
+			index++
+			r[0].Read(index, list())
+			for i := range r {
+				r[i].Apply(r[0].Since(r[i].Stamp()))
+				if !slices.Equal(r[i].Hosts(), list()) {
+					t.Fatalf("daemon %d has %v instead of %v", i, r[i].Hosts(), list())
+				}
+			}
+		})
+	})
+
+	It("takes a list whose index fell, after the platform's store was restored", func() {
+		r, p := rollout.NewRoster(), rollout.NewRoster()
+		l := fleet(3, 1)
+		Expect(r.Read(90, l)).To(BeTrue())
+		Expect(p.Apply(r.Since(p.Stamp()))).To(BeTrue())
+		Expect(r.Read(5, l[:2])).To(BeTrue())
+		Expect(p.Apply(r.Since(p.Stamp()))).To(BeTrue())
+		Expect(p.Hosts()).To(Equal(l[:2]))
+	})
+
+	It("sends only what changed, and all when removals were forgotten", func() {
+		r := rollout.NewRoster()
+		l := fleet(1000, 2)
+		r.Read(10, l)
+		s := r.Stamp()
+		r.Read(11, l[1:])
+		Expect(r.Since(s).Entries).To(HaveLen(1))
+		r.Read(12, l[500:])
+		r.Read(13, l[501:])
+		Expect(r.Since(s).Whole).To(BeTrue())
+		Expect(r.Since(s).Entries).To(HaveLen(499))
+	})
+})
