--- /dev/null
+++ b/bundle/diff.go
@@ -0,0 +1,160 @@
+package bundle
+
+import (
+	"bytes"
+	"encoding/json"
+	"sort"
+	"strconv"
+)
+
+// Change is one difference between two bundles.
+type Change struct {
+	// Path is the place; parts of lists stand under their name, as in
+	// "groups[orders].members[orders-1].slots".
+	Path string `json:"path"`
+	// Before and After are JSON; empty where there is nothing.
+	Before json.RawMessage `json:"before,omitempty"`
+	After  json.RawMessage `json:"after,omitempty"`
+}
+
+// hidden replaces a caller's verifier in a change.
+const hidden = `"(hidden)"`
+
+// Diff returns what n changes in o, by path. A nil bundle is empty.
+func Diff(o, n *Bundle) ([]Change, error) {
+	a, err := tree(o)
+	if err != nil {
+		return nil, err
+	}
+	b, err := tree(n)
+	if err != nil {
+		return nil, err
+	}
+	var d differ
+	if err := d.walk("", a, b); err != nil {
+		return nil, err
+	}
+	return d.changes, nil
+}
+
+func tree(b *Bundle) (any, error) {
+	if b == nil {
+		return map[string]any{}, nil
+	}
+	p, err := Canonical(b)
+	if err != nil {
+		return nil, err
+	}
+	var v any
+	d := json.NewDecoder(bytes.NewReader(p))
+	d.UseNumber()
+	return v, Error.Wrap(d.Decode(&v))
+}
+
+type differ struct{ changes []Change }
+
+func (d *differ) walk(path string, a, b any) error {
+	x, ok := fields(a)
+	y, also := fields(b)
+	if !ok && !also {
+		return d.leaf(path, a, b)
+	}
+	if ok != also && (a != nil && b != nil) {
+		return d.leaf(path, a, b)
+	}
+	for _, k := range union(x, y) {
+		p := path + "." + k
+		if _, l := a.([]any); l || isList(b) {
+			p = path + "[" + k + "]"
+		} else if path == "" {
+			p = k
+		}
+		if err := d.walk(p, x[k], y[k]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func isList(v any) bool {
+	_, ok := v.([]any)
+	return ok
+}
+
+// leaf compares two values.
+func (d *differ) leaf(path string, a, b any) error {
+	x, err := raw(a)
+	if err != nil {
+		return err
+	}
+	y, err := raw(b)
+	if err != nil || bytes.Equal(x, y) {
+		return err
+	}
+	if len(path) > len(scramKey) && path[len(path)-len(scramKey):] == scramKey {
+		x, y = hide(x), hide(y)
+	}
+	d.changes = append(d.changes, Change{Path: path, Before: x, After: y})
+	return nil
+}
+
+// scramKey ends the path of a caller's verifier.
+const scramKey = ".scram"
+
+func hide(b json.RawMessage) json.RawMessage {
+	if len(b) == 0 {
+		return nil
+	}
+	return json.RawMessage(hidden)
+}
+
+func raw(v any) (json.RawMessage, error) {
+	if v == nil {
+		return nil, nil
+	}
+	b, err := json.Marshal(v)
+	return b, Error.Wrap(err)
+}
+
+// fields returns the parts of an object by key, and those of a list by name or,
+// if they have none, by value.
+func fields(v any) (map[string]any, bool) {
+	switch x := v.(type) {
+	case map[string]any:
+		return x, true
+	case []any:
+		o := map[string]any{}
+		for i, e := range x {
+			o[label(e, i)] = e
+		}
+		return o, true
+	default:
+		return nil, false
+	}
+}
+
+func label(e any, i int) string {
+	switch x := e.(type) {
+	case string:
+		return x
+	case map[string]any:
+		if n, ok := x["name"].(string); ok {
+			return n
+		}
+	}
+	return strconv.Itoa(i)
+}
+
+func union(a, b map[string]any) []string {
+	var o []string
+	for k := range a {
+		o = append(o, k)
+	}
+	for k := range b {
+		if _, ok := a[k]; !ok {
+			o = append(o, k)
+		}
+	}
+	sort.Strings(o)
+	return o
+}
--- a/bundle/errors.go
+++ b/bundle/errors.go
@@ -40,14 +40,22 @@
 // Fault is one thing wrong with a bundle's content.
 type Fault struct {
 	// File is the file's name; empty if there is none.
-	File string
+	File string `json:"file,omitempty"`
 	// Line and Column count from 1; they are 0 if the bundle has no text.
-	Line   int
-	Column int
+	Line   int `json:"line,omitempty"`
+	Column int `json:"column,omitempty"`
 	// Path is the place in the bundle, such as "groups[0].members[1].slots".
-	Path string
+	Path string `json:"path,omitempty"`
 	// Reason tells what is wrong there.
-	Reason string
+	Reason string `json:"reason"`
+}
+
+// String formats the fault as "file:line:column: path: reason".
+func (f Fault) String() string {
+	if f.Path == "" {
+		return f.place() + f.Reason
+	}
+	return f.place() + ": " + f.Reason
 }
 
 // ContentError reports every fault of a bundle's content at once.
--- a/command/bundle/bundle.go
+++ b/command/bundle/bundle.go
@@ -3,8 +3,12 @@
 
 import (
 	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/bundle/check"
+	"github.com/dragonflypick/dragonflypick/command/bundle/diff"
+	"github.com/dragonflypick/dragonflypick/command/bundle/initial"
 	"github.com/dragonflypick/dragonflypick/command/bundle/keygen"
 	"github.com/dragonflypick/dragonflypick/command/bundle/push"
+	"github.com/dragonflypick/dragonflypick/command/bundle/show"
 	"github.com/dragonflypick/dragonflypick/command/bundle/sign"
 	"github.com/dragonflypick/dragonflypick/command/factory"
 )
@@ -15,7 +19,8 @@
 		Name: "bundle", Short: "Make, sign and roll out bundles",
 		Long: "A bundle is one signed version of the configuration of all daemons.",
 		Commands: []*command.Command{
-			keygen.NewCmdKeygen(f, nil), sign.NewCmdSign(f, nil), push.NewCmdPush(f, nil),
+			initial.NewCmdInit(f, nil), check.NewCmdCheck(f, nil), keygen.NewCmdKeygen(f, nil), sign.NewCmdSign(f, nil),
+			diff.NewCmdDiff(f, nil), push.NewCmdPush(f, nil), show.NewCmdShow(f, nil),
 		},
 	}
 }
--- /dev/null
+++ b/command/bundle/source/source.go
@@ -0,0 +1,69 @@
+// Package source reads bundles for commands, from files and from the platform.
+package source
+
+import (
+	"bytes"
+	"context"
+	"os"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/platform"
+)
+
+// Options are the flags of commands that read bundles.
+type Options struct {
+	Platform  string   `long:"platform" env:"DRAGONFLYPICK_PLATFORM" description:"IP address and port of the platform's key-value service"`
+	Authors   []string `long:"author" env:"DRAGONFLYPICK_AUTHORS" env-delim:"," description:"Public key (name:base64) that may write bundles"`
+	Approvers []string `long:"approver" env:"DRAGONFLYPICK_APPROVERS" env-delim:"," description:"Public key (name:base64) that may approve bundles"`
+}
+
+// Loaded is a bundle and where it comes from.
+type Loaded struct {
+	// Bundle is nil if the platform holds none.
+	Bundle *bundle.Bundle
+	// Signed is nil for an unsigned file.
+	Signed *bundle.Signed
+}
+
+// File reads a YAML file, or a signed bundle, whose signatures it checks.
+func (o *Options) File(x context.Context, name string) (Loaded, error) {
+	t, err := os.ReadFile(name)
+	if err != nil {
+		return Loaded{}, err
+	}
+	if bytes.HasPrefix(bytes.TrimSpace(t), []byte("{")) {
+		return o.open(x, t)
+	}
+	b, err := bundle.Parse(name, t)
+	if err != nil {
+		return Loaded{}, refused(err)
+	}
+	return Loaded{Bundle: b}, nil
+}
+
+// InForce reads the bundle that the platform holds.
+func (o *Options) InForce(x context.Context) (Loaded, error) {
+	if o.Platform == "" {
+		return Loaded{}, &command.FlagError{Reason: "give --platform, or name a file"}
+	}
+	r, err := platform.New(platform.Config{Address: o.Platform}).Get(x, platform.BundleKey, 0, 0)
+	if err != nil || len(r.Pairs) == 0 {
+		return Loaded{}, err
+	}
+	return o.open(x, r.Pairs[0].Value)
+}
+
+func (o *Options) open(x context.Context, envelope []byte) (Loaded, error) {
+	t, err := bundle.ParseTrust(o.Authors, o.Approvers)
+	if err != nil {
+		return Loaded{}, &command.FlagError{Reason: err.Error()}
+	}
+	s, err := bundle.Open(x, envelope, t)
+	if err != nil {
+		return Loaded{}, refused(err)
+	}
+	return Loaded{Bundle: s.Bundle, Signed: s}, nil
+}
+
+func refused(err error) error { return &command.RefusedError{Reason: err.Error()} }
--- a/command/standin/standin.go
+++ b/command/standin/standin.go
@@ -7,12 +7,13 @@
 	"github.com/dragonflypick/dragonflypick/command/standin/database"
 	"github.com/dragonflypick/dragonflypick/command/standin/load"
 	"github.com/dragonflypick/dragonflypick/command/standin/platform"
+	"github.com/dragonflypick/dragonflypick/command/standin/rollout"
 )
 
 // NewCmdStandin returns the root command.
 func NewCmdStandin(f *factory.Factory) *command.Command {
 	return &command.Command{
 		Name: "standin", Short: "Stand-ins for what the proxy talks to",
-		Commands: []*command.Command{platform.NewCmdPlatform(f, nil), database.NewCmdDatabase(f, nil), load.NewCmdLoad(f, nil)},
+		Commands: []*command.Command{platform.NewCmdPlatform(f, nil), database.NewCmdDatabase(f, nil), load.NewCmdLoad(f, nil), rollout.NewCmdRollout(f, nil)},
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -171,6 +171,9 @@
 	return d.held.Bundle
 }
 
+// Version returns the bundle version in force; zero if none is.
+func (d *Daemon) Version() uint64 { return d.version() }
+
 func (d *Daemon) version() uint64 {
 	if b := d.bundle(); b != nil {
 		return b.Version
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -36,6 +36,8 @@
 const (
 	// startTimeout bounds the wait until all daemons serve.
 	startTimeout = 20 * time.Second
+	// startTimeoutEach is added for each daemon.
+	startTimeoutEach = 300 * time.Millisecond
 	// stopPoll is how often a start looks for readiness.
 	startPoll = 20 * time.Millisecond
 	drainTime = 3 * time.Second
@@ -281,7 +283,7 @@
 // awaitReady waits until every daemon has the bundle and every group a
 // confirmed primary.
 func (c *Cluster) awaitReady() error {
-	t := time.Now().Add(startTimeout)
+	t := time.Now().Add(startTimeout + time.Duration(c.Config.Daemons)*startTimeoutEach)
 	for !c.ready() {
 		if time.Now().After(t) {
 			return Error.Wrap(&StartError{})
@@ -346,5 +348,5 @@
 type StartError struct{}
 
 func (e *StartError) Error() string {
-	return "the daemons were not ready within " + startTimeout.String()
+	return "the daemons were not ready in time"
 }
