--- a/daemon/control.go
+++ b/daemon/control.go
@@ -12,7 +12,6 @@
 	"github.com/dragonflypick/dragonflypick/caller"
 	"github.com/dragonflypick/dragonflypick/failover"
 	"github.com/dragonflypick/dragonflypick/logpos"
-	"github.com/dragonflypick/dragonflypick/membership"
 )
 
 // Methods of control calls between daemons.
@@ -22,6 +21,7 @@
 	methodPosition = "group.position"
 	methodBundle   = "bundle.get"
 	methodVersion  = "bundle.version"
+	methodHosts    = "host.list"
 	methodLeave    = "host.leave"
 	methodCancel   = "session.cancel"
 )
@@ -32,17 +32,6 @@
 	Member string `json:"member"`
 }
 
-// versionParams names a bundle version.
-type versionParams struct {
-	Version uint64 `json:"version"`
-}
-
-// versionResult is the answer to versionParams.
-type versionResult struct {
-	Version uint64            `json:"version"`
-	Hosts   []membership.Host `json:"hosts"`
-}
-
 // cancelParams names a session by its cancel key.
 type cancelParams struct {
 	PID    uint32 `json:"pid"`
@@ -82,19 +71,25 @@
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
-		return d.localVersion(), nil
+		return d.localVersion(p), nil
 	case methodCancel:
 		var p cancelParams
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
 		return d.callers.Cancel(p.PID, p.Secret), nil
+	case methodHosts:
+		var p versionParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.localHosts(p.Roster), nil
 	case methodLeave:
 		var p hostParams
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
-		d.noteMember(membership.Left{ID: p.ID})
+		d.heardLeave(p.ID)
 		return true, nil
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
@@ -119,14 +114,6 @@
 	return g, m, nil
 }
 
-func (d *Daemon) localVersion() versionResult {
-	v := versionResult{Version: d.version()}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	v.Hosts = d.view.Known()
-	return v
-}
-
 // localStatus asks a member that this daemon is taken to own.
 func (d *Daemon) localStatus(x context.Context, p memberParams) (failover.Status, error) {
 	g, m, err := d.member(p)
