Owners are computed once a change of hosts, from rings kept per failure domain

Change: one rendezvous for each failure domain, region and all, kept until the hosts change; the owned groups are found anew only then.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -343,29 +343,50 @@
 	d.router.learn(group, failover.View{Term: c.Term, Primary: c.Primary})
 }
 
-// reconcile watches the groups of which this daemon owns a member.
+// reconcile watches the groups of which this daemon owns a member. The owned
+// groups are computed anew only when the hosts or the bundle have changed.
 func (d *Daemon) reconcile(x context.Context) error {
 	t := time.NewTicker(reconcileInterval)
 	defer t.Stop()
+	var b *bundle.Bundle
+	var v uint64
+	var owned []string
 	for {
 		select {
 		case <-x.Done():
 			return nil
 		case <-t.C:
 		}
-		b := d.bundle()
-		if b == nil {
+		c, w := d.bundle(), d.generation()
+		if c == nil {
 			continue
 		}
-		for i := range b.Groups {
-			if d.ownsAny(&b.Groups[i]) {
-				d.watch(b.Groups[i].Name)
-			}
+		if c != b || w != v {
+			b, v, owned = c, w, d.ownedGroups(c)
+		}
+		for _, n := range owned {
+			d.watch(n)
 		}
 		d.dropWatches()
 	}
 }
 
+func (d *Daemon) generation() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.Generation(time.Now())
+}
+
+func (d *Daemon) ownedGroups(b *bundle.Bundle) []string {
+	var o []string
+	for i := range b.Groups {
+		if d.ownsAny(&b.Groups[i]) {
+			o = append(o, b.Groups[i].Name)
+		}
+	}
+	return o
+}
+
 func (d *Daemon) ownsAny(g *bundle.Group) bool {
 	for i := range g.Members {
 		if h, ok := d.ownerOf(&g.Members[i]); ok && h.ID == d.c.Host.ID {
--- /dev/null
+++ b/membership/bench_test.go
@@ -0,0 +1,39 @@
+package membership_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/membership"
+)
+
+// BenchmarkOwners computes the owners of 18,600 backend servers after a change
+// of the hosts.
+func BenchmarkOwners(b *testing.B) {
+	for _, n := range []int{9, 500, 5000} {
+		b.Run(strconv.Itoa(n)+" hosts", func(b *testing.B) {
+			var l []membership.Host
+			for i := range n {
+				d := i % 7
+				l = append(l, membership.Host{ID: "host-" + strconv.Itoa(i), Region: "r" + strconv.Itoa(d%3), FailureDomain: "d" + strconv.Itoa(d)})
+			}
+			v := membership.New(l[0])
+			now := time.Now()
+			v.Handle(membership.Listed{Hosts: l}, now)
+			m := make([]bundle.Member, 18600)
+			for i := range m {
+				d := i % 7
+				m[i] = bundle.Member{Name: "m-" + strconv.Itoa(i), Region: "r" + strconv.Itoa(d%3), FailureDomain: "d" + strconv.Itoa(d)}
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				v.Handle(membership.Lost{ID: l[1+i%(n-1)].ID}, now.Add(time.Duration(i)*time.Minute))
+				for j := range m {
+					v.Owner(&m[j], now.Add(time.Duration(i)*time.Minute))
+				}
+			}
+		})
+	}
+}
--- a/membership/owner.go
+++ b/membership/owner.go
@@ -9,31 +9,82 @@
 	"github.com/dragonflypick/dragonflypick/bundle"
 )
 
+// ring is a set of live hosts that backend servers are spread over.
+type ring struct {
+	r     *rendezvous.Rendezvous
+	hosts map[string]Host
+}
+
 // Owner returns the host that owns a backend server: by rendezvous hashing
 // over the live hosts of the server's failure domain, else of its region, else
 // of all. It returns false if no host is live.
 func (v *View) Owner(m *bundle.Member, now time.Time) (Host, bool) {
-	if !now.Before(v.fresh) {
-		v.owners = map[string]Host{}
-		v.fresh = v.expiry(now)
-	}
-	k := m.Region + "/" + m.FailureDomain + "/" + m.Name
+	v.refresh(now)
+	k := serverKey{region: m.Region, domain: m.FailureDomain, name: m.Name}
 	if h, ok := v.owners[k]; ok {
 		return h, h.ID != ""
 	}
-	h, ok := v.owner(m, now)
+	h, ok := v.owner(m)
 	v.owners[k] = h
 	return h, ok
 }
 
+// Generation returns a number that changes whenever an owner may have changed.
+func (v *View) Generation(now time.Time) uint64 {
+	v.refresh(now)
+	return v.generation
+}
+
+// serverKey identifies a backend server and its place.
+type serverKey struct{ region, domain, name string }
+
+// ringKey identifies the hosts of a failure domain, of a region (without
+// domain), or all (without either).
+type ringKey struct{ region, domain string }
+
+// forget drops everything that was computed of the hosts.
+func (v *View) forget() {
+	v.owners, v.rings = map[serverKey]Host{}, nil
+	v.generation++
+}
+
+// refresh recomputes the rings of live hosts after an event, or after a
+// correction has ended.
+func (v *View) refresh(now time.Time) {
+	if v.rings != nil && now.Before(v.fresh) {
+		return
+	}
+	v.forget()
+	v.fresh = v.expiry(now)
+	v.rings = map[ringKey]*ring{}
+	ids := map[ringKey][]string{}
+	for _, h := range v.Live(now) {
+		for _, k := range []ringKey{{h.Region, h.FailureDomain}, {h.Region, ""}, {}} {
+			if v.rings[k] == nil {
+				v.rings[k] = &ring{hosts: map[string]Host{}}
+			}
+			v.rings[k].hosts[h.ID] = h
+			ids[k] = append(ids[k], h.ID)
+		}
+	}
+	for k, r := range v.rings {
+		r.r = rendezvous.New(ids[k], xxhash.Sum64String)
+	}
+}
+
 // expiry returns when the first correction ends.
 func (v *View) expiry(now time.Time) time.Time {
-	t := now.Add(SuspectTime)
+	t := now.Add(LeaveTime)
 	for _, s := range v.suspect {
 		if now.Before(s.until) && s.until.Before(t) {
 			t = s.until
 		}
 	}
+	for _, m := range v.met {
+		if now.Before(m.until) && m.until.Before(t) {
+			t = m.until
+		}
+	}
 	for _, l := range v.left {
 		if now.Before(l) && l.Before(t) {
 			t = l
@@ -42,32 +93,11 @@
 	return t
 }
 
-func (v *View) owner(m *bundle.Member, now time.Time) (Host, bool) {
-	l := v.Live(now)
-	for _, in := range []func(Host) bool{
-		func(h Host) bool { return h.FailureDomain == m.FailureDomain && h.Region == m.Region },
-		func(h Host) bool { return h.Region == m.Region },
-		func(Host) bool { return true },
-	} {
-		if h, ok := pick(l, in, m.Name); ok {
-			return h, true
+func (v *View) owner(m *bundle.Member) (Host, bool) {
+	for _, k := range []ringKey{{m.Region, m.FailureDomain}, {m.Region, ""}, {}} {
+		if r, ok := v.rings[k]; ok {
+			return r.hosts[r.r.Lookup(m.Name)], true
 		}
 	}
 	return Host{}, false
 }
-
-func pick(l []Host, in func(Host) bool, key string) (Host, bool) {
-	n := map[string]Host{}
-	var ids []string
-	for _, h := range l {
-		if in(h) {
-			n[h.ID] = h
-			ids = append(ids, h.ID)
-		}
-	}
-	if len(ids) == 0 {
-		return Host{}, false
-	}
-	r := rendezvous.New(ids, xxhash.Sum64String)
-	return n[r.Lookup(key)], true
-}
--- a/membership/view.go
+++ b/membership/view.go
@@ -18,16 +18,20 @@
 	// left and gone map a host to the end of the correction.
 	left map[string]time.Time
 	gone map[string]time.Time
-	// owners holds owners until an event or the time fresh.
-	owners map[string]Host
+	// owners and rings hold what was computed of the hosts, until an event or
+	// the time fresh; rings is nil before it is computed.
+	owners map[serverKey]Host
+	rings  map[ringKey]*ring
 	fresh  time.Time
+	// generation counts the times that owners and rings were dropped.
+	generation uint64
 }
 
 // New returns a view that knows only its own host.
 func New(self Host) *View {
 	return &View{
 		self: self, listed: map[string]Host{}, met: map[string]met{}, suspect: map[string]suspicion{},
-		left: map[string]time.Time{}, gone: map[string]time.Time{}, owners: map[string]Host{},
+		left: map[string]time.Time{}, gone: map[string]time.Time{}, owners: map[serverKey]Host{},
 	}
 }
 
@@ -47,7 +51,7 @@
 		c = v.leave(x, now)
 	}
 	if c {
-		v.owners = map[string]Host{}
+		v.forget()
 	}
 	return c
 }
