A session's first floor is confirmed by a majority, not by a timer

Cause: a session without a token took its floor from a primary whose owner had heard from a majority within the last 1.2 s. With one-sided cuts another primary could have acknowledged a write of the same caller in that time. Change: a majority must answer requests that left after the question, in the primary's term; look-ups are shared as before, so this costs one round trip.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -139,23 +139,25 @@
 	return w.View(), nil
 }
 
-// localPosition returns the position of a primary, asked after the call came
-// in.
+// localPosition returns the position of a primary, which a majority of its
+// group has confirmed after the call came in.
 func (d *Daemon) localPosition(x context.Context, p memberParams) (logpos.Position, error) {
 	g, m, err := d.member(p)
 	if err != nil {
 		return logpos.Position{}, err
 	}
-	s, err := d.control(g, m).Status(x)
-	if err != nil {
-		return logpos.Position{}, err
-	}
 	w := d.watch(p.Group)
 	if w == nil {
 		return logpos.Position{}, Error.Wrap(&UnknownError{Name: p.Group})
 	}
-	v := w.View()
-	if s.Role != failover.Primary || v.Primary != p.Member || !v.Confirmed || v.Term != s.Term {
+	b := time.Now()
+	s, err := d.control(g, m).Status(x)
+	if err != nil {
+		return logpos.Position{}, err
+	}
+	x, stop := context.WithTimeout(x, viewTimeout/2)
+	defer stop()
+	if s.Role != failover.Primary || !w.AwaitReplica(x, func(g *failover.Group, _ time.Time) bool { return g.ConfirmedSince(s.Term, b) }) {
 		return logpos.Position{}, Error.Wrap(&NotPrimaryError{Member: p.Member})
 	}
 	return s.Position, nil
