Ages count only from a primary that a majority confirms

Cause: in a group of five a minority may hold the replaced primary and a replica; the primary's answers there made the replica look fresh, so a read could be served data that miss writes acknowledged on the other side. Change: an unconfirmed primary gives no sample. The new spec failed before (age known from a minority) and passes now.

--- a/failover/age.go
+++ b/failover/age.go
@@ -20,7 +20,8 @@
 }
 
 // sample records the primary's position. The time is when the request for it
-// left, so that an age computed from it is never too small.
+// left, so that an age computed from it is never too small. A primary that a
+// majority doesn't confirm gives no sample: it may have been replaced.
 func (g *Group) sample(p logpos.Position, at time.Time) {
 	n := len(g.samples)
 	if n > 0 && (p.Less(g.samples[n-1].position) || at.Before(g.samples[n-1].at)) {
--- /dev/null
+++ b/failover/age_test.go
@@ -0,0 +1,74 @@
+package failover_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/logpos"
+)
+
+func TestAge(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Age")
+}
+
+var _ = Describe("the age of a replica's data", func() {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	pos := func(n uint64) logpos.Position { return logpos.Position{Term: 1, Offset: n} }
+	var g *failover.Group
+
+	report := func(name string, ms int, n uint64) {
+		s := failover.Status{Role: failover.Replica, Term: 1, Position: pos(n), Primary: "a:1"}
+		if name == "a" {
+			s.Role, s.Primary = failover.Primary, ""
+		}
+		g.Handle(failover.Reported{Member: name, Status: s, Sent: at(ms)}, at(ms))
+	}
+
+	BeforeEach(func() {
+		g = failover.New()
+		var l []failover.Member
+		for _, n := range []string{"a", "b", "c", "d", "e"} {
+			l = append(l, failover.Member{Name: n, Address: n + ":1"})
+		}
+		g.Handle(failover.Configured{Members: l}, start)
+	})
+
+	It("is counted from the request to which the primary answered with no more than the replica has", func() {
+		for _, n := range []string{"b", "c", "d"} {
+			report(n, 0, 5)
+		}
+		report("a", 100, 5)
+		report("a", 300, 9)
+		age, ok := g.Age("b", at(500))
+		Expect(ok).To(BeTrue())
+		Expect(age).To(Equal(400 * time.Millisecond))
+		report("b", 600, 9)
+		age, _ = g.Age("b", at(700))
+		Expect(age).To(Equal(400 * time.Millisecond))
+	})
+
+	It("isn't known from a primary that a minority alone has confirmed", func() {
+		report("b", 0, 5)
+		report("a", 100, 5)
+		_, ok := g.Age("b", at(200))
+		Expect(ok).To(BeFalse())
+		Expect(g.Serves(failover.Read{Member: "b", Tolerance: time.Hour, AgeOnly: true}, at(200))).To(BeFalse())
+	})
+
+	It("grows while the primary isn't confirmed any more", func() {
+		for _, n := range []string{"b", "c", "d"} {
+			report(n, 0, 5)
+		}
+		report("a", 100, 5)
+		report("a", 3000, 5)
+		age, ok := g.Age("b", at(3100))
+		Expect(ok).To(BeTrue())
+		Expect(age).To(Equal(3 * time.Second))
+	})
+})
--- a/failover/failover.go
+++ b/failover/failover.go
@@ -267,7 +267,7 @@
 		return
 	}
 	m.known, m.status, m.sent, m.failing = true, s, sent, time.Time{}
-	if m == g.top() {
+	if m == g.top() && g.confirmed(m, sent) {
 		g.sample(s.Position, sent)
 	}
 }
