Outcomes decided by the pure core, idempotency keys, silent connections

Cause: the exchange decided on done, not run and in doubt by itself; keys were carried but not used; a busy connection that went silent held its statement until the deadline.

Change: - owner: write.Transaction decides; position resolved by log_holds on a settled later primary, key by a look-up on a primary whose position a majority has, after the old session has been ended there. Keyed single statements run in a transaction with the key's row written first; transactions get the row after BEGIN. A connection that owes an answer for 0.7 s is given up if its server calls the session idle. - caller: digest of text and parameters; a keyed request is one statement. - backend: log_holds, terminate_session, session_idle; assumptions listed. - standin database: those functions; a replica with a differing log keeps its own until the primary's is whole: dropping it first could lose an entry that was on a majority when the primary died in that moment. A pull ends after 0.9 s (was 2 s): with silent replication streams two replicas reported 1.5 s without contact, and the primary was replaced. - monitor: a member that refuses for too many connections is not dead: with that counted as failure, silent sessions that a server still held led to a promotion.

Ruled out: an entry that lost its owner does not repeat a keyed write by itself, by the rule of the design.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -1,9 +1,25 @@
 // Package backend talks to backend servers: the members of database groups.
 //
-// It assumes of a member, besides the PostgreSQL protocol, the functions
-// member_status(), fence(term, holder), promote(term, holder) and
-// follow(term, primary), and that it reports the parameter member_position
-// when a transaction that wrote has committed.
+// It assumes of a member, besides the PostgreSQL protocol:
+//
+//   - member_status() reports role, term, position, the primary that is
+//     followed, and how long ago that was heard;
+//   - fence(term, holder) succeeds for one holder a term, ends the open
+//     transactions and refuses lower terms from then on;
+//   - promote(term, holder) makes a member that the holder has fenced primary
+//     and adds an entry of the new term to its log;
+//   - follow(term, primary) makes it replicate;
+//   - log_holds(position) tells whether the log holds the entry at a position,
+//     together with the status of the same moment;
+//   - terminate_session(pid, milliseconds) ends a session, rolls its open
+//     transaction back, and tells whether it was over in time, or there was
+//     none (on PostgreSQL: pg_terminate_backend);
+//   - session_idle(pid) tells whether a session runs no statement, or is over
+//     (on PostgreSQL: pg_stat_activity);
+//   - the parameter member_position is reported before the CommandComplete of
+//     a commit that wrote;
+//   - a replica whose log differs from that of its primary keeps what it has
+//     reported until it holds the primary's log instead.
 package backend
 
 import (
@@ -97,6 +113,9 @@
 	return p, Error.Wrap(err)
 }
 
+// PID returns the number by which the member knows the session.
+func (c *Conn) PID() uint32 { return c.pid }
+
 // Cancel asks the backend server to end the statement that runs on the
 // connection.
 func (c *Conn) Cancel(x context.Context) error {
--- a/backend/control.go
+++ b/backend/control.go
@@ -46,6 +46,65 @@
 	return c.call(x, "SELECT * FROM member_status()")
 }
 
+// LogHolds asks whether the member's log holds the entry at a position. The
+// report is of the same moment.
+func (c *Control) LogHolds(x context.Context, p logpos.Position) (bool, failover.Status, error) {
+	r, err := c.rows(x, "SELECT * FROM log_holds("+quote(p.String())+")")
+	if err != nil {
+		return false, failover.Status{}, err
+	}
+	s, err := oneStatus(r)
+	if err != nil {
+		return false, s, err
+	}
+	for i, f := range r.FieldDescriptions {
+		if f.Name == "holds" {
+			h, err := strconv.ParseBool(string(r.Rows[0][i]))
+			return h, s, Error.Wrap(err)
+		}
+	}
+	return false, s, Error.Wrap(&ReportError{Reason: "no column holds"})
+}
+
+// Terminate ends the session that the member knows by pid, rolls its open
+// transaction back, and reports whether the session is over for sure.
+func (c *Control) Terminate(x context.Context, pid uint32) (bool, error) {
+	n := strconv.FormatUint(uint64(pid), 10)
+	t := strconv.FormatInt((CallTimeout / 2).Milliseconds(), 10)
+	r, err := c.rows(x, "SELECT * FROM terminate_session("+n+", "+t+")")
+	if err != nil {
+		return false, err
+	}
+	if len(r.Rows) != 1 || len(r.Rows[0]) != 1 {
+		return false, Error.Wrap(&ReportError{Reason: "no row"})
+	}
+	b, err := strconv.ParseBool(string(r.Rows[0][0]))
+	return b, Error.Wrap(err)
+}
+
+// Idle reports whether the session that the member knows by pid runs no
+// statement, or is over.
+func (c *Control) Idle(x context.Context, pid uint32) (bool, error) {
+	r, err := c.rows(x, "SELECT * FROM session_idle("+strconv.FormatUint(uint64(pid), 10)+")")
+	if err != nil {
+		return false, err
+	}
+	if len(r.Rows) != 1 || len(r.Rows[0]) != 1 {
+		return false, Error.Wrap(&ReportError{Reason: "no row"})
+	}
+	b, err := strconv.ParseBool(string(r.Rows[0][0]))
+	return b, Error.Wrap(err)
+}
+
+// Query runs a statement that only reads, and returns its rows.
+func (c *Control) Query(x context.Context, q string) ([][][]byte, error) {
+	r, err := c.rows(x, q)
+	if err != nil {
+		return nil, err
+	}
+	return r.Rows, nil
+}
+
 // Fence makes the member refuse all terms below t.
 func (c *Control) Fence(x context.Context, t uint64, holder string) (failover.Status, error) {
 	return c.call(x, "SELECT * FROM fence("+term(t)+", "+quote(holder)+")")
@@ -65,42 +124,58 @@
 
 func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
 
-// call runs q, on a fresh connection if the open one fails.
+// call runs q, which reports the member's status.
 func (c *Control) call(x context.Context, q string) (failover.Status, error) {
+	r, err := c.rows(x, q)
+	if err != nil {
+		return failover.Status{}, err
+	}
+	return oneStatus(r)
+}
+
+// rows runs q, on a fresh connection if the open one fails.
+func (c *Control) rows(x context.Context, q string) (*pgconn.Result, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.p != nil {
-		s, err := c.try(x, q)
+		r, err := c.try(x, q)
 		var e *pgconn.PgError
 		if err == nil || errors.As(err, &e) {
-			return s, err
+			return r, err
 		}
 		c.drop()
 	}
 	p, err := login(x, c.c)
 	if err != nil {
-		return failover.Status{}, err
+		return nil, err
 	}
 	c.p = p
-	s, err := c.try(x, q)
+	r, err := c.try(x, q)
 	var e *pgconn.PgError
 	if err != nil && !errors.As(err, &e) {
 		c.drop()
 	}
-	return s, err
+	return r, err
 }
 
-func (c *Control) try(x context.Context, q string) (failover.Status, error) {
+func (c *Control) try(x context.Context, q string) (*pgconn.Result, error) {
 	x, stop := context.WithTimeout(x, CallTimeout)
 	defer stop()
 	r, err := c.p.Exec(x, q).ReadAll()
 	if err != nil {
-		return failover.Status{}, Error.Wrap(err)
+		return nil, Error.Wrap(err)
+	}
+	if len(r) != 1 {
+		return nil, Error.Wrap(&ReportError{Reason: "no row"})
 	}
-	if len(r) != 1 || len(r[0].Rows) != 1 {
+	return r[0], nil
+}
+
+func oneStatus(r *pgconn.Result) (failover.Status, error) {
+	if len(r.Rows) != 1 {
 		return failover.Status{}, Error.Wrap(&ReportError{Reason: "no row"})
 	}
-	return parseStatus(r[0])
+	return parseStatus(r)
 }
 
 func parseStatus(r *pgconn.Result) (failover.Status, error) {
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -81,6 +83,9 @@
 		return n.end(w, e)
 	}
 	r := n.request(b, w, v)
+	if e := r.identify(w); e != nil {
+		return n.end(w, e)
+	}
 	d := time.Now().Add(r.Header.Remaining)
 	if e := n.findFloor(x, &r); e != nil {
 		return n.end(w, e)
@@ -114,6 +119,7 @@
 	case w.describeOnly:
 		r.Header.Kind = peer.KindRead
 		r.Header.Floor = logpos.Position{}
+	case w.class.Kind == statement.BeginReadOnly || w.class.Kind == statement.End:
 	default:
 		r.Header.Key = v.key
 		n.set.key = ""
@@ -121,6 +127,32 @@
 	return r
 }
 
+// identify fills in the digest of the request that an idempotency key stands
+// for: its SQL text and parameters.
+func (r *Request) identify(w work) *RefusedError {
+	if r.Header.Key == "" {
+		return nil
+	}
+	d := xxhash.New()
+	k := w.class.Count
+	for _, m := range w.messages {
+		switch m.Type {
+		case wire.Query, wire.Parse, wire.Bind:
+			_, _ = d.Write(append([]byte{m.Type}, m.Body...))
+		case wire.Execute:
+			k++
+		}
+	}
+	if w.plan != nil {
+		k -= w.class.Count
+	}
+	if k > 1 || !w.whole {
+		return &RefusedError{Code: codeUnsupported, Message: "a request with an idempotency key must be one statement, sent whole"}
+	}
+	r.Header.Digest = strconv.FormatUint(d.Sum64(), 16)
+	return nil
+}
+
 // findFloor asks for the primary's position if a read needs a floor and the
 // session has none. It asks again until the deadline.
 func (n *client) findFloor(x context.Context, r *Request) *RefusedError {
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
@@ -125,7 +127,9 @@
 			m.handle(failover.Reported{Member: b.Name, Status: r, Sent: s})
 		} else if x.Err() == nil {
 			m.c.Log.Trace("member gives no report", "group", m.c.Group.Name, "member", b.Name, "error", err)
-			m.handle(failover.Failed{Member: b.Name})
+			if !full(err) {
+				m.handle(failover.Failed{Member: b.Name})
+			}
 			d = failInterval
 		}
 		m.pause(x, d, err == nil)
@@ -133,6 +137,16 @@
 	return nil
 }
 
+// codeTooMany is the SQLSTATE of a member that takes no more connections.
+const codeTooMany = "53300"
+
+// full reports whether the member has answered that it takes no more
+// connections: then it is not dead.
+func full(err error) bool {
+	var e *pgconn.PgError
+	return errors.As(err, &e) && e.Code == codeTooMany
+}
+
 // pause waits between polls; a waiting write ends it early.
 func (m *Monitor) pause(x context.Context, d time.Duration, alive bool) {
 	m.mu.Lock()
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -12,10 +12,10 @@
 	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/logpos"
-	"github.com/dragonflypick/dragonflypick/monitor"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/statement"
 	"github.com/dragonflypick/dragonflypick/wire"
+	"github.com/dragonflypick/dragonflypick/write"
 )
 
 // cancelGrace is how long a cancelled statement may take to end.
@@ -44,37 +44,65 @@
 	// returned tells that the connection went back to the pool; it must not be
 	// touched then.
 	returned bool
-	// committing tells that a statement that may commit was sent.
-	committing bool
-	timer      *time.Timer
+	// tx decides on the outcome.
+	tx    *write.Transaction
+	timer *time.Timer
 
-	// position is what the backend server reported of a commit.
-	position logpos.Position
+	// key is the use of an idempotency key; nil without one.
+	key *key
 	// tail holds the last CommandComplete.
 	tail []wire.Message
+	// term is the group's term when the exchange began.
+	term uint64
+	// heard is when the connection last gave a message, or was last sent one
+	// after that; nanoseconds since the exchange's begin.
+	heard atomic.Int64
+	began time.Time
 }
 
 // run moves messages until the transaction ends, and returns a verdict that is
 // still to be sent, or none.
 func (e *exchange) run(x context.Context) peer.Verdict {
 	e.ready = make(chan struct{}, 1)
+	e.began, e.term = time.Now(), e.t.m.View().Term
+	e.tx = write.New(e.key != nil)
 	x, stop := context.WithCancel(x)
 	defer stop()
 	e.arm(x, e.t.deadline)
 	unhook := context.AfterFunc(x, e.cut)
 	g := &errgroup.Group{}
 	g.Go(func() error {
-		defer stop()
-		return e.forward(x)
+		e.watch(x)
+		return nil
 	})
-	v := e.answer()
+	v, over := e.open()
+	if !over {
+		g.Go(func() error {
+			defer stop()
+			return e.forward(x)
+		})
+		v = e.answer()
+	}
 	unhook()
 	e.release(v.Outcome != "")
+	stop()
 	_ = e.t.s.SetReadDeadline(time.Unix(1, 0))
 	_ = g.Wait()
+	if v.Outcome == answeredHere {
+		return peer.Verdict{}
+	}
 	return v
 }
 
+// open writes the key of a single statement. It reports whether the statement
+// is not to be run.
+func (e *exchange) open() (peer.Verdict, bool) {
+	if e.key == nil || e.t.h.Kind != peer.KindWrite {
+		return peer.Verdict{}, false
+	}
+	return e.key.open()
+}
+
 // arm bounds the next answer: the statement is cancelled at its deadline, and
 // the connection given up soon after.
 func (e *exchange) arm(x context.Context, d time.Time) {
@@ -170,6 +198,7 @@
 	if r {
 		return Error.Wrap(net.ErrClosed)
 	}
+	e.touch()
 	if err := e.c.W.Write(m); err != nil {
 		return Error.Wrap(err)
 	}
@@ -204,8 +233,13 @@
 
 // note looks for statements that may commit.
 func (e *exchange) note(m wire.Message) {
-	if e.t.h.Kind != peer.KindTransaction {
-		e.commits()
+	switch e.t.h.Kind {
+	case peer.KindRead:
+		return
+	case peer.KindWrite:
+		if e.key == nil {
+			e.handle(write.Forwarded{Commits: true})
+		}
 		return
 	}
 	q := ""
@@ -218,16 +252,20 @@
 		return
 	}
 	if k := statement.Classify(q); k.Kind == statement.End || k.Count > 1 {
-		e.commits()
+		e.handle(write.Forwarded{Commits: true})
 	}
 }
 
-func (e *exchange) commits() {
+// handle tells the transaction's core of an event.
+func (e *exchange) handle(v write.Event) []write.Action {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.committing = true
+	return e.tx.Handle(v)
 }
 
+// touch notes that the connection gave or was sent a message.
+func (e *exchange) touch() { e.heard.Store(int64(time.Since(e.began))) }
+
 // answer sends the backend server's messages to the entry until the
 // transaction has ended.
 func (e *exchange) answer() peer.Verdict {
@@ -236,6 +274,7 @@
 		if err != nil {
 			return e.broken(err)
 		}
+		e.touch()
 		switch m.Type {
 		case wire.ParameterStatus:
 			e.parameter(m)
@@ -247,6 +286,9 @@
 				return v
 			}
 		default:
+			if e.key != nil {
+				e.key.see(m)
+			}
 			err = e.pass(append(e.tail, m)...)
 			e.tail = nil
 		}
@@ -279,11 +321,17 @@
 		e.t.o.c.Log.Error("member reports no position", "member", e.t.h.Member, "error", err)
 		return
 	}
-	e.position = logpos.Max(e.position, p)
+	e.handle(write.Committed{Position: p})
 }
 
 // finish ends one answer. It reports whether the transaction is over.
 func (e *exchange) finish(m wire.Message) (bool, peer.Verdict) {
+	if e.key != nil {
+		var v peer.Verdict
+		if m, v = e.key.finish(m); v.Outcome != "" {
+			return true, v
+		}
+	}
 	over := len(m.Body) == 1 && m.Body[0] == 'I'
 	deadline := e.t.deadline
 	if over {
@@ -292,10 +340,15 @@
 		e.pauseSlot()
 		_ = e.c.SetReadDeadline(time.Time{})
 	}
-	if !e.position.IsZero() {
-		if v := e.durable(deadline); v.Outcome != "" {
-			return true, v
+	if v := e.drive(e.handle(write.Answered{}), deadline); v.Outcome == peer.Done && !v.Position.IsZero() {
+		if e.t.s.WriteVerdict(v) != nil {
+			return true, peer.Verdict{Outcome: peer.InDoubt, Reason: "entry-gone"}
 		}
+		e.mu.Lock()
+		e.tx = write.New(e.key != nil)
+		e.mu.Unlock()
+	} else if v.Outcome != peer.Done && v.Outcome != "" {
+		return true, v
 	}
 	if e.t.s.Write(append(e.tail, m)...) != nil || e.t.s.Flush() != nil {
 		return true, peer.Verdict{Outcome: peer.NotRun, Reason: "entry-gone"}
@@ -307,50 +360,3 @@
 	}
 	return over, peer.Verdict{}
 }
-
-// durable waits until a majority has the write, and then tells the entry.
-func (e *exchange) durable(deadline time.Time) peer.Verdict {
-	x, stop := context.WithDeadline(context.Background(), deadline)
-	defer stop()
-	b := time.Now()
-	err := e.t.m.AwaitDurable(x, e.position)
-	e.t.o.metrics.wait.Observe(time.Since(b).Seconds())
-	e.t.o.c.Log.Debug("write on majority", "group", e.t.h.Group, "member", e.t.h.Member, "rank", bundle.Rank(e.t.h.Rank).String(),
-		"position", e.position.String(), "waited", time.Since(b), "error", err)
-	if err != nil {
-		r := "majority-timeout"
-		var s *monitor.SupersededError
-		if errors.As(err, &s) {
-			r = "term-ended"
-		}
-		return peer.Verdict{Outcome: peer.InDoubt, Reason: r, Position: e.position}
-	}
-	v := peer.Verdict{Outcome: peer.Done, Position: e.position}
-	e.position = logpos.Position{}
-	if e.t.s.WriteVerdict(v) != nil {
-		return peer.Verdict{Outcome: peer.InDoubt, Reason: "entry-gone"}
-	}
-	return peer.Verdict{}
-}
-
-// broken gives the verdict after the connection failed.
-func (e *exchange) broken(err error) peer.Verdict {
-	var n net.Error
-	r := "connection-lost"
-	if errors.As(err, &n) && n.Timeout() {
-		r = "timeout"
-	}
-	e.mu.Lock()
-	c := e.committing
-	e.mu.Unlock()
-	if e.t.h.Kind == peer.KindRead || !c {
-		return peer.Verdict{Outcome: peer.NotRun, Reason: r, RetryAfter: defaultRetryAfter}
-	}
-	return peer.Verdict{Outcome: peer.InDoubt, Reason: r}
-}
-
-func asRefused(err error) (*RefusedError, bool) {
-	var r *RefusedError
-	ok := errors.As(err, &r)
-	return r, ok
-}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -53,6 +53,8 @@
 	servers map[string]*server
 	// streams counts the streams being served.
 	streams int
+	// keyed counts writes with a key.
+	keyed int
 }
 
 // New returns an owner.
@@ -165,6 +167,9 @@
 	t.o.c.Log.Debug("statement placed", "group", g.Name, "member", m.Name, "rank", bundle.Rank(t.h.Rank).String(),
 		"kind", t.h.Kind, "floor", t.h.Floor.String(), "queued", time.Until(t.deadline).Round(time.Millisecond))
 	e := &exchange{t: t, c: c, k: k, holds: true, idle: time.Duration(b.Ranks.Of(bundle.Rank(t.h.Rank)).IdleInTransaction)}
+	if t.h.Key != "" && t.h.Kind != peer.KindRead {
+		e.key = &key{e: e, name: t.h.Key, digest: t.h.Digest}
+	}
 	return e.run(x)
 }
 
@@ -269,6 +274,14 @@
 	return o.streams
 }
 
+// clean reports whether a keyed write should remove expired keys.
+func (o *Owner) clean() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.keyed++
+	return o.keyed%cleanEvery == 0
+}
+
 func (o *Owner) count(n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- a/owner/server.go
+++ b/owner/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -142,3 +143,9 @@
 }
 
 func (e *RefusedError) Error() string { return "not run: " + e.Reason }
+
+func asRefused(err error) (*RefusedError, bool) {
+	var r *RefusedError
+	ok := errors.As(err, &r)
+	return r, ok
+}
--- a/standin/database/builtin.go
+++ b/standin/database/builtin.go
@@ -6,6 +6,7 @@
 	"regexp"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -13,7 +14,7 @@
 	"github.com/dragonflypick/dragonflypick/statement"
 )
 
-var call = regexp.MustCompile(`(?is)^\s*select\s+(?:\*\s+from\s+)?(member_status|fence|promote|follow|log_after)\s*\(\s*(.*?)\s*\)\s*;?\s*$`)
+var call = regexp.MustCompile(`(?is)^\s*select\s+(?:\*\s+from\s+)?(member_status|fence|promote|follow|log_after|log_holds|terminate_session|session_idle)\s*\(\s*(.*?)\s*\)\s*;?\s*$`)
 
 // builtin runs one of the functions that every member of a database group
 // has; it returns nil if q calls none.
@@ -28,6 +29,12 @@
 		return statusRow(s.m.Status()), nil
 	case "log_after":
 		return s.logAfterRow(c, a)
+	case "log_holds":
+		return s.logHoldsRow(a)
+	case "terminate_session":
+		return s.terminateRow(c, a)
+	case "session_idle":
+		return s.idleRow(a)
 	}
 	if len(a) != 2 {
 		return nil, &StatementError{Code: codeSyntax, Message: f[1] + " takes two arguments"}
@@ -72,6 +79,55 @@
 	}
 }
 
+func (s *session) logHoldsRow(a []string) (*running, error) {
+	if len(a) != 1 {
+		return nil, &StatementError{Code: codeSyntax, Message: "log_holds takes a position"}
+	}
+	p, err := logpos.Parse(a[0])
+	if err != nil {
+		return nil, &StatementError{Code: codeSyntax, Message: err.Error()}
+	}
+	h, t := s.m.holds(p)
+	r := statusRow(t)
+	r.fields = append(r.fields, field("holds", oidText))
+	r.fixed[0] = append(r.fixed[0], strconv.FormatBool(h))
+	return r, nil
+}
+
+func (s *session) terminateRow(c context.Context, a []string) (*running, error) {
+	if len(a) != 2 {
+		return nil, &StatementError{Code: codeSyntax, Message: "terminate_session takes a pid and milliseconds"}
+	}
+	p, err := strconv.ParseUint(a[0], 10, 32)
+	if err != nil {
+		return nil, &StatementError{Code: codeSyntax, Message: "pid must be a number"}
+	}
+	t, err := strconv.ParseUint(a[1], 10, 31)
+	if err != nil {
+		return nil, &StatementError{Code: codeSyntax, Message: "time must be a number of milliseconds"}
+	}
+	x, stop := context.WithTimeout(c, time.Duration(t)*time.Millisecond)
+	defer stop()
+	return &running{
+		tag: "SELECT", fields: []pgproto3.FieldDescription{field("ended", oidText)},
+		fixed: [][]any{{strconv.FormatBool(s.m.terminate(x, uint32(p)))}},
+	}, nil
+}
+
+func (s *session) idleRow(a []string) (*running, error) {
+	if len(a) != 1 {
+		return nil, &StatementError{Code: codeSyntax, Message: "session_idle takes a pid"}
+	}
+	p, err := strconv.ParseUint(a[0], 10, 32)
+	if err != nil {
+		return nil, &StatementError{Code: codeSyntax, Message: "pid must be a number"}
+	}
+	return &running{
+		tag: "SELECT", fields: []pgproto3.FieldDescription{field("idle", oidText)},
+		fixed: [][]any{{strconv.FormatBool(s.m.idle(uint32(p)))}},
+	}, nil
+}
+
 func (s *session) logAfterRow(c context.Context, a []string) (*running, error) {
 	if len(a) != 2 {
 		return nil, &StatementError{Code: codeSyntax, Message: "log_after takes a position and a term"}
@@ -129,8 +185,15 @@
 
 func (s *session) fields(c context.Context, q string) ([]pgproto3.FieldDescription, error) {
 	if f := call.FindStringSubmatch(q); f != nil {
-		if strings.EqualFold(f[1], "log_after") {
+		switch strings.ToLower(f[1]) {
+		case "log_after":
 			return []pgproto3.FieldDescription{field("entries", oidText)}, nil
+		case "log_holds":
+			return append(statusRow(Status{}).fields, field("holds", oidText)), nil
+		case "terminate_session":
+			return []pgproto3.FieldDescription{field("ended", oidText)}, nil
+		case "session_idle":
+			return []pgproto3.FieldDescription{field("idle", oidText)}, nil
 		}
 		return statusRow(Status{}).fields, nil
 	}
--- a/standin/database/database.go
+++ b/standin/database/database.go
@@ -132,7 +132,7 @@
 	if c.Primary == "" {
 		m.role = Primary
 	}
-	if err := m.reset(); err != nil {
+	if m.db, err = m.create(); err != nil {
 		return nil, err
 	}
 	return m, nil
@@ -181,21 +181,16 @@
 	}
 }
 
-// reset replaces the database by an empty one; m.mu is held or m is new.
-func (m *Member) reset() error {
-	if m.db != nil {
-		_ = m.db.Close()
-	}
+// create makes an empty database; m.mu is held or m is new.
+func (m *Member) create() (*sql.DB, error) {
 	m.files++
 	f := filepath.Join(m.dir, strconv.Itoa(m.files)+".db")
 	d, err := sql.Open("sqlite", "file:"+f+"?_pragma=journal_mode(WAL)&_pragma=synchronous(OFF)&_pragma=busy_timeout(5000)&_pragma=foreign_keys(1)")
 	if err != nil {
-		return Error.Wrap(err)
+		return nil, Error.Wrap(err)
 	}
 	d.SetMaxIdleConns(m.c.Connections)
-	m.db = d
-	m.log = nil
-	return nil
+	return d, nil
 }
 
 // Live reports whether the member still runs.
@@ -212,6 +207,16 @@
 	return Status{Role: m.role, Term: m.term, Position: m.position(), Primary: m.primary, Contact: m.contactAge()}
 }
 
+// holds reports whether the log holds the entry at p, and the status of the
+// same moment.
+func (m *Member) holds(p logpos.Position) (bool, Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	n := p.Offset
+	h := n > 0 && n <= uint64(len(m.log)) && m.log[n-1].Position == p
+	return h, Status{Role: m.role, Term: m.term, Position: m.position(), Primary: m.primary, Contact: m.contactAge()}
+}
+
 func (m *Member) contactAge() time.Duration {
 	if m.role == Primary {
 		return 0
--- a/standin/database/fault.go
+++ b/standin/database/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 )
@@ -42,6 +43,61 @@
 	}
 }
 
+// silenceEnd is how long a silent session stays after its other end has closed
+// it, as if the server's keep-alive had to find out.
+const silenceEnd = 5 * time.Second
+
+// hang drops what the session is sent until it is killed or found closed.
+func (s *session) hang(c context.Context) {
+	_, _ = io.Copy(io.Discard, s.n)
+	t := time.NewTimer(silenceEnd)
+	defer t.Stop()
+	select {
+	case <-c.Done():
+	case <-s.killed:
+	case <-t.C:
+	}
+}
+
+// terminate ends the session with a pid and reports whether it has ended; one
+// that doesn't exist has.
+func (m *Member) terminate(c context.Context, pid uint32) bool {
+	var s *session
+	m.mu.Lock()
+	for t := range m.sessions {
+		if t.pid == pid {
+			s = t
+		}
+	}
+	m.mu.Unlock()
+	if s == nil {
+		return true
+	}
+	s.kill.Do(func() { close(s.killed) })
+	s.interrupt()
+	_ = s.n.Close()
+	select {
+	case <-s.gone:
+		return true
+	case <-c.Done():
+		return false
+	}
+}
+
+// idle reports whether the session with a pid runs no statement.
+func (m *Member) idle(pid uint32) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for s := range m.sessions {
+		if s.pid == pid && !s.silent.Load() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.cancel == nil
+		}
+	}
+	return true
+}
+
 func (m *Member) refusing() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/standin/database/replicate.go
+++ b/standin/database/replicate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"database/sql"
 	"encoding/json"
 	"time"
 
@@ -16,8 +17,12 @@
 	replicationRetry = 20 * time.Millisecond
 	// replicationWait is the longest wait of one pull for new entries.
 	replicationWait = 500 * time.Millisecond
-	// replicationTimeout bounds one pull.
-	replicationTimeout = 2 * time.Second
+	// replicationTimeout bounds one pull, after which a fresh connection is
+	// tried: soon enough that a silent connection alone doesn't pass for a
+	// primary that is cut off.
+	replicationTimeout = 900 * time.Millisecond
+	// rebuildTimeout bounds the replacement of the whole log.
+	rebuildTimeout = time.Minute
 	// replicationBatch is the greatest number of entries in one pull.
 	replicationBatch = 256
 )
@@ -92,6 +97,11 @@
 	}
 	f.Password = m.c.Password
 	n, err := pgconn.ConnectConfig(c, f)
+	if err == nil {
+		m.mu.Lock()
+		m.contact = time.Now()
+		m.mu.Unlock()
+	}
 	return n, Error.Wrap(err)
 }
 
@@ -105,17 +115,9 @@
 func (m *Member) pull(c context.Context, n *pgconn.PgConn, s source) error {
 	x, stop := context.WithTimeout(c, replicationTimeout)
 	defer stop()
-	q := "SELECT log_after('" + s.after.String() + "', " + uitoa(s.term) + ")"
-	r, err := n.Exec(x, q).ReadAll()
+	b, err := ask(x, n, s.after, s.term)
 	if err != nil {
-		return Error.Wrap(err)
-	}
-	if len(r) != 1 || len(r[0].Rows) != 1 {
-		return Error.Wrap(&StatementError{Code: codeProtocol, Message: "pull gave no answer"})
-	}
-	var b batch
-	if err := json.Unmarshal(r[0].Rows[0][0], &b); err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	m.mu.Lock()
 	if m.epoch == s.epoch {
@@ -125,29 +127,73 @@
 	if len(b.Entries) > 0 || b.Reset {
 		pause(c, s.lag)
 	}
+	if b.Reset {
+		y, end := context.WithTimeout(c, rebuildTimeout)
+		defer end()
+		return m.rebuild(y, n, s)
+	}
 	return m.apply(c, b, s.epoch)
 }
 
-// apply adds pulled entries unless the member's epoch has changed since.
-func (m *Member) apply(c context.Context, b batch, epoch uint64) error {
+// ask asks the primary for the entries after p.
+func ask(c context.Context, n *pgconn.PgConn, p logpos.Position, term uint64) (batch, error) {
+	var b batch
+	r, err := n.Exec(c, "SELECT log_after('"+p.String()+"', "+uitoa(term)+")").ReadAll()
+	if err != nil {
+		return b, Error.Wrap(err)
+	}
+	if len(r) != 1 || len(r[0].Rows) != 1 {
+		return b, Error.Wrap(&StatementError{Code: codeProtocol, Message: "pull gave no answer"})
+	}
+	return b, Error.Wrap(json.Unmarshal(r[0].Rows[0][0], &b))
+}
+
+// rebuild replaces database and log by the primary's. The member keeps and
+// reports its own log until the new one is whole: a log that was on a majority
+// must not vanish from a member that can still be promoted.
+func (m *Member) rebuild(c context.Context, n *pgconn.PgConn, s source) error {
+	var l []entry
+	for p := (logpos.Position{}); ; p = l[len(l)-1].Position {
+		b, err := ask(c, n, p, s.term)
+		if err != nil {
+			return err
+		}
+		l = append(l, b.Entries...)
+		if len(b.Entries) < replicationBatch {
+			break
+		}
+	}
+	m.mu.Lock()
+	d, err := m.create()
+	m.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if err := replay(c, d, l); err != nil {
+		_ = d.Close()
+		return err
+	}
 	m.writer <- struct{}{}
 	defer func() { <-m.writer }()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.epoch != epoch || m.fault.StopReplication {
-		return nil
-	}
-	if b.Reset {
-		return m.reset()
-	}
-	if len(b.Entries) == 0 {
-		return nil
+	if m.epoch != s.epoch || m.fault.StopReplication {
+		return Error.Wrap(d.Close())
 	}
-	t, err := m.db.BeginTx(c, nil)
+	_ = m.db.Close()
+	m.db, m.log = d, l
+	close(m.grown)
+	m.grown = make(chan struct{})
+	return nil
+}
+
+// replay runs the statements of log entries in one transaction.
+func replay(c context.Context, d *sql.DB, l []entry) error {
+	t, err := d.BeginTx(c, nil)
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	for _, e := range b.Entries {
+	for _, e := range l {
 		for _, s := range e.Statements {
 			if _, err := t.ExecContext(c, s.SQL, anys(s.Args)...); err != nil {
 				_ = t.Rollback()
@@ -155,8 +201,23 @@
 			}
 		}
 	}
-	if err := t.Commit(); err != nil {
-		return Error.Wrap(err)
+	return Error.Wrap(t.Commit())
+}
+
+// apply adds pulled entries unless the member's epoch has changed since.
+func (m *Member) apply(c context.Context, b batch, epoch uint64) error {
+	m.writer <- struct{}{}
+	defer func() { <-m.writer }()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.epoch != epoch || m.fault.StopReplication {
+		return nil
+	}
+	if len(b.Entries) == 0 {
+		return nil
+	}
+	if err := replay(c, m.db, b.Entries); err != nil {
+		return err
 	}
 	m.log = append(m.log, b.Entries...)
 	close(m.grown)
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -21,6 +21,10 @@
 	b *pgproto3.Backend
 	// silent makes the session stop reading and writing for good.
 	silent atomic.Bool
+	// killed is closed when the session is to end, gone when it has ended.
+	killed chan struct{}
+	kill   sync.Once
+	gone   chan struct{}
 
 	mu sync.Mutex
 	// cancel ends the statement that runs; nil between statements.
@@ -64,6 +68,7 @@
 func newSession(m *Member, n net.Conn) *session {
 	return &session{
 		m: m, n: n, b: pgproto3.NewBackend(n, n),
+		killed: make(chan struct{}), gone: make(chan struct{}),
 		parsed: map[string]string{}, portals: map[string]*portal{}, pid: nextPID.Add(1),
 	}
 }
@@ -72,6 +77,7 @@
 func (s *session) run(c context.Context) {
 	x := context.AfterFunc(c, func() { _ = s.n.Close() })
 	defer x()
+	defer close(s.gone)
 	defer func() { _ = s.n.Close() }()
 	ok, err := s.startup(c)
 	if err != nil || !ok {
@@ -85,7 +91,7 @@
 		}
 		s.m.thawed(c)
 		if s.silent.Load() {
-			<-c.Done()
+			s.hang(c)
 			return
 		}
 		if !s.handle(c, m) {
@@ -306,7 +312,7 @@
 func (s *session) flush(c context.Context) error {
 	s.m.thawed(c)
 	if s.silent.Load() {
-		<-c.Done()
+		s.hang(c)
 	}
 	return s.b.Flush()
 }
