--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -93,6 +93,10 @@
 	return n.attempts(x, w, r, d)
 }
 
+func canceled() *RefusedError {
+	return &RefusedError{Code: codeCanceled, Message: "canceling statement due to user request"}
+}
+
 // end refuses work and ends its answer.
 func (n *client) end(w work, e *RefusedError) error {
 	for _, s := range w.names {
@@ -159,10 +163,10 @@
 	if r.Header.Kind != peer.KindRead || r.Primary || r.Header.AgeOnly || n.floor.Known {
 		return nil
 	}
-	x, stop := context.WithTimeout(x, r.Header.Remaining)
+	y, stop := context.WithTimeout(x, r.Header.Remaining)
 	defer stop()
 	for {
-		p, err := n.s.c.Router.Floor(x, n.group)
+		p, err := n.s.c.Router.Floor(y, n.group)
 		if err == nil {
 			n.floor = n.floor.Raise(p)
 			r.Header.Floor = n.floor.Position
@@ -170,9 +174,12 @@
 		}
 		n.s.c.Log.Debug("floor unknown", "group", n.group, "error", err)
 		if x.Err() != nil {
+			return canceled()
+		}
+		if y.Err() != nil {
 			return refusal(peer.Verdict{Outcome: peer.NotRun, Reason: "floor-unknown", RetryAfter: time.Second})
 		}
-		pause(x, retryPause)
+		pause(y, retryPause)
 	}
 }
 
@@ -186,22 +193,31 @@
 		case err != nil || o == answered || o == settled:
 			return err
 		case x.Err() != nil:
-			return n.end(w, &RefusedError{Code: codeCanceled, Message: "canceling statement due to user request"})
-		case o == readOnly:
-			r.Primary, r.Header.Kind = true, peer.KindWrite
-			continue
+			return n.end(w, canceled())
 		case o == lost && r.Header.Kind != peer.KindRead:
 			return n.end(w, refusal(peer.Verdict{Outcome: peer.InDoubt, Reason: "owner-lost"}))
 		case !w.whole || !again(v) || time.Until(deadline) < retryPause:
 			return n.end(w, refusal(v))
 		}
-		if v.Outcome != peer.Moved {
+		if o == readOnly {
+			r.asWrite()
+		} else if v.Outcome != peer.Moved {
 			r.Tried = map[string]bool{}
+		}
+		if v.Outcome != peer.Moved {
 			pause(x, retryPause)
 		}
 	}
 }
 
+// asWrite sends the request to the primary from now on.
+func (r *Request) asWrite() {
+	r.Primary = true
+	if r.Header.Kind == peer.KindRead {
+		r.Header.Kind = peer.KindWrite
+	}
+}
+
 // again reports whether a request that was not run should be sent again.
 func again(v peer.Verdict) bool {
 	switch v.Reason {
@@ -233,12 +249,15 @@
 	if o == declined || o == answered && v.Outcome != "" {
 		n.s.c.Router.Learn(n.group, t.Member, v)
 	}
-	if v.Outcome == peer.Moved || o == lost {
+	if v.Outcome == peer.Moved || o == lost || o == readOnly {
 		r.Tried[t.Member] = true
 	}
 	if o == lost {
 		v = peer.Verdict{Outcome: peer.NotRun, Reason: "owner-lost", RetryAfter: retryPause}
 	}
+	if o == readOnly {
+		v = peer.Verdict{Outcome: peer.NotRun, Reason: "read-only-member", RetryAfter: retryPause}
+	}
 	return o, v, err
 }
 
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -36,6 +36,8 @@
 const (
 	// startTimeout bounds the wait until all daemons serve.
 	startTimeout = 20 * time.Second
+	// startTimeoutEach is added for each daemon.
+	startTimeoutEach = 300 * time.Millisecond
 	// stopPoll is how often a start looks for readiness.
 	startPoll = 20 * time.Millisecond
 	drainTime = 3 * time.Second
@@ -217,13 +219,17 @@
 	}
 }
 
+func (c *Cluster) trust() bundle.Trust {
+	return bundle.Trust{Authors: []*bundle.Key{c.author}, Approvers: []*bundle.Key{c.approver}}
+}
+
 // Push signs a bundle and rolls it out.
 func (c *Cluster) Push(b *bundle.Bundle) error {
 	e, err := bundle.Sign(c.x, b, c.author, c.approver)
 	if err != nil {
 		return err
 	}
-	_, err = platform.Push(c.x, platform.New(platform.Config{Address: c.Platform.Address()}), e, []*bundle.Key{c.approver})
+	_, err = platform.Push(c.x, platform.New(platform.Config{Address: c.Platform.Address()}), e, c.trust())
 	return err
 }
 
@@ -237,7 +243,7 @@
 	d, err := daemon.New(daemon.Config{
 		Host:         membership.Host{ID: id, Region: c.Config.Region, FailureDomain: c.domain(i)},
 		CallerListen: l, PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Platform: c.Platform.Address(),
-		Approvers: []*bundle.Key{c.approver}, Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
+		Trust: c.trust(), Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
 		DrainTime: drainTime, Log: c.Config.Log.Named(id),
 	})
 	if err != nil {
@@ -277,7 +283,7 @@
 // awaitReady waits until every daemon has the bundle and every group a
 // confirmed primary.
 func (c *Cluster) awaitReady() error {
-	t := time.Now().Add(startTimeout)
+	t := time.Now().Add(startTimeout + time.Duration(c.Config.Daemons)*startTimeoutEach)
 	for !c.ready() {
 		if time.Now().After(t) {
 			return Error.Wrap(&StartError{})
@@ -342,5 +348,5 @@
 type StartError struct{}
 
 func (e *StartError) Error() string {
-	return "the daemons were not ready within " + startTimeout.String()
+	return "the daemons were not ready in time"
 }
