--- a/bundle/encode.go
+++ b/bundle/encode.go
@@ -22,8 +22,18 @@
 
 // Parse reads a bundle from YAML. Unknown and duplicate keys give a
 // *FormatError, faults of the content a *ContentError; both name file, line and
-// column. The file's name is used in errors only.
-func Parse(file string, b []byte) (*Bundle, error) {
+// column. The file's name is used in errors only. The YAML library panics on
+// some malformed input; this too is a *FormatError.
+func Parse(file string, b []byte) (v *Bundle, err error) {
+	defer func() {
+		if r := recover(); r != nil {
+			v, err = nil, Error.Wrap(&FormatError{File: file, Reason: "the YAML reader can't take it"})
+		}
+	}()
+	return parse(file, b)
+}
+
+func parse(file string, b []byte) (*Bundle, error) {
 	var v Bundle
 	d := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict(), yaml.DisallowUnknownField())
 	if err := d.Decode(&v); err != nil {
