Cluster specs: forgery, rollback, outage, drains and changes under load

Cause: nothing showed that versions hold through a forged or restored store, or that drains and changes cut no request. Ruled out: expecting no refusal while the load connects to drained daemons: it has no balancer, so only 57P01 between requests and failed connects may come.

--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -41,6 +41,8 @@
 	// stopPoll is how often a start looks for readiness.
 	startPoll = 20 * time.Millisecond
 	drainTime = 3 * time.Second
+	// seedCount is the number of daemons that a new one has as seeds.
+	seedCount = 3
 )
 
 // Config holds a cluster's settings.
@@ -244,7 +246,7 @@
 		Host:         membership.Host{ID: id, Region: c.Config.Region, FailureDomain: c.domain(i)},
 		CallerListen: l, PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Platform: c.Platform.Address(),
 		Trust: c.trust(), Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
-		DrainTime: drainTime, Log: c.Config.Log.Named(id),
+		DrainTime: drainTime, Log: c.Config.Log.Named(id), Seeds: c.seeds(),
 	})
 	if err != nil {
 		return nil, err
@@ -259,6 +261,15 @@
 	return r, nil
 }
 
+// seeds returns the peer addresses of the first daemons.
+func (c *Cluster) seeds() []string {
+	var o []string
+	for _, d := range c.Daemons[:min(len(c.Daemons), seedCount)] {
+		o = append(o, d.PeerAddress())
+	}
+	return o
+}
+
 // Drain shuts a daemon down in order and waits for its end.
 func (d *Daemon) Drain() {
 	d.stop()
--- /dev/null
+++ b/standin/cluster/rollout_test.go
@@ -0,0 +1,203 @@
+package cluster_test
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/standin/cluster"
+	"github.com/dragonflypick/dragonflypick/standin/kv"
+	"github.com/dragonflypick/dragonflypick/standin/load"
+)
+
+// within bounds what has to happen in seconds; it is no measurement.
+const within = "20s"
+
+var _ = Describe("bundles and membership", func() {
+	var c *cluster.Cluster
+	x := context.Background()
+
+	start := func(n int) {
+		f := cluster.Default()
+		f.Daemons = n
+		var err error
+		c, err = cluster.Start(x, f)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Stop)
+	}
+	// next pushes the next version with a change.
+	next := func(change func(b *bundle.Bundle)) {
+		p, err := bundle.Canonical(c.Bundle)
+		Expect(err).NotTo(HaveOccurred())
+		b := &bundle.Bundle{}
+		Expect(json.Unmarshal(p, b)).To(Succeed())
+		b.Version++
+		if change != nil {
+			change(b)
+		}
+		Expect(c.Push(b)).To(Succeed())
+		c.Bundle = b
+	}
+	versions := func() []uint64 {
+		var o []uint64
+		for _, d := range c.Daemons {
+			o = append(o, d.Version())
+		}
+		return o
+	}
+	everywhere := func() { Eventually(versions, within).Should(HaveEach(c.Bundle.Version)) }
+	run := func(d time.Duration, entries []*cluster.Daemon, during func()) load.Report {
+		l := load.Config{
+			User: cluster.CallerName, Password: cluster.CallerPassword, Group: "orders", Seed: 6, Sessions: 20,
+			Duration: d, Roam: 10, Rates: [bundle.RankCount]float64{60, 60, 10},
+		}
+		for _, d := range entries {
+			l.Addresses = append(l.Addresses, d.CallerAddress())
+		}
+		t := time.AfterFunc(500*time.Millisecond, func() {
+			defer GinkgoRecover()
+			during()
+		})
+		defer t.Stop()
+		r, err := load.Run(x, l)
+		Expect(err).NotTo(HaveOccurred())
+		return r
+	}
+	// whole expects that no request was cut.
+	whole := func(r load.Report) {
+		Expect(r.Orders).NotTo(BeZero())
+		Expect(r.Lost).To(BeZero())
+		Expect(r.Doubled).To(BeZero())
+		Expect(r.WronglyRefused).To(BeZero())
+		Expect(r.Stale).To(BeZero())
+		for _, k := range r.Ranks {
+			Expect(k.InDoubt).To(BeZero(), "%+v", k)
+			Expect(k.Refused).To(BeZero(), "%+v %v", k, r.Codes)
+			Expect(k.Failed).To(BeZero(), "%+v %v", k, r.Codes)
+		}
+	}
+
+	It("keeps the highest approved version through forgery, rollback and outage, and heals", func() {
+		start(6)
+		k := platform.New(platform.Config{Address: c.Platform.Address()})
+		old, err := k.Get(x, platform.BundleKey, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		next(nil)
+		everywhere()
+
+		now, err := k.Get(x, platform.BundleKey, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(k.Swap(x, platform.BundleKey, old.Pairs[0].Value, now.Pairs[0].Index)).To(BeTrue())
+		a, err := bundle.NewKey("author")
+		Expect(err).NotTo(HaveOccurred())
+		b, err := bundle.NewKey("approver")
+		Expect(err).NotTo(HaveOccurred())
+		f := *c.Bundle
+		f.Version = 99
+		e, err := bundle.Sign(x, &f, a, b)
+		Expect(err).NotTo(HaveOccurred())
+		now, err = k.Get(x, platform.BundleKey, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(k.Swap(x, platform.BundleKey, e, now.Pairs[0].Index)).To(BeTrue())
+		Consistently(versions, "1s").Should(HaveEach(uint64(2)))
+
+		c.Platform.SetFault(kv.Fault{Down: true})
+		d, err := c.StartDaemon(1)
+		Expect(err).NotTo(HaveOccurred())
+		everywhere()
+		Eventually(func() int { return len(d.Status().Hosts) }, within).Should(Equal(7))
+		Eventually(func() int { return len(c.Daemons[3].Status().Hosts) }, within).Should(Equal(7))
+		n, err := pgx.Connect(x, d.URL("orders"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = n.Exec(x, "CREATE TABLE outage (id INTEGER)")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(n.Close(x)).To(Succeed())
+
+		c.Platform.SetFault(kv.Fault{})
+		next(nil)
+		everywhere()
+	})
+
+	It("cuts no request when owners are drained one after another under load", func() {
+		start(4)
+		whole(run(5*time.Second, []*cluster.Daemon{c.Daemons[1], c.Daemons[3]}, func() {
+			c.Daemons[0].Drain()
+			c.Daemons[2].Drain()
+		}))
+		Eventually(func() []string { return c.Daemons[1].Status().Hosts }, within).Should(ConsistOf("daemon-2", "daemon-4"))
+	})
+
+	It("ends sessions of drained daemons between requests only", func() {
+		start(4)
+		r := run(5*time.Second, c.Daemons, func() {
+			c.Daemons[0].Drain()
+			c.Daemons[2].Drain()
+		})
+		Expect(r.Lost + r.Doubled + r.WronglyRefused + r.Stale).To(BeZero())
+		for _, k := range r.Ranks {
+			Expect(k.InDoubt+k.Failed).To(BeZero(), "%+v %v", k, r.Codes)
+		}
+		// The load has no balancer: it goes on to connect to daemons that are gone.
+		for s := range r.Codes {
+			Expect(s).To(Or(Equal("connect"), HavePrefix("57P01")))
+		}
+	})
+
+	It("cuts no request when limits, deadlines and members change under load", func() {
+		start(3)
+		var replica bundle.Member
+		whole(run(5*time.Second, c.Daemons, func() {
+			next(func(b *bundle.Bundle) {
+				b.Groups[0].Members[0].Slots, b.Groups[0].Members[0].Connections = 2, 10
+				b.Ranks.Urgent.Deadline = bundle.Duration(4 * time.Second)
+			})
+			everywhere()
+			next(func(b *bundle.Bundle) {
+				g := &b.Groups[0]
+				i := len(g.Members) - 1
+				if c.Primary("orders").Name == g.Members[i].Name {
+					i--
+				}
+				replica = g.Members[i]
+				g.Members = append(g.Members[:i], g.Members[i+1:]...)
+			})
+			everywhere()
+			next(func(b *bundle.Bundle) { b.Groups[0].Members = append(b.Groups[0].Members, replica) })
+			everywhere()
+		}))
+	})
+
+	It("ends the sessions of a removed caller after their transaction", func() {
+		start(2)
+		next(func(b *bundle.Bundle) {
+			k := b.Callers[0]
+			k.Name = "visitor"
+			b.Callers = append(b.Callers, k)
+		})
+		everywhere()
+		u := "postgres://visitor:" + cluster.CallerPassword + "@" + c.Daemons[0].CallerAddress() + "/orders?sslmode=disable"
+		busy, err := pgx.Connect(x, u)
+		Expect(err).NotTo(HaveOccurred())
+		idle, err := pgx.Connect(x, u)
+		Expect(err).NotTo(HaveOccurred())
+		t, err := busy.Begin(x)
+		Expect(err).NotTo(HaveOccurred())
+		next(func(b *bundle.Bundle) { b.Callers = b.Callers[:1] })
+		everywhere()
+		var k int
+		Expect(t.QueryRow(x, "SELECT 1").Scan(&k)).To(Succeed())
+		Expect(t.Commit(x)).To(Succeed())
+		for _, n := range []*pgx.Conn{busy, idle} {
+			_, err = n.Exec(x, "SELECT 1")
+			Expect(err).To(HaveOccurred())
+		}
+		_, err = pgx.Connect(x, u)
+		Expect(err).To(MatchError(ContainSubstring("28P01")))
+	})
+})
