--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,8 @@
 import (
 	"context"
 	"crypto/tls"
-	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -35,6 +35,9 @@
 	reconcileInterval = 250 * time.Millisecond
 	// watchLinger is how long a group that isn't needed stays watched.
 	watchLinger = 10 * time.Second
+	// retiredPlace is the place of a watch that another has taken over from: far
+	// behind all others.
+	retiredPlace = 1000
 	// sweepInterval is how often idle connections are checked.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -102,6 +105,8 @@
 	g      *bundle.Group
 	stop   context.CancelFunc
 	needed time.Time
+	// retired is set when another watch takes over.
+	retired *atomic.Bool
 }
 
 // New returns a daemon with open listening sockets.
@@ -113,7 +118,7 @@
 		group: &errgroup.Group{}, ctx: context.Background(),
 	}
 	d.owner = owner.New(owner.Config{
-		Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
+		Host: c.Host.ID, Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
 	})
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -235,6 +240,7 @@
 	d.c.Log.Info("drain begins", "id", d.c.Host.ID)
 	d.noteMember(membership.Left{ID: d.c.Host.ID})
 	d.announceLeave()
+	d.owner.Leave()
 	x, stop := context.WithTimeout(d.ctx, d.c.DrainTime)
 	defer stop()
 	d.callers.Drain(x)
@@ -281,28 +287,60 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w, ok := d.watches[group]
-	if ok && reflect.DeepEqual(w.g, g) {
+	if ok && sameMembers(w.g, g) {
 		w.needed = time.Now()
 		return w.m
 	}
 	if ok {
-		w.stop()
+		d.retire(w)
 	}
 	return d.startWatch(g)
 }
 
+// sameMembers reports whether two versions of a group differ in limits only.
+func sameMembers(a, b *bundle.Group) bool {
+	if a.Name != b.Name || len(a.Members) != len(b.Members) {
+		return false
+	}
+	for i := range a.Members {
+		x, y := a.Members[i], b.Members[i]
+		x.Slots, x.Connections = y.Slots, y.Connections
+		if x != y {
+			return false
+		}
+	}
+	return true
+}
+
+// retire stops a monitor after a while, so that writes which wait for a
+// majority aren't cut; it leaves failover to the next one.
+func (d *Daemon) retire(w *watch) {
+	w.retired.Store(true)
+	d.group.Go(func() error {
+		pause(d.ctx, watchLinger)
+		w.stop()
+		return nil
+	})
+}
+
 // startWatch starts a monitor; d.mu is held.
 func (d *Daemon) startWatch(g *bundle.Group) *monitor.Monitor {
+	retired := &atomic.Bool{}
 	m := monitor.New(monitor.Config{
 		Group: g, Holder: d.c.Host.ID, Log: d.c.Log.Named("monitor"),
-		Place:   func() int { return d.place(g) },
+		Place: func() int {
+			if retired.Load() {
+				return retiredPlace
+			}
+			return d.place(g)
+		},
 		Near:    func(m *bundle.Member) int { return near(g, m) },
 		Status:  func(x context.Context, m *bundle.Member) (failover.Status, error) { return d.askStatus(x, g, m) },
 		Control: func(m *bundle.Member) *backend.Control { return d.control(g, m) },
 		Changed: func(group string, c failover.Changed) { d.groupChanged(group, c) },
 	})
 	x, stop := context.WithCancel(d.ctx)
-	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now()}
+	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now(), retired: retired}
 	d.group.Go(func() error { return m.Run(x) })
 	return m
 }
@@ -389,13 +427,18 @@
 
 func (d *Daemon) ownsAny(g *bundle.Group) bool {
 	for i := range g.Members {
-		if h, ok := d.ownerOf(&g.Members[i]); ok && h.ID == d.c.Host.ID {
+		if d.owns(&g.Members[i]) {
 			return true
 		}
 	}
 	return false
 }
 
+func (d *Daemon) owns(m *bundle.Member) bool {
+	h, ok := d.ownerOf(m)
+	return ok && h.ID == d.c.Host.ID
+}
+
 func (d *Daemon) dropWatches() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -416,6 +459,9 @@
 			return nil
 		case <-t.C:
 			d.owner.Sweep()
+			if d.Ready() {
+				d.owner.Release(d.owns)
+			}
 		}
 	}
 }
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -34,6 +34,8 @@
 
 // Config holds what an owner needs.
 type Config struct {
+	// Host is the ID of this host.
+	Host string
 	// Bundle returns the bundle in force.
 	Bundle func() *bundle.Bundle
 	// Monitor returns the running monitor of a group, or nil.
@@ -55,6 +57,8 @@
 	streams int
 	// keyed counts writes with a key.
 	keyed int
+	// leaving tells that the servers go to other owners.
+	leaving bool
 }
 
 // New returns an owner.
@@ -151,10 +155,13 @@
 	if v := t.eligible(x, b, m); v.Outcome != "" {
 		return v
 	}
+	if t.o.isLeaving() {
+		return t.moved()
+	}
 	t.srv = t.o.server(b, g, m)
 	k, err := t.srv.enter(x, t.arrival())
 	if err != nil {
-		return notRun(err)
+		return t.verdict(err)
 	}
 	c, err := t.take(x)
 	if err != nil {
@@ -233,17 +240,19 @@
 	return t.m.AwaitReplica(x, ok)
 }
 
-// Configure applies the limits of a bundle to the owned servers.
+// Configure applies the limits of a bundle to the owned servers. What runs on a
+// server that is removed or moved goes on; what waits is sent on.
 func (o *Owner) Configure(b *bundle.Bundle) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for n, s := range o.servers {
 		_, m, ok := b.Member(n)
-		if !ok {
-			s.pool.Close()
+		if !ok || m.Address != s.address {
+			s.leave()
 			delete(o.servers, n)
 			continue
 		}
+		s.pool.Resize(poolSize(m))
 		s.mu.Lock()
 		s.handle(admit.Configured{Config: queueConfig(b, m)})
 		s.mu.Unlock()
