--- /dev/null
+++ b/standin/process/find.go
@@ -0,0 +1,60 @@
+package process
+
+import (
+	"io"
+)
+
+// Primary returns the member that the daemons take for primary of the highest
+// term, and that term.
+func (s *System) Primary() (*Member, uint64, error) {
+	name, term := "", uint64(0)
+	for _, d := range s.Daemons {
+		if d.Ended() {
+			continue
+		}
+		o, err := d.Status()
+		if err != nil {
+			return nil, 0, err
+		}
+		for _, g := range o.Groups {
+			if g.Name == Group && g.Term > term && g.Primary != "" {
+				name, term = g.Primary, g.Term
+			}
+		}
+	}
+	for _, m := range s.Members {
+		if m.Name == name {
+			return m, term, nil
+		}
+	}
+	return nil, 0, Error.Wrap(&UnknownError{What: "primary"})
+}
+
+// Owner returns the daemon that owns a member.
+func (s *System) Owner(m *Member) (*Daemon, error) {
+	o, err := s.Daemons[0].Status()
+	if err != nil {
+		return nil, err
+	}
+	for _, g := range o.Groups {
+		for _, y := range g.Members {
+			if y.Name != m.Name {
+				continue
+			}
+			for _, d := range s.Daemons {
+				if d.Name == y.Owner {
+					return d, nil
+				}
+			}
+		}
+	}
+	return nil, Error.Wrap(&UnknownError{What: "owner of " + m.Name})
+}
+
+// Keep writes the ends of all logs.
+func (s *System) Keep(w io.Writer) { _, _ = io.WriteString(w, s.tails()) }
+
+// UnknownError reports something that no daemon knows.
+type UnknownError struct{ What string }
+
+func (e *UnknownError) Error() string { return "unknown: " + e.What }
--- a/standin/process/system.go
+++ b/standin/process/system.go
@@ -52,6 +52,8 @@
 	ConnectCost   time.Duration
 	// Callers is the greatest number of callers of a daemon.
 	Callers int
+	// Deadline is that of all ranks; zero for those of the stand-in's bundle.
+	Deadline time.Duration
 	// LogLevel is that of the daemons.
 	LogLevel string
 	// Relays puts a relay before every process; without them Relay is nil.
@@ -209,6 +211,9 @@
 func (s *System) push(x context.Context) error {
 	b := cluster.NewBundle()
 	b.Limits.Callers = s.Config.Callers
+	if d := bundle.Duration(s.Config.Deadline); d > 0 {
+		b.Ranks.Urgent.Deadline, b.Ranks.Routine.Deadline, b.Ranks.Background.Deadline = d, d, d
+	}
 	salt := make([]byte, 16)
 	_, _ = rand.Read(salt)
 	v, err := bundle.NewVerifier(cluster.CallerName, cluster.CallerPassword, salt)
