--- /dev/null
+++ b/matrix/fault.go
@@ -0,0 +1,186 @@
+package matrix
+
+import (
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/model"
+)
+
+// Fault is something that goes wrong.
+type Fault string
+
+// The faults of the matrix.
+const (
+	PrimaryCut         Fault = "primary-cut-from-peers"
+	PrimaryKilled      Fault = "primary-killed"
+	PrimaryFrozen      Fault = "primary-frozen"
+	ReplicaBehind      Fault = "replica-far-behind"
+	SilentConnection   Fault = "silent-connection"
+	EntryKilled        Fault = "entry-killed"
+	OwnerKilled        Fault = "owner-killed"
+	OwnerFrozen        Fault = "owner-frozen"
+	PlatformDown       Fault = "platform-down"
+	PlatformSlow       Fault = "platform-slow"
+	PlatformAnswerLost Fault = "platform-answer-lost"
+	RacingOperators    Fault = "racing-operators"
+	TwoPromoting       Fault = "two-daemons-promoting"
+	DomainCut          Fault = "failure-domain-cut"
+	HostLeaving        Fault = "host-leaving"
+	LateAnswers        Fault = "late-duplicate-reordered"
+	SuccessorKilled    Fault = "promoted-primary-killed"
+)
+
+// Faults returns all faults.
+func Faults() []Fault {
+	return []Fault{
+		PrimaryCut, PrimaryKilled, PrimaryFrozen, ReplicaBehind, SilentConnection, EntryKilled, OwnerKilled,
+		OwnerFrozen, PlatformDown, PlatformSlow, PlatformAnswerLost, RacingOperators, TwoPromoting, DomainCut,
+		HostLeaving, LateAnswers, SuccessorKilled,
+	}
+}
+
+// Sizes of faults.
+const (
+	farBehind    = 5 * time.Second
+	littleBehind = 300 * time.Millisecond
+	platformLag  = 5 * time.Second
+	lateBy       = 2 * time.Second
+	lateShare    = 0.3
+	replaceTime  = 3 * time.Second
+)
+
+// inject makes a fault happen now. The target is the write at whose step it
+// happens; e is the entry of the write and o the owner of the primary.
+func (r *run) inject(f Fault) {
+	w := r.w
+	p := w.Primary()
+	e := r.target.Entry()
+	var o *model.Daemon
+	if e != nil {
+		o = w.Owner(e, p)
+	}
+	switch f {
+	case PrimaryCut:
+		r.cutPrimary(p)
+	case PrimaryKilled:
+		p.Kill()
+	case PrimaryFrozen:
+		p.Freeze()
+	case ReplicaBehind:
+		r.slowReplicas(p)
+	case SilentConnection:
+		w.Silence(p.Node)
+	case EntryKilled:
+		r.replace(e)
+	case OwnerKilled:
+		r.replace(o)
+	case OwnerFrozen:
+		if o != nil {
+			o.Freeze()
+		}
+	case TwoPromoting:
+		r.promoteTwice(p)
+	case DomainCut:
+		w.Cross(p.Place.Domain)
+	case HostLeaving:
+		if o != nil {
+			o.Leave()
+			w.After(replaceTime, o.End)
+			w.AddDaemon(o.Place)
+		}
+	case LateAnswers:
+		w.Noise = model.Noise{Duplicate: lateShare, Late: lateShare, Delay: lateBy}
+	case SuccessorKilled:
+		r.killSuccessor = true
+	default:
+		r.injectPlatform(f)
+	}
+}
+
+func (r *run) injectPlatform(f Fault) {
+	switch f {
+	case PlatformDown:
+		r.w.Platform.Down()
+	case PlatformSlow:
+		r.w.Platform.Slow = platformLag
+	case PlatformAnswerLost:
+		r.w.Platform.LoseAnswers = true
+	case RacingOperators:
+		r.race()
+		return
+	}
+	r.race()
+}
+
+// cutPrimary separates the primary from its peers and from all daemons outside
+// its failure domain.
+func (r *run) cutPrimary(p *model.Member) {
+	for _, m := range r.w.Members {
+		if m != p {
+			r.w.Cut(m.Node, p.Node)
+		}
+	}
+	for _, d := range r.w.Daemons {
+		if d.Place.Domain != p.Place.Domain {
+			r.w.Cut(d.Node, p.Node)
+		}
+	}
+}
+
+// slowReplicas stops one replica and slows the other down.
+func (r *run) slowReplicas(p *model.Member) {
+	first := true
+	for _, m := range r.w.Members {
+		switch {
+		case m == p:
+		case first:
+			m.Lag = littleBehind
+			first = false
+		default:
+			m.Lag = farBehind
+		}
+	}
+}
+
+// replace kills a daemon; another host takes its place.
+func (r *run) replace(d *model.Daemon) {
+	if d == nil || !d.Alive() {
+		return
+	}
+	d.End()
+	r.w.After(replaceTime, func() { r.w.AddDaemon(d.Place) })
+}
+
+// promoteTwice makes two daemons lose the primary at once, while it goes on
+// for everyone else.
+func (r *run) promoteTwice(p *model.Member) {
+	n := 0
+	for _, d := range r.w.Daemons {
+		if d.Alive() && n < 2 {
+			d.SetPlace(0)
+			r.w.Cut(d.Node, p.Node)
+			n++
+		}
+	}
+}
+
+// heal ends all faults.
+func (r *run) heal() {
+	r.w.Heal()
+	r.killSuccessor = false
+	r.w.Platform.Slow, r.w.Platform.LoseAnswers = 0, false
+	r.w.Platform.Up()
+	for _, m := range r.w.Members {
+		m.Lag = 0
+		m.Restart()
+		if m.Frozen() {
+			m.Thaw()
+		}
+	}
+	for i, d := range r.w.Daemons {
+		d.SetPlace(i)
+		if d.Frozen() {
+			d.Thaw()
+		}
+	}
+}
--- /dev/null
+++ b/model/clock.go
@@ -0,0 +1,74 @@
+// Package model emulates, in virtual time and on one goroutine, what surrounds
+// the decisions of a daemon: members of a database group, a network, the
+// platform's key-value service, other daemons, and callers. The decisions
+// themselves are those of the daemon's own packages.
+package model
+
+import (
+	"container/heap"
+	"time"
+)
+
+// timer is something that happens at a moment.
+type timer struct {
+	at  time.Time
+	seq uint64
+	f   func()
+}
+
+// timers is a heap, earliest first; equal moments keep their order.
+type timers []timer
+
+func (t timers) Len() int { return len(t) }
+func (t timers) Less(i, j int) bool {
+	if !t[i].at.Equal(t[j].at) {
+		return t[i].at.Before(t[j].at)
+	}
+	return t[i].seq < t[j].seq
+}
+func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
+
+// Push implements heap.Interface.
+func (t *timers) Push(x any) { *t = append(*t, x.(timer)) }
+
+// Pop implements heap.Interface.
+func (t *timers) Pop() any {
+	n := len(*t) - 1
+	x := (*t)[n]
+	(*t)[n] = timer{}
+	*t = (*t)[:n]
+	return x
+}
+
+// Clock is virtual time. It is not safe for concurrent use.
+type Clock struct {
+	now time.Time
+	seq uint64
+	q   timers
+}
+
+// epoch is the first moment of every run.
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Now returns the virtual time.
+func (c *Clock) Now() time.Time { return c.now }
+
+// Since returns the virtual time since the run began.
+func (c *Clock) Since() time.Duration { return c.now.Sub(epoch) }
+
+// After runs f after d.
+func (c *Clock) After(d time.Duration, f func()) {
+	c.seq++
+	heap.Push(&c.q, timer{at: c.now.Add(max(d, 0)), seq: c.seq, f: f})
+}
+
+// Run lets d pass.
+func (c *Clock) Run(d time.Duration) {
+	end := c.now.Add(d)
+	for len(c.q) > 0 && !c.q[0].at.After(end) {
+		t := heap.Pop(&c.q).(timer)
+		c.now = t.at
+		t.f()
+	}
+	c.now = end
+}
--- /dev/null
+++ b/model/execute.go
@@ -0,0 +1,80 @@
+package model
+
+import (
+	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/logpos"
+)
+
+// result is a member's answer to a statement.
+type result struct {
+	// ok tells that the statement has run; otherwise it has no effect.
+	ok bool
+	// position is the commit's position, or a later one.
+	position logpos.Position
+	// term is the member's term.
+	term uint64
+	// found is what a read or a look-up gave.
+	found bool
+	// echo is the request that the answer belongs to.
+	echo string
+}
+
+// execute runs a write in a transaction of its own.
+func (m *Member) execute(s Statement, reply func(any)) {
+	m.commit(s, reply, func() result {
+		r := result{ok: true, echo: s.ID}
+		switch {
+		case m.log.blocks(s.ID):
+			r.ok = false
+		case s.Key != "" && !m.w.Options.NoKeys && m.log.CountKey(s.Key) > 0:
+			r.position = m.log.Last()
+		default:
+			r.position = m.append(Entry{Statement: s})
+			m.w.reach(Committed, s)
+		}
+		return r
+	})
+}
+
+// block keeps a statement from ever running, unless its key has run.
+func (m *Member) block(s Statement, reply func(any)) {
+	m.commit(s, reply, func() result {
+		r := result{ok: true, echo: s.ID, found: m.log.CountKey(s.Key) > 0}
+		r.position = m.log.Last()
+		if !r.found && !m.w.Options.BlindResolve {
+			r.position = m.append(Entry{Statement: s, Block: true})
+		}
+		return r
+	})
+}
+
+// commit spends a statement's time and then runs f, unless the member's role
+// or term has changed meanwhile.
+func (m *Member) commit(s Statement, reply func(any), f func() result) {
+	if m.role != failover.Primary {
+		reply(result{echo: s.ID})
+		return
+	}
+	e := m.epoch
+	m.after(statementCost, func() {
+		if m.epoch != e {
+			reply(result{echo: s.ID})
+			return
+		}
+		r := f()
+		r.term = m.term
+		reply(r)
+	})
+}
+
+// read looks for a statement.
+func (m *Member) read(id string, want Statement, reply func(any)) {
+	m.after(statementCost, func() {
+		reply(result{ok: true, echo: id, found: m.log.Shows(want), term: m.term})
+	})
+}
+
+// holds tells whether the log of the primary of term t holds p.
+func (m *Member) holds(p logpos.Position, t uint64) result {
+	return result{ok: m.role == failover.Primary && m.term == t, found: m.log.Has(p), term: m.term}
+}
--- /dev/null
+++ b/model/transaction.go
@@ -0,0 +1,194 @@
+package model
+
+import (
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/write"
+)
+
+// resolvePause is the pause before a failed look-up is made again.
+const resolvePause = 30 * time.Millisecond
+
+// transaction drives the decisions on one write at its owner.
+type transaction struct {
+	d     *Daemon
+	r     request
+	core  *write.Transaction
+	free  func(bool)
+	reply func(verdict)
+	freed bool
+	over  bool
+	// echo is the request that the member's answer belongs to.
+	echo string
+}
+
+func newTransaction(d *Daemon, r request, free func(bool), reply func(verdict)) *transaction {
+	t := &transaction{d: d, r: r, core: write.New(r.Key != ""), free: free, reply: reply, echo: r.ID}
+	d.after(r.deadline.Sub(d.w.now), func() { t.handle(write.Expired{}) })
+	return t
+}
+
+// forward sends the write to the primary.
+func (t *transaction) forward(use string) {
+	t.handle(write.Forwarded{Commits: true})
+	t.d.w.reach(Forwarded, t.r.Statement)
+	m := t.d.w.Member(t.r.member)
+	t.d.w.do(&call{
+		from: t.d.Node, to: m.Node, use: use, timeout: t.r.deadline.Sub(t.d.w.now) + cancelGrace,
+		caller: true,
+		handle: func(answer func(any)) { m.execute(t.r.Statement, answer) },
+		done:   t.answered,
+	})
+}
+
+func (t *transaction) answered(v any, ok bool) {
+	t.release(ok)
+	r, _ := v.(result)
+	switch {
+	case !ok && t.d.w.Options.LostIsNotRun:
+		t.end(verdict{outcome: NotRun})
+	case !ok:
+		t.handle(write.Lost{})
+	case !r.ok:
+		t.end(verdict{outcome: NotRun})
+	default:
+		t.echo = r.echo
+		t.handle(write.Committed{Position: r.position})
+		t.handle(write.Answered{})
+	}
+}
+
+func (t *transaction) release(whole bool) {
+	if !t.freed {
+		t.freed = true
+		t.free(whole)
+	}
+}
+
+func (t *transaction) end(v verdict) {
+	if t.over {
+		return
+	}
+	t.over = true
+	t.release(false)
+	v.echo = t.echo
+	t.d.w.reach(Answering, t.r.Statement)
+	t.reply(v)
+}
+
+// handle feeds the core and carries out what it asks for.
+func (t *transaction) handle(e write.Event) {
+	for _, a := range t.core.Handle(e) {
+		switch x := a.(type) {
+		case write.Await:
+			t.await(x.Position)
+		case write.ResolvePosition:
+			t.resolvePosition(x.Position)
+		case write.ResolveKey:
+			t.resolveKey()
+		case write.Done:
+			t.end(verdict{outcome: Done, position: x.Position})
+		case write.NotRun:
+			t.end(verdict{outcome: NotRun})
+		case write.InDoubt:
+			t.end(verdict{outcome: InDoubt})
+		}
+	}
+}
+
+func (t *transaction) await(p logpos.Position) {
+	if t.d.w.Options.AckAtOnce {
+		t.handle(write.Durable{})
+		return
+	}
+	t.d.w.reach(Waiting, t.r.Statement)
+	t.when(func(g *failover.Group) bool { return g.Durable(p) || g.Superseded(p.Term) }, func() {
+		if t.d.core.Durable(p) {
+			t.handle(write.Durable{})
+			return
+		}
+		t.handle(write.Superseded{})
+	})
+}
+
+// when runs f once ok holds, unless the transaction has ended.
+func (t *transaction) when(ok func(*failover.Group) bool, f func()) {
+	t.d.await(func(g *failover.Group) bool { return t.over || ok(g) }, func() {
+		if !t.over {
+			f()
+		}
+	})
+}
+
+// later runs f after a pause, unless the transaction has ended.
+func (t *transaction) later(f func()) {
+	t.d.after(resolvePause, func() {
+		if !t.over {
+			f()
+		}
+	})
+}
+
+// settled returns the primary whose log settles writes of a term.
+func (t *transaction) settled(g *failover.Group, term uint64) (string, bool) {
+	if t.d.w.Options.EarlyResolve {
+		v := g.View(t.d.w.now)
+		return v.Primary, v.Term > term
+	}
+	return g.Settled(term)
+}
+
+func (t *transaction) resolvePosition(p logpos.Position) {
+	t.when(func(g *failover.Group) bool {
+		_, ok := t.settled(g, p.Term)
+		return ok
+	}, func() {
+		n, _ := t.settled(t.d.core, p.Term)
+		term := t.d.core.View(t.d.w.now).Term
+		m := t.d.w.Member(n)
+		t.d.w.do(&call{
+			from: t.d.Node, to: m.Node, use: "resolve", timeout: controlTimeout,
+			handle: func(answer func(any)) { answer(m.holds(p, term)) },
+			done: func(v any, ok bool) {
+				r, _ := v.(result)
+				if !ok || !r.ok {
+					t.later(func() { t.resolvePosition(p) })
+					return
+				}
+				t.handle(write.Settled{Holds: r.found})
+			},
+		})
+	})
+}
+
+func (t *transaction) resolveKey() {
+	t.when(func(g *failover.Group) bool { return g.View(t.d.w.now).Confirmed }, func() {
+		m := t.d.w.Member(t.d.core.View(t.d.w.now).Primary)
+		t.d.w.do(&call{
+			from: t.d.Node, to: m.Node, use: "resolve", timeout: controlTimeout,
+			handle: func(answer func(any)) { m.block(t.r.Statement, answer) },
+			done: func(v any, ok bool) {
+				r, _ := v.(result)
+				if !ok || !r.ok {
+					t.later(t.resolveKey)
+					return
+				}
+				t.settleKey(r)
+			},
+		})
+	})
+}
+
+// settleKey waits until a majority has what the key's look-up saw or wrote.
+func (t *transaction) settleKey(r result) {
+	p := r.position
+	t.when(func(g *failover.Group) bool { return g.Durable(p) || g.Superseded(p.Term) }, func() {
+		if !t.d.core.Durable(p) {
+			t.later(t.resolveKey)
+			return
+		}
+		t.handle(write.Found{Ran: r.found, Position: p})
+	})
+}
--- /dev/null
+++ b/model/world.go
@@ -0,0 +1,211 @@
+package model
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/membership"
+)
+
+// Options switch mechanisms off, to show that the checks see it.
+type Options struct {
+	// AckAtOnce acknowledges writes without waiting for a majority.
+	AckAtOnce bool
+	// NoFence lets members take part in any term.
+	NoFence bool
+	// RetryBlindly sends writes of unknown outcome again.
+	RetryBlindly bool
+	// NoKeys runs keyed writes without looking for their key.
+	NoKeys bool
+	// BlindResolve looks a key up without keeping the write from running
+	// later.
+	BlindResolve bool
+	// LostIsNotRun reports a write whose connection broke as not run.
+	LostIsNotRun bool
+	// EarlyResolve settles a write from a new primary whose term no majority
+	// has reached.
+	EarlyResolve bool
+	// NoFloor drops the floor of reads.
+	NoFloor bool
+	// NoToken drops the session's floor when it roams.
+	NoToken bool
+	// Unmatched gives an answer to the oldest request of its connection.
+	Unmatched bool
+	// AcceptLower lets any bundle replace the one held.
+	AcceptLower bool
+	// BlindPush writes bundles without compare-and-swap.
+	BlindPush bool
+	// NoReadBack takes a push without an answer for failed.
+	NoReadBack bool
+	// ResetLog empties a diverged log instead of cutting its tail off.
+	ResetLog bool
+	// NoFailover keeps daemons from replacing a primary.
+	NoFailover bool
+}
+
+// Step is a step of a write.
+type Step string
+
+// The steps of a write, in order.
+const (
+	Classified Step = "classified"
+	Sent       Step = "sent-to-owner"
+	Queued     Step = "queued"
+	Connected  Step = "connection-taken"
+	Forwarded  Step = "sent-to-primary"
+	Committed  Step = "committed"
+	Waiting    Step = "waiting-for-majority"
+	Answering  Step = "answering"
+)
+
+// Steps returns all steps of a write.
+func Steps() []Step {
+	return []Step{Classified, Sent, Queued, Connected, Forwarded, Committed, Waiting, Answering}
+}
+
+// World is a database group with everything around it. It is not safe for
+// concurrent use.
+type World struct {
+	Clock
+	Options Options
+	Noise   Noise
+	// Members, Daemons and Sessions are in order of their making.
+	Members  []*Member
+	Daemons  []*Daemon
+	Sessions []*Session
+	Platform *Platform
+	// Reached is told when a write reaches a step; nil if nobody asks.
+	Reached func(Step, Statement)
+	// Promoted is told of a new primary; nil if nobody asks.
+	Promoted func(*Member)
+	// Violations are broken promises that were seen while they happened.
+	Violations []string
+	// Writes are all writes of callers that have ended.
+	Writes []Write
+	// Reads counts the reads that were answered.
+	Reads int
+
+	r       *rand.Rand
+	nodes   map[string]*Node
+	cuts    map[[2]string]bool
+	callers *Node
+	hosts   int
+	next    int
+	last    map[*Member]uint64
+}
+
+// Regions and failure domains of every world.
+var places = []Place{{"west", "west-1"}, {"west", "west-2"}, {"north", "north-1"}}
+
+// Sizes of every world.
+const (
+	daemonCount  = 5
+	sessionCount = 5
+)
+
+// New makes a world in which nothing has happened yet.
+func New(seed uint64, o Options) *World {
+	w := &World{
+		Clock: Clock{now: epoch}, Options: o, r: rand.New(rand.NewPCG(seed, seed)),
+		nodes: map[string]*Node{}, cuts: map[[2]string]bool{}, last: map[*Member]uint64{},
+	}
+	w.callers = w.node("callers", Place{})
+	w.newPlatform(places[0])
+	w.newMember("member-0", places[0], "")
+	w.newMember("member-1", places[1], "member-0")
+	w.newMember("member-2", places[2], "member-0")
+	for i := range daemonCount {
+		w.AddDaemon(places[i%len(places)])
+	}
+	for range sessionCount {
+		w.newSession()
+	}
+	return w
+}
+
+// Member returns the member with the given name, or nil.
+func (w *World) Member(name string) *Member {
+	for _, m := range w.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// Daemon returns the daemon with the given host ID, or nil.
+func (w *World) Daemon(id string) *Daemon {
+	for _, d := range w.Daemons {
+		if d.Name == id {
+			return d
+		}
+	}
+	return nil
+}
+
+// Primary returns the primary of the highest term.
+func (w *World) Primary() *Member {
+	var p *Member
+	for _, m := range w.Members {
+		if r, t := m.Role(); r == "primary" && (p == nil || t > p.term) {
+			p = m
+		}
+	}
+	return p
+}
+
+// Owner returns the daemon that owns a member by the knowledge of an entry.
+func (w *World) Owner(e *Daemon, m *Member) *Daemon {
+	h, ok := e.view.Owner(m.spec(), w.now)
+	if !ok {
+		return nil
+	}
+	return w.Daemon(h.ID)
+}
+
+// Cross stops all messages between the nodes of one failure domain and the
+// rest, but for callers.
+func (w *World) Cross(domain string) {
+	for _, a := range w.sorted() {
+		for _, b := range w.sorted() {
+			if a.Place.Domain == domain && b.Place.Domain != domain && b != w.callers {
+				w.Cut(a, b)
+			}
+		}
+	}
+}
+
+func (w *World) reach(s Step, x Statement) {
+	if w.Reached != nil {
+		w.Reached(s, x)
+	}
+}
+
+// promoted checks that terms rise with every promotion.
+func (w *World) promoted(m *Member) {
+	for o, t := range w.last {
+		if o != m && t == m.term {
+			w.violate("two members were promoted in one term")
+		}
+	}
+	w.last[m] = m.term
+	if w.Promoted != nil {
+		w.Promoted(m)
+	}
+}
+
+func (w *World) violate(s string) { w.Violations = append(w.Violations, s) }
+
+// hostList is the platform's list of hosts.
+func (w *World) hostList() []membership.Host {
+	var o []membership.Host
+	for _, d := range w.Daemons {
+		if d.alive || w.now.Sub(d.ended) < listLag {
+			o = append(o, d.host)
+		}
+	}
+	return o
+}
+
+// listLag is how long a dead host stays listed.
+const listLag = 10 * time.Second
