--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -41,7 +41,7 @@
 
 // Sizes of faults.
 const (
-	farBehind    = 5 * time.Second
+	farBehind    = 3 * time.Second
 	littleBehind = 300 * time.Millisecond
 	platformLag  = 5 * time.Second
 	lateBy       = 2 * time.Second
@@ -49,11 +49,19 @@
 	replaceTime  = 3 * time.Second
 )
 
-// inject makes a fault happen now. The target is the write at whose step it
-// happens; e is the entry of the write and o the owner of the primary.
+// inject makes a fault happen now, or as soon as there is a primary. The
+// target is the write at whose step it happens; e is the entry of the write and
+// o the owner of the primary.
 func (r *run) inject(f Fault) {
 	w := r.w
 	p := w.Primary()
+	switch {
+	case r.healed:
+		return
+	case p == nil:
+		w.After(lookInterval, func() { r.inject(f) })
+		return
+	}
 	e := r.target.Entry()
 	var o *model.Daemon
 	if e != nil {
@@ -167,7 +175,7 @@
 // heal ends all faults.
 func (r *run) heal() {
 	r.w.Heal()
-	r.killSuccessor = false
+	r.healed, r.killSuccessor = true, false
 	r.w.Platform.Slow, r.w.Platform.LoseAnswers = 0, false
 	r.w.Platform.Up()
 	for _, m := range r.w.Members {
--- a/matrix/run.go
+++ b/matrix/run.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dragonflypick/dragonflypick/model"
 )
 
@@ -24,7 +26,7 @@
 	// catchUp is how long replicas may take to catch up without writes.
 	catchUp = 300 * time.Millisecond
 	// outage is how long a primary stays away in a further failover.
-	outage = 4 * time.Second
+	outage = 3 * time.Second
 	// rejoin is how long it then has to catch up.
 	rejoin = 1 * time.Second
 	// farther is the number of further failovers after the faults.
@@ -78,6 +80,8 @@
 	target *model.Session
 	// raised is when the first fault happened; zero if it hasn't yet.
 	raised time.Time
+	// healed tells that the faults have ended.
+	healed bool
 	// killSuccessor kills the next member that is promoted.
 	killSuccessor bool
 	// pushes are the ends of the operators' pushes by digest.
@@ -107,6 +111,25 @@
 	return r.report
 }
 
+// parallel is the number of runs at a time.
+const parallel = 4
+
+// RunAll carries out plans side by side; the reports are in order of the
+// plans.
+func RunAll(p []Plan) []Report {
+	o := make([]Report, len(p))
+	g := &errgroup.Group{}
+	g.SetLimit(parallel)
+	for i := range p {
+		g.Go(func() error {
+			o[i] = Run(p[i])
+			return nil
+		})
+	}
+	_ = g.Wait()
+	return o
+}
+
 // reached raises the first fault at the planned step.
 func (r *run) reached(s model.Step, x model.Statement) {
 	if s != r.p.Step || !r.raised.IsZero() {
@@ -179,11 +202,9 @@
 
 // failOver kills the primary once more and brings it back.
 func (r *run) failOver() {
-	r.resume()
 	p := r.w.Primary()
 	p.Kill()
 	r.w.Run(outage)
 	p.Restart()
 	r.w.Run(rejoin)
-	r.pause()
 }
--- a/model/daemon.go
+++ b/model/daemon.go
@@ -89,7 +89,10 @@
 }
 
 // SetPlace changes the daemon's place among those that watch the group.
-func (d *Daemon) SetPlace(n int) { d.place = n }
+func (d *Daemon) SetPlace(n int) {
+	d.place = n
+	d.configure()
+}
 
 // Leave announces that the daemon leaves.
 func (d *Daemon) Leave() {
@@ -117,7 +120,6 @@
 }
 
 func (d *Daemon) tick() {
-	d.configure()
 	d.handle(failover.Ticked{Jitter: d.w.r.Float64()})
 	d.after(tickInterval, d.tick)
 }
--- a/model/entry.go
+++ b/model/entry.go
@@ -43,7 +43,7 @@
 	}
 	d.w.do(&call{
 		from: d.Node, to: o.Node, use: "statement", timeout: r.deadline.Sub(d.w.now) + answerGrace,
-		caller: true,
+		caller: true, probed: true,
 		handle: func(answer func(any)) { o.serve(r, answer) },
 		done: func(v any, ok bool) {
 			if !ok {
--- a/model/owner.go
+++ b/model/owner.go
@@ -86,6 +86,7 @@
 	s.next++
 	id := s.next
 	s.start[id] = func(ok bool) { start(id, ok) }
+	d.after(r.deadline.Sub(d.w.now)+time.Millisecond, func() { d.queue(s, admit.Ticked{}) })
 	d.queue(s, admit.Arrived{ID: id, Rank: bundle.Urgent, Caller: "caller", Deadline: r.deadline, Jitter: d.w.r.Float64()})
 }
 
