--- a/backend/pool.go
+++ b/backend/pool.go
@@ -23,15 +23,80 @@
 	mu     sync.Mutex
 	idle   []*Conn
 	closed bool
+	// size is the number of connections that may be open, and used that of
+	// tokens taken out.
+	size int
+	used int
+	// surplus is the number of tokens that are dropped when they come back.
+	surplus int
 }
 
+// maxSize is the greatest number of connections of a pool.
+const maxSize = 1 << 16
+
 // NewPool returns a pool of up to size connections.
 func NewPool(c Config, size int) *Pool {
-	p := &Pool{c: c, tokens: make(chan struct{}, size)}
-	for range size {
+	p := &Pool{c: c, tokens: make(chan struct{}, maxSize)}
+	p.Resize(size)
+	return p
+}
+
+// Resize changes the number of connections that may be open. Connections that
+// are in use stay; those over the size are closed when they come back.
+func (p *Pool) Resize(size int) {
+	size = min(max(size, 1), maxSize)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for ; p.size < size; p.size++ {
+		if p.surplus > 0 {
+			p.surplus--
+		} else {
+			p.tokens <- struct{}{}
+		}
+	}
+	for ; p.size > size; p.size-- {
+		select {
+		case <-p.tokens:
+		default:
+			p.surplus++
+		}
+	}
+	p.trim()
+}
+
+// trim closes idle connections over the size; p.mu is held.
+func (p *Pool) trim() {
+	for len(p.idle) > 0 && len(p.idle)+p.used > p.size {
+		_ = p.idle[0].Close()
+		p.idle = p.idle[1:]
+	}
+}
+
+// take notes that a token was taken out.
+func (p *Pool) take() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used++
+}
+
+// give puts a token back, or drops it if there are too many.
+func (p *Pool) give() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.used--
+	if p.surplus > 0 {
+		p.surplus--
+	} else {
 		p.tokens <- struct{}{}
 	}
-	return p
+	p.trim()
+}
+
+// Used returns the number of connections that are in use.
+func (p *Pool) Used() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.used
 }
 
 // Take returns a connection that has answered lately or is new. It waits while
@@ -39,6 +104,7 @@
 func (p *Pool) Take(x context.Context) (*Conn, error) {
 	select {
 	case <-p.tokens:
+		p.take()
 	case <-x.Done():
 		return nil, Error.Wrap(&BusyError{Address: p.c.Address})
 	}
@@ -54,7 +120,7 @@
 	}
 	c, err := Connect(x, p.c)
 	if err != nil {
-		p.tokens <- struct{}{}
+		p.give()
 		return nil, err
 	}
 	return c, nil
@@ -83,7 +149,7 @@
 		p.idle = append(p.idle, c)
 	}
 	p.mu.Unlock()
-	p.tokens <- struct{}{}
+	p.give()
 }
 
 // Warm opens connections until n are idle or one fails.
@@ -91,12 +157,13 @@
 	for p.Idle() < n {
 		select {
 		case <-p.tokens:
+			p.take()
 		default:
 			return
 		}
 		c, err := Connect(x, p.c)
 		if err != nil {
-			p.tokens <- struct{}{}
+			p.give()
 			return
 		}
 		p.Put(c, false)
@@ -116,12 +183,13 @@
 	for range p.Idle() {
 		select {
 		case <-p.tokens:
+			p.take()
 		default:
 			return
 		}
 		c := p.oldest()
 		if c == nil {
-			p.tokens <- struct{}{}
+			p.give()
 			return
 		}
 		p.Put(c, c.Check(checkTimeout) != nil)
--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -24,12 +24,14 @@
 type Options struct {
 	Listen          string             `long:"listen" env:"DRAGONFLYPICK_LISTEN" default:"127.0.0.1:6432" description:"IP address and port for callers"`
 	PeerListen      string             `long:"peer-listen" env:"DRAGONFLYPICK_PEER_LISTEN" default:"127.0.0.1:6433" description:"IP address and port for other daemons"`
+	PeerAdvertise   string             `long:"peer-advertise" env:"DRAGONFLYPICK_PEER_ADVERTISE" description:"IP address and port that other daemons are told (default: that of --peer-listen)"`
 	AdminListen     string             `long:"admin-listen" env:"DRAGONFLYPICK_ADMIN_LISTEN" default:"127.0.0.1:6434" description:"IP address and port for metrics, health and status"`
 	ID              string             `long:"id" env:"DRAGONFLYPICK_ID" description:"Unique name of this process (default: random)"`
 	Region          string             `long:"region" env:"DRAGONFLYPICK_REGION" description:"Region of this host"`
 	FailureDomain   string             `long:"failure-domain" env:"DRAGONFLYPICK_FAILURE_DOMAIN" description:"Failure domain of this host"`
 	Platform        string             `long:"platform" env:"DRAGONFLYPICK_PLATFORM" description:"IP address and port of the platform's key-value service"`
 	Seeds           []string           `long:"seed" env:"DRAGONFLYPICK_SEEDS" env-delim:"," description:"Peer address of another daemon, asked while the platform doesn't answer"`
+	Authors         []string           `long:"author" env:"DRAGONFLYPICK_AUTHORS" env-delim:"," description:"Public key (name:base64) that may write bundles"`
 	Approvers       []string           `long:"approver" env:"DRAGONFLYPICK_APPROVERS" env-delim:"," description:"Public key (name:base64) that may approve bundles"`
 	Secret          string             `long:"secret" env:"DRAGONFLYPICK_SECRET" description:"Secret shared by all daemons; better given by environment"`
 	BackendUser     string             `long:"backend-user" env:"DRAGONFLYPICK_BACKEND_USER" default:"dragonflypick" description:"User name at backend servers"`
@@ -52,7 +54,7 @@
 		Name: "serve", Short: "Run the daemon", Options: o,
 		Long: "Run one proxy daemon until SIGTERM or SIGINT, which drain it.",
 		Example: `dragonflypick serve --region west --failure-domain west-1 --platform 127.0.0.1:8500 \
-  --approver ops:BASE64 --secret SECRET`,
+  --author anna:BASE64 --approver ops:BASE64 --secret SECRET`,
 		Run: func(x context.Context, _ []string) error { return runF(x, o) },
 	}
 }
@@ -76,7 +78,7 @@
 	k := &checker{}
 	c := daemon.Config{
 		Host: membership.Host{ID: o.ID, Region: o.Region, FailureDomain: o.FailureDomain}, CallerListen: o.Listen,
-		PeerListen: o.PeerListen, AdminListen: o.AdminListen, Platform: o.Platform, Seeds: o.Seeds, Secret: o.Secret,
+		PeerListen: o.PeerListen, PeerAdvertise: o.PeerAdvertise, AdminListen: o.AdminListen, Platform: o.Platform, Seeds: o.Seeds, Secret: o.Secret,
 		BackendUser: o.BackendUser, BackendPassword: o.BackendPassword, DrainTime: o.DrainTime,
 		Log: o.factory.Logger("dragonflypick", o.Log),
 	}
@@ -86,6 +88,9 @@
 	k.address("--listen", o.Listen)
 	k.address("--peer-listen", o.PeerListen)
 	k.address("--admin-listen", o.AdminListen)
+	if o.PeerAdvertise != "" {
+		k.address("--peer-advertise", o.PeerAdvertise)
+	}
 	k.address("--platform", o.Platform)
 	for _, s := range o.Seeds {
 		k.address("--seed", s)
@@ -93,16 +98,9 @@
 	k.set("--region", o.Region)
 	k.set("--failure-domain", o.FailureDomain)
 	k.set("--secret", o.Secret)
-	if len(o.Approvers) == 0 {
-		k.add("--approver must be given at least once")
-	}
-	for _, a := range o.Approvers {
-		p, err := bundle.ParsePublicKey(a)
-		if err != nil {
-			k.add("--approver: " + err.Error())
-			continue
-		}
-		c.Approvers = append(c.Approvers, p)
+	var err error
+	if c.Trust, err = bundle.ParseTrust(o.Authors, o.Approvers); err != nil {
+		k.add("--author and --approver: " + err.Error())
 	}
 	if o.DrainTime <= 0 {
 		k.add("--drain-time must be above zero")
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -9,9 +9,9 @@
 
 	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/caller"
 	"github.com/dragonflypick/dragonflypick/failover"
 	"github.com/dragonflypick/dragonflypick/logpos"
-	"github.com/dragonflypick/dragonflypick/membership"
 )
 
 // Methods of control calls between daemons.
@@ -21,7 +21,9 @@
 	methodPosition = "group.position"
 	methodBundle   = "bundle.get"
 	methodVersion  = "bundle.version"
+	methodHosts    = "host.list"
 	methodLeave    = "host.leave"
+	methodCancel   = "session.cancel"
 )
 
 // memberParams names a member of a group.
@@ -30,15 +32,10 @@
 	Member string `json:"member"`
 }
 
-// versionParams names a bundle version.
-type versionParams struct {
-	Version uint64 `json:"version"`
-}
-
-// versionResult is the answer to versionParams.
-type versionResult struct {
-	Version uint64            `json:"version"`
-	Hosts   []membership.Host `json:"hosts"`
+// cancelParams names a session by its cancel key.
+type cancelParams struct {
+	PID    uint32 `json:"pid"`
+	Secret uint32 `json:"secret"`
 }
 
 // hostParams names a host.
@@ -74,13 +71,25 @@
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
-		return d.localVersion(), nil
+		return d.localVersion(p), nil
+	case methodCancel:
+		var p cancelParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.callers.Cancel(p.PID, p.Secret), nil
+	case methodHosts:
+		var p versionParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.localHosts(p.Roster), nil
 	case methodLeave:
 		var p hostParams
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
-		d.noteMember(membership.Left{ID: p.ID})
+		d.heardLeave(p.ID)
 		return true, nil
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
@@ -105,14 +114,6 @@
 	return g, m, nil
 }
 
-func (d *Daemon) localVersion() versionResult {
-	v := versionResult{Version: d.version()}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	v.Hosts = d.view.Known()
-	return v
-}
-
 // localStatus asks a member that this daemon is taken to own.
 func (d *Daemon) localStatus(x context.Context, p memberParams) (failover.Status, error) {
 	g, m, err := d.member(p)
@@ -138,23 +139,25 @@
 	return w.View(), nil
 }
 
-// localPosition returns the position of a primary, asked after the call came
-// in.
+// localPosition returns the position of a primary, which a majority of its
+// group has confirmed after the call came in.
 func (d *Daemon) localPosition(x context.Context, p memberParams) (logpos.Position, error) {
 	g, m, err := d.member(p)
 	if err != nil {
 		return logpos.Position{}, err
 	}
-	s, err := d.control(g, m).Status(x)
-	if err != nil {
-		return logpos.Position{}, err
-	}
 	w := d.watch(p.Group)
 	if w == nil {
 		return logpos.Position{}, Error.Wrap(&UnknownError{Name: p.Group})
 	}
-	v := w.View()
-	if s.Role != failover.Primary || v.Primary != p.Member || !v.Confirmed || v.Term != s.Term {
+	b := time.Now()
+	s, err := d.control(g, m).Status(x)
+	if err != nil {
+		return logpos.Position{}, err
+	}
+	x, stop := context.WithTimeout(x, viewTimeout/2)
+	defer stop()
+	if s.Role != failover.Primary || !w.AwaitReplica(x, func(g *failover.Group, _ time.Time) bool { return g.ConfirmedSince(s.Term, b) }) {
 		return logpos.Position{}, Error.Wrap(&NotPrimaryError{Member: p.Member})
 	}
 	return s.Position, nil
@@ -229,3 +232,19 @@
 }
 
 func (e *NotPrimaryError) Error() string { return e.Member + " is not the confirmed primary" }
+
+// forwardCancel passes a cancel request on to the hosts with the given mark.
+func (d *Daemon) forwardCancel(x context.Context, mark uint16, pid, secret uint32) {
+	d.mu.Lock()
+	l := d.view.Live(time.Now())
+	d.mu.Unlock()
+	for _, h := range l {
+		if h.ID == d.c.Host.ID || caller.Mark(h.ID) != mark {
+			continue
+		}
+		y, stop := context.WithTimeout(x, callTimeout)
+		err := d.node.Call(y, h, methodCancel, cancelParams{PID: pid, Secret: secret}, nil)
+		stop()
+		d.c.Log.Debug("cancel request passed on", "host", h.ID, "error", err)
+	}
+}
