model: keys are resolved, and floors found, as the daemon does it

Cause: the model resolved keys by a blocking entry; the owner now ends the session of the attempt and looks the key up. Sessions without a token, and connections to a process that has restarted, were not modelled.

--- a/model/entry.go
+++ b/model/entry.go
@@ -18,6 +18,10 @@
 	if !r.read {
 		d.w.reach(Classified, r.Statement)
 	}
+	if r.read && !r.known {
+		d.findFloor(r, 0, reply)
+		return
+	}
 	d.attempt(r, 0, reply)
 }
 
--- a/model/execute.go
+++ b/model/execute.go
@@ -21,50 +21,35 @@
 
 // execute runs a write in a transaction of its own.
 func (m *Member) execute(s Statement, reply func(any)) {
-	m.commit(s, reply, func() result {
-		r := result{ok: true, echo: s.ID}
+	if m.role != failover.Primary {
+		reply(result{echo: s.ID})
+		return
+	}
+	e := m.epoch
+	m.after(statementCost, func() {
+		r := result{echo: s.ID, ok: m.epoch == e && !m.ended[s.ID], term: m.term}
 		switch {
-		case m.log.blocks(s.ID):
-			r.ok = false
+		case !r.ok:
 		case s.Key != "" && !m.w.Options.NoKeys && m.log.CountKey(s.Key) > 0:
 			r.position = m.log.Last()
 		default:
 			r.position = m.append(Entry{Statement: s})
 			m.w.reach(Committed, s)
 		}
-		return r
-	})
-}
-
-// block keeps a statement from ever running, unless its key has run.
-func (m *Member) block(s Statement, reply func(any)) {
-	m.commit(s, reply, func() result {
-		r := result{ok: true, echo: s.ID, found: m.log.CountKey(s.Key) > 0}
-		r.position = m.log.Last()
-		if !r.found && !m.w.Options.BlindResolve {
-			r.position = m.append(Entry{Statement: s, Block: true})
-		}
-		return r
+		reply(r)
 	})
 }
 
-// commit spends a statement's time and then runs f, unless the member's role
-// or term has changed meanwhile.
-func (m *Member) commit(s Statement, reply func(any), f func() result) {
-	if m.role != failover.Primary {
-		reply(result{echo: s.ID})
-		return
+// look ends the session of an attempt, so that it can't commit any more, and
+// looks for its key.
+func (m *Member) look(s Statement) result {
+	if !m.w.Options.BlindResolve {
+		m.ended[s.ID] = true
+	}
+	return result{
+		ok: m.role == failover.Primary, echo: s.ID, found: m.log.CountKey(s.Key) > 0,
+		position: m.log.Last(), term: m.term,
 	}
-	e := m.epoch
-	m.after(statementCost, func() {
-		if m.epoch != e {
-			reply(result{echo: s.ID})
-			return
-		}
-		r := f()
-		r.term = m.term
-		reply(r)
-	})
 }
 
 // read looks for a statement.
--- a/model/log.go
+++ b/model/log.go
@@ -15,8 +15,6 @@
 	Position logpos.Position
 	// Statement is empty in the first entry of a term.
 	Statement Statement
-	// Block marks an entry that keeps the statement from ever running.
-	Block bool
 }
 
 // Log is what a member has committed, oldest first. Offsets count from 1.
@@ -39,7 +37,7 @@
 func (l Log) Count(id string) int {
 	n := 0
 	for _, e := range l {
-		if !e.Block && e.Statement.ID == id {
+		if e.Statement.ID == id {
 			n++
 		}
 	}
@@ -50,23 +48,13 @@
 func (l Log) CountKey(key string) int {
 	n := 0
 	for _, e := range l {
-		if !e.Block && e.Statement.Key == key {
+		if e.Statement.Key == key {
 			n++
 		}
 	}
 	return n
 }
 
-// blocks reports whether a statement must never run.
-func (l Log) blocks(id string) bool {
-	for _, e := range l {
-		if e.Block && e.Statement.ID == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Shows reports whether a statement has run, by its key if it has one.
 func (l Log) Shows(s Statement) bool {
 	switch {
--- a/model/member.go
+++ b/model/member.go
@@ -27,12 +27,14 @@
 	Lag time.Duration
 	// Stopped keeps this member from applying entries.
 	Stopped bool
+	// ended are statements whose session was ended.
+	ended map[string]bool
 	// pulls wait for the log to grow or the role to change.
 	pulls []func()
 }
 
 func (w *World) newMember(name string, p Place, primary string) *Member {
-	m := &Member{Node: w.node(name, p), role: failover.Replica, term: 1, primary: primary, contact: w.now}
+	m := &Member{Node: w.node(name, p), role: failover.Replica, term: 1, primary: primary, contact: w.now, ended: map[string]bool{}}
 	if primary == "" {
 		m.role = failover.Primary
 	}
--- a/model/network.go
+++ b/model/network.go
@@ -35,6 +35,8 @@
 type link struct {
 	// silent tells that its messages vanish.
 	silent bool
+	// life is that of the other end when the connection was opened.
+	life int
 	// waiting are the calls whose answers are yet to come, oldest first.
 	waiting []*call
 }
@@ -120,14 +122,14 @@
 	key := c.to.Name + " " + c.use
 	l := c.from.links[key]
 	if l == nil {
-		l = &link{}
+		l = &link{life: c.to.life}
 		c.from.links[key] = l
 	}
 	c.l, c.life = l, c.from.life
 	l.waiting = append(l.waiting, c)
 	handled := false
 	w.send(c.from, c.to, l, func() {
-		if !c.to.alive {
+		if !c.to.alive || c.to.life != l.life {
 			w.reset(c)
 			return
 		}
@@ -138,7 +140,11 @@
 		c.to.inbound[c] = true
 		c.to.run(c.to.life, func() { c.handle(func(v any) { w.answer(c, v) }) })
 	})
-	c.from.after(c.timeout, func() { w.lose(c, key) })
+	c.from.after(c.timeout, func() {
+		if !c.over {
+			w.lose(c, key)
+		}
+	})
 	if c.probed {
 		w.probe(c, key)
 	}
@@ -146,7 +152,7 @@
 
 // lose gives up a call and its connection.
 func (w *World) lose(c *call, key string) {
-	if !c.over && c.from.links[key] == c.l {
+	if c.from.links[key] == c.l {
 		delete(c.from.links, key)
 	}
 	c.finish(nil, false)
@@ -166,7 +172,7 @@
 		})
 	})
 	c.from.after(probeTimeout, func() {
-		if !heard {
+		if !heard && !c.over {
 			w.lose(c, key)
 		}
 	})
@@ -207,7 +213,7 @@
 // reset tells the caller that its connection broke.
 func (w *World) reset(c *call) {
 	w.send(c.to, c.from, c.l, func() {
-		c.from.run(c.life, func() { c.finish(nil, false) })
+		c.from.run(c.life, func() { w.lose(c, c.to.Name+" "+c.use) })
 	})
 }
 
--- a/model/owner.go
+++ b/model/owner.go
@@ -35,8 +35,10 @@
 // request is what an entry asks of an owner.
 type request struct {
 	Statement
-	member   string
-	read     bool
+	member string
+	read   bool
+	// known tells that the session knows its floor.
+	known    bool
 	floor    logpos.Position
 	want     Statement
 	deadline time.Time
--- a/model/session.go
+++ b/model/session.go
@@ -4,6 +4,7 @@
 	"strconv"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/session"
 )
 
@@ -16,6 +17,8 @@
 	writeShare = 0.5
 	// roamShare is the share of requests before which a session roams.
 	roamShare = 0.2
+	// forgetShare is the share of roaming sessions that bring no token.
+	forgetShare = 0.5
 )
 
 // group is the name of the only database group.
@@ -99,7 +102,7 @@
 		return false
 	}
 	s.entry = l[s.w.r.IntN(len(l))]
-	if s.w.Options.NoToken {
+	if s.w.r.Float64() < forgetShare {
 		s.token = ""
 	}
 	return true
@@ -116,10 +119,10 @@
 		if err != nil {
 			s.w.violate("a session's token can't be read")
 		}
-		r.floor = p
+		r.floor, r.known = p, true
 	}
 	if s.w.Options.NoFloor {
-		r.floor.Term, r.floor.Offset = 0, 0
+		r.floor, r.known = logpos.Position{}, true
 	}
 	s.busy, s.current = true, r.ID
 	d := s.entry
--- a/model/transaction.go
+++ b/model/transaction.go
@@ -165,13 +165,14 @@
 
 func (t *transaction) resolveKey() {
 	t.when(func(g *failover.Group) bool { return g.View(t.d.w.now).Confirmed }, func() {
-		m := t.d.w.Member(t.d.core.View(t.d.w.now).Primary)
+		v := t.d.core.View(t.d.w.now)
+		m := t.d.w.Member(v.Primary)
 		t.d.w.do(&call{
 			from: t.d.Node, to: m.Node, use: "resolve", timeout: controlTimeout,
-			handle: func(answer func(any)) { m.block(t.r.Statement, answer) },
-			done: func(v any, ok bool) {
-				r, _ := v.(result)
-				if !ok || !r.ok {
+			handle: func(answer func(any)) { answer(m.look(t.r.Statement)) },
+			done: func(x any, ok bool) {
+				r, _ := x.(result)
+				if !ok || !r.ok || r.term != v.Term {
 					t.later(t.resolveKey)
 					return
 				}
@@ -181,9 +182,13 @@
 	})
 }
 
-// settleKey waits until a majority has what the key's look-up saw or wrote.
+// settleKey waits until a majority has what the key's look-up saw.
 func (t *transaction) settleKey(r result) {
 	p := r.position
+	if t.d.w.Options.EarlyResolve {
+		t.handle(write.Found{Ran: r.found, Position: p})
+		return
+	}
 	t.when(func(g *failover.Group) bool { return g.Durable(p) || g.Superseded(p.Term) }, func() {
 		if !t.d.core.Durable(p) {
 			t.later(t.resolveKey)
--- a/model/world.go
+++ b/model/world.go
@@ -27,8 +27,9 @@
 	EarlyResolve bool
 	// NoFloor drops the floor of reads.
 	NoFloor bool
-	// NoToken drops the session's floor when it roams.
-	NoToken bool
+	// NoConfirm takes a primary's position for a floor without asking a majority
+	// whether it is still the primary.
+	NoConfirm bool
 	// Unmatched gives an answer to the oldest request of its connection.
 	Unmatched bool
 	// AcceptLower lets any bundle replace the one held.
