--- a/command/standin/standin.go
+++ b/command/standin/standin.go
@@ -5,6 +5,7 @@
 	"github.com/dragonflypick/dragonflypick/command"
 	"github.com/dragonflypick/dragonflypick/command/factory"
 	"github.com/dragonflypick/dragonflypick/command/standin/database"
+	"github.com/dragonflypick/dragonflypick/command/standin/experiment"
 	"github.com/dragonflypick/dragonflypick/command/standin/load"
 	"github.com/dragonflypick/dragonflypick/command/standin/platform"
 )
@@ -13,6 +14,6 @@
 func NewCmdStandin(f *factory.Factory) *command.Command {
 	return &command.Command{
 		Name: "standin", Short: "Stand-ins for what the proxy talks to",
-		Commands: []*command.Command{platform.NewCmdPlatform(f, nil), database.NewCmdDatabase(f, nil), load.NewCmdLoad(f, nil)},
+		Commands: []*command.Command{platform.NewCmdPlatform(f, nil), database.NewCmdDatabase(f, nil), load.NewCmdLoad(f, nil), experiment.NewCmdExperiment(f, nil)},
 	}
 }
--- /dev/null
+++ b/experiment/config.go
@@ -0,0 +1,172 @@
+// Package experiment drives the pure cores of admission and routing with a
+// seeded load in virtual time, and reports what each rank of work received.
+package experiment
+
+import (
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("experiment")
+
+// Scenario is a load with its faults.
+type Scenario string
+
+// The scenarios.
+const (
+	// Baseline is the ordinary load.
+	Baseline Scenario = "baseline"
+	// Lag is the ordinary load with one replica of each group far behind.
+	Lag Scenario = "lag"
+	// BackgroundFlood adds background work of Factor times the capacity.
+	BackgroundFlood Scenario = "background-flood"
+	// UrgentFlood adds urgent work of Factor times the capacity.
+	UrgentFlood Scenario = "urgent-flood"
+	// CallerFlood lets one caller send routine work of Factor times the
+	// capacity.
+	CallerFlood Scenario = "caller-flood"
+	// PrimaryChange adds a gap without primaries to an urgent flood.
+	PrimaryChange Scenario = "primary-change"
+	// OwnerDeath ends an owner; refused callers come back when told.
+	OwnerDeath Scenario = "owner-death"
+)
+
+// Scenarios lists all scenarios.
+func Scenarios() []Scenario {
+	return []Scenario{Baseline, Lag, BackgroundFlood, UrgentFlood, CallerFlood, PrimaryChange, OwnerDeath}
+}
+
+// Fleet is the size of a user's fleet.
+type Fleet struct {
+	Name string
+	// Groups is the number of database groups, each with one member in every
+	// failure domain.
+	Groups int
+	// Slots and Connections are those of each backend server.
+	Slots       int
+	Connections int
+	// Entries is the number of entry hosts, spread over the failure domains.
+	Entries int
+	// Near and Far are the one-way delays between failure domains of a region
+	// and between regions.
+	Near time.Duration
+	Far  time.Duration
+	// Link is the rate of the region link in bytes a second, each way.
+	Link float64
+}
+
+// domains is the number of failure domains; the last one is a region of its
+// own.
+const domains = 3
+
+// regionLink is the rate of the link between regions in bytes a second.
+const regionLink = 30e6 / 8
+
+// Fleets returns the fleets that can be chosen.
+func Fleets() []Fleet {
+	return []Fleet{
+		{Name: "lankaglow", Groups: 3, Slots: 3, Connections: 20, Entries: 9, Near: 1500 * time.Microsecond, Far: 30 * time.Millisecond, Link: regionLink},
+		{Name: "muckspread", Groups: 3, Slots: 5, Connections: 60, Entries: 9, Near: time.Millisecond, Far: 30 * time.Millisecond, Link: regionLink},
+	}
+}
+
+// FindFleet returns the fleet with the given name.
+func FindFleet(name string) (Fleet, error) {
+	var l []string
+	for _, f := range Fleets() {
+		if f.Name == name {
+			return f, nil
+		}
+		l = append(l, f.Name)
+	}
+	return Fleet{}, Error.Wrap(&NameError{Kind: "fleet", Name: name, Known: l})
+}
+
+// FindScenario returns the scenario with the given name.
+func FindScenario(name string) (Scenario, error) {
+	var l []string
+	for _, s := range Scenarios() {
+		if string(s) == name {
+			return s, nil
+		}
+		l = append(l, string(s))
+	}
+	return "", Error.Wrap(&NameError{Kind: "scenario", Name: name, Known: l})
+}
+
+// NameError reports a name that isn't known.
+type NameError struct {
+	Kind  string
+	Name  string
+	Known []string
+}
+
+func (e *NameError) Error() string {
+	return "unknown " + e.Kind + " " + e.Name + "; known are " + strings.Join(e.Known, ", ")
+}
+
+// Variant holds the policies that are compared; the zero value is the
+// product's.
+type Variant struct {
+	// Split spreads each backend server's connections over the entries, each
+	// with a queue of its own.
+	Split bool
+	// Exponential chooses members by an exponential cost of slots and link.
+	Exponential bool
+	// NoReserve lets background work take the last slot.
+	NoReserve bool
+	// NoShares takes the lower ranks' shares away.
+	NoShares bool
+	// ArrivalOrder serves each caller's requests in order of arrival.
+	ArrivalOrder bool
+	// OneCaller makes all requests look like one caller's.
+	OneCaller bool
+	// NoRetryBudget lets entries repeat requests without a budget.
+	NoRetryBudget bool
+	// NoLinkBudget lets background reads use all of the region link.
+	NoLinkBudget bool
+}
+
+// Config holds an experiment's settings.
+type Config struct {
+	Fleet    Fleet
+	Scenario Scenario
+	// Factor is the size of a flood in units of the capacity.
+	Factor  float64
+	Variant Variant
+	Seed    uint64
+	// Warm is the virtual time before what is reported; faults happen midway
+	// through Duration, the virtual time of the report.
+	Warm     time.Duration
+	Duration time.Duration
+}
+
+// class is the load of one rank.
+type class struct {
+	write   bool
+	service time.Duration
+	// use is the share of the capacity that the ordinary load takes.
+	use float64
+	// request and reply are sizes in bytes.
+	request int
+	reply   int
+	// limit is the time from arrival to answer.
+	limit time.Duration
+	// tolerant is the share of requests that accept the given age.
+	tolerant float64
+	age      time.Duration
+	share    float64
+}
+
+func classes() [bundle.RankCount]class {
+	return [bundle.RankCount]class{
+		{write: true, service: 4 * time.Millisecond, use: 0.25, request: 1000, reply: 200, limit: 5 * time.Second, share: 0.88},
+		{service: 2 * time.Millisecond, use: 0.25, request: 200, reply: 4000, limit: 5 * time.Second, tolerant: 0.7, age: 5 * time.Second, share: 0.1},
+		{service: 40 * time.Millisecond, use: 0.1, request: 400, reply: 60000, limit: 20 * time.Second, tolerant: 1, age: 30 * time.Second, share: 0.02},
+	}
+}
