Admission: bounded queues, waits predicted per caller and rank, charges at start

Cause: every event scanned all waiting requests, one caller's backlog made the queue refuse all others, a rank whose mean slot time rose above its deadline was refused for ever, and requests were started that could not end in time. Change: heaps by caller and by deadline, a bound on waiting requests a rank that drops from the caller with most waiting, predictions from the slots that higher ranks leave over, slot time charged at the start, expiry before the deadline.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -8,7 +8,7 @@
 	"github.com/dragonflypick/dragonflypick/bundle"
 )
 
-// Timing of refusals.
+// Timing and limits of the queue.
 const (
 	// minRetryAfter and maxRetryAfter bound the come-back time.
 	minRetryAfter = 50 * time.Millisecond
@@ -17,8 +17,15 @@
 	initialCost = 5 * time.Millisecond
 	// costWeight is the weight of the newest sample in the mean slot time.
 	costWeight = 0.1
+	// costPart is the greatest part of a request's time to its deadline that
+	// the mean slot time is taken for, so that a few slow statements don't shut
+	// a rank out.
+	costPart = 4
 	// creditCap bounds the slot time that a rank can save up.
 	creditCap = 250 * time.Millisecond
+	// DefaultMaxWaiting is the number of waiting requests of one rank if the
+	// configuration names none.
+	DefaultMaxWaiting = 4096
 )
 
 // Config holds the limits of one backend server's queue.
@@ -29,6 +36,12 @@
 	Shares [bundle.RankCount]float64
 	// Reserve is the number of slots that background work leaves free.
 	Reserve int
+	// MaxWaiting is the greatest number of waiting requests of one rank; zero
+	// means DefaultMaxWaiting.
+	MaxWaiting int
+	// ArrivalOrder serves a caller's requests in order of arrival instead of
+	// by deadline.
+	ArrivalOrder bool
 }
 
 // Event is something that the queue learns.
@@ -88,48 +101,46 @@
 const (
 	// Overloaded means that the request could not have met its deadline.
 	Overloaded Reason = "overloaded"
-	// Expired means that the deadline passed while the request waited.
+	// Expired means that the request waited until it could no longer meet its
+	// deadline.
 	Expired Reason = "expired"
 )
 
 func (Start) action()  {}
 func (Refuse) action() {}
 
-// request is a waiting or running request.
-type request struct {
-	Arrived
-	started time.Time
-}
-
 // Queue is the queue of one backend server. It is not safe for concurrent use.
 type Queue struct {
 	c Config
-	// waiting holds the waiting requests of each rank, in order of arrival.
-	waiting [bundle.RankCount][]*request
-	// held are waiting requests of open transactions.
-	held    []*request
+	// lines hold the waiting requests of each rank.
+	lines [bundle.RankCount]*line
+	// held are waiting requests of open transactions by rank, in order of
+	// arrival.
+	held [bundle.RankCount][]*request
+	// waiting holds all waiting requests, running those that have a slot.
+	waiting map[uint64]*request
 	running map[uint64]*request
 	// cost is the mean slot time of requests of each rank.
 	cost [bundle.RankCount]time.Duration
 	// credit is the slot time that a rank may claim ahead of higher ranks.
 	credit [bundle.RankCount]time.Duration
-	// served is each caller's slot time within a rank, for fairness; entries
-	// exist only while the caller waits or runs.
-	served [bundle.RankCount]map[string]time.Duration
+	// load measures the slot time that each rank uses.
+	load [bundle.RankCount]meter
 }
 
 // New returns an empty queue.
 func New(c Config) *Queue {
-	q := &Queue{c: c, running: map[uint64]*request{}}
-	for i := range q.served {
-		q.served[i] = map[string]time.Duration{}
+	q := &Queue{c: c, waiting: map[uint64]*request{}, running: map[uint64]*request{}}
+	for i := range q.lines {
+		q.lines[i] = newLine(c.ArrivalOrder)
 		q.cost[i] = initialCost
 	}
 	return q
 }
 
-// Depth returns the number of waiting requests of rank r.
-func (q *Queue) Depth(r bundle.Rank) int { return len(q.waiting[r]) }
+// Depth returns the number of waiting requests of rank r, without those of open
+// transactions.
+func (q *Queue) Depth(r bundle.Rank) int { return q.lines[r].len() }
 
 // Running returns the number of requests that hold a slot.
 func (q *Queue) Running() int { return len(q.running) }
@@ -139,9 +150,7 @@
 	var o []Action
 	switch x := e.(type) {
 	case Arrived:
-		if a := q.arrive(x, now); a != nil {
-			o = append(o, a)
-		}
+		o = q.arrive(x, now)
 	case Finished:
 		q.finish(x.ID, now)
 	case Withdrawn:
@@ -154,116 +163,124 @@
 	return append(o, q.fill(now)...)
 }
 
-func (q *Queue) arrive(x Arrived, now time.Time) Action {
-	r := &request{Arrived: x}
+func (q *Queue) arrive(x Arrived, now time.Time) []Action {
+	r := &request{Arrived: x, arrived: now}
 	if x.Held {
-		q.held = append(q.held, r)
+		q.waiting[x.ID] = r
+		q.held[x.Rank] = append(q.held[x.Rank], r)
 		return nil
 	}
-	if w := q.Wait(x.Rank); now.Add(w + q.cost[x.Rank]).After(x.Deadline) {
-		return q.refuse(r, now, Overloaded)
+	w := q.Wait(x.Rank, x.Caller, now)
+	if !now.Before(x.Deadline) || w > 0 && now.Add(w+q.expected(r, now)).After(x.Deadline) {
+		return []Action{q.refuse(r, w, now, Overloaded)}
+	}
+	l := q.lines[x.Rank]
+	var o []Action
+	if l.len() >= q.maxWaiting() {
+		v := l.victim(x.Caller)
+		if v == nil {
+			return []Action{q.refuse(r, w, now, Overloaded)}
+		}
+		q.remove(v)
+		o = append(o, q.refuse(v, q.Wait(v.Rank, v.Caller, now), now, Overloaded))
 	}
-	q.waiting[x.Rank] = append(q.waiting[x.Rank], r)
-	q.join(r)
-	return nil
+	q.waiting[x.ID] = r
+	l.push(r)
+	return o
 }
 
-// join puts the caller level with the least served caller of its rank, so that
-// idle time earns no claim.
-func (q *Queue) join(r *request) {
-	s := q.served[r.Rank]
-	if _, ok := s[r.Caller]; ok {
-		return
+func (q *Queue) maxWaiting() int {
+	if q.c.MaxWaiting > 0 {
+		return q.c.MaxWaiting
 	}
-	first := true
-	var least time.Duration
-	for _, d := range s {
-		if first || d < least {
-			least, first = d, false
-		}
-	}
-	s[r.Caller] = least
+	return DefaultMaxWaiting
+}
+
+// expected returns the slot time to reckon with for a request.
+func (q *Queue) expected(r *request, now time.Time) time.Duration {
+	return min(q.cost[r.Rank], max(r.Deadline.Sub(now), r.Deadline.Sub(r.arrived))/costPart)
 }
 
-// Wait predicts how long a new request of rank r waits for a slot.
-func (q *Queue) Wait(r bundle.Rank) time.Duration {
+// Wait predicts how long a new request of a caller waits for a slot. Requests
+// of callers that have had more slot time don't count, since the new one goes
+// before them.
+func (q *Queue) Wait(r bundle.Rank, caller string, now time.Time) time.Duration {
 	if q.c.Slots <= 0 {
 		return maxRetryAfter
 	}
-	var w time.Duration
-	for _, x := range q.held {
-		w += q.cost[x.Rank]
-	}
-	for i := bundle.Urgent; i <= r; i++ {
-		w += time.Duration(len(q.waiting[i])) * q.cost[i]
+	if len(q.running) < q.slots(r) && q.ahead(r) == 0 {
+		return 0
 	}
-	for i := r + 1; i < bundle.RankCount; i++ {
-		b := time.Duration(len(q.waiting[i])) * q.cost[i]
-		w += min(b, time.Duration(q.c.Shares[i]*float64(w)))
-	}
-	return w / time.Duration(q.c.Slots)
+	own := time.Duration(q.lines[r].before(caller)+1) * q.cost[r]
+	above := q.ahead(r)
+	rate := q.rate(r, now)
+	return min(time.Duration(float64(own+above)/rate), maxRetryAfter)
 }
 
-func (q *Queue) refuse(r *request, now time.Time, why Reason) Refuse {
-	b := q.Wait(r.Rank)
-	d := max(b-max(r.Deadline.Sub(now), 0)/2, b/4, minRetryAfter)
-	d += time.Duration(r.Jitter * float64(d))
-	return Refuse{ID: r.ID, RetryAfter: min(d, maxRetryAfter), Reason: why}
-}
-
-func (q *Queue) finish(id uint64, now time.Time) {
-	r, ok := q.running[id]
-	if !ok {
-		return
+// slots returns the number of slots that rank r may take without its share.
+func (q *Queue) slots(r bundle.Rank) int {
+	if r == bundle.Background {
+		return q.c.Slots - q.c.Reserve
 	}
-	delete(q.running, id)
-	d := now.Sub(r.started)
-	q.cost[r.Rank] += time.Duration(costWeight * float64(d-q.cost[r.Rank]))
-	q.charge(r, d)
+	return q.c.Slots
 }
 
-// charge accounts for slot time: every waiting lower rank gains its share.
-func (q *Queue) charge(r *request, d time.Duration) {
-	if _, ok := q.served[r.Rank][r.Caller]; ok {
-		q.served[r.Rank][r.Caller] += d
+// ahead returns the slot time of waiting requests that go before rank r.
+func (q *Queue) ahead(r bundle.Rank) time.Duration {
+	var w time.Duration
+	for i := range q.held {
+		w += time.Duration(len(q.held[i])) * q.cost[i]
 	}
-	for i := range q.credit {
-		if len(q.waiting[i]) > 0 && q.c.Shares[i] > 0 {
-			q.credit[i] = min(q.credit[i]+time.Duration(q.c.Shares[i]*float64(d)), creditCap)
-		}
+	for i := bundle.Urgent; i < r; i++ {
+		w += time.Duration(q.lines[i].len()) * q.cost[i]
 	}
-	q.credit[r.Rank] = max(q.credit[r.Rank]-d, -creditCap)
-	q.forget(r)
+	return w
 }
 
-// forget drops the account of a caller that has nothing waiting or running.
-func (q *Queue) forget(r *request) {
-	for _, x := range q.waiting[r.Rank] {
-		if x.Caller == r.Caller {
-			return
-		}
-	}
-	for _, x := range q.running {
-		if x.Caller == r.Caller && x.Rank == r.Rank {
-			return
+// minRate bounds the slots that a prediction reckons with from below.
+const minRate = 0.01
+
+// rate returns how many slots rank r can count on: those that higher ranks
+// leave over, less what is due to lower ranks that wait, but no fewer than its
+// share.
+func (q *Queue) rate(r bundle.Rank, now time.Time) float64 {
+	n := float64(q.slots(r))
+	for i := range q.load {
+		switch k := bundle.Rank(i); {
+		case k < r:
+			n -= q.load[i].rate(now)
+		case k > r && q.lines[i].len() > 0:
+			n -= q.c.Shares[i] * float64(q.c.Slots)
 		}
 	}
-	delete(q.served[r.Rank], r.Caller)
+	return max(n, q.c.Shares[r]*float64(q.c.Slots), minRate)
+}
+
+// refuse builds a refusal; the come-back time is when the predicted wait will
+// have fallen to half of what the request could have waited.
+func (q *Queue) refuse(r *request, wait time.Duration, now time.Time, why Reason) Refuse {
+	d := max(wait-max(r.Deadline.Sub(now), 0)/2, wait/4, minRetryAfter)
+	d += time.Duration(r.Jitter * float64(d))
+	return Refuse{ID: r.ID, RetryAfter: min(d, maxRetryAfter), Reason: why}
 }
 
 func (q *Queue) withdraw(id uint64) {
-	for i := range q.waiting {
-		for n, r := range q.waiting[i] {
-			if r.ID == id {
-				q.waiting[i] = append(q.waiting[i][:n:n], q.waiting[i][n+1:]...)
-				q.forget(r)
-				return
-			}
-		}
+	if r := q.waiting[id]; r != nil {
+		q.remove(r)
+	}
+}
+
+// remove takes a waiting request out.
+func (q *Queue) remove(r *request) {
+	delete(q.waiting, r.ID)
+	if !r.Held {
+		q.lines[r.Rank].remove(r)
+		return
 	}
-	for n, r := range q.held {
-		if r.ID == id {
-			q.held = append(q.held[:n:n], q.held[n+1:]...)
+	l := q.held[r.Rank]
+	for i := range l {
+		if l[i] == r {
+			q.held[r.Rank] = append(l[:i:i], l[i+1:]...)
 			return
 		}
 	}
@@ -272,90 +289,15 @@
 // expire refuses waiting requests that can't meet their deadline any more.
 func (q *Queue) expire(now time.Time) []Action {
 	var o []Action
-	for i := range q.waiting {
-		var keep []*request
-		var gone []*request
-		for _, r := range q.waiting[i] {
-			if now.After(r.Deadline) {
-				gone = append(gone, r)
-			} else {
-				keep = append(keep, r)
+	for _, l := range q.lines {
+		for {
+			r := l.earliest()
+			if r == nil || now.Add(q.expected(r, now)).Before(r.Deadline) {
+				break
 			}
+			q.remove(r)
+			o = append(o, q.refuse(r, q.Wait(r.Rank, r.Caller, now), now, Expired))
 		}
-		if len(gone) == 0 {
-			continue
-		}
-		q.waiting[i] = keep
-		for _, r := range gone {
-			o = append(o, q.refuse(r, now, Expired))
-			q.forget(r)
-		}
-	}
-	return o
-}
-
-// fill starts requests while slots are free.
-func (q *Queue) fill(now time.Time) []Action {
-	var o []Action
-	for len(q.running) < q.c.Slots {
-		r := q.next()
-		if r == nil {
-			break
-		}
-		r.started = now
-		q.running[r.ID] = r
-		o = append(o, Start{ID: r.ID})
 	}
 	return o
 }
-
-// next takes the request that is to run next out of the queue, or nil.
-func (q *Queue) next() *request {
-	if len(q.held) > 0 {
-		r := q.held[0]
-		q.held = q.held[1:]
-		return r
-	}
-	for i := bundle.RankCount - 1; i > 0; i-- {
-		if q.credit[i] > 0 && q.c.Shares[i] > 0 && len(q.waiting[i]) > 0 {
-			return q.take(bundle.Rank(i))
-		}
-	}
-	for i := range q.waiting {
-		if len(q.waiting[i]) == 0 {
-			continue
-		}
-		if bundle.Rank(i) == bundle.Background && !q.room() {
-			continue
-		}
-		return q.take(bundle.Rank(i))
-	}
-	return nil
-}
-
-// room reports whether background work may take a free slot without its
-// share.
-func (q *Queue) room() bool { return len(q.running) < q.c.Slots-q.c.Reserve }
-
-// take removes the request of rank r whose caller has had the least slot time,
-// and of this caller's the one with the earliest deadline.
-func (q *Queue) take(r bundle.Rank) *request {
-	w := q.waiting[r]
-	b := 0
-	for i := range w {
-		if q.before(w[i], w[b]) {
-			b = i
-		}
-	}
-	x := w[b]
-	q.waiting[r] = append(w[:b:b], w[b+1:]...)
-	return x
-}
-
-func (q *Queue) before(a, b *request) bool {
-	s := q.served[a.Rank]
-	if a.Caller != b.Caller && s[a.Caller] != s[b.Caller] {
-		return s[a.Caller] < s[b.Caller]
-	}
-	return a.Deadline.Before(b.Deadline)
-}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -193,7 +193,7 @@
 }
 
 func (w *world) newOwner() *owner {
-	c := admit.Config{Slots: w.c.Fleet.Slots, Reserve: 1}
+	c := admit.Config{Slots: w.c.Fleet.Slots, Reserve: 1, ArrivalOrder: w.c.Variant.ArrivalOrder}
 	if w.c.Variant.Split {
 		c.Slots = max(w.c.Fleet.Connections/w.c.Fleet.Entries, 1)
 	}
