Routing: a declined read passes a replica over only for reads that ask as much

Cause: a replica that was short of one session's floor was passed over by all reads of the entry for 100 ms, also those that accept an age.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -54,8 +54,8 @@
 	Open(x context.Context, r Request) (Route, error)
 	// Ended tells that the stream to a member that Open gave has ended.
 	Ended(member string)
-	// Learn takes in what an owner has said of a group.
-	Learn(group, member string, v peer.Verdict)
+	// Learn takes in what the owner of a member has said to a request.
+	Learn(r Request, member string, v peer.Verdict)
 	// Floor returns the primary's position as of the call or later.
 	Floor(x context.Context, group string) (logpos.Position, error)
 }
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -199,7 +199,7 @@
 		n.open, n.member = t.Stream, t.Member
 	}
 	if o == declined || o == answered && v.Outcome != "" {
-		n.s.c.Router.Learn(n.group, t.Member, v)
+		n.s.c.Router.Learn(r, t.Member, v)
 	}
 	if v.Outcome == peer.Moved || o == lost {
 		r.Tried[t.Member] = true
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -81,7 +81,7 @@
 func (r *router) choose(x context.Context, g *bundle.Group, q caller.Request) (route.Choice, error) {
 	if q.Header.Kind == peer.KindRead && !q.Primary {
 		r.mu.Lock()
-		c, ok := r.t.Read(g, q.Tried, time.Now())
+		c, ok := r.t.Read(g, demand(q), q.Tried, time.Now())
 		r.mu.Unlock()
 		if ok {
 			return c, nil
@@ -147,17 +147,22 @@
 }
 
 // Learn implements caller.Router.
-func (r *router) Learn(group, member string, v peer.Verdict) {
+func (r *router) Learn(q caller.Request, member string, v peer.Verdict) {
 	if v.View != nil {
-		r.learn(group, *v.View)
+		r.learn(q.Header.Group, *v.View)
 	}
 	if v.Outcome == peer.Moved {
 		r.mu.Lock()
-		r.t.Handle(route.Declined{Member: member}, time.Now())
+		r.t.Handle(route.Declined{Member: member, Demand: demand(q)}, time.Now())
 		r.mu.Unlock()
 	}
 }
 
+// demand returns how fresh the data of a read must be.
+func demand(q caller.Request) route.Demand {
+	return route.Demand{Floor: q.Header.Floor, Tolerance: q.Header.Tolerance, AgeOnly: q.Header.AgeOnly, OwnWrites: q.Header.OwnWrites}
+}
+
 // Floor implements caller.Router. Sessions that ask while a look-up runs share
 // the next one, so that each gets a position that is not older than its
 // question.
@@ -228,7 +233,9 @@
 func (d routerOf) Ended(member string) { d.router.Ended(member) }
 
 // Learn implements caller.Router.
-func (d routerOf) Learn(group, member string, v peer.Verdict) { d.router.Learn(group, member, v) }
+func (d routerOf) Learn(q caller.Request, member string, v peer.Verdict) {
+	d.router.Learn(q, member, v)
+}
 
 // Floor implements caller.Router.
 func (d routerOf) Floor(x context.Context, group string) (logpos.Position, error) {
--- a/experiment/flow.go
+++ b/experiment/flow.go
@@ -5,6 +5,7 @@
 
 	"github.com/dragonflypick/dragonflypick/admit"
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/route"
 )
 
@@ -88,7 +89,15 @@
 }
 
 func (w *world) read(e *entry, q *request, g *bundle.Group) (route.Choice, bool) {
-	return e.t.Read(g, q.tried, w.time())
+	return e.t.Read(g, w.demand(q), q.tried, w.time())
+}
+
+// demand returns how fresh a read's data must be; positions are virtual time.
+func (w *world) demand(q *request) route.Demand {
+	if q.tolerant {
+		return route.Demand{Tolerance: w.classes[q.rank].age, AgeOnly: true}
+	}
+	return route.Demand{Floor: logpos.Position{Term: 1, Offset: uint64(w.wrote[[2]int{q.caller, q.group}])}}
 }
 
 func (w *world) find(g int, name string) int {
@@ -153,7 +162,7 @@
 		w.repeat(q, retryPause)
 		return
 	}
-	e.t.Handle(route.Declined{Member: n}, w.time())
+	e.t.Handle(route.Declined{Member: n, Demand: w.demand(q)}, w.time())
 	w.send(q)
 }
 
--- a/route/route.go
+++ b/route/route.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/logpos"
 )
 
 // DeclineTime is how long a replica that has declined a read is passed over.
@@ -35,7 +36,37 @@
 type Ended struct{ Member string }
 
 // Declined tells that a member could not serve a read.
-type Declined struct{ Member string }
+type Declined struct {
+	Member string
+	// Demand is what the read asked for.
+	Demand Demand
+}
+
+// Demand is how fresh the data of a read must be.
+type Demand struct {
+	// Floor is the position that the member must have reached.
+	Floor logpos.Position
+	// Tolerance is the accepted age; zero accepts none.
+	Tolerance time.Duration
+	// AgeOnly tells that Floor doesn't hold.
+	AgeOnly bool
+	// OwnWrites tells that Floor holds besides Tolerance.
+	OwnWrites bool
+}
+
+// covers reports whether a member that can't meet d can't meet e either.
+func (d Demand) covers(e Demand) bool {
+	if e.Tolerance > d.Tolerance {
+		return false
+	}
+	return d.AgeOnly || !e.AgeOnly && !e.Floor.Less(d.Floor)
+}
+
+// decline is a read that a member could not serve.
+type decline struct {
+	until  time.Time
+	demand Demand
+}
 
 func (Viewed) event()   {}
 func (Sent) event()     {}
@@ -49,13 +80,13 @@
 	views map[string]failover.View
 	// outstanding counts this daemon's requests at each member.
 	outstanding map[string]int
-	// declined maps a member to the end of the time that it is passed over.
-	declined map[string]time.Time
+	// declined maps a member to the last read that it could not serve.
+	declined map[string]decline
 }
 
 // New returns an empty table for a daemon at the given place.
 func New(self Place) *Table {
-	return &Table{self: self, views: map[string]failover.View{}, outstanding: map[string]int{}, declined: map[string]time.Time{}}
+	return &Table{self: self, views: map[string]failover.View{}, outstanding: map[string]int{}, declined: map[string]decline{}}
 }
 
 // Handle takes in an event.
@@ -72,7 +103,7 @@
 			delete(t.outstanding, x.Member)
 		}
 	case Declined:
-		t.declined[x.Member] = now.Add(DeclineTime)
+		t.declined[x.Member] = decline{until: now.Add(DeclineTime), demand: x.Demand}
 	}
 }
 
@@ -103,8 +134,9 @@
 // Read chooses the member for a read: the nearest replica, and of equally near
 // ones the one with the fewest outstanding requests; the primary comes after
 // the replicas of its own region and before those of other regions. Members
-// that were tried are left out. It returns false if none is left.
-func (t *Table) Read(g *bundle.Group, tried map[string]bool, now time.Time) (Choice, bool) {
+// that were tried are left out, and replicas that have lately declined a read
+// that asked for no more come later. It returns false if none is left.
+func (t *Table) Read(g *bundle.Group, d Demand, tried map[string]bool, now time.Time) (Choice, bool) {
 	p, _ := t.Primary(g.Name)
 	type candidate struct {
 		m    *bundle.Member
@@ -118,7 +150,7 @@
 			continue
 		}
 		c, why := t.cost(m, m.Name == p)
-		if now.Before(t.declined[m.Name]) {
+		if n, ok := t.declined[m.Name]; ok && now.Before(n.until) && n.demand.covers(d) {
 			c += costDeclined
 		}
 		l = append(l, candidate{m: m, cost: c, why: why})
