--- /dev/null
+++ b/budget/retry.go
@@ -0,0 +1,97 @@
+// Package budget bounds what an entry sends to owners: repeats by a share of
+// the successes, requests to an overloaded backend server by what it accepts,
+// and background answers on the link between regions. It does no I/O and reads
+// no clock.
+package budget
+
+import "time"
+
+// RetryConfig holds the limits of repeats.
+type RetryConfig struct {
+	// Ratio is the number of repeats that each success earns.
+	Ratio float64
+	// Burst is the greatest number of repeats that are saved up.
+	Burst float64
+	// Rate is the number of repeats a second that are earned without success.
+	Rate float64
+}
+
+// maxKeys bounds the owners and callers that are kept track of.
+const maxKeys = 8192
+
+// Retry is a budget of repeats for each key, such as an owner or a caller. It
+// is not safe for concurrent use.
+type Retry struct {
+	c RetryConfig
+	// buckets holds the keys whose budget isn't full.
+	buckets map[string]*bucket
+}
+
+// bucket holds saved-up repeats.
+type bucket struct {
+	tokens float64
+	at     time.Time
+}
+
+// NewRetry returns a full budget.
+func NewRetry(c RetryConfig) *Retry { return &Retry{c: c, buckets: map[string]*bucket{}} }
+
+// Success adds to the budget of a key.
+func (r *Retry) Success(key string, now time.Time) {
+	b := r.buckets[key]
+	if b == nil {
+		return
+	}
+	r.fill(b, now)
+	b.tokens += r.c.Ratio
+	if b.tokens >= r.c.Burst {
+		delete(r.buckets, key)
+	}
+}
+
+// Take takes one repeat from the budget of each key, or none and returns false
+// if one of the budgets is empty.
+func (r *Retry) Take(now time.Time, keys ...string) bool {
+	for _, k := range keys {
+		if !r.has(k, now) {
+			return false
+		}
+	}
+	for _, k := range keys {
+		r.bucket(k, now).tokens--
+	}
+	return true
+}
+
+func (r *Retry) has(key string, now time.Time) bool {
+	b := r.buckets[key]
+	if b == nil {
+		return r.c.Burst >= 1 && (len(r.buckets) < maxKeys || r.prune(now))
+	}
+	r.fill(b, now)
+	return b.tokens >= 1
+}
+
+func (r *Retry) bucket(key string, now time.Time) *bucket {
+	b := r.buckets[key]
+	if b == nil {
+		b = &bucket{tokens: r.c.Burst, at: now}
+		r.buckets[key] = b
+	}
+	return b
+}
+
+func (r *Retry) fill(b *bucket, now time.Time) {
+	b.tokens = min(b.tokens+r.c.Rate*max(now.Sub(b.at), 0).Seconds(), r.c.Burst)
+	b.at = now
+}
+
+// prune drops full budgets and reports whether there is room again.
+func (r *Retry) prune(now time.Time) bool {
+	for k, b := range r.buckets {
+		if r.fill(b, now); b.tokens >= r.c.Burst {
+			delete(r.buckets, k)
+		}
+	}
+	return len(r.buckets) < maxKeys
+}
