Specs that a hand-over and a change of limits cut nothing

Cause: with the hand-over or the lingering monitor taken out, the cluster specs still passed: queues were short and majorities quick. Change: a spec of package owner on waiting, running and held requests; the cluster's change spec runs with 80 ms of replication lag.

--- /dev/null
+++ b/owner/leave_test.go
@@ -0,0 +1,80 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/admit"
+	"github.com/dragonflypick/dragonflypick/backend"
+	"github.com/dragonflypick/dragonflypick/bundle"
+)
+
+func TestLeave(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "Owner leaves")
+}
+
+var _ = Describe("a server whose owner leaves", func() {
+	x := context.Background()
+	m := &bundle.Member{Name: "m", Address: "127.0.0.1:1", Slots: 1, Connections: 9}
+	arrival := func(held bool) admit.Arrived {
+		return admit.Arrived{Caller: "c", Deadline: time.Now().Add(time.Minute), Held: held}
+	}
+	depth := func(s *server) func() int {
+		return func() int {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.waiting)
+		}
+	}
+
+	It("sends on what waits, keeps what runs, and lets open transactions end", func() {
+		s := newServer(backend.Config{}, &bundle.Bundle{}, m)
+		runs, err := s.enter(x, arrival(false))
+		Expect(err).NotTo(HaveOccurred())
+		g := &errgroup.Group{}
+		errs := make([]error, 6)
+		for i := range errs {
+			g.Go(func() error {
+				var k ticket
+				if k, errs[i] = s.enter(x, arrival(i == 0)); errs[i] == nil {
+					k.free()
+				}
+				return nil
+			})
+		}
+		Eventually(depth(s)).Should(Equal(len(errs)))
+		s.leave()
+		Eventually(depth(s)).Should(Equal(1))
+		runs.free()
+		Expect(g.Wait()).To(Succeed())
+		Expect(errs[0]).NotTo(HaveOccurred())
+		for _, e := range errs[1:] {
+			var v *MovedError
+			Expect(errors.As(e, &v)).To(BeTrue())
+		}
+		Expect(s.idle()).To(BeTrue())
+	})
+
+	It("takes new limits without closing what is in use", func() {
+		o := New(Config{})
+		b := &bundle.Bundle{Groups: []bundle.Group{{Name: "g", Members: []bundle.Member{*m}}}}
+		s := o.server(b, &b.Groups[0], m)
+		_, err := s.enter(x, arrival(false))
+		Expect(err).NotTo(HaveOccurred())
+		b.Groups[0].Members[0].Slots = 2
+		o.Configure(b)
+		_, err = s.enter(x, arrival(false))
+		Expect(err).NotTo(HaveOccurred())
+		b.Groups[0].Members[0].Address = "127.0.0.1:2"
+		o.Configure(b)
+		Expect(o.server(b, &b.Groups[0], &b.Groups[0].Members[0])).NotTo(Equal(s))
+		Expect(s.left).To(BeTrue())
+	})
+})
--- a/standin/cluster/rollout_test.go
+++ b/standin/cluster/rollout_test.go
@@ -23,8 +23,9 @@
 	var c *cluster.Cluster
 	x := context.Background()
 
-	start := func(n int) {
+	start := func(n int, lag time.Duration) {
 		f := cluster.Default()
+		f.Lag = lag
 		f.Daemons = n
 		var err error
 		c, err = cluster.Start(x, f)
@@ -84,7 +85,7 @@
 	}
 
 	It("keeps the highest approved version through forgery, rollback and outage, and heals", func() {
-		start(6)
+		start(6, 0)
 		k := platform.New(platform.Config{Address: c.Platform.Address()})
 		old, err := k.Get(x, platform.BundleKey, 0, 0)
 		Expect(err).NotTo(HaveOccurred())
@@ -125,7 +126,7 @@
 	})
 
 	It("cuts no request when owners are drained one after another under load", func() {
-		start(4)
+		start(4, 0)
 		whole(run(5*time.Second, []*cluster.Daemon{c.Daemons[1], c.Daemons[3]}, func() {
 			c.Daemons[0].Drain()
 			c.Daemons[2].Drain()
@@ -134,7 +135,7 @@
 	})
 
 	It("ends sessions of drained daemons between requests only", func() {
-		start(4)
+		start(4, 0)
 		r := run(5*time.Second, c.Daemons, func() {
 			c.Daemons[0].Drain()
 			c.Daemons[2].Drain()
@@ -150,7 +151,8 @@
 	})
 
 	It("cuts no request when limits, deadlines and members change under load", func() {
-		start(3)
+		// Writes wait for a majority all the time.
+		start(3, 80*time.Millisecond)
 		var replica bundle.Member
 		whole(run(5*time.Second, c.Daemons, func() {
 			next(func(b *bundle.Bundle) {
@@ -174,7 +176,7 @@
 	})
 
 	It("ends the sessions of a removed caller after their transaction", func() {
-		start(2)
+		start(2, 0)
 		next(func(b *bundle.Bundle) {
 			k := b.Callers[0]
 			k.Name = "visitor"
