--- a/command/standin/standin.go
+++ b/command/standin/standin.go
@@ -16,7 +16,10 @@
 	return &command.Command{
 		Name: "standin", Short: "Stand-ins for what the proxy talks to",
 		Commands: []*command.Command{
-			platform.NewCmdPlatform(f, nil), database.NewCmdDatabase(f, nil), load.NewCmdLoad(f, nil), measure.NewCmdMeasure(f),
+			platform.NewCmdPlatform(f, nil),
+			database.NewCmdDatabase(f, nil),
+			load.NewCmdLoad(f, nil),
+			measure.NewCmdMeasure(f),
 			rollout.NewCmdRollout(f, nil),
 		},
 	}
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -72,18 +72,18 @@
 			return nil, err
 		}
 		return d.localVersion(p), nil
-	case methodHosts:
-		var p versionParams
-		if err := params(r, &p); err != nil {
-			return nil, err
-		}
-		return d.localHosts(p.Roster), nil
 	case methodCancel:
 		var p cancelParams
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
 		return d.callers.Cancel(p.PID, p.Secret), nil
+	case methodHosts:
+		var p versionParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.localHosts(p.Roster), nil
 	case methodLeave:
 		var p hostParams
 		if err := params(r, &p); err != nil {
@@ -139,23 +139,25 @@
 	return w.View(), nil
 }
 
-// localPosition returns the position of a primary, asked after the call came
-// in.
+// localPosition returns the position of a primary, which a majority of its
+// group has confirmed after the call came in.
 func (d *Daemon) localPosition(x context.Context, p memberParams) (logpos.Position, error) {
 	g, m, err := d.member(p)
 	if err != nil {
 		return logpos.Position{}, err
 	}
-	s, err := d.control(g, m).Status(x)
-	if err != nil {
-		return logpos.Position{}, err
-	}
 	w := d.watch(p.Group)
 	if w == nil {
 		return logpos.Position{}, Error.Wrap(&UnknownError{Name: p.Group})
 	}
-	v := w.View()
-	if s.Role != failover.Primary || v.Primary != p.Member || !v.Confirmed || v.Term != s.Term {
+	b := time.Now()
+	s, err := d.control(g, m).Status(x)
+	if err != nil {
+		return logpos.Position{}, err
+	}
+	x, stop := context.WithTimeout(x, viewTimeout/2)
+	defer stop()
+	if s.Role != failover.Primary || !w.AwaitReplica(x, func(g *failover.Group, _ time.Time) bool { return g.ConfirmedSince(s.Term, b) }) {
 		return logpos.Position{}, Error.Wrap(&NotPrimaryError{Member: p.Member})
 	}
 	return s.Position, nil
