A daemon without a bundle answers control calls, and a member that is gone routes nowhere

Cause: a start of 200 daemons at once ended with a nil pointer: a peer asked a daemon for a member's status before it had a bundle; the router too used a member without looking whether the bundle in force still has it. Change: look-ups on a nil bundle find nothing; the router refuses with unknown-member.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -192,8 +192,12 @@
 	return nil
 }
 
-// Group returns the database group with the given name.
+// Group returns the database group with the given name. Of a nil bundle, this and
+// the other look-ups return false.
 func (b *Bundle) Group(n string) (*Group, bool) {
+	if b == nil {
+		return nil, false
+	}
 	for i := range b.Groups {
 		if b.Groups[i].Name == n {
 			return &b.Groups[i], true
@@ -204,6 +208,9 @@
 
 // Caller returns the caller with the given name.
 func (b *Bundle) Caller(n string) (*Caller, bool) {
+	if b == nil {
+		return nil, false
+	}
 	for i := range b.Callers {
 		if b.Callers[i].Name == n {
 			return &b.Callers[i], true
@@ -214,6 +221,9 @@
 
 // ReadClass returns the read class with the given name.
 func (b *Bundle) ReadClass(n string) (*ReadClass, bool) {
+	if b == nil {
+		return nil, false
+	}
 	for i := range b.ReadClasses {
 		if b.ReadClasses[i].Name == n {
 			return &b.ReadClasses[i], true
@@ -224,6 +234,9 @@
 
 // Member returns the backend server with the given name and its group.
 func (b *Bundle) Member(n string) (*Group, *Member, bool) {
+	if b == nil {
+		return nil, nil, false
+	}
 	for i := range b.Groups {
 		for j := range b.Groups[i].Members {
 			if b.Groups[i].Members[j].Name == n {
--- a/bundle/schema_test.go
+++ b/bundle/schema_test.go
@@ -124,6 +124,20 @@
 	})
 })
 
+var _ = Describe("no bundle", func() {
+	It("has nothing", func() {
+		var b *bundle.Bundle
+		_, _, ok := b.Member("m")
+		Expect(ok).To(BeFalse())
+		_, ok = b.Group("g")
+		Expect(ok).To(BeFalse())
+		_, ok = b.Caller("c")
+		Expect(ok).To(BeFalse())
+		_, ok = b.ReadClass("r")
+		Expect(ok).To(BeFalse())
+	})
+})
+
 var _ = Describe("a diff", func() {
 	It("names what changes by name, and hides verifiers", func() {
 		a, err := bundle.Parse("", []byte(example()))
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -56,7 +56,10 @@
 	if err != nil {
 		return caller.Route{}, err
 	}
-	_, m, _ := r.d.bundle().Member(c.Member)
+	_, m, ok := r.d.bundle().Member(c.Member)
+	if !ok {
+		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "unknown-member", RetryAfter: routeRetryAfter})
+	}
 	h, ok := r.d.ownerOf(m)
 	if !ok {
 		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "no-owner", RetryAfter: routeRetryAfter})
@@ -202,7 +205,11 @@
 			c.err = err
 			return
 		}
-		_, m, _ := r.d.bundle().Member(p)
+		_, m, ok := r.d.bundle().Member(p)
+		if !ok {
+			c.err = Error.Wrap(&caller.RouteError{Reason: "unknown-member", RetryAfter: routeRetryAfter})
+			continue
+		}
 		if c.p, c.err = r.d.askPosition(x, g, m); c.err == nil {
 			return
 		}
