--- /dev/null
+++ b/command/standin/measure/failover.go
@@ -0,0 +1,48 @@
+package measure
+
+import (
+	"context"
+	"slices"
+
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+	"github.com/dragonflypick/dragonflypick/standin/measure"
+	"github.com/dragonflypick/dragonflypick/standin/process"
+)
+
+// FailoverOptions are the flags of "failover".
+type FailoverOptions struct {
+	SystemOptions `group:"System"`
+	Fault         string  `long:"fault" required:"true" description:"kill, freeze, cut or silence for the primary; owner-kill, owner-freeze or owner-cut for its owner"`
+	Runs          int     `long:"runs" default:"10" description:"Runs, each in a new system"`
+	Rate          float64 `long:"rate" default:"200" description:"Orders a second"`
+	Seed          uint64  `long:"seed" default:"1" description:"Seed of the first run; each further run adds one"`
+}
+
+func newCmdFailover(f *factory.Factory) *command.Command {
+	o := &FailoverOptions{}
+	return &command.Command{
+		Name: "failover", Short: "Gap in writes after a fault, by stage", Options: o,
+		Long:    "Exits with 4 if a promise was broken.",
+		Example: "standin measure failover --fault kill --runs 10",
+		Run: func(x context.Context, _ []string) error {
+			if !slices.Contains(measure.Faults(), measure.Fault(o.Fault)) {
+				return &command.FlagError{Reason: "unknown --fault " + o.Fault}
+			}
+			broken := false
+			err := o.run(x, f, func(x context.Context, c process.Config) (report, error) {
+				r, err := measure.Failover(x, measure.FailoverConfig{
+					Process: c, Fault: measure.Fault(o.Fault), Runs: o.Runs, Rate: o.Rate, Seed: o.Seed,
+				})
+				for _, y := range r.Runs {
+					broken = broken || y.Broken > 0
+				}
+				return &r, err
+			})
+			if err == nil && broken {
+				return &command.SilentError{Code: command.ExitCheck}
+			}
+			return err
+		},
+	}
+}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -125,6 +125,8 @@
 	RegionBytes int64 `json:"region-bytes"`
 	// WriteGap is the longest time between two acknowledged orders.
 	WriteGap time.Duration `json:"write-gap-ns"`
+	// WriteGapEnd is when that time ended.
+	WriteGapEnd time.Time `json:"write-gap-end"`
 	// Orders counts the orders, Lost the acknowledged ones that are missing,
 	// Doubled those that stand twice, WronglyRefused those that stand although
 	// the caller was told that they were not run.
@@ -158,12 +160,12 @@
 			P99: time.Duration(x.latency.ValueAtQuantile(99)), Max: time.Duration(x.latency.Max()),
 		})
 	}
-	o.WriteGap = gap(r.orders)
+	o.WriteGap, o.WriteGapEnd = gap(r.orders)
 	return o
 }
 
-// gap returns the longest time between two acknowledged orders.
-func gap(l []order) time.Duration {
+// gap returns the longest time between two acknowledged orders, and its end.
+func gap(l []order) (time.Duration, time.Time) {
 	var t []time.Time
 	for _, o := range l {
 		if o.outcome == done {
@@ -172,10 +174,13 @@
 	}
 	sort.Slice(t, func(i, j int) bool { return t[i].Before(t[j]) })
 	var g time.Duration
+	var e time.Time
 	for i := 1; i < len(t); i++ {
-		g = max(g, t[i].Sub(t[i-1]))
+		if d := t[i].Sub(t[i-1]); d > g {
+			g, e = d, t[i]
+		}
 	}
-	return g
+	return g, e
 }
 
 // counters are what daemons count.
