--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,8 @@
 import (
 	"context"
 	"crypto/tls"
-	"reflect"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -23,6 +23,7 @@
 	"github.com/dragonflypick/dragonflypick/owner"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/rollout"
 )
 
 // Error is the class of all failures of this package.
@@ -34,6 +35,9 @@
 	reconcileInterval = 250 * time.Millisecond
 	// watchLinger is how long a group that isn't needed stays watched.
 	watchLinger = 10 * time.Second
+	// retiredPlace is the place of a watch that another has taken over from: far
+	// behind all others.
+	retiredPlace = 1000
 	// sweepInterval is how often idle connections are checked.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -53,8 +57,8 @@
 	Platform string
 	// Seeds are peer addresses to ask while the platform doesn't answer.
 	Seeds []string
-	// Approvers are the trusted approvers of bundles.
-	Approvers []*bundle.Key
+	// Trust holds the keys whose signatures on bundles count.
+	Trust bundle.Trust
 	// Secret is shared by all daemons.
 	Secret string
 	// BackendUser and BackendPassword are for backend servers.
@@ -80,11 +84,19 @@
 	group *errgroup.Group
 	ctx   context.Context
 
-	mu       sync.Mutex
-	held     *bundle.Signed
-	view     *membership.View
+	mu     sync.Mutex
+	held   *bundle.Signed
+	view   *membership.View
+	roster *rollout.Roster
+	// watcher is the time of the last sign of a watcher of the platform.
+	watcher  time.Time
 	watches  map[string]*watch
 	controls map[string]*backend.Control
+
+	// fetching is held while a bundle or a host list is fetched from a peer.
+	fetching sync.Mutex
+	// news holds a token while the neighbours are to be told something.
+	news chan struct{}
 }
 
 // watch is a running monitor.
@@ -93,6 +105,8 @@
 	g      *bundle.Group
 	stop   context.CancelFunc
 	needed time.Time
+	// retired is set when another watch takes over.
+	retired *atomic.Bool
 }
 
 // New returns a daemon with open listening sockets.
@@ -100,10 +114,11 @@
 	d := &Daemon{
 		c: c, platform: platform.New(platform.Config{Address: c.Platform}),
 		watches: map[string]*watch{}, controls: map[string]*backend.Control{},
+		roster: rollout.NewRoster(), watcher: time.Now(), news: make(chan struct{}, 1),
 		group: &errgroup.Group{}, ctx: context.Background(),
 	}
 	d.owner = owner.New(owner.Config{
-		Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
+		Host: c.Host.ID, Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
 	})
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -120,7 +135,7 @@
 		Serve: func(x context.Context, s *peer.Stream) { d.owner.Serve(x, s) },
 		Lost:  func(id string) { d.noteMember(membership.Lost{ID: id}) },
 		Seen:  func(id string) { d.noteMember(membership.Seen{ID: id}) },
-		Met:   func(h membership.Host) { d.noteMember(membership.Met{Host: h}) },
+		Met:   func(h membership.Host) { d.noteMember(membership.Met{Host: h, Direct: true}) },
 	})
 	if err != nil {
 		return err
@@ -132,6 +147,7 @@
 	d.node.SetSelf(d.c.Host)
 	d.callers, err = caller.New(caller.Config{
 		Listen: d.c.CallerListen, TLS: d.c.TLS, Bundle: d.bundle, Router: routerOf{d}, Log: d.c.Log.Named("caller"),
+		Host: d.c.Host.ID, Forward: d.forwardCancel,
 	})
 	if err != nil {
 		return err
@@ -167,6 +183,9 @@
 	return d.held.Bundle
 }
 
+// Version returns the bundle version in force; zero if none is.
+func (d *Daemon) Version() uint64 { return d.version() }
+
 func (d *Daemon) version() uint64 {
 	if b := d.bundle(); b != nil {
 		return b.Version
@@ -197,10 +216,10 @@
 		{"peers", d.node.Run},
 		{"callers", d.callers.Run},
 		{"admin", d.admin.Run},
-		{"bundle", d.watchBundle},
-		{"hosts", d.watchHosts},
+		{"platform", d.watchPlatform},
 		{"register", d.register},
 		{"versions", d.exchangeVersions},
+		{"news", d.tell},
 		{"reconcile", d.reconcile},
 		{"sweep", d.sweep},
 	} {
@@ -221,6 +240,7 @@
 	d.c.Log.Info("drain begins", "id", d.c.Host.ID)
 	d.noteMember(membership.Left{ID: d.c.Host.ID})
 	d.announceLeave()
+	d.owner.Leave()
 	x, stop := context.WithTimeout(d.ctx, d.c.DrainTime)
 	defer stop()
 	d.callers.Drain(x)
@@ -228,19 +248,23 @@
 	d.c.Log.Info("drain ends", "id", d.c.Host.ID, "sessions", d.callers.Sessions())
 }
 
-func (d *Daemon) noteMember(e membership.Event) {
+// noteMember reports whether the event changed what is known.
+func (d *Daemon) noteMember(e membership.Event) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.view == nil {
-		return
+		return false
+	}
+	if !d.view.Handle(e, time.Now()) {
+		return false
 	}
-	d.view.Handle(e, time.Now())
 	switch y := e.(type) {
 	case membership.Lost:
 		d.c.Log.Debug("host passed over", "host", y.ID)
 	case membership.Left:
 		d.c.Log.Info("host leaves", "host", y.ID)
 	}
+	return true
 }
 
 func (d *Daemon) ownerOf(m *bundle.Member) (membership.Host, bool) {
@@ -263,28 +287,60 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w, ok := d.watches[group]
-	if ok && reflect.DeepEqual(w.g, g) {
+	if ok && sameMembers(w.g, g) {
 		w.needed = time.Now()
 		return w.m
 	}
 	if ok {
-		w.stop()
+		d.retire(w)
 	}
 	return d.startWatch(g)
 }
 
+// sameMembers reports whether two versions of a group differ in limits only.
+func sameMembers(a, b *bundle.Group) bool {
+	if a.Name != b.Name || len(a.Members) != len(b.Members) {
+		return false
+	}
+	for i := range a.Members {
+		x, y := a.Members[i], b.Members[i]
+		x.Slots, x.Connections = y.Slots, y.Connections
+		if x != y {
+			return false
+		}
+	}
+	return true
+}
+
+// retire stops a monitor after a while, so that writes which wait for a
+// majority aren't cut; it leaves failover to the next one.
+func (d *Daemon) retire(w *watch) {
+	w.retired.Store(true)
+	d.group.Go(func() error {
+		pause(d.ctx, watchLinger)
+		w.stop()
+		return nil
+	})
+}
+
 // startWatch starts a monitor; d.mu is held.
 func (d *Daemon) startWatch(g *bundle.Group) *monitor.Monitor {
+	retired := &atomic.Bool{}
 	m := monitor.New(monitor.Config{
 		Group: g, Holder: d.c.Host.ID, Log: d.c.Log.Named("monitor"),
-		Place:   func() int { return d.place(g) },
+		Place: func() int {
+			if retired.Load() {
+				return retiredPlace
+			}
+			return d.place(g)
+		},
 		Near:    func(m *bundle.Member) int { return near(g, m) },
 		Status:  func(x context.Context, m *bundle.Member) (failover.Status, error) { return d.askStatus(x, g, m) },
 		Control: func(m *bundle.Member) *backend.Control { return d.control(g, m) },
 		Changed: func(group string, c failover.Changed) { d.groupChanged(group, c) },
 	})
 	x, stop := context.WithCancel(d.ctx)
-	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now()}
+	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now(), retired: retired}
 	d.group.Go(func() error { return m.Run(x) })
 	return m
 }
@@ -325,38 +381,64 @@
 	d.router.learn(group, failover.View{Term: c.Term, Primary: c.Primary})
 }
 
-// reconcile watches the groups of which this daemon owns a member.
+// reconcile watches the groups of which this daemon owns a member. The owned
+// groups are computed anew only when the hosts or the bundle have changed.
 func (d *Daemon) reconcile(x context.Context) error {
 	t := time.NewTicker(reconcileInterval)
 	defer t.Stop()
+	var b *bundle.Bundle
+	var v uint64
+	var owned []string
 	for {
 		select {
 		case <-x.Done():
 			return nil
 		case <-t.C:
 		}
-		b := d.bundle()
-		if b == nil {
+		c, w := d.bundle(), d.generation()
+		if c == nil {
 			continue
 		}
-		for i := range b.Groups {
-			if d.ownsAny(&b.Groups[i]) {
-				d.watch(b.Groups[i].Name)
-			}
+		if c != b || w != v {
+			b, v, owned = c, w, d.ownedGroups(c)
+		}
+		for _, n := range owned {
+			d.watch(n)
 		}
 		d.dropWatches()
 	}
 }
 
+func (d *Daemon) generation() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.view.Generation(time.Now())
+}
+
+func (d *Daemon) ownedGroups(b *bundle.Bundle) []string {
+	var o []string
+	for i := range b.Groups {
+		if d.ownsAny(&b.Groups[i]) {
+			o = append(o, b.Groups[i].Name)
+		}
+	}
+	return o
+}
+
 func (d *Daemon) ownsAny(g *bundle.Group) bool {
 	for i := range g.Members {
-		if h, ok := d.ownerOf(&g.Members[i]); ok && h.ID == d.c.Host.ID {
+		if d.owns(&g.Members[i]) {
 			return true
 		}
 	}
 	return false
 }
 
+func (d *Daemon) owns(m *bundle.Member) bool {
+	h, ok := d.ownerOf(m)
+	return ok && h.ID == d.c.Host.ID
+}
+
 func (d *Daemon) dropWatches() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -377,6 +459,9 @@
 			return nil
 		case <-t.C:
 			d.owner.Sweep()
+			if d.Ready() {
+				d.owner.Release(d.owns)
+			}
 		}
 	}
 }
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -36,9 +36,13 @@
 const (
 	// startTimeout bounds the wait until all daemons serve.
 	startTimeout = 20 * time.Second
+	// startTimeoutEach is added for each daemon.
+	startTimeoutEach = 300 * time.Millisecond
 	// stopPoll is how often a start looks for readiness.
 	startPoll = 20 * time.Millisecond
 	drainTime = 3 * time.Second
+	// seedCount is the number of daemons that a new one has as seeds.
+	seedCount = 3
 )
 
 // Config holds a cluster's settings.
@@ -217,13 +221,17 @@
 	}
 }
 
+func (c *Cluster) trust() bundle.Trust {
+	return bundle.Trust{Authors: []*bundle.Key{c.author}, Approvers: []*bundle.Key{c.approver}}
+}
+
 // Push signs a bundle and rolls it out.
 func (c *Cluster) Push(b *bundle.Bundle) error {
 	e, err := bundle.Sign(c.x, b, c.author, c.approver)
 	if err != nil {
 		return err
 	}
-	_, err = platform.Push(c.x, platform.New(platform.Config{Address: c.Platform.Address()}), e, []*bundle.Key{c.approver})
+	_, err = platform.Push(c.x, platform.New(platform.Config{Address: c.Platform.Address()}), e, c.trust())
 	return err
 }
 
@@ -237,8 +245,8 @@
 	d, err := daemon.New(daemon.Config{
 		Host:         membership.Host{ID: id, Region: c.Config.Region, FailureDomain: c.domain(i)},
 		CallerListen: l, PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Platform: c.Platform.Address(),
-		Approvers: []*bundle.Key{c.approver}, Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
-		DrainTime: drainTime, Log: c.Config.Log.Named(id),
+		Trust: c.trust(), Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
+		DrainTime: drainTime, Log: c.Config.Log.Named(id), Seeds: c.seeds(),
 	})
 	if err != nil {
 		return nil, err
@@ -253,6 +261,15 @@
 	return r, nil
 }
 
+// seeds returns the peer addresses of the first daemons.
+func (c *Cluster) seeds() []string {
+	var o []string
+	for _, d := range c.Daemons[:min(len(c.Daemons), seedCount)] {
+		o = append(o, d.PeerAddress())
+	}
+	return o
+}
+
 // Drain shuts a daemon down in order and waits for its end.
 func (d *Daemon) Drain() {
 	d.stop()
@@ -277,7 +294,7 @@
 // awaitReady waits until every daemon has the bundle and every group a
 // confirmed primary.
 func (c *Cluster) awaitReady() error {
-	t := time.Now().Add(startTimeout)
+	t := time.Now().Add(startTimeout + time.Duration(c.Config.Daemons)*startTimeoutEach)
 	for !c.ready() {
 		if time.Now().After(t) {
 			return Error.Wrap(&StartError{})
@@ -342,5 +359,5 @@
 type StartError struct{}
 
 func (e *StartError) Error() string {
-	return "the daemons were not ready within " + startTimeout.String()
+	return "the daemons were not ready in time"
 }
--- a/standin/kv/server.go
+++ b/standin/kv/server.go
@@ -180,6 +180,10 @@
 	for {
 		n := s.s.Changed()
 		p, i := s.s.Get(r.PathValue("key"), recurse, time.Now())
+		if s.down() {
+			http.Error(w, "service unavailable", http.StatusServiceUnavailable)
+			return
+		}
 		if after == 0 || i > after || !time.Now().Before(end) || r.Context().Err() != nil {
 			s.pairs(w, p, i)
 			return
@@ -194,6 +198,13 @@
 	}
 }
 
+// down reports whether calls fail, also those that wait.
+func (s *Server) down() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault.Down
+}
+
 func (s *Server) pairs(w http.ResponseWriter, p []Pair, index uint64) {
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
 	if len(p) == 0 {
