Work on a replaced primary ends at once instead of waiting out its deadline

The three statements that held the slots of the frozen primary were given up late, one after the other, and each request from its queue then spent 700 ms on a connection that could not be opened; the rest waited until their deadline of 5 s and was refused.

Ruled out: polling the monitor for each waiting request, which wakes every request on every report.

Change: the owner is told when its monitor sees a primary of a higher term. It then cancels the work that holds or waits for a slot on the other members of the group as primary: waiting requests are sent on (moved, with the new view), and connections in use are cut, so that their outcome is settled at once.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -379,6 +379,7 @@
 
 func (d *Daemon) groupChanged(group string, c failover.Changed) {
 	d.router.learn(group, failover.View{Term: c.Term, Primary: c.Primary})
+	d.owner.Replaced(group, c.Primary)
 }
 
 // reconcile watches the groups of which this daemon owns a member. The owned
--- a/owner/leave.go
+++ b/owner/leave.go
@@ -56,11 +56,11 @@
 	s.pool.Close()
 }
 
-// idle reports whether nothing waits, runs, or holds a connection.
+// idle reports whether nothing arrives, waits, runs, or holds a connection.
 func (s *server) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.waiting) == 0 && s.q.Running() == 0 && s.pool.Used() == 0
+	return len(s.waiting) == 0 && len(s.holds) == 0 && s.q.Running() == 0 && s.pool.Used() == 0
 }
 
 // MovedError reports a request that was not run because its server has gone to
@@ -75,6 +75,9 @@
 	if errors.As(err, &m) {
 		return t.moved()
 	}
+	if isReplaced(err) {
+		return t.replaced()
+	}
 	return notRun(err)
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -152,13 +152,18 @@
 	if t.m = t.o.c.Monitor(g.Name); t.m == nil {
 		return peer.Verdict{Outcome: peer.Moved, Reason: "not-watched"}
 	}
+	t.srv = t.o.server(b, g, m)
+	y, end := t.srv.hold(x)
+	defer end()
 	if v := t.eligible(x, b, m); v.Outcome != "" {
 		return v
 	}
 	if t.o.isLeaving() {
 		return t.moved()
 	}
-	t.srv = t.o.server(b, g, m)
+	if t.role != "replica" {
+		x = y
+	}
 	k, err := t.srv.enter(x, t.arrival())
 	if err != nil {
 		return t.verdict(err)
@@ -166,6 +171,9 @@
 	c, err := t.take(x)
 	if err != nil {
 		k.free()
+		if e := context.Cause(x); isReplaced(e) {
+			return t.verdict(e)
+		}
 		return peer.Verdict{Outcome: peer.NotRun, Reason: "no-connection", RetryAfter: defaultRetryAfter}
 	}
 	if t.h.Kind == peer.KindRead {
--- a/owner/server.go
+++ b/owner/server.go
@@ -30,6 +30,8 @@
 	// address, or no place in the bundle.
 	gone chan struct{}
 	left bool
+	// holds ends the work that needs the server to be primary.
+	holds map[uint64]context.CancelCauseFunc
 }
 
 func queueConfig(b *bundle.Bundle, m *bundle.Member) admit.Config {
@@ -46,7 +48,7 @@
 	return &server{
 		name: m.Name, pool: backend.NewPool(c, poolSize(m)),
 		q: admit.New(queueConfig(b, m)), waiting: map[uint64]chan admit.Action{},
-		address: m.Address, gone: make(chan struct{}),
+		address: m.Address, gone: make(chan struct{}), holds: map[uint64]context.CancelCauseFunc{},
 	}
 }
 
@@ -80,8 +82,8 @@
 	t.s.handle(admit.Finished{ID: t.id})
 }
 
-// enter waits for a slot. It returns *RefusedError or *MovedError if the request
-// isn't run.
+// enter waits for a slot. It returns *RefusedError, *MovedError or
+// *ReplacedError if the request isn't run.
 func (s *server) enter(x context.Context, a admit.Arrived) (ticket, error) {
 	c := make(chan admit.Action, 1)
 	gone := s.gone
@@ -105,7 +107,11 @@
 			s.handle(admit.Ticked{})
 			s.mu.Unlock()
 		case <-x.Done():
-			return ticket{}, s.withdraw(a.ID, c)
+			err := s.withdraw(a.ID, c)
+			if e := context.Cause(x); isReplaced(e) {
+				err = e
+			}
+			return ticket{}, err
 		case <-gone:
 			_ = s.withdraw(a.ID, c)
 			return ticket{}, Error.Wrap(&MovedError{})
