A read can't come from the database that a member has replaced

Ruled out: floors and their check by position (the reports were right), a read held by the cut. The stand-in counted its database files when it began to rebuild, not when it swapped them, so a session that connected in between took the old database for the new one and read it for good. Change: a session compares the database itself. Beside it, a member that follows a new term without an entry of it is not read from: it may have entries to discard; and a member that starts up (57P03) has its statement sent to the primary.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -83,14 +83,14 @@
 	return answered, a.pass(m)
 }
 
-// elsewhere reports whether the error says that the member is a replica and has
-// run nothing, while the primary could run the statement.
+// elsewhere reports whether the error says that the member has run nothing, as
+// it is a replica or starts up, while the primary could run the statement.
 func (a *answer) elsewhere(m wire.Message) bool {
 	var e pgproto3.ErrorResponse
 	if a.sent || !a.w.whole || a.n.open != nil {
 		return false
 	}
-	return e.Decode(m.Body) == nil && e.Code == codeReadOnly
+	return e.Decode(m.Body) == nil && (e.Code == codeReadOnly || e.Code == codeNotNow)
 }
 
 // release sends what was held.
--- a/failover/view.go
+++ b/failover/view.go
@@ -92,12 +92,16 @@
 }
 
 // Serves reports whether a member may serve a read as a replica: by its
-// position and MaxAge, or by the tolerated age.
+// position and MaxAge, or by the tolerated age. A member that follows a new
+// term without an entry of it may have entries that it has yet to discard.
 func (g *Group) Serves(r Read, now time.Time) bool {
 	m := g.members[r.Member]
 	if m == nil || !m.known || m.status.Role != Replica {
 		return false
 	}
+	if p := m.status.Position; !p.IsZero() && p.Term < m.status.Term {
+		return false
+	}
 	a, ok := g.Age(r.Member, now)
 	if !ok {
 		return false
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -146,9 +146,9 @@
 // replaced.
 func (s *session) connect(c context.Context) error {
 	s.m.mu.Lock()
-	d, f := s.m.db, s.m.files
+	d := s.m.db
 	s.m.mu.Unlock()
-	if s.conn != nil && (s.file == f || s.engine) {
+	if s.conn != nil && (s.db == d || s.engine) {
 		return nil
 	}
 	if s.conn != nil {
@@ -159,7 +159,7 @@
 	if err != nil {
 		return err
 	}
-	s.conn, s.file = n, f
+	s.conn, s.db = n, d
 	return nil
 }
 
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -38,8 +38,8 @@
 	began bool
 	// engine tells that the engine has a transaction open.
 	engine bool
-	// file is the member's database file that conn reads.
-	file int
+	// db is the member's database that conn belongs to.
+	db *sql.DB
 	// writing tells that the transaction holds the writer token.
 	writing bool
 	// epoch is the member's epoch when the transaction began.
