--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -16,6 +16,7 @@
 	PrimaryFrozen      Fault = "primary-frozen"
 	ReplicaBehind      Fault = "replica-far-behind"
 	SilentConnection   Fault = "silent-connection"
+	BrokenConnection   Fault = "broken-connection"
 	EntryKilled        Fault = "entry-killed"
 	OwnerKilled        Fault = "owner-killed"
 	OwnerFrozen        Fault = "owner-frozen"
@@ -33,7 +34,7 @@
 // Faults returns all faults.
 func Faults() []Fault {
 	return []Fault{
-		PrimaryCut, PrimaryKilled, PrimaryFrozen, ReplicaBehind, SilentConnection, EntryKilled, OwnerKilled,
+		PrimaryCut, PrimaryKilled, PrimaryFrozen, ReplicaBehind, SilentConnection, BrokenConnection, EntryKilled, OwnerKilled,
 		OwnerFrozen, PlatformDown, PlatformSlow, PlatformAnswerLost, RacingOperators, TwoPromoting, DomainCut,
 		HostLeaving, LateAnswers, SuccessorKilled,
 	}
@@ -78,6 +79,8 @@
 		r.slowReplicas(p)
 	case SilentConnection:
 		w.Silence(p.Node)
+	case BrokenConnection:
+		w.Break(p.Node)
 	case EntryKilled:
 		r.replace(e)
 	case OwnerKilled:
--- a/matrix/matrix_test.go
+++ b/matrix/matrix_test.go
@@ -44,6 +44,7 @@
 			First:  rapid.SampledFrom(matrix.Faults()).Draw(t, "first"),
 			Second: rapid.SampledFrom(matrix.Faults()).Draw(t, "second"),
 			After:  time.Duration(rapid.Int64Range(0, int64(lastMoment)).Draw(t, "after")),
+			Wide:   rapid.Bool().Draw(t, "wide"),
 		}
 	})
 	o := make([]matrix.Plan, pairs)
--- a/matrix/run.go
+++ b/matrix/run.go
@@ -40,8 +40,10 @@
 	Step  model.Step
 	First Fault
 	// Second happens After later; empty for none.
-	Second  Fault
-	After   time.Duration
+	Second Fault
+	After  time.Duration
+	// Wide gives the group five members instead of three.
+	Wide    bool
 	Options model.Options
 }
 
@@ -51,6 +53,9 @@
 	if p.Second != "" {
 		s += " and " + string(p.Second) + " after " + p.After.String()
 	}
+	if p.Wide {
+		s += ", five members"
+	}
 	return s + ", seed " + strconv.FormatUint(p.Seed, 10)
 }
 
@@ -91,7 +96,7 @@
 
 // Run carries out a plan.
 func Run(p Plan) Report {
-	r := &run{p: p, w: model.New(p.Seed, p.Options), pushes: map[string]model.PushEnd{}}
+	r := &run{p: p, w: model.New(model.Config{Seed: p.Seed, Wide: p.Wide, Options: p.Options}), pushes: map[string]model.PushEnd{}}
 	r.push("operator-0", 1, "first")
 	r.w.Promoted = r.promoted
 	r.w.Run(warmUp)
--- a/model/network.go
+++ b/model/network.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -235,13 +236,28 @@
 func (w *World) Silence(n *Node) {
 	for _, x := range w.sorted() {
 		for k, l := range x.links {
-			if len(k) > len(n.Name) && k[:len(n.Name)+1] == n.Name+" " {
+			if strings.HasPrefix(k, n.Name+" ") {
 				l.silent = true
 			}
 		}
 	}
 }
 
+// Break breaks all connections that are open to n now; what is on the way to
+// n still arrives.
+func (w *World) Break(n *Node) {
+	for _, x := range w.sorted() {
+		for k, l := range x.links {
+			if !strings.HasPrefix(k, n.Name+" ") {
+				continue
+			}
+			for _, c := range l.waiting {
+				x.after(0, func() { w.lose(c, k) })
+			}
+		}
+	}
+}
+
 func (w *World) sorted() []*Node {
 	o := make([]*Node, 0, len(w.nodes))
 	for _, n := range w.nodes {
--- a/model/replicate.go
+++ b/model/replicate.go
@@ -69,8 +69,6 @@
 		return
 	}
 	switch {
-	case b.diverged && m.w.Options.ResetLog:
-		m.log = nil
 	case b.diverged:
 		m.log = m.log[:min(len(m.log)-1, b.length)]
 	default:
--- a/model/transaction.go
+++ b/model/transaction.go
@@ -26,10 +26,18 @@
 
 func newTransaction(d *Daemon, r request, free func(bool), reply func(verdict)) *transaction {
 	t := &transaction{d: d, r: r, core: write.New(r.Key != ""), free: free, reply: reply, echo: r.ID}
-	d.after(r.deadline.Sub(d.w.now), func() { t.handle(write.Expired{}) })
+	d.after(r.deadline.Sub(d.w.now), t.expire)
 	return t
 }
 
+func (t *transaction) expire() {
+	if !t.freed && t.d.w.Options.LostIsNotRun {
+		t.end(verdict{outcome: NotRun})
+		return
+	}
+	t.handle(write.Expired{})
+}
+
 // forward sends the write to the primary.
 func (t *transaction) forward(use string) {
 	t.handle(write.Forwarded{Commits: true})
--- a/model/world.go
+++ b/model/world.go
@@ -38,12 +38,20 @@
 	BlindPush bool
 	// NoReadBack takes a push without an answer for failed.
 	NoReadBack bool
-	// ResetLog empties a diverged log instead of cutting its tail off.
-	ResetLog bool
 	// NoFailover keeps daemons from replacing a primary.
 	NoFailover bool
 }
 
+// Config holds what a world is made of.
+type Config struct {
+	// Seed makes the random numbers; equal worlds behave equally.
+	Seed uint64
+	// Wide gives the group five members, two of them in each failure domain of
+	// the first region, instead of three.
+	Wide    bool
+	Options Options
+}
+
 // Step is a step of a write.
 type Step string
 
@@ -105,9 +113,9 @@
 )
 
 // New makes a world in which nothing has happened yet.
-func New(seed uint64, o Options) *World {
+func New(c Config) *World {
 	w := &World{
-		Clock: Clock{now: epoch}, Options: o, r: rand.New(rand.NewPCG(seed, seed)),
+		Clock: Clock{now: epoch}, Options: c.Options, r: rand.New(rand.NewPCG(c.Seed, c.Seed)),
 		nodes: map[string]*Node{}, cuts: map[[2]string]bool{}, last: map[*Member]uint64{},
 	}
 	w.callers = w.node("callers", Place{})
@@ -115,6 +123,10 @@
 	w.newMember("member-0", places[0], "")
 	w.newMember("member-1", places[1], "member-0")
 	w.newMember("member-2", places[2], "member-0")
+	if c.Wide {
+		w.newMember("member-3", places[0], "member-0")
+		w.newMember("member-4", places[1], "member-0")
+	}
 	for i := range daemonCount {
 		w.AddDaemon(places[i%len(places)])
 	}
