Entries bound repeats, requests to overloaded owners and region-link reads

Cause: refusals and their repeats filled the region link during floods, and reads that cross regions starved urgent work. Change: the experiment applies package budget; reads refused for load are sent once to another server, background ones only within the region.

--- a/budget/link.go
+++ b/budget/link.go
@@ -1,45 +1,99 @@
 package budget
 
-import "time"
+import (
+	"time"
 
-// LinkConfig holds the limits of bytes that cross regions.
+	"github.com/dragonflypick/dragonflypick/bundle"
+)
+
+// LinkConfig holds the limits of answers that cross regions.
 type LinkConfig struct {
-	// Rate is the number of bytes a second that are earned.
+	// Rate is the entry's part of the region link in bytes a second.
 	Rate float64
-	// Burst is the greatest number of bytes that are saved up.
-	Burst float64
+	// Parts are the parts of Rate that each rank's reads may use; one without a
+	// part isn't bounded.
+	Parts [bundle.RankCount]float64
+	// Burst is the time for which unused bytes are saved up.
+	Burst time.Duration
+}
+
+// DefaultLink returns the limits of one of the given number of entries, for a
+// region link of rate bytes a second.
+func DefaultLink(rate float64, entries int) LinkConfig {
+	return LinkConfig{
+		Rate: rate / float64(max(entries, 1)), Burst: time.Second,
+		Parts: [bundle.RankCount]float64{bundle.Routine: 0.5, bundle.Background: 0.1},
+	}
 }
 
-// Link is a budget of bytes for low ranks on the link between regions. The
-// size of an answer is known only when it has passed, so the budget may fall
-// below zero; nothing more passes then until it has recovered. It is not safe
-// for concurrent use.
+// Sizes of answers.
+const (
+	// firstSize is the size in bytes assumed before the first answer.
+	firstSize = 4096
+	// sizeWeight is the weight of the newest answer in the mean size.
+	sizeWeight = 0.1
+)
+
+// Link is a budget of bytes for the lower ranks' reads on the link between
+// regions, so that they leave room for urgent work. An answer's size is
+// reserved when its request is sent, and corrected when it has passed; the
+// budget may fall below zero by that, and nothing passes then until it has
+// recovered. It is not safe for concurrent use.
 type Link struct {
-	c LinkConfig
-	b bucket
+	c       LinkConfig
+	buckets [bundle.RankCount]bucket
+	// sizes are the mean sizes of answers in bytes.
+	sizes [bundle.RankCount]float64
 }
 
 // NewLink returns a full budget.
-func NewLink(c LinkConfig) *Link { return &Link{c: c, b: bucket{tokens: c.Burst}} }
+func NewLink(c LinkConfig) *Link {
+	l := &Link{c: c}
+	for i := range l.buckets {
+		l.buckets[i].tokens, l.sizes[i] = l.burst(bundle.Rank(i)), firstSize
+	}
+	return l
+}
+
+func (l *Link) rate(r bundle.Rank) float64 { return l.c.Rate * l.c.Parts[r] }
+
+func (l *Link) burst(r bundle.Rank) float64 { return l.rate(r) * l.c.Burst.Seconds() }
 
-// Pass reports whether an answer may cross, and when to come back if not.
-func (l *Link) Pass(now time.Time) (bool, time.Duration) {
-	l.fill(now)
-	if l.b.tokens > 0 {
-		return true, 0
+// Reserve takes the expected size of an answer from a rank's budget and
+// returns it. If the budget is used up, it returns false and when to come
+// back.
+func (l *Link) Reserve(r bundle.Rank, now time.Time) (int, time.Duration, bool) {
+	if l.c.Parts[r] <= 0 {
+		return 0, 0, true
 	}
-	return false, time.Duration((1 - l.b.tokens) / l.c.Rate * float64(time.Second))
+	b := &l.buckets[r]
+	l.fill(r, now)
+	if b.tokens <= 0 {
+		d := time.Duration((l.sizes[r] - b.tokens) / l.rate(r) * float64(time.Second))
+		return 0, d, false
+	}
+	n := int(l.sizes[r])
+	b.tokens -= float64(n)
+	return n, 0, true
 }
 
-// Spend counts bytes that have crossed.
-func (l *Link) Spend(bytes int, now time.Time) {
-	l.fill(now)
-	l.b.tokens -= float64(bytes)
+// Settle replaces a reservation by the bytes that have crossed.
+func (l *Link) Settle(r bundle.Rank, reserved, bytes int, now time.Time) {
+	if l.c.Parts[r] <= 0 {
+		return
+	}
+	l.fill(r, now)
+	b := &l.buckets[r]
+	b.tokens = min(b.tokens+float64(reserved-bytes), l.burst(r))
+	if bytes > 0 {
+		l.sizes[r] += sizeWeight * (float64(bytes) - l.sizes[r])
+	}
 }
 
-func (l *Link) fill(now time.Time) {
-	if !l.b.at.IsZero() {
-		l.b.tokens = min(l.b.tokens+l.c.Rate*max(now.Sub(l.b.at), 0).Seconds(), l.c.Burst)
+func (l *Link) fill(r bundle.Rank, now time.Time) {
+	b := &l.buckets[r]
+	if !b.at.IsZero() {
+		b.tokens = min(b.tokens+l.rate(r)*max(now.Sub(b.at), 0).Seconds(), l.burst(r))
 	}
-	l.b.at = now
+	b.at = now
 }
--- a/budget/retry.go
+++ b/budget/retry.go
@@ -16,6 +16,25 @@
 	Rate float64
 }
 
+// DefaultRetry returns the limits that entries use.
+func DefaultRetry() RetryConfig { return RetryConfig{Ratio: 0.2, Burst: 100, Rate: 20} }
+
+// Bounds of the pause before a repeat.
+const (
+	firstPause = 30 * time.Millisecond
+	maxPause   = 480 * time.Millisecond
+)
+
+// Pause returns the pause before a repeat, given the number of those before.
+// Jitter is a random number from 0 to 1.
+func Pause(repeats int, jitter float64) time.Duration {
+	d := maxPause
+	if repeats < 4 {
+		d = firstPause << max(repeats, 0)
+	}
+	return d/2 + time.Duration(jitter*float64(d)/2)
+}
+
 // maxKeys bounds the owners and callers that are kept track of.
 const maxKeys = 8192
 
--- a/budget/throttle.go
+++ b/budget/throttle.go
@@ -18,6 +18,11 @@
 	Window time.Duration
 }
 
+// DefaultThrottle returns the limits that entries use.
+func DefaultThrottle() ThrottleConfig {
+	return ThrottleConfig{Excess: 1.5, Spare: 5, Window: 5 * time.Second}
+}
+
 // Flow is the work of one caller and rank for one backend server.
 type Flow struct {
 	Member string
--- a/command/standin/experiment/experiment.go
+++ b/command/standin/experiment/experiment.go
@@ -13,7 +13,7 @@
 // Options are the flags of the command.
 type Options struct {
 	Fleet         string        `long:"fleet" default:"lankaglow" description:"Fleet: lankaglow or muckspread"`
-	Scenario      string        `long:"scenario" default:"baseline" description:"Scenario: baseline, lag, background-flood, urgent-flood, caller-flood, primary-change or owner-death"`
+	Scenario      string        `long:"scenario" default:"baseline" description:"Scenario: baseline, lag, background-flood, urgent-flood, caller-flood, primary-change, link-flood or owner-death"`
 	Factor        float64       `long:"factor" default:"10" description:"Size of a flood in units of the capacity"`
 	Seed          uint64        `long:"seed" default:"1" description:"Seed"`
 	Warm          time.Duration `long:"warm" default:"2s" description:"Virtual time before what is reported"`
@@ -25,6 +25,8 @@
 	ArrivalOrder  bool          `long:"arrival-order" description:"Serve in order of arrival"`
 	OneCaller     bool          `long:"one-caller" description:"Make all requests look like one caller's"`
 	NoRetryBudget bool          `long:"no-retry-budget" description:"Repeat without a budget"`
+	NoThrottle    bool          `long:"no-throttle" description:"Send to overloaded owners whatever comes"`
+	NoSpill       bool          `long:"no-spill" description:"Keep reads that a server refuses for load from other servers"`
 	NoLinkBudget  bool          `long:"no-link-budget" description:"Let background reads use all of the region link"`
 	JSON          bool          `long:"json" description:"Print the report as JSON"`
 
@@ -63,7 +65,7 @@
 		Fleet: f, Scenario: s, Factor: o.Factor, Seed: o.Seed, Warm: o.Warm, Duration: o.Duration,
 		Variant: experiment.Variant{
 			Split: o.Split, Exponential: o.Exponential, NoReserve: o.NoReserve, NoShares: o.NoShares, ArrivalOrder: o.ArrivalOrder,
-			OneCaller: o.OneCaller, NoRetryBudget: o.NoRetryBudget, NoLinkBudget: o.NoLinkBudget,
+			OneCaller: o.OneCaller, NoRetryBudget: o.NoRetryBudget, NoThrottle: o.NoThrottle, NoSpill: o.NoSpill, NoLinkBudget: o.NoLinkBudget,
 		},
 	})
 	if err != nil {
--- a/experiment/config.go
+++ b/experiment/config.go
@@ -32,13 +32,15 @@
 	CallerFlood Scenario = "caller-flood"
 	// PrimaryChange adds a gap without primaries to an urgent flood.
 	PrimaryChange Scenario = "primary-change"
+	// LinkFlood is BackgroundFlood with the far region's replicas far behind.
+	LinkFlood Scenario = "link-flood"
 	// OwnerDeath ends an owner; refused callers come back when told.
 	OwnerDeath Scenario = "owner-death"
 )
 
 // Scenarios lists all scenarios.
 func Scenarios() []Scenario {
-	return []Scenario{Baseline, Lag, BackgroundFlood, UrgentFlood, CallerFlood, PrimaryChange, OwnerDeath}
+	return []Scenario{Baseline, Lag, BackgroundFlood, UrgentFlood, CallerFlood, PrimaryChange, LinkFlood, OwnerDeath}
 }
 
 // Fleet is the size of a user's fleet.
@@ -128,10 +130,42 @@
 	OneCaller bool
 	// NoRetryBudget lets entries repeat requests without a budget.
 	NoRetryBudget bool
+	// NoThrottle sends to overloaded owners whatever comes.
+	NoThrottle bool
+	// NoSpill keeps reads that a server refuses for load from other servers.
+	NoSpill bool
 	// NoLinkBudget lets background reads use all of the region link.
 	NoLinkBudget bool
 }
 
+// String names the policies that differ from the product's.
+func (v Variant) String() string {
+	var l []string
+	for _, x := range []struct {
+		on   bool
+		name string
+	}{
+		{v.Split, "split"},
+		{v.Exponential, "exponential"},
+		{v.NoReserve, "no-reserve"},
+		{v.NoShares, "no-shares"},
+		{v.ArrivalOrder, "arrival-order"},
+		{v.OneCaller, "one-caller"},
+		{v.NoRetryBudget, "no-retry-budget"},
+		{v.NoThrottle, "no-throttle"},
+		{v.NoSpill, "no-spill"},
+		{v.NoLinkBudget, "no-link-budget"},
+	} {
+		if x.on {
+			l = append(l, x.name)
+		}
+	}
+	if len(l) == 0 {
+		return "product"
+	}
+	return strings.Join(l, " ")
+}
+
 // Config holds an experiment's settings.
 type Config struct {
 	Fleet    Fleet
--- a/experiment/fault.go
+++ b/experiment/fault.go
@@ -10,17 +10,10 @@
 		q := o.requests[id]
 		switch {
 		case !w.classes[q.rank].write:
-			w.back(q, func() { w.repeat(q, retryPause) })
+			w.back(q, func() { w.repeat(q) })
 		default:
 			q.ended = true
 			w.back(q, func() { w.r.doubt(w, q) })
 		}
 	}
 }
-
-// retrier decides on an entry's repeats.
-type retrier struct{}
-
-func (r *retrier) take(*world, *request) bool { return true }
-
-func (r *retrier) success(*world, *request) {}
--- a/experiment/flow.go
+++ b/experiment/flow.go
@@ -35,6 +35,11 @@
 	// started is when the slot was given.
 	started time.Duration
 	ended   bool
+	repeats int
+	// reserved are bytes of the region link.
+	reserved int
+	// spilled tells that the request was sent on after a refusal for load.
+	spilled bool
 }
 
 // maxReturns is how often a refused caller comes back in OwnerDeath.
@@ -50,12 +55,15 @@
 		w.refused(q, "deadline", retryPause)
 		return
 	}
-	w.r.Sends++
 	e := w.entries[q.entry]
 	s, ok := w.choose(e, q)
+	if ok && !w.passes(e, q, s) {
+		return
+	}
+	w.r.Sends++
 	if !ok {
 		q.tried = map[string]bool{}
-		w.repeat(q, retryPause)
+		w.repeat(q)
 		return
 	}
 	q.server = s
@@ -117,7 +125,7 @@
 	}
 	o := w.owners[i]
 	if o.dead {
-		w.back(q, func() { w.repeat(q, retryPause) })
+		w.back(q, func() { w.repeat(q) })
 		return
 	}
 	ok, wait := w.serves(q)
@@ -159,22 +167,13 @@
 		if !w.down[q.group] {
 			w.teach(e, q.group)
 		}
-		w.repeat(q, retryPause)
+		w.repeat(q)
 		return
 	}
 	e.t.Handle(route.Declined{Member: n, Demand: w.demand(q)}, w.time())
 	w.send(q)
 }
 
-// repeat lets the entry send a request again, if its budget allows.
-func (w *world) repeat(q *request, d time.Duration) {
-	if !w.entries[q.entry].retry.take(w, q) {
-		w.refused(q, "retry-budget", retryAfter)
-		return
-	}
-	w.after(d, func() { w.send(q) })
-}
-
 // retryAfter is the come-back time while no owner or primary answers.
 const retryAfter = 500 * time.Millisecond
 
@@ -182,6 +181,7 @@
 func (w *world) back(q *request, do func()) {
 	e := w.entries[q.entry]
 	e.outstanding[q.server]--
+	w.settle(e, q, 0)
 	e.t.Handle(route.Ended{Member: w.servers[q.server].name}, w.time())
 	if w.c.Variant.Split {
 		do()
@@ -218,7 +218,7 @@
 		case admit.Refuse:
 			q := o.requests[x.ID]
 			delete(o.requests, x.ID)
-			w.back(q, func() { w.refused(q, string(x.Reason), x.RetryAfter) })
+			w.back(q, func() { w.overloaded(q, x) })
 		}
 	}
 }
@@ -298,7 +298,7 @@
 		if w.classes[q.rank].write {
 			w.wrote[[2]int{q.caller, q.group}] = w.now
 		}
-		e.retry.success(w, q)
+		w.succeeded(e, q)
 		w.r.done(w, q)
 	})
 }
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -22,7 +22,7 @@
 		w.stream(r, w.classes[r].use*w.capacity(r), 0, false)
 	}
 	switch c.Scenario {
-	case BackgroundFlood:
+	case BackgroundFlood, LinkFlood:
 		w.stream(bundle.Background, c.Factor*w.capacity(bundle.Background), c.Warm, false)
 	case UrgentFlood:
 		w.stream(bundle.Urgent, c.Factor*w.capacity(bundle.Urgent), c.Warm, false)
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -176,7 +176,7 @@
 
 // Print writes the report as a table in Markdown.
 func (r *Report) Print(o io.Writer) {
-	_, _ = fmt.Fprintf(o, "%s, %s x%g, seed %d, variant %+v\n\n", r.Fleet, r.Scenario, r.Factor, r.Seed, r.Variant)
+	_, _ = fmt.Fprintf(o, "%s, %s x%g, seed %d, variant %s\n\n", r.Fleet, r.Scenario, r.Factor, r.Seed, r.Variant)
 	_, _ = fmt.Fprintln(o, "| work | offered | in time | late | refused | in doubt | p50 ms | p99 ms | slot share | mean ms to refusal | max ms to refusal | wasted slot ms |")
 	_, _ = fmt.Fprintln(o, "|---|---|---|---|---|---|---|---|---|---|---|---|")
 	for i := range r.Rows {
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/admit"
+	"github.com/dragonflypick/dragonflypick/budget"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/failover"
 	"github.com/dragonflypick/dragonflypick/route"
@@ -93,7 +94,10 @@
 	t      *route.Table
 	// outstanding counts the requests at each server.
 	outstanding []int
-	retry       retrier
+	retry       *budget.Retry
+	throttle    *budget.Throttle
+	// link is the budget of answers from the other region.
+	link *budget.Link
 }
 
 // world is the state of an experiment.
@@ -165,6 +169,8 @@
 	for i := range c.Fleet.Entries {
 		d := i % domains
 		e := &entry{domain: d, t: route.New(route.Place{Region: region(d), FailureDomain: domainName(d)}), outstanding: make([]int, len(w.servers))}
+		e.retry, e.throttle = budget.NewRetry(budget.DefaultRetry()), budget.NewThrottle(budget.DefaultThrottle())
+		e.link = budget.NewLink(budget.DefaultLink(c.Fleet.Link, c.Fleet.Entries/domains))
 		w.entries = append(w.entries, e)
 		for g := range w.groups {
 			w.teach(e, g)
@@ -223,6 +229,9 @@
 	if w.c.Scenario == Lag && d == (w.primary[g]+1)%domains {
 		return min(w.now, farBehind)
 	}
+	if w.c.Scenario == LinkFlood && d == domains-1 {
+		return farBehind
+	}
 	r := rand.New(rand.NewPCG(w.c.Seed+uint64(s), uint64(w.now/lagStep)))
 	return time.Duration(r.ExpFloat64() * float64(meanLag))
 }
