Entries apply the budgets of repeats, overload and the region link

Cause: a request that was not run was repeated every 30 ms until its deadline, moved writes without any pause, and every refusal crossed the region link. Change: caller/attempt.go takes repeats from a budget for the group and the caller, with growing jittered pauses; reads refused for load go once to another member; daemon/limits.go throttles at the entry what an overloaded owner refuses and bounds routine and background reads that cross regions. The link's rate is a constant until there is a setting.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -59,6 +59,7 @@
 
 // take passes one message of the answer on.
 func (a *answer) take(m wire.Message) (end, error) {
+	a.n.received += m.Size()
 	switch m.Type {
 	case wire.ParseComplete:
 		a.parses++
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -15,6 +15,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflypick/dragonflypick/budget"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/peer"
@@ -39,12 +40,19 @@
 	Primary bool
 	// Tried are members that have declined the request.
 	Tried map[string]bool
+	// Spilled tells that the owner of a tried member was overloaded.
+	Spilled bool
 }
 
 // Route is where a request was sent.
 type Route struct {
 	Stream *peer.Stream
 	Member string
+	Rank   bundle.Rank
+	// Reserved are bytes of the region link that were reserved for the answer,
+	// and Received those that came.
+	Reserved int
+	Received int
 }
 
 // Router finds owners for requests.
@@ -52,8 +60,8 @@
 	// Open opens a stream to the owner of a member that may serve the request,
 	// and sends the header.
 	Open(x context.Context, r Request) (Route, error)
-	// Ended tells that the stream to a member that Open gave has ended.
-	Ended(member string)
+	// Ended tells that the stream that Open gave has ended.
+	Ended(r Route)
 	// Learn takes in what the owner of a member has said to a request.
 	Learn(r Request, member string, v peer.Verdict)
 	// Floor returns the primary's position as of the call or later.
@@ -82,6 +90,7 @@
 	mu       sync.Mutex
 	sessions map[cancelKey]*client
 	draining bool
+	retry    *budget.Retry
 }
 
 // cancelKey identifies a session in cancel requests.
@@ -93,7 +102,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return &Server{c: c, l: l, logins: make(chan struct{}, maxLogins), sessions: map[cancelKey]*client{}}, nil
+	return &Server{c: c, l: l, logins: make(chan struct{}, maxLogins), sessions: map[cancelKey]*client{}, retry: budget.NewRetry(budget.DefaultRetry())}, nil
 }
 
 // Address returns the address that the server listens on.
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
@@ -18,7 +17,8 @@
 
 // Timing of attempts.
 const (
-	// retryPause is the pause before a request is sent again.
+	// retryPause is the pause between questions for the floor, and the
+	// come-back time after a stream broke.
 	retryPause = 30 * time.Millisecond
 	// answerGrace is how long after the deadline an owner may still answer.
 	answerGrace = 2 * time.Second
@@ -144,72 +144,6 @@
 	}
 }
 
-// attempts sends a request until it is answered, refused for good, or its
-// deadline has passed.
-func (n *client) attempts(x context.Context, w work, r Request, deadline time.Time) error {
-	for {
-		r.Header.Remaining = time.Until(deadline)
-		o, v, err := n.attempt(x, w, r)
-		switch {
-		case err != nil || o == answered || o == settled:
-			return err
-		case x.Err() != nil:
-			return n.end(w, &RefusedError{Code: codeCanceled, Message: "canceling statement due to user request"})
-		case o == readOnly:
-			r.Primary, r.Header.Kind = true, peer.KindWrite
-			continue
-		case o == lost && r.Header.Kind != peer.KindRead:
-			return n.end(w, refusal(peer.Verdict{Outcome: peer.InDoubt, Reason: "owner-lost"}))
-		case !w.whole || !again(v) || time.Until(deadline) < retryPause:
-			return n.end(w, refusal(v))
-		}
-		if v.Outcome != peer.Moved {
-			r.Tried = map[string]bool{}
-			pause(x, retryPause)
-		}
-	}
-}
-
-// again reports whether a request that was not run should be sent again.
-func again(v peer.Verdict) bool {
-	switch v.Reason {
-	case "overloaded", "expired", "withdrawn", reasonCut:
-		return false
-	default:
-		return v.Outcome != peer.InDoubt
-	}
-}
-
-// attempt sends a request once.
-func (n *client) attempt(x context.Context, w work, r Request) (end, peer.Verdict, error) {
-	t, err := n.s.c.Router.Open(x, r)
-	if err != nil {
-		var u *RouteError
-		v := peer.Verdict{Outcome: peer.NotRun, Reason: "no-route", RetryAfter: retryPause}
-		if errors.As(err, &u) {
-			v.Reason, v.RetryAfter = u.Reason, u.RetryAfter
-		}
-		return declined, v, nil
-	}
-	o, v, err := n.exchange(x, t.Stream, w, r.Header.Remaining)
-	if o != answered || n.status == statusIdle || n.status == statusFailed && o == settled {
-		_ = t.Stream.Close()
-		n.s.c.Router.Ended(t.Member)
-	} else {
-		n.open, n.member = t.Stream, t.Member
-	}
-	if o == declined || o == answered && v.Outcome != "" {
-		n.s.c.Router.Learn(r, t.Member, v)
-	}
-	if v.Outcome == peer.Moved || o == lost {
-		r.Tried[t.Member] = true
-	}
-	if o == lost {
-		v = peer.Verdict{Outcome: peer.NotRun, Reason: "owner-lost", RetryAfter: retryPause}
-	}
-	return o, v, err
-}
-
 // carryOn sends work on the stream of the open transaction.
 func (n *client) carryOn(x context.Context, w work) error {
 	d := time.Duration(n.s.c.Bundle().Ranks.Of(n.set.rank).Deadline)
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -54,6 +54,8 @@
 type RouteError struct {
 	Reason     string
 	RetryAfter time.Duration
+	// Member is the member that is overloaded, if Reason says so.
+	Member string
 }
 
 func (e *RouteError) Error() string { return "no route: " + e.Reason }
@@ -67,7 +69,7 @@
 		}
 	}
 	c := codeNotNow
-	if v.Reason == "overloaded" || v.Reason == "expired" || v.Reason == "no-connection" {
+	if v.Reason == reasonOverloaded || v.Reason == reasonExpired || v.Reason == reasonLink || v.Reason == "no-connection" {
 		c = codeTooMany
 	}
 	return &RefusedError{Code: c, Message: "not run: " + v.Reason, Hint: retryHint(v.RetryAfter)}
--- a/caller/session.go
+++ b/caller/session.go
@@ -39,8 +39,10 @@
 	// open is the stream of the open transaction; nil if there is none, or if
 	// it failed and only waits to be rolled back.
 	open *peer.Stream
-	// member is the member that open leads to.
-	member string
+	// route is where open leads to.
+	route Route
+	// received counts the bytes of answers since the stream was opened.
+	received int
 	// prepared holds the Parse messages of prepared statements, by name.
 	prepared map[string]parsed
 	// batch collects the messages of an extended query until Sync.
@@ -165,7 +167,8 @@
 	if n.open != nil {
 		_ = n.open.Close()
 		n.open = nil
-		n.s.c.Router.Ended(n.member)
+		n.route.Received = n.received
+		n.s.c.Router.Ended(n.route)
 	}
 }
 
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -32,6 +32,7 @@
 	// floors holds the look-up of a primary's position that is to begin next
 	// for each group.
 	floors map[string]*floorCall
+	limits limits
 }
 
 // floorCall is one look-up that several sessions wait for.
@@ -43,7 +44,7 @@
 
 func newRouter(d *Daemon) *router {
 	h := d.c.Host
-	return &router{d: d, t: route.New(route.Place{Region: h.Region, FailureDomain: h.FailureDomain}), floors: map[string]*floorCall{}}
+	return &router{d: d, t: route.New(route.Place{Region: h.Region, FailureDomain: h.FailureDomain}), floors: map[string]*floorCall{}, limits: newLimits()}
 }
 
 // Open implements caller.Router.
@@ -57,6 +58,21 @@
 		return caller.Route{}, err
 	}
 	_, m, _ := r.d.bundle().Member(c.Member)
+	n, err := r.pass(q, m)
+	if err != nil {
+		return caller.Route{}, err
+	}
+	t, err := r.connect(x, g, m, c, q)
+	if err != nil {
+		r.Ended(caller.Route{Rank: bundle.Rank(q.Header.Rank), Reserved: n})
+		return caller.Route{}, err
+	}
+	t.Reserved = n
+	return t, nil
+}
+
+// connect opens a stream to the owner of the chosen member.
+func (r *router) connect(x context.Context, g *bundle.Group, m *bundle.Member, c route.Choice, q caller.Request) (caller.Route, error) {
 	h, ok := r.d.ownerOf(m)
 	if !ok {
 		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "no-owner", RetryAfter: routeRetryAfter})
@@ -75,7 +91,7 @@
 	r.mu.Lock()
 	r.t.Handle(route.Sent{Member: m.Name}, time.Now())
 	r.mu.Unlock()
-	return caller.Route{Stream: s, Member: m.Name}, nil
+	return caller.Route{Stream: s, Member: m.Name, Rank: bundle.Rank(q.Header.Rank)}, nil
 }
 
 func (r *router) choose(x context.Context, g *bundle.Group, q caller.Request) (route.Choice, error) {
@@ -86,6 +102,9 @@
 		if ok {
 			return c, nil
 		}
+		if q.Spilled {
+			return route.Choice{}, Error.Wrap(&caller.RouteError{Reason: reasonOverloaded, RetryAfter: routeRetryAfter})
+		}
 	}
 	p, err := r.primary(x, g, len(q.Tried) > 0)
 	if err != nil {
@@ -140,10 +159,15 @@
 }
 
 // Ended implements caller.Router.
-func (r *router) Ended(member string) {
+func (r *router) Ended(t caller.Route) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.t.Handle(route.Ended{Member: member}, time.Now())
+	if t.Reserved > 0 {
+		r.limits.link.Settle(t.Rank, t.Reserved, t.Received, time.Now())
+	}
+	if t.Member != "" {
+		r.t.Handle(route.Ended{Member: t.Member}, time.Now())
+	}
 }
 
 // Learn implements caller.Router.
@@ -151,11 +175,12 @@
 	if v.View != nil {
 		r.learn(q.Header.Group, *v.View)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if v.Outcome == peer.Moved {
-		r.mu.Lock()
 		r.t.Handle(route.Declined{Member: member, Demand: demand(q)}, time.Now())
-		r.mu.Unlock()
 	}
+	r.limits.learn(q, member, v)
 }
 
 // demand returns how fresh the data of a read must be.
@@ -230,7 +255,7 @@
 }
 
 // Ended implements caller.Router.
-func (d routerOf) Ended(member string) { d.router.Ended(member) }
+func (d routerOf) Ended(t caller.Route) { d.router.Ended(t) }
 
 // Learn implements caller.Router.
 func (d routerOf) Learn(q caller.Request, member string, v peer.Verdict) {
