Property tests of admission

Cause: slots, ranks, shares, fairness and the single end of each request were untested. Change: a rapid state machine with a fixed seed and four focused specs.

--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,240 @@
+package admit_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypick/dragonflypick/admit"
+	"github.com/dragonflypick/dragonflypick/bundle"
+)
+
+const seed = "20261204"
+
+func TestAdmit(t *testing.T) {
+	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", seed)).To(Succeed())
+	t.Log("rapid seed", seed)
+	RunSpecs(t, "Admit")
+}
+
+var start = time.Unix(1000, 0)
+
+func config() admit.Config {
+	return admit.Config{Slots: 3, Shares: [bundle.RankCount]float64{0.88, 0.1, 0.02}, Reserve: 1, MaxWaiting: 50}
+}
+
+// model follows a queue's requests from the outside.
+type model struct {
+	t       *rapid.T
+	q       *admit.Queue
+	now     time.Time
+	next    uint64
+	waiting map[uint64]admit.Arrived
+	running map[uint64]admit.Arrived
+	ended   map[uint64]bool
+}
+
+func (m *model) handle(e admit.Event) {
+	for _, a := range m.q.Handle(e, m.now) {
+		switch x := a.(type) {
+		case admit.Start:
+			r, ok := m.waiting[x.ID]
+			if !ok {
+				m.t.Fatalf("start of %d, which does not wait", x.ID)
+			}
+			if !r.Held && m.now.After(r.Deadline) {
+				m.t.Fatalf("start of %d after its deadline", x.ID)
+			}
+			delete(m.waiting, x.ID)
+			m.running[x.ID] = r
+		case admit.Refuse:
+			r, ok := m.waiting[x.ID]
+			if !ok || m.ended[x.ID] {
+				m.t.Fatalf("refusal of %d, which does not wait", x.ID)
+			}
+			if r.Held {
+				m.t.Fatalf("refusal of %d, which holds a transaction", x.ID)
+			}
+			if x.RetryAfter <= 0 || x.RetryAfter > 30*time.Second {
+				m.t.Fatalf("come-back time %v", x.RetryAfter)
+			}
+			delete(m.waiting, x.ID)
+			m.ended[x.ID] = true
+		}
+	}
+	m.check()
+}
+
+func (m *model) check() {
+	if len(m.running) > 3 || m.q.Running() != len(m.running) {
+		m.t.Fatalf("%d requests run in 3 slots", len(m.running))
+	}
+	var n [bundle.RankCount]int
+	held := 0
+	for _, r := range m.waiting {
+		if r.Held {
+			held++
+		} else {
+			n[r.Rank]++
+		}
+	}
+	for i := range n {
+		if d := m.q.Depth(bundle.Rank(i)); d != n[i] || d > 50 {
+			m.t.Fatalf("depth %d of rank %d, but %d wait", d, i, n[i])
+		}
+	}
+	if len(m.running) < 3 && (held > 0 || n[bundle.Urgent] > 0 || n[bundle.Routine] > 0) {
+		m.t.Fatalf("work waits while a slot is free")
+	}
+}
+
+func (m *model) arrive(*rapid.T) {
+	m.next++
+	a := admit.Arrived{
+		ID: m.next, Rank: bundle.Rank(rapid.IntRange(0, 2).Draw(m.t, "rank")), Caller: fmt.Sprint(rapid.IntRange(0, 5).Draw(m.t, "caller")),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(-10, 5000).Draw(m.t, "limit")) * time.Millisecond),
+		Held:     rapid.IntRange(0, 9).Draw(m.t, "held") == 0, Jitter: rapid.Float64Range(0, 1).Draw(m.t, "jitter"),
+	}
+	m.waiting[a.ID] = a
+	m.handle(a)
+}
+
+func (m *model) pick(of map[uint64]admit.Arrived) (uint64, bool) {
+	for id := uint64(1); id <= m.next; id++ {
+		if _, ok := of[id]; ok && rapid.Bool().Draw(m.t, "this") {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+func (m *model) finish(*rapid.T) {
+	if id, ok := m.pick(m.running); ok {
+		delete(m.running, id)
+		m.ended[id] = true
+		m.handle(admit.Finished{ID: id})
+	}
+}
+
+func (m *model) withdraw(*rapid.T) {
+	if id, ok := m.pick(m.waiting); ok {
+		delete(m.waiting, id)
+		m.ended[id] = true
+		m.handle(admit.Withdrawn{ID: id})
+	}
+}
+
+func (m *model) pass(*rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(m.t, "time")) * time.Millisecond)
+	m.handle(admit.Ticked{})
+}
+
+var _ = Describe("a queue", func() {
+	It("never exceeds its slots, never idles, and ends each request exactly once", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			m := &model{t: t, q: admit.New(config()), now: start, waiting: map[uint64]admit.Arrived{}, running: map[uint64]admit.Arrived{}, ended: map[uint64]bool{}}
+			t.Repeat(map[string]func(*rapid.T){"arrive": m.arrive, "arrive-more": m.arrive, "finish": m.finish, "withdraw": m.withdraw, "pass": m.pass})
+			for len(m.running) > 0 {
+				for id := uint64(1); id <= m.next; id++ {
+					if _, ok := m.running[id]; ok {
+						delete(m.running, id)
+						m.ended[id] = true
+						m.handle(admit.Finished{ID: id})
+					}
+				}
+			}
+			m.now = m.now.Add(time.Hour)
+			m.handle(admit.Ticked{})
+			if len(m.waiting) != 0 {
+				t.Fatalf("%d requests never end", len(m.waiting))
+			}
+		})
+	})
+
+	It("starts urgent work first, leaves a slot free of background work, and honours shares", func() {
+		q := admit.New(config())
+		id := uint64(0)
+		ranks := map[uint64]bundle.Rank{}
+		running := []uint64{}
+		now := start
+		var used [bundle.RankCount]time.Duration
+		handle := func(e admit.Event) {
+			for _, a := range q.Handle(e, now) {
+				if s, ok := a.(admit.Start); ok {
+					running = append(running, s.ID)
+				}
+			}
+		}
+		arrive := func(r bundle.Rank) {
+			id++
+			ranks[id] = r
+			handle(admit.Arrived{ID: id, Rank: r, Caller: fmt.Sprint(id % 3), Deadline: now.Add(time.Hour)})
+		}
+		for range 5 {
+			arrive(bundle.Background)
+		}
+		Expect(running).To(HaveLen(2))
+		for range 3000 {
+			for r := range bundle.Rank(bundle.RankCount) {
+				for q.Depth(r) < 20 {
+					arrive(r)
+				}
+			}
+			now = now.Add(10 * time.Millisecond)
+			l := running
+			running = nil
+			for _, x := range l {
+				used[ranks[x]] += 10 * time.Millisecond
+				handle(admit.Finished{ID: x})
+			}
+		}
+		all := used[0] + used[1] + used[2]
+		Expect(float64(used[bundle.Routine]) / float64(all)).To(BeNumerically(">=", 0.099))
+		Expect(float64(used[bundle.Background]) / float64(all)).To(BeNumerically(">=", 0.019))
+		Expect(float64(used[bundle.Urgent]) / float64(all)).To(BeNumerically(">=", 0.85))
+	})
+
+	It("lets no caller's flood refuse or delay another caller of its rank", func() {
+		q := admit.New(config())
+		refused := map[uint64]bool{}
+		var running []uint64
+		now := start
+		handle := func(e admit.Event) {
+			for _, a := range q.Handle(e, now) {
+				switch x := a.(type) {
+				case admit.Start:
+					running = append(running, x.ID)
+				case admit.Refuse:
+					refused[x.ID] = true
+				}
+			}
+		}
+		for id := range uint64(500) {
+			handle(admit.Arrived{ID: id + 1, Rank: bundle.Routine, Caller: "flooder", Deadline: now.Add(time.Minute)})
+		}
+		Expect(q.Depth(bundle.Routine)).To(Equal(50))
+		handle(admit.Arrived{ID: 1000, Rank: bundle.Routine, Caller: "shop", Deadline: now.Add(60 * time.Millisecond)})
+		Expect(refused).NotTo(HaveKey(uint64(1000)))
+		Expect(q.Depth(bundle.Routine)).To(Equal(50))
+		now = now.Add(5 * time.Millisecond)
+		handle(admit.Finished{ID: running[0]})
+		handle(admit.Finished{ID: running[1]})
+		Expect(running).To(ContainElement(uint64(1000)))
+	})
+
+	It("doesn't shut a rank out after statements slower than its deadline", func() {
+		q := admit.New(config())
+		now := start
+		for id := range uint64(100) {
+			Expect(q.Handle(admit.Arrived{ID: id + 1, Rank: bundle.Urgent, Caller: "a", Deadline: now.Add(time.Second)}, now)).To(ConsistOf(admit.Start{ID: id + 1}))
+			now = now.Add(20 * time.Second)
+			q.Handle(admit.Finished{ID: id + 1}, now)
+		}
+	})
+})
