--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -39,10 +39,7 @@
 		case err != nil || o == answered || o == settled:
 			return err
 		case x.Err() != nil:
-			return n.end(w, &RefusedError{Code: codeCanceled, Message: "canceling statement due to user request"})
-		case o == readOnly:
-			r.Primary, r.Header.Kind = true, peer.KindWrite
-			continue
+			return n.end(w, canceled())
 		case o == lost && r.Header.Kind != peer.KindRead:
 			return n.end(w, refusal(peer.Verdict{Outcome: peer.InDoubt, Reason: "owner-lost"}))
 		case spills(w, r, v):
@@ -57,7 +54,11 @@
 		if !n.s.mayRepeat(r.Header) {
 			return n.end(w, refusal(exhausted()))
 		}
-		r.Tried = map[string]bool{}
+		if o == readOnly {
+			r.asWrite()
+		} else {
+			r.Tried = map[string]bool{}
+		}
 		pause(x, budget.Pause(repeats, rand.Float64()))
 		repeats++
 	}
@@ -124,12 +125,15 @@
 	if o == declined || o == answered || o == settled && v.Outcome != "" {
 		n.s.c.Router.Learn(r, t.Member, v)
 	}
-	if v.Outcome == peer.Moved || o == lost || v.Reason == reasonOverloaded {
+	if v.Outcome == peer.Moved || o == lost || o == readOnly || v.Reason == reasonOverloaded {
 		r.Tried[t.Member] = true
 	}
 	if o == lost {
 		v = peer.Verdict{Outcome: peer.NotRun, Reason: "owner-lost", RetryAfter: retryPause}
 	}
+	if o == readOnly {
+		v = peer.Verdict{Outcome: peer.NotRun, Reason: "read-only-member", RetryAfter: retryPause}
+	}
 	return o, v, err
 }
 
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -81,6 +83,9 @@
 		return n.end(w, e)
 	}
 	r := n.request(b, w, v)
+	if e := r.identify(w); e != nil {
+		return n.end(w, e)
+	}
 	d := time.Now().Add(r.Header.Remaining)
 	if e := n.findFloor(x, &r); e != nil {
 		return n.end(w, e)
@@ -88,6 +93,10 @@
 	return n.attempts(x, w, r, d)
 }
 
+func canceled() *RefusedError {
+	return &RefusedError{Code: codeCanceled, Message: "canceling statement due to user request"}
+}
+
 // end refuses work and ends its answer.
 func (n *client) end(w work, e *RefusedError) error {
 	for _, s := range w.names {
@@ -114,6 +123,7 @@
 	case w.describeOnly:
 		r.Header.Kind = peer.KindRead
 		r.Header.Floor = logpos.Position{}
+	case w.class.Kind == statement.BeginReadOnly || w.class.Kind == statement.End:
 	default:
 		r.Header.Key = v.key
 		n.set.key = ""
@@ -121,16 +131,42 @@
 	return r
 }
 
+// identify fills in the digest of the request that an idempotency key stands
+// for: its SQL text and parameters.
+func (r *Request) identify(w work) *RefusedError {
+	if r.Header.Key == "" {
+		return nil
+	}
+	d := xxhash.New()
+	k := w.class.Count
+	for _, m := range w.messages {
+		switch m.Type {
+		case wire.Query, wire.Parse, wire.Bind:
+			_, _ = d.Write(append([]byte{m.Type}, m.Body...))
+		case wire.Execute:
+			k++
+		}
+	}
+	if w.plan != nil {
+		k -= w.class.Count
+	}
+	if k > 1 || !w.whole {
+		return &RefusedError{Code: codeUnsupported, Message: "a request with an idempotency key must be one statement, sent whole"}
+	}
+	r.Header.Digest = strconv.FormatUint(d.Sum64(), 16)
+	return nil
+}
+
 // findFloor asks for the primary's position if a read needs a floor and the
 // session has none. It asks again until the deadline.
 func (n *client) findFloor(x context.Context, r *Request) *RefusedError {
 	if r.Header.Kind != peer.KindRead || r.Primary || r.Header.AgeOnly || n.floor.Known {
 		return nil
 	}
-	x, stop := context.WithTimeout(x, r.Header.Remaining)
+	y, stop := context.WithTimeout(x, r.Header.Remaining)
 	defer stop()
 	for {
-		p, err := n.s.c.Router.Floor(x, n.group)
+		p, err := n.s.c.Router.Floor(y, n.group)
 		if err == nil {
 			n.floor = n.floor.Raise(p)
 			r.Header.Floor = n.floor.Position
@@ -138,9 +174,20 @@
 		}
 		n.s.c.Log.Debug("floor unknown", "group", n.group, "error", err)
 		if x.Err() != nil {
+			return canceled()
+		}
+		if y.Err() != nil {
 			return refusal(peer.Verdict{Outcome: peer.NotRun, Reason: "floor-unknown", RetryAfter: time.Second})
 		}
-		pause(x, retryPause)
+		pause(y, retryPause)
+	}
+}
+
+// asWrite sends the request to the primary from now on.
+func (r *Request) asWrite() {
+	r.Primary = true
+	if r.Header.Kind == peer.KindRead {
+		r.Header.Kind = peer.KindWrite
 	}
 }
 
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -57,7 +57,10 @@
 	if err != nil {
 		return caller.Route{}, err
 	}
-	_, m, _ := r.d.bundle().Member(c.Member)
+	_, m, ok := r.d.bundle().Member(c.Member)
+	if !ok {
+		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "unknown-member", RetryAfter: routeRetryAfter})
+	}
 	n, err := r.pass(q, m)
 	if err != nil {
 		return caller.Route{}, err
@@ -175,6 +178,9 @@
 	if v.View != nil {
 		r.learn(q.Header.Group, *v.View)
 	}
+	if v.Left != "" {
+		r.d.heardLeave(v.Left)
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if v.Outcome == peer.Moved {
@@ -229,7 +235,11 @@
 			c.err = err
 			return
 		}
-		_, m, _ := r.d.bundle().Member(p)
+		_, m, ok := r.d.bundle().Member(p)
+		if !ok {
+			c.err = Error.Wrap(&caller.RouteError{Reason: "unknown-member", RetryAfter: routeRetryAfter})
+			continue
+		}
 		if c.p, c.err = r.d.askPosition(x, g, m); c.err == nil {
 			return
 		}
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -34,6 +34,8 @@
 
 // Config holds what an owner needs.
 type Config struct {
+	// Host is the ID of this host.
+	Host string
 	// Bundle returns the bundle in force.
 	Bundle func() *bundle.Bundle
 	// Monitor returns the running monitor of a group, or nil.
@@ -53,6 +55,10 @@
 	servers map[string]*server
 	// streams counts the streams being served.
 	streams int
+	// keyed counts writes with a key.
+	keyed int
+	// leaving tells that the servers go to other owners.
+	leaving bool
 }
 
 // New returns an owner.
@@ -146,17 +152,28 @@
 	if t.m = t.o.c.Monitor(g.Name); t.m == nil {
 		return peer.Verdict{Outcome: peer.Moved, Reason: "not-watched"}
 	}
+	t.srv = t.o.server(b, g, m)
+	y, end := t.srv.hold(x)
+	defer end()
 	if v := t.eligible(x, b, m); v.Outcome != "" {
 		return v
 	}
-	t.srv = t.o.server(b, g, m)
+	if t.o.isLeaving() {
+		return t.moved()
+	}
+	if t.role != "replica" {
+		x = y
+	}
 	k, err := t.srv.enter(x, t.arrival())
 	if err != nil {
-		return notRun(err)
+		return t.verdict(err)
 	}
 	c, err := t.take(x)
 	if err != nil {
 		k.free()
+		if e := context.Cause(x); isReplaced(e) {
+			return t.verdict(e)
+		}
 		return peer.Verdict{Outcome: peer.NotRun, Reason: "no-connection", RetryAfter: defaultRetryAfter}
 	}
 	if t.h.Kind == peer.KindRead {
@@ -165,6 +182,9 @@
 	t.o.c.Log.Debug("statement placed", "group", g.Name, "member", m.Name, "rank", bundle.Rank(t.h.Rank).String(),
 		"kind", t.h.Kind, "floor", t.h.Floor.String(), "queued", time.Until(t.deadline).Round(time.Millisecond))
 	e := &exchange{t: t, c: c, k: k, holds: true, idle: time.Duration(b.Ranks.Of(bundle.Rank(t.h.Rank)).IdleInTransaction)}
+	if t.h.Key != "" && t.h.Kind != peer.KindRead {
+		e.key = &key{e: e, name: t.h.Key, digest: t.h.Digest}
+	}
 	return e.run(x)
 }
 
@@ -228,17 +248,19 @@
 	return t.m.AwaitReplica(x, ok)
 }
 
-// Configure applies the limits of a bundle to the owned servers.
+// Configure applies the limits of a bundle to the owned servers. What runs on a
+// server that is removed or moved goes on; what waits is sent on.
 func (o *Owner) Configure(b *bundle.Bundle) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for n, s := range o.servers {
 		_, m, ok := b.Member(n)
-		if !ok {
-			s.pool.Close()
+		if !ok || m.Address != s.address {
+			s.leave()
 			delete(o.servers, n)
 			continue
 		}
+		s.pool.Resize(poolSize(m))
 		s.mu.Lock()
 		s.handle(admit.Configured{Config: queueConfig(b, m)})
 		s.mu.Unlock()
@@ -269,6 +291,14 @@
 	return o.streams
 }
 
+// clean reports whether a keyed write should remove expired keys.
+func (o *Owner) clean() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.keyed++
+	return o.keyed%cleanEvery == 0
+}
+
 func (o *Owner) count(n int) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
