--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,113 @@
+package route_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/route"
+)
+
+const seed = "20261204"
+
+func TestRoute(t *testing.T) {
+	RegisterFailHandler(Fail)
+	Expect(flag.Set("rapid.seed", seed)).To(Succeed())
+	t.Log("rapid seed", seed)
+	RunSpecs(t, "Route")
+}
+
+var start = time.Unix(1000, 0)
+
+func group() *bundle.Group {
+	return &bundle.Group{Name: "orders", Members: []bundle.Member{
+		{Name: "w1", Region: "west", FailureDomain: "west-1"}, {Name: "w2", Region: "west", FailureDomain: "west-2"},
+		{Name: "w3", Region: "west", FailureDomain: "west-2"}, {Name: "n1", Region: "north", FailureDomain: "north-1"},
+	}}
+}
+
+func viewed(term uint64, primary string) route.Viewed {
+	return route.Viewed{Group: "orders", View: failover.View{Term: term, Primary: primary}}
+}
+
+var _ = DescribeTable("the choice of a member for a read",
+	func(at route.Place, primary string, tried []string, member string, why route.Reason) {
+		t := route.New(at)
+		t.Handle(viewed(1, primary), start)
+		m := map[string]bool{}
+		for _, x := range tried {
+			m[x] = true
+		}
+		c, ok := t.Read(group(), route.Demand{}, m, start)
+		Expect(ok).To(Equal(member != ""))
+		Expect(c).To(Equal(route.Choice{Member: member, Reason: why}))
+	},
+	Entry("own failure domain", route.Place{Region: "west", FailureDomain: "west-1"}, "w2", nil, "w1", route.SameDomain),
+	Entry("own region", route.Place{Region: "west", FailureDomain: "west-1"}, "w1", nil, "w2", route.SameRegion),
+	Entry("near primary before far replica", route.Place{Region: "north", FailureDomain: "north-1"}, "n1", nil, "n1", route.PrimaryForRead),
+	Entry("far replica before far primary", route.Place{Region: "north", FailureDomain: "north-1"}, "w1", []string{"n1"}, "w2", route.OtherRegion),
+	Entry("near primary after near replicas", route.Place{Region: "west", FailureDomain: "west-1"}, "w1", []string{"w2", "w3"}, "w1", route.PrimaryForRead),
+	Entry("none left", route.Place{Region: "west", FailureDomain: "west-1"}, "w1", []string{"w1", "w2", "w3", "n1"}, "", route.Reason("")),
+)
+
+var _ = Describe("a table", func() {
+	It("passes a replica over only for reads that ask as much as the declined one", func() {
+		t := route.New(route.Place{Region: "west", FailureDomain: "west-1"})
+		t.Handle(viewed(1, "w2"), start)
+		floor := logpos.Position{Term: 1, Offset: 10}
+		t.Handle(route.Declined{Member: "w1", Demand: route.Demand{Floor: floor}}, start)
+		first := func(d route.Demand, at time.Time) string {
+			c, _ := t.Read(group(), d, nil, at)
+			return c.Member
+		}
+		Expect(first(route.Demand{Floor: floor}, start)).To(Equal("w3"))
+		Expect(first(route.Demand{Floor: logpos.Position{Term: 1, Offset: 9}}, start)).To(Equal("w1"))
+		Expect(first(route.Demand{Tolerance: time.Second, AgeOnly: true}, start)).To(Equal("w1"))
+		Expect(first(route.Demand{Floor: floor}, start.Add(route.DeclineTime))).To(Equal("w1"))
+	})
+
+	It("never goes back to an earlier term and never offers what was tried or leaves", func() {
+		rapid.Check(GinkgoT(), func(r *rapid.T) {
+			t := route.New(route.Place{Region: "west", FailureDomain: "west-1"})
+			g := group()
+			names := []string{"w1", "w2", "w3", "n1"}
+			highest, now := uint64(0), start
+			want := ""
+			for range rapid.IntRange(1, 60).Draw(r, "steps") {
+				now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(r, "time")) * time.Millisecond)
+				n := rapid.SampledFrom(names).Draw(r, "member")
+				switch rapid.IntRange(0, 4).Draw(r, "step") {
+				case 0:
+					k := rapid.Uint64Range(1, 9).Draw(r, "term")
+					t.Handle(viewed(k, n), now)
+					if k >= highest {
+						highest, want = k, n
+					}
+				case 1:
+					t.Handle(route.Sent{Member: n}, now)
+				case 2:
+					t.Handle(route.Ended{Member: n}, now)
+				case 3:
+					t.Handle(route.Declined{Member: n}, now)
+				default:
+					g.Members[0].Leaving = rapid.Bool().Draw(r, "leaving")
+				}
+				if p, _ := t.Primary("orders"); p != want {
+					r.Fatalf("primary %q instead of %q", p, want)
+				}
+				tried := map[string]bool{rapid.SampledFrom(names).Draw(r, "tried"): true}
+				c, ok := t.Read(g, route.Demand{}, tried, now)
+				if !ok || tried[c.Member] || c.Member == "w1" && g.Members[0].Leaving && want != "w1" {
+					r.Fatalf("choice %+v, %v with %v tried", c, ok, tried)
+				}
+			}
+		})
+	})
+})
