--- a/failover/view.go
+++ b/failover/view.go
@@ -105,11 +105,11 @@
 	reached := !m.status.Position.Less(r.Floor)
 	switch {
 	case r.AgeOnly:
-		return a <= r.Tolerance
+		return r.Tolerance > 0 && a <= r.Tolerance
 	case r.OwnWrites:
 		return reached && a <= max(r.Tolerance, r.MaxAge)
 	default:
-		return a <= r.Tolerance || reached && a <= r.MaxAge
+		return r.Tolerance > 0 && a <= r.Tolerance || reached && a <= r.MaxAge
 	}
 }
 
