--- a/caller/login_test.go
+++ b/caller/login_test.go
@@ -35,7 +35,7 @@
 func (noRouter) Open(context.Context, Request) (Route, error) {
 	return Route{}, &RouteError{Reason: "no-owner", RetryAfter: 70 * time.Millisecond}
 }
-func (noRouter) Ended(string)                        {}
+func (noRouter) Ended(Route)                         {}
 func (noRouter) Learn(Request, string, peer.Verdict) {}
 func (noRouter) Floor(context.Context, string) (logpos.Position, error) {
 	return logpos.Position{Term: 3, Offset: 5}, nil
