--- a/membership/view.go
+++ b/membership/view.go
@@ -222,6 +222,7 @@
 
 // Live returns the hosts that may own backend servers, by ID.
 func (v *View) Live(now time.Time) []Host {
+	v.tidy(now)
 	var o []Host
 	for _, h := range v.Known() {
 		if v.live(h, now) {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -22,6 +22,9 @@
 	if err := flag.Set("rapid.seed", seed); err != nil {
 		t.Fatal(err)
 	}
+	if err := flag.Set("rapid.checks", "50"); err != nil {
+		t.Fatal(err)
+	}
 	t.Log("rapid seed", seed)
 	RunSpecs(t, "Rollout")
 }
--- a/rollout/roster.go
+++ b/rollout/roster.go
@@ -14,6 +14,10 @@
 	heldMost   = 128
 )
 
+// behindMost is the number of own reads in a row below the index of the list
+// after which the platform's index is taken to have fallen.
+const behindMost = 2
+
 // Stamp tells which of two host lists is newer.
 type Stamp struct {
 	// Generation rises when the platform's index falls, after its store was
@@ -49,7 +53,11 @@
 type Roster struct {
 	stamp Stamp
 	// last is the index of this daemon's last own read.
-	last    uint64
+	last uint64
+	// behind is the number of own reads in a row that were older than the list.
+	behind int
+	// fell tells that the platform's index has fallen since the list was read.
+	fell    bool
 	entries map[string]Entry
 	// floor is the index up to which removals have been forgotten.
 	floor uint64
@@ -79,14 +87,18 @@
 
 // Read takes in a list that the platform gave, and reports whether it is new.
 // An empty list, or one older than what is held, is ignored; but if the
-// platform's index has fallen since this daemon's last read, the list counts
-// as newer.
+// platform's index has fallen since this daemon's last read, or stays below
+// what is held, the list counts as newer.
 func (r *Roster) Read(index uint64, hosts []membership.Host) bool {
+	if r.behind++; index >= r.stamp.Index {
+		r.behind = 0
+	}
+	r.fell = r.fell || index < r.last || r.behind >= behindMost
+	r.last = index
 	s := Stamp{Generation: r.stamp.Generation, Index: index}
-	if index < r.last {
+	if r.fell {
 		s.Generation++
 	}
-	r.last = index
 	if len(hosts) == 0 || !s.After(r.stamp) {
 		return false
 	}
@@ -127,7 +139,7 @@
 			r.entries[id] = e
 		}
 	}
-	r.stamp = u.Stamp
+	r.stamp, r.fell, r.behind = u.Stamp, false, 0
 	r.held = append(r.held, u.Stamp.Index)
 	r.held = r.held[max(len(r.held)-heldMost, 0):]
 	r.trim()
