--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -10,6 +10,10 @@
 	"github.com/dragonflypick/dragonflypick/rollout"
 )
 
+// registerDelay is the longest pause before the first registration, so that the
+// size of the fleet is known by then.
+const registerDelay = 300 * time.Millisecond
+
 // sessionGrowth is by how much the right time to live of a session must exceed
 // its own before the host is registered anew.
 const sessionGrowth = 2
@@ -74,6 +78,7 @@
 func (d *Daemon) register(x context.Context) error {
 	var b backoff
 	var e entry
+	pause(x, jitter(registerDelay))
 	for x.Err() == nil {
 		if err := d.renew(x, &e); err != nil {
 			d.c.Log.Debug("host not registered", "error", err)
--- a/rollout/spread_test.go
+++ b/rollout/spread_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -159,10 +162,31 @@
 	})
 })
 
+var _ = Describe("a fleet whose watchers are all killed at once", func() {
+	It("finds new watchers, and learns of it", func() {
+		w := newWorld(6, 30)
+		w.second()
+		for _, n := range w.nodes {
+			n.dead = rollout.Watches(n.host, w.list, 0)
+		}
+		w.version++
+		for range 60 {
+			w.second()
+		}
+		for _, n := range w.nodes {
+			if !n.dead {
+				Expect(n.version).To(Equal(w.version), n.host.ID)
+			}
+		}
+	})
+})
+
 // healed checks that all live daemons agree.
 func (w *world) healed(t *rapid.T) {
 	m := bundle.Member{Name: "m", Region: "r0", FailureDomain: "d0"}
 	owner := ""
+	alive := slices.Clone(w.list)
+	slices.SortFunc(alive, func(a, b membership.Host) int { return strings.Compare(a.ID, b.ID) })
 	for _, n := range w.nodes {
 		if n.dead {
 			continue
@@ -171,6 +195,9 @@
 		if owner == "" {
 			owner = h.ID
 		}
+		if !slices.Equal(n.roster.Hosts(), alive) {
+			t.Fatalf("%s lists %v", n.host.ID, n.roster.Hosts())
+		}
 		if n.version != w.version || !ok || h.ID != owner {
 			t.Fatalf("%s has version %d of %d, owner %s instead of %s", n.host.ID, n.version, w.version, h.ID, owner)
 		}
