A new primary is published to the group's owners, and followed at once

Ruled out: a shorter poll interval, which costs messages for every watched group all the time; sending the view itself, since owners then would believe a daemon instead of the members.

Change: the daemon that placed a primary calls group.changed on the owners of the group's members, which then poll at once. The stand-in ends a pull with its epoch.

--- a/daemon/control.go
+++ b/daemon/control.go
@@ -64,6 +64,12 @@
 			return nil, err
 		}
 		return d.localPosition(x, p)
+	case methodChanged:
+		var p memberParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return true, d.changed(p)
 	case methodBundle:
 		return d.localBundle(), nil
 	case methodVersion:
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -380,6 +380,9 @@
 func (d *Daemon) groupChanged(group string, c failover.Changed) {
 	d.router.learn(group, failover.View{Term: c.Term, Primary: c.Primary})
 	d.owner.Replaced(group, c.Primary)
+	if c.Stages != (failover.Stages{}) {
+		d.publish(group)
+	}
 }
 
 // reconcile watches the groups of which this daemon owns a member. The owned
--- a/standin/database/database.go
+++ b/standin/database/database.go
@@ -100,7 +100,9 @@
 	// epoch rises whenever role, term or primary change; work of an older
 	// epoch must not change the log.
 	epoch uint64
-	log   []entry
+	// unfollow ends the pull that runs; nil before the first.
+	unfollow context.CancelFunc
+	log      []entry
 	// contact is when the primary last answered a pull.
 	contact time.Time
 	// grown is closed and replaced when log grows.
@@ -296,6 +298,9 @@
 // changed ends the transactions of the epoch before; m.mu is held.
 func (m *Member) changed() {
 	m.epoch++
+	if m.unfollow != nil {
+		m.unfollow()
+	}
 	for s := range m.sessions {
 		s.interrupt()
 	}
--- a/standin/database/replicate.go
+++ b/standin/database/replicate.go
@@ -69,14 +69,16 @@
 			_ = n.Close(c)
 			n = nil
 		}
+		x, stop := m.following(c, s.epoch)
 		var err error
 		if n == nil {
 			a = s.address
-			n, err = m.dial(c, a)
+			n, err = m.dial(x, a)
 		}
 		if err == nil {
-			err = m.pull(c, n, s)
+			err = m.pull(x, n, s)
 		}
+		stop()
 		if err != nil {
 			if n != nil {
 				_ = n.Close(c)
@@ -88,6 +90,19 @@
 	return nil
 }
 
+// following returns a context that ends with the epoch, so that a new primary
+// is followed at once even if the old one doesn't answer.
+func (m *Member) following(c context.Context, epoch uint64) (context.Context, context.CancelFunc) {
+	c, stop := context.WithCancel(c)
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.unfollow = stop
+	if m.epoch != epoch {
+		stop()
+	}
+	return c, stop
+}
+
 func (m *Member) dial(c context.Context, a string) (*pgconn.PgConn, error) {
 	c, stop := context.WithTimeout(c, replicationTimeout)
 	defer stop()
