--- a/command/standin/measure/measure.go
+++ b/command/standin/measure/measure.go
@@ -33,7 +33,7 @@
 func NewCmdMeasure(f *factory.Factory) *command.Command {
 	return &command.Command{
 		Name: "measure", Short: "Measure a system of separate processes on loopback",
-		Commands: []*command.Command{newCmdPath(f), newCmdThroughput(f), newCmdMemory(f), newCmdFailover(f)},
+		Commands: []*command.Command{newCmdPath(f), newCmdThroughput(f), newCmdMemory(f), newCmdFailover(f), newCmdWrites(f)},
 	}
 }
 
@@ -66,7 +66,12 @@
 	if err != nil {
 		return err
 	}
-	if o.JSON {
+	return show(f, r, o.JSON)
+}
+
+// show prints a report.
+func show(f *factory.Factory, r report, asJSON bool) error {
+	if asJSON {
 		return f.Streams.JSON(r)
 	}
 	r.Print(f.Streams.Out)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,6 +69,8 @@
 	// TLS is offered to callers; nil for none.
 	TLS *tls.Config
 	Log hclog.Logger
+	// AcknowledgeAtCommit is as in owner.Config; it is only for measurements.
+	AcknowledgeAtCommit bool
 }
 
 // Daemon is one proxy process.
@@ -119,6 +121,7 @@
 	}
 	d.owner = owner.New(owner.Config{
 		Host: c.Host.ID, Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
+		AcknowledgeAtCommit: c.AcknowledgeAtCommit,
 	})
 	if err := d.listen(); err != nil {
 		return nil, err
--- a/owner/outcome.go
+++ b/owner/outcome.go
@@ -40,6 +40,9 @@
 
 // await waits until a majority has the position.
 func (e *exchange) await(x context.Context, p logpos.Position) write.Event {
+	if e.t.o.c.AcknowledgeAtCommit {
+		return write.Durable{}
+	}
 	b := time.Now()
 	err := e.t.m.AwaitDurable(x, p)
 	e.t.o.metrics.wait.Observe(time.Since(b).Seconds())
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -44,6 +44,10 @@
 	User     string
 	Password string
 	Log      hclog.Logger
+	// AcknowledgeAtCommit acknowledges writes without a majority, so that they
+	// can be lost. It is only for measuring what the wait costs and saves; no
+	// setting of the product leads to it.
+	AcknowledgeAtCommit bool
 }
 
 // Owner holds the owned backend servers. It is safe for concurrent use.
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -67,6 +67,8 @@
 	ConnectCost   time.Duration
 	StatementCost time.Duration
 	Log           hclog.Logger
+	// AcknowledgeAtCommit is as in owner.Config; it is only for measurements.
+	AcknowledgeAtCommit bool
 }
 
 // Default returns the settings of the demo.
@@ -247,6 +249,7 @@
 		CallerListen: l, PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Platform: c.Platform.Address(),
 		Trust: c.trust(), Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
 		DrainTime: drainTime, Log: c.Config.Log.Named(id), Seeds: c.seeds(),
+		AcknowledgeAtCommit: c.Config.AcknowledgeAtCommit,
 	})
 	if err != nil {
 		return nil, err
