measure slopes: what a daemon at rest uses, against callers, groups and daemons

Cause: docs/CAPACITY.md works from measured slopes, and there was no tool for them. Change: the relays count what they forward; standin/process can run the members of several groups within the process.

--- a/command/standin/measure/measure.go
+++ b/command/standin/measure/measure.go
@@ -33,7 +33,7 @@
 func NewCmdMeasure(f *factory.Factory) *command.Command {
 	return &command.Command{
 		Name: "measure", Short: "Measure a system of separate processes on loopback",
-		Commands: []*command.Command{newCmdPath(f), newCmdThroughput(f), newCmdMemory(f), newCmdFailover(f), newCmdWrites(f)},
+		Commands: []*command.Command{newCmdPath(f), newCmdThroughput(f), newCmdMemory(f), newCmdFailover(f), newCmdWrites(f), newCmdSlopes(f)},
 	}
 }
 
--- /dev/null
+++ b/standin/measure/slopes.go
@@ -0,0 +1,185 @@
+package measure
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/dragonflypick/dragonflypick/standin/process"
+	"github.com/dragonflypick/dragonflypick/standin/relay"
+)
+
+// watchTime is how long a system at rest is watched.
+const watchTime = 5 * time.Second
+
+// Limits of a system that is measured.
+const (
+	maxGroups  = 100
+	maxDaemons = 40
+)
+
+// SlopesConfig holds the settings of Slopes.
+type SlopesConfig struct {
+	Process process.Config
+	// Callers, Groups and Daemons are the sizes that are tried.
+	Callers []int
+	Groups  []int
+	Daemons []int
+}
+
+// SlopePoint is what the first daemon uses in a system at rest.
+type SlopePoint struct {
+	Callers int `json:"callers"`
+	Groups  int `json:"groups"`
+	Daemons int `json:"daemons"`
+	// Cores is its processor time a second.
+	Cores float64 `json:"cores"`
+	// Resident is its resident memory in bytes.
+	Resident int64 `json:"resident-bytes"`
+	// Backend counts the members' traffic with all daemons, and with the replicas
+	// that pull from them, a second.
+	BackendMessages float64 `json:"backend-messages-per-second"`
+	BackendBytes    float64 `json:"backend-bytes-per-second"`
+	// Peer counts what reaches and leaves all daemons' peer addresses a second.
+	PeerMessages float64 `json:"peer-messages-per-second"`
+	PeerBytes    float64 `json:"peer-bytes-per-second"`
+	// Platform counts all daemons' traffic with the platform a second.
+	PlatformMessages float64 `json:"platform-messages-per-second"`
+	PlatformBytes    float64 `json:"platform-bytes-per-second"`
+}
+
+// SlopesReport tells how a daemon's cost grows.
+type SlopesReport struct {
+	Points []SlopePoint `json:"points"`
+}
+
+// Slopes starts systems of several sizes and watches them at rest. Members run
+// within this process, daemons as processes of their own.
+func Slopes(x context.Context, c SlopesConfig) (SlopesReport, error) {
+	var o SlopesReport
+	c.Process.Embedded, c.Process.Relays = true, true
+	var l []SlopePoint
+	for _, n := range c.Callers {
+		l = append(l, SlopePoint{Callers: n, Groups: 2, Daemons: 1})
+	}
+	for _, n := range c.Groups {
+		l = append(l, SlopePoint{Groups: n, Daemons: 1})
+	}
+	for _, n := range c.Daemons {
+		l = append(l, SlopePoint{Groups: 2, Daemons: n})
+	}
+	dir := c.Process.Dir
+	for i, p := range l {
+		if err := p.check(); err != nil {
+			return o, err
+		}
+		c.Process.Dir = filepath.Join(dir, "slope-"+strconv.Itoa(i))
+		if err := os.MkdirAll(c.Process.Dir, dirMode); err != nil {
+			return o, Error.Wrap(err)
+		}
+		if err := p.measure(x, c.Process); err != nil {
+			return o, err
+		}
+		o.Points = append(o.Points, p)
+	}
+	return o, nil
+}
+
+func (p *SlopePoint) check() error {
+	for _, y := range []LimitError{
+		{What: "callers", Value: p.Callers, Max: maxSessions},
+		{What: "groups", Value: p.Groups, Max: maxGroups},
+		{What: "daemons", Value: p.Daemons, Max: maxDaemons},
+	} {
+		if y.Value < 0 || y.Value > y.Max {
+			return Error.Wrap(&y)
+		}
+	}
+	return nil
+}
+
+// measure fills the point in.
+func (p *SlopePoint) measure(x context.Context, c process.Config) error {
+	c.Groups, c.Daemons = p.Groups, p.Daemons
+	s, err := process.Start(x, c)
+	if err != nil {
+		return err
+	}
+	defer s.Stop()
+	d := s.Daemons[0]
+	l, err := connect(p.Callers, func() (*pgx.Conn, error) { return idle(x, d.Address) })
+	defer closeAll(l)
+	if err != nil {
+		return err
+	}
+	time.Sleep(settleTime)
+	b, err := observe(s)
+	if err != nil {
+		return err
+	}
+	time.Sleep(watchTime)
+	e, err := observe(s)
+	if err != nil {
+		return err
+	}
+	p.fill(b, e)
+	p.Resident, err = residentBytes(d.PID())
+	return err
+}
+
+// observation is what a system has used so far.
+type observation struct {
+	at                      time.Time
+	used                    time.Duration
+	backend, peer, platform relay.Count
+}
+
+func observe(s *process.System) (observation, error) {
+	o := observation{at: time.Now(), platform: s.PlatformRelay.Count()}
+	for _, m := range s.Members {
+		o.backend = sum(o.backend, m.Relay.Count())
+	}
+	for _, d := range s.Daemons {
+		o.peer = sum(o.peer, d.Relay.Count())
+	}
+	var err error
+	o.used, err = processorTime(s.Daemons[0].PID())
+	return o, err
+}
+
+func sum(a, b relay.Count) relay.Count {
+	return relay.Count{Writes: a.Writes + b.Writes, Bytes: a.Bytes + b.Bytes}
+}
+
+func (p *SlopePoint) fill(b, e observation) {
+	t := e.at.Sub(b.at).Seconds()
+	p.Cores = (e.used - b.used).Seconds() / t
+	rate := func(b, e relay.Count) (float64, float64) {
+		return float64(e.Writes-b.Writes) / t, float64(e.Bytes-b.Bytes) / t
+	}
+	p.BackendMessages, p.BackendBytes = rate(b.backend, e.backend)
+	p.PeerMessages, p.PeerBytes = rate(b.peer, e.peer)
+	p.PlatformMessages, p.PlatformBytes = rate(b.platform, e.platform)
+}
+
+// Print writes the report as text.
+func (r *SlopesReport) Print(o io.Writer) {
+	t := [][]string{{
+		"callers", "groups", "daemons", "cores", "resident MB", "backend msg/s", "backend B/s", "peer msg/s", "peer B/s",
+		"platform msg/s", "platform B/s",
+	}}
+	f := func(v float64, n int) string { return strconv.FormatFloat(v, 'f', n, 64) }
+	for _, p := range r.Points {
+		t = append(t, []string{
+			strconv.Itoa(p.Callers), strconv.Itoa(p.Groups), strconv.Itoa(p.Daemons), f(p.Cores, 3),
+			f(float64(p.Resident)/(1<<20), 1), f(p.BackendMessages, 1), f(p.BackendBytes, 0), f(p.PeerMessages, 1),
+			f(p.PeerBytes, 0), f(p.PlatformMessages, 1), f(p.PlatformBytes, 0),
+		})
+	}
+	table(o, t)
+}
--- a/standin/process/system.go
+++ b/standin/process/system.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +11,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/operator"
 	"github.com/dragonflypick/dragonflypick/platform"
@@ -42,8 +43,12 @@
 	Dir string
 	// Daemons is the number of daemons, spread over two failure domains.
 	Daemons int
-	// Members is the number of members of the group.
+	// Groups is the number of groups; the first is named Group.
+	Groups int
+	// Members is the number of members of each group.
 	Members int
+	// Embedded runs the members within this process.
+	Embedded bool
 	// Slots and Connections are the limits of each member.
 	Slots       int
 	Connections int
@@ -63,24 +68,11 @@
 // Default returns the settings of the README's processes.
 func Default() Config {
 	return Config{
-		Daemons: 3, Members: 3, Slots: 3, Connections: 20, StatementCost: time.Millisecond,
+		Daemons: 3, Groups: 1, Members: 3, Slots: 3, Connections: 20, StatementCost: time.Millisecond,
 		ConnectCost: 12 * time.Millisecond, Callers: 10000, LogLevel: "info",
 	}
 }
 
-// Member is a member process.
-type Member struct {
-	*Process
-	// Address is the member's own address.
-	Address string
-	// Front is the address that all others use.
-	Front string
-	// Fault is the address for switching faults.
-	Fault string
-	// Relay stands between the member and all others.
-	Relay *relay.Relay
-}
-
 // Daemon is a daemon process.
 type Daemon struct {
 	*Process
@@ -101,6 +93,9 @@
 
 	// platform is the platform's address for daemons.
 	platform string
+	// g and stop run and end embedded members.
+	g        *errgroup.Group
+	stop     context.CancelFunc
 	s        *starter
 	author   *bundle.Key
 	approver *bundle.Key
@@ -128,10 +123,8 @@
 	if err := s.startPlatform(); err != nil {
 		return err
 	}
-	for range s.Config.Members {
-		if err := s.startMember(); err != nil {
-			return err
-		}
+	if err := s.startMembers(); err != nil {
+		return err
 	}
 	if err := s.push(x); err != nil {
 		return err
@@ -176,35 +169,6 @@
 	}
 }
 
-func (s *System) startMember() error {
-	m := &Member{}
-	var err error
-	if m.Address, err = s.ports.take(); err != nil {
-		return err
-	}
-	if m.Fault, err = s.ports.take(); err != nil {
-		return err
-	}
-	if m.Relay, m.Front, err = s.front(m.Address); err != nil {
-		return err
-	}
-	a := []string{
-		"database", "--listen", m.Address, "--fault-listen", m.Fault, "--password", BackendPassword,
-		"--statement-cost", s.Config.StatementCost.String(), "--connect-cost", s.Config.ConnectCost.String(),
-		"--slots", strconv.Itoa(s.Config.Slots), "--connections", strconv.Itoa(s.Config.Connections),
-	}
-	if len(s.Members) > 0 {
-		a = append(a, "--primary", s.Members[0].Front)
-	}
-	n := Group + "-" + strconv.Itoa(len(s.Members)+1)
-	if m.Process, err = s.s.start(s.Config.Dir, n, s.Config.Programs.Standin, nil, a...); err != nil {
-		stopRelay(m.Relay)
-		return err
-	}
-	s.Members = append(s.Members, m)
-	return nil
-}
-
 func domain(i int) string { return region + "-" + strconv.Itoa(i%2+1) }
 
 // push signs a bundle and rolls it out, as soon as the platform answers.
@@ -221,14 +185,7 @@
 		return err
 	}
 	b.Callers = []bundle.Caller{{Name: cluster.CallerName, Scram: v, Rank: "routine", Groups: []string{Group}}}
-	g := bundle.Group{Name: Group}
-	for i, m := range s.Members {
-		g.Members = append(g.Members, bundle.Member{
-			Name: m.Name, Address: m.Front, Region: region, FailureDomain: domain(i),
-			Slots: s.Config.Slots, Connections: s.Config.Connections,
-		})
-	}
-	b.Groups = []bundle.Group{g}
+	b.Groups = s.groups()
 	e, err := bundle.Sign(x, b, s.author, s.approver)
 	if err != nil {
 		return err
@@ -325,7 +282,9 @@
 		l = append(l, d.Process)
 	}
 	for _, m := range s.Members {
-		l = append(l, m.Process)
+		if m.Process != nil {
+			l = append(l, m.Process)
+		}
 	}
 	if s.Platform != nil {
 		l = append(l, s.Platform)
@@ -334,6 +293,10 @@
 		_ = p.Kill()
 	}
 	s.s.close()
+	if s.stop != nil {
+		s.stop()
+		_ = s.g.Wait()
+	}
 	for _, d := range s.Daemons {
 		stopRelay(d.Relay)
 	}
@@ -367,31 +330,3 @@
 func (e *StartError) Error() string {
 	return "not ready within " + startTimeout.String() + "\n" + e.Logs
 }
-
-// ports hands out free ports below the range of outgoing connections.
-type ports struct{ next int }
-
-// The range of ports.
-const (
-	firstPort = 10000
-	portCount = 20000
-)
-
-func newPorts() *ports { return &ports{next: os.Getpid() * portStride % portCount} }
-
-// portStride keeps the ports of processes with neighbouring ids apart.
-const portStride = 61
-
-// take returns a free address on loopback.
-func (p *ports) take() (string, error) {
-	var err error
-	for range portCount {
-		a := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+p.next%portCount))
-		p.next++
-		var l net.Listener
-		if l, err = net.Listen("tcp", a); err == nil {
-			return a, Error.Wrap(l.Close())
-		}
-	}
-	return "", Error.Wrap(err)
-}
--- a/standin/relay/pump.go
+++ b/standin/relay/pump.go
@@ -39,7 +39,7 @@
 		b := make([]byte, chunkSize)
 		n, err := from.Read(b)
 		if n > 0 {
-			c <- chunk{b: b[:n], due: time.Now().Add(r.delayed())}
+			c <- chunk{b: b[:n], due: time.Now().Add(r.took(n))}
 		}
 		if err != nil {
 			break
@@ -59,9 +59,12 @@
 	k.close(false)
 }
 
-func (r *Relay) delayed() time.Duration {
+// took counts n bytes and returns their delay.
+func (r *Relay) took(n int) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.count.Writes++
+	r.count.Bytes += int64(n)
 	return r.delay
 }
 
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -57,6 +57,22 @@
 	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
 	links   map[*link]struct{}
+	count   Count
+}
+
+// Count is what a relay has forwarded in both directions.
+type Count struct {
+	// Writes is the number of pieces as they were read, which is near the
+	// number of messages while there are few.
+	Writes int64 `json:"writes"`
+	Bytes  int64 `json:"bytes"`
+}
+
+// Count returns what was forwarded since the start.
+func (r *Relay) Count() Count {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count
 }
 
 // link is one forwarded connection.
