--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,6 +69,8 @@
 	// TLS is offered to callers; nil for none.
 	TLS *tls.Config
 	Log hclog.Logger
+	// AcknowledgeAtCommit is as in owner.Config; it is only for measurements.
+	AcknowledgeAtCommit bool
 }
 
 // Daemon is one proxy process.
@@ -119,6 +121,7 @@
 	}
 	d.owner = owner.New(owner.Config{
 		Host: c.Host.ID, Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
+		AcknowledgeAtCommit: c.AcknowledgeAtCommit,
 	})
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -380,6 +383,9 @@
 func (d *Daemon) groupChanged(group string, c failover.Changed) {
 	d.router.learn(group, failover.View{Term: c.Term, Primary: c.Primary})
 	d.owner.Replaced(group, c.Primary)
+	if c.Stages != (failover.Stages{}) {
+		d.publish(group)
+	}
 }
 
 // reconcile watches the groups of which this daemon owns a member. The owned
