--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -281,22 +281,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w, ok := d.watches[group]
-	if ok && reflect.DeepEqual(w.g, g) {
-		w.needed = time.Now()
-		return w.m
+	if !ok {
+		return d.startWatch(g)
 	}
-	if ok {
-		w.stop()
+	w.needed = time.Now()
+	if !reflect.DeepEqual(w.g, g) {
+		w.g = g
+		w.m.Configure(g)
 	}
-	return d.startWatch(g)
+	return w.m
 }
 
 // startWatch starts a monitor; d.mu is held.
 func (d *Daemon) startWatch(g *bundle.Group) *monitor.Monitor {
 	m := monitor.New(monitor.Config{
 		Group: g, Holder: d.c.Host.ID, Log: d.c.Log.Named("monitor"),
-		Place:   func() int { return d.place(g) },
-		Near:    func(m *bundle.Member) int { return near(g, m) },
+		Place:   func() int { return d.place(d.groupNow(g)) },
+		Near:    near,
 		Status:  func(x context.Context, m *bundle.Member) (failover.Status, error) { return d.askStatus(x, g, m) },
 		Control: func(m *bundle.Member) *backend.Control { return d.control(g, m) },
 		Changed: func(group string, c failover.Changed) { d.groupChanged(group, c) },
@@ -307,6 +308,14 @@
 	return m
 }
 
+// groupNow returns a group as the bundle in force has it.
+func (d *Daemon) groupNow(g *bundle.Group) *bundle.Group {
+	if n, ok := d.bundle().Group(g.Name); ok {
+		return n
+	}
+	return g
+}
+
 // near counts the other members in a member's region, so that a write on the
 // member reaches a majority without the region link where it can.
 func near(g *bundle.Group, m *bundle.Member) int {
@@ -400,7 +409,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for n, w := range d.watches {
-		if time.Since(w.needed) > watchLinger {
+		if time.Since(w.needed) > watchLinger && w.m.InFlight() == 0 {
 			w.stop()
 			delete(d.watches, n)
 		}
--- a/failover/failover.go
+++ b/failover/failover.go
@@ -5,8 +5,6 @@
 import (
 	"sort"
 	"time"
-
-	"github.com/dragonflypick/dragonflypick/logpos"
 )
 
 // The stages of a failover, within the target of 5 s.
@@ -26,154 +24,14 @@
 	retryPause = 400 * time.Millisecond
 )
 
-// Role is what a member reports to be.
-type Role string
-
-// The roles of a member.
-const (
-	Primary Role = "primary"
-	Replica Role = "replica"
-)
-
-// Status is what a member reports of itself.
-type Status struct {
-	Role Role `json:"role"`
-	// Term is the highest term that the member has accepted.
-	Term uint64 `json:"term"`
-	// Position is the last entry of the member's log.
-	Position logpos.Position `json:"position"`
-	// Primary is the address that a replica follows; empty if none.
-	Primary string `json:"primary,omitempty"`
-	// Contact is how long ago a replica last heard from its primary.
-	Contact time.Duration `json:"contact"`
-}
-
-// Member is a member of the group.
-type Member struct {
-	Name    string
-	Address string
-	// Leaving members aren't promoted if another will do.
-	Leaving bool
-	// Near is the member's worth as a primary among equals; higher is better.
-	Near int
-}
-
-// Event is something that the group learns.
-type Event interface{ event() }
-
-// Reported is a member's report.
-type Reported struct {
-	Member string
-	Status Status
-	// Sent is when the request left; Status held at some time after it.
-	Sent time.Time
-}
-
-// Failed tells that a member didn't answer on a fresh connection.
-type Failed struct{ Member string }
-
-// Fenced is the answer to a Fence action.
-type Fenced struct {
-	Member string
-	Term   uint64
-	// OK tells that the member accepted; Status is then its report.
-	OK     bool
-	Status Status
-}
-
-// Promoted is the answer to a Promote action.
-type Promoted struct {
-	Member string
-	Term   uint64
-	OK     bool
-	Status Status
-}
-
-// Configured replaces the members and this daemon's place among those that
-// watch the group; 0 is first to act.
-type Configured struct {
-	Members []Member
-	Place   int
-}
-
-// Ticked lets time pass. Jitter is a random number from 0 to 1.
-type Ticked struct{ Jitter float64 }
-
-func (Reported) event()   {}
-func (Failed) event()     {}
-func (Fenced) event()     {}
-func (Promoted) event()   {}
-func (Configured) event() {}
-func (Ticked) event()     {}
-
-// Action is something that the group wants done.
-type Action interface{ action() }
-
-// Fence asks a member to refuse all terms below Term.
-type Fence struct {
-	Member string
-	Term   uint64
-}
-
-// Promote asks a member that this daemon has fenced to become primary.
-type Promote struct {
-	Member string
-	Term   uint64
-}
-
-// Follow asks a member to replicate from a primary.
-type Follow struct {
-	Member string
-	Term   uint64
-	// Primary is the primary's address.
-	Primary string
-}
-
-// Changed tells that the group has another primary.
-type Changed struct {
-	Term    uint64
-	Primary string
-	// Stages are how long this daemon took; zero if another daemon acted.
-	Stages Stages
-}
-
-// Suspected tells why a failover begins.
-type Suspected struct {
-	Term   uint64
-	Reason Reason
-}
-
-func (Fence) action()     {}
-func (Promote) action()   {}
-func (Follow) action()    {}
-func (Changed) action()   {}
-func (Suspected) action() {}
-
-// Reason tells why a primary is replaced.
-type Reason string
-
-// The reasons of a failover.
-const (
-	Unreachable Reason = "primary-unreachable"
-	Cut         Reason = "primary-cut-from-replicas"
-	NoPrimary   Reason = "no-primary"
-)
-
-// Stages are the durations of the parts of a failover.
-type Stages struct {
-	// Confirm is from the first failure to the decision.
-	Confirm time.Duration
-	// Fence is from the decision to a fenced majority.
-	Fence time.Duration
-	// Promote is from there to the new primary's report.
-	Promote time.Duration
-}
-
 // phase is what the group is doing.
 type phase int
 
 const (
 	steady phase = iota
+	// draining lets running requests on a leaving primary end, and its
+	// successor catch up.
+	draining
 	fencing
 	promoting
 )
@@ -202,8 +60,9 @@
 	// began is when the round began, and since when its cause stood.
 	began time.Time
 	since time.Time
-	// fenced holds the members fenced in the round.
-	fenced map[string]Status
+	// fenced holds the members fenced in the round, refused those that refused.
+	fenced  map[string]Status
+	refused map[string]bool
 	// fencedAt is when they made a majority.
 	fencedAt time.Time
 	chosen   string
@@ -215,6 +74,13 @@
 	announced uint64
 	// highest is the highest term that a member is known to hold.
 	highest uint64
+	// heir is the successor that a switchover waits for; empty in a failover.
+	heir string
+	// drained is when the last request on a leaving primary had ended; zero
+	// while some run.
+	drained time.Time
+	// jitter is that of the last Ticked.
+	jitter float64
 	// samples are positions of the primary, oldest first.
 	samples []sample
 }
@@ -228,7 +94,7 @@
 	case Configured:
 		g.configure(x)
 	case Reported:
-		g.report(x.Member, x.Status, x.Sent)
+		g.report(x.Member, x.Status, x.Sent, x.Sent)
 	case Failed:
 		if m := g.members[x.Member]; m != nil && m.failing.IsZero() {
 			m.failing = now
@@ -257,7 +123,9 @@
 	g.place = x.Place
 }
 
-func (g *Group) report(name string, s Status, sent time.Time) {
+// report takes in a member's report: sent orders reports, asked is when the
+// request for it left.
+func (g *Group) report(name string, s Status, sent, asked time.Time) {
 	m := g.members[name]
 	if m == nil {
 		return
@@ -268,7 +136,7 @@
 	}
 	m.known, m.status, m.sent, m.failing = true, s, sent, time.Time{}
 	if m == g.top() {
-		g.sample(s.Position, sent)
+		g.sample(s.Position, asked)
 	}
 }
 
@@ -332,18 +200,22 @@
 }
 
 func (g *Group) tick(x Ticked, now time.Time) []Action {
-	if g.phase != steady {
+	g.jitter = x.Jitter
+	switch g.phase {
+	case draining:
+		return g.drain(x, now)
+	case fencing, promoting:
 		if now.Sub(g.began) < RoundTimeout {
 			return nil
 		}
-		g.abandon(x.Jitter, now)
+		g.abandon(now)
 	}
 	o := g.settle(now)
 	why, since := g.cause(now)
-	if why == "" || now.Before(g.rest) {
-		return o
+	if why == "" {
+		return append(o, g.release(now)...)
 	}
-	if now.Sub(since) < ConfirmTime+time.Duration(g.place)*Stagger {
+	if now.Before(g.rest) || now.Sub(since) < ConfirmTime+time.Duration(g.place)*Stagger {
 		return o
 	}
 	if g.reachable(now) < g.majority() {
@@ -407,7 +279,8 @@
 func (g *Group) begin(why Reason, since, now time.Time) []Action {
 	g.phase, g.term = fencing, g.highest+1
 	g.began, g.since = now, since
-	g.fenced, g.chosen = map[string]Status{}, ""
+	g.fenced, g.refused = map[string]Status{}, map[string]bool{}
+	g.chosen, g.heir = "", ""
 	o := []Action{Suspected{Term: g.term, Reason: why}}
 	for _, n := range g.names() {
 		o = append(o, Fence{Member: n, Term: g.term})
@@ -415,23 +288,25 @@
 	return o
 }
 
-func (g *Group) abandon(jitter float64, now time.Time) {
+// abandon ends a round without a new primary. The pause before the next one
+// lets a daemon that won the race finish.
+func (g *Group) abandon(now time.Time) {
 	g.phase = steady
-	g.rest = now.Add(retryPause + time.Duration(jitter*float64(retryPause)) + time.Duration(g.place)*Stagger)
+	g.rest = now.Add(retryPause + time.Duration(g.jitter*float64(retryPause)) + time.Duration(g.place)*Stagger)
 }
 
 func (g *Group) onFenced(x Fenced, now time.Time) []Action {
-	if x.OK {
-		g.report(x.Member, x.Status, now)
+	if x.Status.Role != "" {
+		g.report(x.Member, x.Status, now, g.began)
 	}
 	if g.phase != fencing || x.Term != g.term {
 		return nil
 	}
 	if !x.OK {
-		return nil
+		return g.onRefused(x, now)
 	}
 	g.fenced[x.Member] = x.Status
-	if len(g.fenced) < g.majority() {
+	if _, ok := g.fenced[g.heir]; len(g.fenced) < g.majority() || g.heir != "" && !ok {
 		return nil
 	}
 	g.phase, g.fencedAt = promoting, now
@@ -439,6 +314,16 @@
 	return []Action{Promote{Member: g.chosen, Term: g.term}}
 }
 
+// onRefused ends a round that can't be won any more: a member has a higher
+// term, or too few are left that could still accept this one.
+func (g *Group) onRefused(x Fenced, now time.Time) []Action {
+	g.refused[x.Member] = true
+	if g.highest > g.term || x.Member == g.heir || len(g.members)-len(g.refused) < g.majority() {
+		g.abandon(now)
+	}
+	return nil
+}
+
 // choose returns the fenced member with the latest position: it has every
 // write that was on a majority. Among equals one that stays goes first, then
 // the nearest.
@@ -472,13 +357,13 @@
 
 func (g *Group) onPromoted(x Promoted, now time.Time) []Action {
 	if x.OK {
-		g.report(x.Member, x.Status, now)
+		g.report(x.Member, x.Status, now, g.fencedAt)
 	}
 	if g.phase != promoting || x.Term != g.term || x.Member != g.chosen {
 		return g.settle(now)
 	}
 	if !x.OK {
-		g.abandon(0, now)
+		g.onUnpromoted(x, now)
 		return nil
 	}
 	g.phase = steady
@@ -488,3 +373,16 @@
 	}}}
 	return append(o, g.settle(now)...)
 }
+
+// onUnpromoted handles a promotion that gave no success. It may have taken
+// effect all the same, so no other member may become primary of this term: the
+// next round takes the next term, and at once, since the cause was confirmed.
+func (g *Group) onUnpromoted(x Promoted, now time.Time) {
+	g.abandon(now)
+	if m := g.members[x.Member]; m != nil && m.failing.IsZero() {
+		m.failing = now
+	}
+	if g.highest <= g.term {
+		g.rest, g.orphaned = now, g.since
+	}
+}
--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -18,7 +18,6 @@
 	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/failover"
-	"github.com/dragonflypick/dragonflypick/logpos"
 )
 
 // Error is the class of all failures of this package.
@@ -38,13 +37,14 @@
 
 // Config holds what a monitor needs.
 type Config struct {
+	// Group is the group at the start; Configure replaces it.
 	Group *bundle.Group
 	// Holder names this daemon in fences; it is unique among daemons.
 	Holder string
 	// Place is this daemon's place among those that watch the group.
 	Place func() int
 	// Near tells the worth of a member as primary among equals.
-	Near func(*bundle.Member) int
+	Near func(*bundle.Group, *bundle.Member) int
 	// Status asks a member for its report.
 	Status func(context.Context, *bundle.Member) (failover.Status, error)
 	// Control returns the control connection of a member.
@@ -60,8 +60,11 @@
 	g *errgroup.Group
 	x context.Context
 
-	mu   sync.Mutex
-	core *failover.Group
+	mu    sync.Mutex
+	core  *failover.Group
+	group *bundle.Group
+	// inFlight counts the requests that run on the primary through this daemon.
+	inFlight int
 	// moved is closed and replaced whenever the core has learned something.
 	moved chan struct{}
 	// waiters counts writes that wait for a majority.
@@ -72,32 +75,62 @@
 
 // New returns a monitor; Run starts it.
 func New(c Config) *Monitor {
-	m := &Monitor{c: c, core: failover.New(), moved: make(chan struct{}), kick: make(chan struct{})}
-	m.configure(len(c.Group.Members))
+	m := &Monitor{c: c, group: c.Group, core: failover.New(), moved: make(chan struct{}), kick: make(chan struct{})}
+	m.place(len(c.Group.Members))
 	return m
 }
 
-// configure tells the core the members and this daemon's place.
-func (m *Monitor) configure(place int) {
+// place tells the core the members and this daemon's place.
+func (m *Monitor) place(place int) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	l := make([]failover.Member, 0, len(m.c.Group.Members))
-	for i := range m.c.Group.Members {
-		b := &m.c.Group.Members[i]
-		l = append(l, failover.Member{Name: b.Name, Address: b.Address, Leaving: b.Leaving, Near: m.c.Near(b)})
+	l := make([]failover.Member, 0, len(m.group.Members))
+	for i := range m.group.Members {
+		b := &m.group.Members[i]
+		l = append(l, failover.Member{Name: b.Name, Address: b.Address, Leaving: b.Leaving, Near: m.c.Near(m.group, b)})
 	}
 	m.core.Handle(failover.Configured{Members: l, Place: place}, time.Now())
 }
 
+// Configure replaces the group's settings by those of a later bundle; what is
+// known of members that stay, and who waits, is kept.
+func (m *Monitor) Configure(b *bundle.Group) {
+	m.mu.Lock()
+	old := m.group
+	m.group = b
+	g, x := m.g, m.x
+	m.mu.Unlock()
+	if g == nil {
+		return
+	}
+	for i := range b.Members {
+		n := &b.Members[i]
+		if o := find(old, n.Name); o == nil || o.Address != n.Address {
+			g.Go(func() error { return m.poll(x, n) })
+		}
+	}
+}
+
+// find returns the member of a group with a name, or nil.
+func find(g *bundle.Group, name string) *bundle.Member {
+	for i := range g.Members {
+		if g.Members[i].Name == name {
+			return &g.Members[i]
+		}
+	}
+	return nil
+}
+
 // Run polls until the context ends.
 func (m *Monitor) Run(x context.Context) error {
 	g, x := errgroup.WithContext(x)
 	m.mu.Lock()
 	m.g, m.x = g, x
+	b := m.group
 	m.mu.Unlock()
-	for i := range m.c.Group.Members {
-		b := &m.c.Group.Members[i]
-		g.Go(func() error { return m.poll(x, b) })
+	for i := range b.Members {
+		n := &b.Members[i]
+		g.Go(func() error { return m.poll(x, n) })
 	}
 	g.Go(func() error { return m.tick(x) })
 	err := g.Wait()
@@ -112,14 +145,14 @@
 		case <-x.Done():
 			return nil
 		case <-t.C:
-			m.configure(m.c.Place())
-			m.handle(failover.Ticked{Jitter: rand.Float64()})
+			m.place(m.c.Place())
+			m.handle(failover.Ticked{Jitter: rand.Float64(), InFlight: m.InFlight()})
 		}
 	}
 }
 
 func (m *Monitor) poll(x context.Context, b *bundle.Member) error {
-	for x.Err() == nil {
+	for x.Err() == nil && m.has(b) {
 		s := time.Now()
 		r, err := m.c.Status(x, b)
 		d := pollInterval
@@ -150,7 +183,7 @@
 // pause waits between polls; a waiting write ends it early.
 func (m *Monitor) pause(x context.Context, d time.Duration, alive bool) {
 	m.mu.Lock()
-	busy, k := m.waiters > 0, m.kick
+	busy, k := m.waiters > 0 || m.core.Changing(), m.kick
 	m.mu.Unlock()
 	if busy && alive {
 		d, k = busyInterval, nil
@@ -167,7 +200,12 @@
 // handle feeds the core and carries out what it asks for.
 func (m *Monitor) handle(e failover.Event) {
 	m.mu.Lock()
+	c := m.core.Changing()
 	a := m.core.Handle(e, time.Now())
+	if !c && m.core.Changing() {
+		close(m.kick)
+		m.kick = make(chan struct{})
+	}
 	close(m.moved)
 	m.moved = make(chan struct{})
 	g, x := m.g, m.x
@@ -194,24 +232,57 @@
 	}
 }
 
+// member returns the member with a name, or nil.
 func (m *Monitor) member(n string) *bundle.Member {
-	for i := range m.c.Group.Members {
-		if m.c.Group.Members[i].Name == n {
-			return &m.c.Group.Members[i]
-		}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return find(m.group, n)
+}
+
+// has reports whether the group still has a member at its address.
+func (m *Monitor) has(b *bundle.Member) bool {
+	n := m.member(b.Name)
+	return n != nil && n.Address == b.Address
+}
+
+// control returns the control connection of a member. It returns *GoneError if
+// the group has it no more.
+func (m *Monitor) control(n string) (*backend.Control, error) {
+	b := m.member(n)
+	if b == nil {
+		return nil, Error.Wrap(&GoneError{Member: n})
 	}
-	return nil
+	return m.c.Control(b), nil
+}
+
+// GoneError reports a member that the group has no more.
+type GoneError struct {
+	Member string
 }
 
+func (e *GoneError) Error() string { return "no such member: " + e.Member }
+
 func (m *Monitor) fence(x context.Context, y failover.Fence) error {
-	s, err := m.c.Control(m.member(y.Member)).Fence(x, y.Term, m.c.Holder)
+	c, err := m.control(y.Member)
+	var s failover.Status
+	if err == nil {
+		s, err = c.Fence(x, y.Term, m.c.Holder)
+	}
 	m.c.Log.Info("fence", "group", m.c.Group.Name, "member", y.Member, "term", y.Term, "position", s.Position.String(), "error", err)
+	var e *pgconn.PgError
+	if errors.As(err, &e) && !full(err) {
+		s, _ = c.Status(x)
+	}
 	m.handle(failover.Fenced{Member: y.Member, Term: y.Term, OK: err == nil, Status: s})
 	return nil
 }
 
 func (m *Monitor) promote(x context.Context, y failover.Promote) error {
-	s, err := m.c.Control(m.member(y.Member)).Promote(x, y.Term, m.c.Holder)
+	c, err := m.control(y.Member)
+	var s failover.Status
+	if err == nil {
+		s, err = c.Promote(x, y.Term, m.c.Holder)
+	}
 	m.c.Log.Info("promote", "group", m.c.Group.Name, "member", y.Member, "term", y.Term, "error", err)
 	m.handle(failover.Promoted{Member: y.Member, Term: y.Term, OK: err == nil, Status: s})
 	return nil
@@ -219,92 +290,14 @@
 
 func (m *Monitor) follow(x context.Context, y failover.Follow) error {
 	t := time.Now()
-	s, err := m.c.Control(m.member(y.Member)).Follow(x, y.Term, y.Primary)
+	c, err := m.control(y.Member)
+	var s failover.Status
+	if err == nil {
+		s, err = c.Follow(x, y.Term, y.Primary)
+	}
 	m.c.Log.Info("follow", "group", m.c.Group.Name, "member", y.Member, "term", y.Term, "primary", y.Primary, "error", err)
 	if err == nil {
 		m.handle(failover.Reported{Member: y.Member, Status: s, Sent: t})
 	}
 	return nil
 }
-
-// View returns what is known of the group now.
-func (m *Monitor) View() failover.View {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.core.View(time.Now())
-}
-
-// Await waits until ok holds of the group, and reports whether it does.
-func (m *Monitor) Await(x context.Context, ok func(*failover.Group, time.Time) bool) bool {
-	for {
-		m.mu.Lock()
-		r, n := ok(m.core, time.Now()), m.moved
-		m.mu.Unlock()
-		if r {
-			return true
-		}
-		select {
-		case <-n:
-		case <-x.Done():
-			return false
-		}
-	}
-}
-
-// AwaitDurable waits until a majority of the members has the write at p. It
-// returns *SupersededError once another term has begun, and *TimeoutError when
-// the context ends first; both leave the write's fate open.
-func (m *Monitor) AwaitDurable(x context.Context, p logpos.Position) error {
-	m.wait(1)
-	defer m.wait(-1)
-	lost := false
-	ok := m.Await(x, func(g *failover.Group, _ time.Time) bool {
-		if g.Durable(p) {
-			return true
-		}
-		lost = g.Superseded(p.Term)
-		return lost
-	})
-	switch {
-	case lost:
-		return Error.Wrap(&SupersededError{Term: p.Term})
-	case !ok:
-		return Error.Wrap(&TimeoutError{Position: p})
-	default:
-		return nil
-	}
-}
-
-func (m *Monitor) wait(n int) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.waiters += n
-	if n > 0 && m.waiters == 1 {
-		close(m.kick)
-		m.kick = make(chan struct{})
-	}
-}
-
-// AwaitReplica waits until a replica may serve a read, and reports whether it
-// may.
-func (m *Monitor) AwaitReplica(x context.Context, ok func(*failover.Group, time.Time) bool) bool {
-	m.wait(1)
-	defer m.wait(-1)
-	return m.Await(x, ok)
-}
-
-// SupersededError reports that the term of a write has ended.
-type SupersededError struct {
-	Term uint64
-}
-
-func (e *SupersededError) Error() string { return "the term of the write has ended" }
-
-// TimeoutError reports that a majority didn't have a write in time.
-type TimeoutError struct {
-	Position logpos.Position
-}
-
-func (e *TimeoutError) Error() string {
-	return "no majority had position " + e.Position.String() + " in time"
-}
--- a/monitor/resolve.go
+++ b/monitor/resolve.go
@@ -7,7 +7,6 @@
 
 	"github.com/jackc/pgx/v5/pgconn"
 
-	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/failover"
 	"github.com/dragonflypick/dragonflypick/logpos"
 )
@@ -29,7 +28,7 @@
 		if !ok {
 			return false, Error.Wrap(&TimeoutError{Position: p})
 		}
-		h, s, err := m.c.Control(m.member(n)).LogHolds(x, p)
+		h, s, err := m.holds(x, n, p)
 		m.c.Log.Info("position of an ended term", "group", m.c.Group.Name, "member", n, "position", p.String(),
 			"holds", h, "role", s.Role, "term", s.Term, "error", err)
 		if err == nil && s.Role == failover.Primary && s.Term > p.Term {
@@ -39,6 +38,14 @@
 	}
 }
 
+func (m *Monitor) holds(x context.Context, n string, p logpos.Position) (bool, failover.Status, error) {
+	c, err := m.control(n)
+	if err != nil {
+		return false, failover.Status{}, err
+	}
+	return c.LogHolds(x, p)
+}
+
 // Attempt is a session that may have committed a transaction.
 type Attempt struct {
 	Member string
@@ -60,7 +67,7 @@
 		if !ok {
 			return nil, logpos.Position{}, Error.Wrap(&TimeoutError{})
 		}
-		r, s, err := m.lookAt(x, m.c.Control(m.member(n)), n, a, q)
+		r, s, err := m.lookAt(x, n, a, q)
 		if err == nil && s.Role == failover.Primary && s.Term == t && (s.Position.IsZero() || m.AwaitDurable(x, s.Position) == nil) {
 			return r, s.Position, nil
 		}
@@ -70,7 +77,11 @@
 }
 
 // lookAt asks one member; its status is taken after the rows.
-func (m *Monitor) lookAt(x context.Context, c *backend.Control, n string, a Attempt, q string) ([][][]byte, failover.Status, error) {
+func (m *Monitor) lookAt(x context.Context, n string, a Attempt, q string) ([][][]byte, failover.Status, error) {
+	c, err := m.control(n)
+	if err != nil {
+		return nil, failover.Status{}, err
+	}
 	if a.PID != 0 && a.Member == n {
 		ended, err := c.Terminate(x, a.PID)
 		if err != nil {
@@ -99,22 +110,22 @@
 // End ends the session of an attempt, if its member answers, so that an open
 // transaction holds no locks.
 func (m *Monitor) End(x context.Context, a Attempt) {
-	b := m.member(a.Member)
-	if b == nil {
+	c, err := m.control(a.Member)
+	if err != nil {
 		return
 	}
-	ended, err := m.c.Control(b).Terminate(x, a.PID)
+	ended, err := c.Terminate(x, a.PID)
 	m.c.Log.Info("session ended", "group", m.c.Group.Name, "member", a.Member, "ended", ended, "error", err)
 }
 
 // Idle reports whether a member says, on a connection that works, that a
 // session runs no statement.
 func (m *Monitor) Idle(x context.Context, a Attempt) bool {
-	b := m.member(a.Member)
-	if b == nil {
+	c, err := m.control(a.Member)
+	if err != nil {
 		return false
 	}
-	i, err := m.c.Control(b).Idle(x, a.PID)
+	i, err := c.Idle(x, a.PID)
 	return err == nil && i
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -135,6 +135,8 @@
 	srv      *server
 	// role is that of the member that serves.
 	role string
+	// entered tells that the monitor counts the request.
+	entered bool
 }
 
 // run serves the stream. It returns a verdict that is still to be sent, or
@@ -151,6 +153,9 @@
 	if v := t.eligible(x, b, m); v.Outcome != "" {
 		return v
 	}
+	if t.entered {
+		defer t.m.Leave()
+	}
 	t.srv = t.o.server(b, g, m)
 	k, err := t.srv.enter(x, t.arrival())
 	if err != nil {
@@ -200,7 +205,7 @@
 	x, stop := context.WithTimeout(x, min(primaryWait, max(time.Until(t.deadline), 0)))
 	defer stop()
 	elsewhere := false
-	ok := t.m.Await(x, func(g *failover.Group, now time.Time) bool {
+	t.entered = t.m.Enter(x, func(g *failover.Group, now time.Time) bool {
 		v := g.View(now)
 		elsewhere = v.Primary != "" && v.Primary != m.Name
 		return elsewhere || v.Primary == m.Name && v.Confirmed && !v.Leads(t.h.Floor)
@@ -208,8 +213,11 @@
 	v := t.m.View()
 	switch {
 	case elsewhere:
+		if t.entered {
+			t.m.Leave()
+		}
 		return peer.Verdict{Outcome: peer.Moved, Reason: "not-primary", View: &v}
-	case !ok:
+	case !t.entered:
 		return peer.Verdict{Outcome: peer.NotRun, Reason: "no-confirmed-primary", RetryAfter: defaultRetryAfter, View: &v}
 	default:
 		return peer.Verdict{}
@@ -227,7 +235,7 @@
 	}
 	x, stop := context.WithTimeout(x, replicaWait)
 	defer stop()
-	if t.m.View().Primary == m.Name {
+	if m.Leaving || t.m.View().Primary == m.Name {
 		return false
 	}
 	return t.m.AwaitReplica(x, ok)
