--- /dev/null
+++ b/caller/revoke.go
@@ -0,0 +1,35 @@
+package caller
+
+import (
+	"slices"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+)
+
+// Revoke ends the sessions that the bundle in force doesn't allow any more,
+// each as soon as its transaction has ended. It returns their number.
+func (s *Server) Revoke() int {
+	b := s.c.Bundle()
+	if b == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	k := 0
+	for _, n := range s.sessions {
+		if allowed(b, n.name, n.group) {
+			continue
+		}
+		k++
+		n.mu.Lock()
+		n.revoked = true
+		n.mu.Unlock()
+		n.leave()
+	}
+	return k
+}
+
+func allowed(b *bundle.Bundle, name, group string) bool {
+	c, ok := b.Caller(name)
+	return ok && slices.Contains(c.Groups, group)
+}
--- a/caller/session.go
+++ b/caller/session.go
@@ -59,6 +59,8 @@
 	busy bool
 	// leaving tells that the session ends when it isn't busy.
 	leaving bool
+	// revoked tells that it ends because the bundle doesn't allow it any more.
+	revoked bool
 }
 
 func (s *Server) newSession(c net.Conn, u *bundle.Bundle, w *bundle.Caller, g string, p map[string]string) (*client, error) {
@@ -119,7 +121,13 @@
 }
 
 func (n *client) farewell() {
-	n.fail(&RefusedError{Code: codeShutdown, Message: "the proxy is shutting down; connect again"}, true)
+	n.mu.Lock()
+	e := &RefusedError{Code: codeShutdown, Message: "the proxy is shutting down; connect again"}
+	if n.revoked {
+		e.Message = "the caller may not use this database any more"
+	}
+	n.mu.Unlock()
+	n.fail(e, true)
 	_ = n.w.Flush()
 }
 
--- a/command/bundle/bundle_test.go
+++ b/command/bundle/bundle_test.go
@@ -50,7 +50,7 @@
 		Expect(run(args...)).To(Equal(want))
 		Expect(errs.String()).To(ContainSubstring(message))
 	},
-		Entry("init for nobody", command.ExitUsage, "Invalid value", "init", "--for", "nobody"),
+		Entry("init for nobody", command.ExitUsage, "--for must be", "init", "--for", "nobody"),
 		Entry("check nothing", command.ExitUsage, "name a bundle file", "check"),
 		Entry("check a missing file", command.ExitError, "no such file", "check", "nosuch.yaml"),
 		Entry("diff nothing", command.ExitUsage, "name the new bundle", "diff"),
--- a/command/bundle/initial/initial.go
+++ b/command/bundle/initial/initial.go
@@ -18,7 +18,7 @@
 
 // Options are the flags of the command.
 type Options struct {
-	For string `long:"for" required:"true" choice:"lankaglow" choice:"muckspread" description:"Whose sizes to start from"`
+	For string `long:"for" required:"true" description:"Whose sizes to start from: lankaglow or muckspread"`
 	Out string `long:"out" short:"o" description:"File to write; it must not exist (default: standard output)"`
 
 	factory *factory.Factory
@@ -38,6 +38,9 @@
 			if len(a) > 0 {
 				return &command.FlagError{Reason: "takes no arguments"}
 			}
+			if o.For != "lankaglow" && o.For != "muckspread" {
+				return &command.FlagError{Reason: "--for must be lankaglow or muckspread"}
+			}
 			return runF(x, o)
 		},
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,7 +4,9 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
 	"reflect"
+	"strconv"
 	"sync"
 	"time"
 
@@ -113,7 +115,7 @@
 		group: &errgroup.Group{}, ctx: context.Background(),
 	}
 	d.owner = owner.New(owner.Config{
-		Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
+		Host: c.Host.ID, Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
 	})
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -235,6 +237,7 @@
 	d.c.Log.Info("drain begins", "id", d.c.Host.ID)
 	d.noteMember(membership.Left{ID: d.c.Host.ID})
 	d.announceLeave()
+	d.owner.Leave()
 	x, stop := context.WithTimeout(d.ctx, d.c.DrainTime)
 	defer stop()
 	d.callers.Drain(x)
@@ -295,7 +298,7 @@
 // startWatch starts a monitor; d.mu is held.
 func (d *Daemon) startWatch(g *bundle.Group) *monitor.Monitor {
 	m := monitor.New(monitor.Config{
-		Group: g, Holder: d.c.Host.ID, Log: d.c.Log.Named("monitor"),
+		Group: g, Holder: holder(d.c.Host.ID), Log: d.c.Log.Named("monitor"),
 		Place:   func() int { return d.place(d.groupNow(g)) },
 		Near:    near,
 		Status:  func(x context.Context, m *bundle.Member) (failover.Status, error) { return d.askStatus(x, g, m) },
@@ -308,6 +311,11 @@
 	return m
 }
 
+// holder names one monitor in fences. No two have the same name, also of one
+// host and after a restart: a promotion that an earlier one has sent and that
+// comes late must not meet the fence of a later one.
+func holder(id string) string { return id + "#" + strconv.FormatUint(rand.Uint64(), 36) }
+
 // groupNow returns a group as the bundle in force has it.
 func (d *Daemon) groupNow(g *bundle.Group) *bundle.Group {
 	if n, ok := d.bundle().Group(g.Name); ok {
@@ -398,13 +406,18 @@
 
 func (d *Daemon) ownsAny(g *bundle.Group) bool {
 	for i := range g.Members {
-		if h, ok := d.ownerOf(&g.Members[i]); ok && h.ID == d.c.Host.ID {
+		if d.owns(&g.Members[i]) {
 			return true
 		}
 	}
 	return false
 }
 
+func (d *Daemon) owns(m *bundle.Member) bool {
+	h, ok := d.ownerOf(m)
+	return ok && h.ID == d.c.Host.ID
+}
+
 func (d *Daemon) dropWatches() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -425,6 +438,9 @@
 			return nil
 		case <-t.C:
 			d.owner.Sweep()
+			if d.Ready() {
+				d.owner.Release(d.owns)
+			}
 		}
 	}
 }
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -151,6 +151,9 @@
 	if v.View != nil {
 		r.learn(group, *v.View)
 	}
+	if v.Left != "" {
+		r.d.heardLeave(v.Left)
+	}
 	if v.Outcome == peer.Moved {
 		r.mu.Lock()
 		r.t.Handle(route.Declined{Member: member}, time.Now())
--- a/failover/failover.go
+++ b/failover/failover.go
@@ -135,7 +135,7 @@
 		return
 	}
 	m.known, m.status, m.sent, m.failing = true, s, sent, time.Time{}
-	if m == g.top() {
+	if m == g.top() && g.confirmed(m, asked) {
 		g.sample(s.Position, asked)
 	}
 }
@@ -277,7 +277,7 @@
 
 // begin starts a round: it fences every member at a new term.
 func (g *Group) begin(why Reason, since, now time.Time) []Action {
-	g.phase, g.term = fencing, g.highest+1
+	g.phase, g.term = fencing, max(g.highest, g.term)+1
 	g.began, g.since = now, since
 	g.fenced, g.refused = map[string]Status{}, map[string]bool{}
 	g.chosen, g.heir = "", ""
--- a/owner/server.go
+++ b/owner/server.go
@@ -17,14 +17,19 @@
 
 // server is an owned backend server: its queue and its connections.
 type server struct {
-	name string
-	pool *backend.Pool
+	name    string
+	address string
+	pool    *backend.Pool
 
 	mu   sync.Mutex
 	q    *admit.Queue
 	next uint64
 	// waiting maps requests to where their action goes.
 	waiting map[uint64]chan admit.Action
+	// gone is closed when left is set: the server has another owner, another
+	// address, or no place in the bundle.
+	gone chan struct{}
+	left bool
 }
 
 func queueConfig(b *bundle.Bundle, m *bundle.Member) admit.Config {
@@ -35,10 +40,13 @@
 	return c
 }
 
+func poolSize(m *bundle.Member) int { return max(m.Connections-bundle.ControlConnections, 1) }
+
 func newServer(c backend.Config, b *bundle.Bundle, m *bundle.Member) *server {
 	return &server{
-		name: m.Name, pool: backend.NewPool(c, max(m.Connections-bundle.ControlConnections, 1)),
+		name: m.Name, pool: backend.NewPool(c, poolSize(m)),
 		q: admit.New(queueConfig(b, m)), waiting: map[uint64]chan admit.Action{},
+		address: m.Address, gone: make(chan struct{}),
 	}
 }
 
@@ -72,9 +80,14 @@
 	t.s.handle(admit.Finished{ID: t.id})
 }
 
-// enter waits for a slot. It returns *RefusedError if the request isn't run.
+// enter waits for a slot. It returns *RefusedError or *MovedError if the request
+// isn't run.
 func (s *server) enter(x context.Context, a admit.Arrived) (ticket, error) {
 	c := make(chan admit.Action, 1)
+	gone := s.gone
+	if a.Held {
+		gone = nil
+	}
 	s.mu.Lock()
 	s.next++
 	a.ID, a.Jitter = s.next, rand.Float64()
@@ -93,6 +106,9 @@
 			s.mu.Unlock()
 		case <-x.Done():
 			return ticket{}, s.withdraw(a.ID, c)
+		case <-gone:
+			_ = s.withdraw(a.ID, c)
+			return ticket{}, Error.Wrap(&MovedError{})
 		}
 	}
 }
--- /dev/null
+++ b/standin/cluster/switchover_test.go
@@ -0,0 +1,83 @@
+package cluster_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/standin/cluster"
+	"github.com/dragonflypick/dragonflypick/standin/load"
+)
+
+var _ = Describe("a leaving primary", Ordered, func() {
+	var c *cluster.Cluster
+	var connect func(int) *pgx.Conn
+	x := context.Background()
+
+	BeforeAll(func() { c, connect = startCluster(func(*cluster.Config) {}) })
+
+	leave := func(n string) {
+		b := *c.Bundle
+		b.Version++
+		g := b.Groups[0]
+		g.Members = append([]bundle.Member(nil), g.Members...)
+		for i := range g.Members {
+			g.Members[i].Leaving = g.Members[i].Name == n
+		}
+		b.Groups = []bundle.Group{g}
+		Expect(c.Push(&b)).To(Succeed())
+		c.Bundle = &b
+	}
+
+	It("is switched over without cutting a request", func() {
+		l := load.Config{
+			User: cluster.CallerName, Password: cluster.CallerPassword, Group: "orders", Seed: 4, Sessions: 20,
+			Duration: 3 * time.Second, Roam: 10, Rates: [bundle.RankCount]float64{60, 60, 10},
+		}
+		for _, d := range c.Daemons {
+			l.Addresses = append(l.Addresses, d.CallerAddress())
+		}
+		p := c.Primary("orders")
+		t := time.AfterFunc(l.Duration/3, func() {
+			defer GinkgoRecover()
+			leave(p.Name)
+		})
+		defer t.Stop()
+		r, err := load.Run(x, l)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(c.Primary("orders").Name).NotTo(Equal(p.Name))
+		Expect(r.Lost + r.Doubled + r.WronglyRefused + r.Stale).To(BeZero())
+		for _, k := range r.Ranks {
+			Expect(k.InDoubt+k.Failed+k.Refused).To(BeZero(), "%s %v", k.Rank, r.Codes)
+		}
+		GinkgoWriter.Printf("longest pause between acknowledged orders: %s\n", r.WriteGap)
+	})
+
+	It("lets an open transaction end first", func() {
+		p := c.Primary("orders")
+		n := connect(0)
+		_, err := n.Exec(x, "CREATE TABLE gel (id INTEGER)")
+		Expect(err).NotTo(HaveOccurred())
+		t, err := n.Begin(x)
+		Expect(err).NotTo(HaveOccurred())
+		_, err = t.Exec(x, "INSERT INTO gel (id) VALUES (1)")
+		Expect(err).NotTo(HaveOccurred())
+		leave(p.Name)
+		time.Sleep(500 * time.Millisecond)
+		Expect(c.Primary("orders").Name).To(Equal(p.Name))
+		_, err = t.Exec(x, "INSERT INTO gel (id) VALUES (2)")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(t.Commit(x)).To(Succeed())
+		Eventually(func() bool {
+			q := c.Primary("orders")
+			return q != nil && q.Name != p.Name
+		}).WithTimeout(5 * time.Second).Should(BeTrue())
+		var k int
+		Expect(n.QueryRow(x, "SELECT count(*) FROM gel").Scan(&k)).To(Succeed())
+		Expect(k).To(Equal(2))
+	})
+})
