--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,10 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
+	"reflect"
+	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -35,9 +37,6 @@
 	reconcileInterval = 250 * time.Millisecond
 	// watchLinger is how long a group that isn't needed stays watched.
 	watchLinger = 10 * time.Second
-	// retiredPlace is the place of a watch that another has taken over from: far
-	// behind all others.
-	retiredPlace = 1000
 	// sweepInterval is how often idle connections are checked.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -107,8 +106,6 @@
 	g      *bundle.Group
 	stop   context.CancelFunc
 	needed time.Time
-	// retired is set when another watch takes over.
-	retired *atomic.Bool
 }
 
 // New returns a daemon with open listening sockets.
@@ -290,64 +287,46 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w, ok := d.watches[group]
-	if ok && sameMembers(w.g, g) {
-		w.needed = time.Now()
-		return w.m
-	}
-	if ok {
-		d.retire(w)
-	}
-	return d.startWatch(g)
-}
-
-// sameMembers reports whether two versions of a group differ in limits only.
-func sameMembers(a, b *bundle.Group) bool {
-	if a.Name != b.Name || len(a.Members) != len(b.Members) {
-		return false
+	if !ok {
+		return d.startWatch(g)
 	}
-	for i := range a.Members {
-		x, y := a.Members[i], b.Members[i]
-		x.Slots, x.Connections = y.Slots, y.Connections
-		if x != y {
-			return false
-		}
+	w.needed = time.Now()
+	if !reflect.DeepEqual(w.g, g) {
+		w.g = g
+		w.m.Configure(g)
 	}
-	return true
-}
-
-// retire stops a monitor after a while, so that writes which wait for a
-// majority aren't cut; it leaves failover to the next one.
-func (d *Daemon) retire(w *watch) {
-	w.retired.Store(true)
-	d.group.Go(func() error {
-		pause(d.ctx, watchLinger)
-		w.stop()
-		return nil
-	})
+	return w.m
 }
 
 // startWatch starts a monitor; d.mu is held.
 func (d *Daemon) startWatch(g *bundle.Group) *monitor.Monitor {
-	retired := &atomic.Bool{}
 	m := monitor.New(monitor.Config{
-		Group: g, Holder: d.c.Host.ID, Log: d.c.Log.Named("monitor"),
-		Place: func() int {
-			if retired.Load() {
-				return retiredPlace
-			}
-			return d.place(g)
-		},
-		Near:    func(m *bundle.Member) int { return near(g, m) },
+		Group: g, Holder: holder(d.c.Host.ID), Log: d.c.Log.Named("monitor"),
+		Place:   func() int { return d.place(d.groupNow(g)) },
+		Near:    near,
 		Status:  func(x context.Context, m *bundle.Member) (failover.Status, error) { return d.askStatus(x, g, m) },
 		Control: func(m *bundle.Member) *backend.Control { return d.control(g, m) },
 		Changed: func(group string, c failover.Changed) { d.groupChanged(group, c) },
 	})
 	x, stop := context.WithCancel(d.ctx)
-	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now(), retired: retired}
+	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now()}
 	d.group.Go(func() error { return m.Run(x) })
 	return m
 }
 
+// holder names one monitor in fences. No two have the same name, also of one
+// host and after a restart: a promotion that an earlier one has sent and that
+// comes late must not meet the fence of a later one.
+func holder(id string) string { return id + "#" + strconv.FormatUint(rand.Uint64(), 36) }
+
+// groupNow returns a group as the bundle in force has it.
+func (d *Daemon) groupNow(g *bundle.Group) *bundle.Group {
+	if n, ok := d.bundle().Group(g.Name); ok {
+		return n
+	}
+	return g
+}
+
 // near counts the other members in a member's region, so that a write on the
 // member reaches a majority without the region link where it can.
 func near(g *bundle.Group, m *bundle.Member) int {
@@ -450,7 +429,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for n, w := range d.watches {
-		if time.Since(w.needed) > watchLinger {
+		if time.Since(w.needed) > watchLinger && w.m.InFlight() == 0 {
 			w.stop()
 			delete(d.watches, n)
 		}
--- a/standin/database/database.go
+++ b/standin/database/database.go
@@ -295,14 +295,17 @@
 	return p
 }
 
-// changed ends the transactions of the epoch before; m.mu is held.
+// changed ends the writing transactions of the epoch before; reads go on. m.mu
+// is held.
 func (m *Member) changed() {
 	m.epoch++
 	if m.unfollow != nil {
 		m.unfollow()
 	}
 	for s := range m.sessions {
-		s.interrupt()
+		if s.wants.Load() {
+			s.interrupt()
+		}
 	}
 	close(m.grown)
 	m.grown = make(chan struct{})
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -181,11 +181,13 @@
 	}
 	x, stop := context.WithTimeout(c, deadline)
 	defer stop()
+	s.wants.Store(true)
 	select {
 	case s.m.writer <- struct{}{}:
 		s.writing = true
 		return nil
 	case <-x.Done():
+		s.wants.Store(false)
 		return Error.Wrap(x.Err())
 	}
 }
@@ -252,6 +254,7 @@
 	if s.writing {
 		<-s.m.writer
 		s.writing = false
+		s.wants.Store(false)
 	}
 	s.open, s.began, s.failed, s.pending = false, false, false, nil
 }
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -42,6 +42,8 @@
 	db *sql.DB
 	// writing tells that the transaction holds the writer token.
 	writing bool
+	// wants tells that it holds or waits for that token.
+	wants atomic.Bool
 	// epoch is the member's epoch when the transaction began.
 	epoch uint64
 	// pending are the writes of the open transaction.
