measure slopes waits until daemons watch only what they own

Cause: the figures against the number of daemons grew with it (backend traffic 6.7 to 118 KB/s from 1 to 20 daemons). At its start each daemon takes itself for the owner of everything, and it watches what it doesn't need for 10 s more; the tool measured after 3 s. Ruled out: watching by all for good; in a cluster of 8 each group has 3 watchers after 12 s. The tool now waits 16 s.

--- a/standin/measure/slopes.go
+++ b/standin/measure/slopes.go
@@ -17,6 +17,10 @@
 // watchTime is how long a system at rest is watched.
 const watchTime = 5 * time.Second
 
+// restTime is the pause before: a daemon watches a group for 10 s after it has
+// needed it last, as all do at their start.
+const restTime = 16 * time.Second
+
 // Limits of a system that is measured.
 const (
 	maxGroups  = 100
@@ -117,7 +121,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(settleTime)
+	time.Sleep(restTime)
 	b, err := observe(s)
 	if err != nil {
 		return err
