--- a/matrix/check.go
+++ b/matrix/check.go
@@ -148,7 +148,7 @@
 // bounded reports whether the faults leave a majority that can serve, so that
 // the gap in service has a bound.
 func (r *run) bounded() bool {
-	if r.p.Second != "" {
+	if r.p.Second != "" || r.p.Wide {
 		return false
 	}
 	switch r.p.First {
--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -138,19 +138,16 @@
 	}
 }
 
-// slowReplicas stops one replica and slows the other down.
+// slowReplicas lets one replica fall far behind, and the others a little.
 func (r *run) slowReplicas(p *model.Member) {
-	first := true
+	var last *model.Member
 	for _, m := range r.w.Members {
-		switch {
-		case m == p:
-		case first:
+		if m != p {
 			m.Lag = littleBehind
-			first = false
-		default:
-			m.Lag = farBehind
+			last = m
 		}
 	}
+	last.Lag = farBehind
 }
 
 // replace kills a daemon; another host takes its place.
