failover: property of daemons that race for a group

Change: two or three daemons, members with real terms and logs, messages in any order and twice; at each promotion the term has no other primary and the log holds every position that any daemon found durable in an earlier term.

--- /dev/null
+++ b/failover/race_test.go
@@ -0,0 +1,241 @@
+package failover_test
+
+import (
+	"flag"
+	"slices"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/logpos"
+)
+
+// replica is a member of the group in a race.
+type replica struct {
+	name    string
+	role    failover.Role
+	term    uint64
+	holder  string
+	primary string
+	log     []logpos.Position
+}
+
+func (m *replica) status() failover.Status {
+	s := failover.Status{Role: m.role, Term: m.term, Primary: m.primary}
+	if n := len(m.log); n > 0 {
+		s.Position = m.log[n-1]
+	}
+	return s
+}
+
+func (m *replica) fence(t uint64, holder string) bool {
+	if t < m.term || t == m.term && m.holder != holder {
+		return false
+	}
+	if t > m.term {
+		m.term, m.holder, m.role, m.primary = t, holder, failover.Replica, ""
+	}
+	return true
+}
+
+func (m *replica) promote(t uint64, holder string) bool {
+	if t != m.term || holder != m.holder {
+		return false
+	}
+	if m.role != failover.Primary {
+		m.role, m.primary = failover.Primary, ""
+		m.write()
+	}
+	return true
+}
+
+func (m *replica) follow(t uint64, primary string) bool {
+	if t < m.term || t == m.term && m.role == failover.Primary {
+		return false
+	}
+	if t > m.term {
+		m.holder = ""
+	}
+	m.term, m.role, m.primary = t, failover.Replica, primary
+	return true
+}
+
+func (m *replica) write() {
+	m.log = append(m.log, logpos.Position{Term: m.term, Offset: uint64(len(m.log) + 1)})
+}
+
+// race is a group with daemons that race for it.
+type race struct {
+	t       *rapid.T
+	now     time.Time
+	members []*replica
+	daemons []*failover.Group
+	// pending are messages on their way, which arrive in any order.
+	pending []func()
+	// acknowledged are positions that a daemon has found durable.
+	acknowledged map[logpos.Position]bool
+	// promoted maps a term to its primary.
+	promoted map[uint64]string
+}
+
+func newRace(t *rapid.T, members, daemons int) *race {
+	r := &race{t: t, now: time.Unix(1000, 0), acknowledged: map[logpos.Position]bool{}, promoted: map[uint64]string{}}
+	var l []failover.Member
+	for i := range members {
+		n := string(rune('a' + i))
+		m := &replica{name: n, role: failover.Replica, term: 1, primary: "a"}
+		r.members = append(r.members, m)
+		l = append(l, failover.Member{Name: n, Address: n, Near: i})
+	}
+	r.members[0].role, r.members[0].primary = failover.Primary, ""
+	for i := range daemons {
+		g := failover.New()
+		g.Handle(failover.Configured{Members: l, Place: i}, r.now)
+		r.daemons = append(r.daemons, g)
+	}
+	return r
+}
+
+func (r *race) member(n string) *replica {
+	i := slices.IndexFunc(r.members, func(m *replica) bool { return m.name == n })
+	return r.members[i]
+}
+
+func (r *race) handle(d int, e failover.Event) {
+	for _, a := range r.daemons[d].Handle(e, r.now) {
+		r.act(d, a)
+	}
+	r.acknowledge(d)
+}
+
+func (r *race) send(f func()) { r.pending = append(r.pending, f) }
+
+func (r *race) act(d int, a failover.Action) {
+	holder := string(rune('0' + d))
+	switch x := a.(type) {
+	case failover.Fence:
+		m := r.member(x.Member)
+		r.send(func() {
+			ok := m.fence(x.Term, holder)
+			s := m.status()
+			r.send(func() { r.handle(d, failover.Fenced{Member: x.Member, Term: x.Term, OK: ok, Status: s}) })
+		})
+	case failover.Promote:
+		m := r.member(x.Member)
+		r.send(func() {
+			ok := m.promote(x.Term, holder)
+			if ok {
+				r.check(m)
+			}
+			s := m.status()
+			r.send(func() { r.handle(d, failover.Promoted{Member: x.Member, Term: x.Term, OK: ok, Status: s}) })
+		})
+	case failover.Follow:
+		m := r.member(x.Member)
+		r.send(func() { m.follow(x.Term, x.Primary) })
+	}
+}
+
+// acknowledge notes what a daemon finds durable.
+func (r *race) acknowledge(d int) {
+	for _, m := range r.members {
+		for _, p := range m.log {
+			if r.daemons[d].Durable(p) {
+				r.acknowledged[p] = true
+			}
+		}
+	}
+}
+
+// check looks at a member that has been promoted.
+func (r *race) check(m *replica) {
+	if o, ok := r.promoted[m.term]; ok && o != m.name {
+		r.t.Fatalf("%s and %s were both promoted in term %d", o, m.name, m.term)
+	}
+	r.promoted[m.term] = m.name
+	for p := range r.acknowledged {
+		if p.Term < m.term && !slices.Contains(m.log, p) {
+			r.t.Fatalf("%s was promoted in term %d without the acknowledged %s", m.name, m.term, p)
+		}
+	}
+}
+
+// pull copies the log of a member's primary.
+func (r *race) pull(m *replica) {
+	if m.primary == "" {
+		return
+	}
+	p := r.member(m.primary)
+	if p.role != failover.Primary || p.term != m.term {
+		return
+	}
+	n := 0
+	for n < len(m.log) && n < len(p.log) && m.log[n] == p.log[n] {
+		n++
+	}
+	m.log = append(m.log[:n:n], p.log[n:]...)
+}
+
+// step lets one thing happen.
+func (r *race) step() {
+	d := rapid.IntRange(0, len(r.daemons)-1).Draw(r.t, "daemon")
+	m := r.members[rapid.IntRange(0, len(r.members)-1).Draw(r.t, "member")]
+	switch rapid.IntRange(0, 9).Draw(r.t, "kind") {
+	case 0, 1, 2, 3:
+		r.deliver()
+	case 4:
+		r.now = r.now.Add(time.Duration(rapid.IntRange(0, 700).Draw(r.t, "pause")) * time.Millisecond)
+		r.handle(d, failover.Ticked{Jitter: 0.5})
+	case 5, 6:
+		s, t := m.status(), r.now
+		r.send(func() { r.handle(d, failover.Reported{Member: m.name, Status: s, Sent: t}) })
+	case 7:
+		r.handle(d, failover.Failed{Member: m.name})
+	case 8:
+		if m.role == failover.Primary {
+			m.write()
+		}
+	case 9:
+		r.pull(m)
+	}
+}
+
+// deliver hands over a message that is on its way; it may arrive again.
+func (r *race) deliver() {
+	if len(r.pending) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(r.pending)-1).Draw(r.t, "message")
+	f := r.pending[i]
+	if rapid.IntRange(0, 9).Draw(r.t, "again") > 0 {
+		r.pending = slices.Delete(r.pending, i, i+1)
+	}
+	f()
+}
+
+var _ = DescribeTable("daemons that race for a group",
+	func(members, daemons int) {
+		const seed = "20260101"
+		Expect(flag.Set("rapid.seed", seed)).To(Succeed())
+		Expect(flag.Set("rapid.checks", "300")).To(Succeed())
+		Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
+		GinkgoWriter.Println("rapid seed", seed)
+		terms, acknowledged := 0, 0
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			r := newRace(t, members, daemons)
+			for range 400 {
+				r.step()
+			}
+			terms += len(r.promoted)
+			acknowledged += len(r.acknowledged)
+		})
+		GinkgoWriter.Println("promotions", terms, "acknowledged", acknowledged)
+		Expect(terms).To(BeNumerically(">", 100))
+		Expect(acknowledged).To(BeNumerically(">", 100))
+	},
+	Entry("promote one member a term, which holds every acknowledged write (3 members)", 3, 2),
+	Entry("promote one member a term, which holds every acknowledged write (5 members)", 5, 3),
+)
