--- a/owner/owner.go
+++ b/owner/owner.go
@@ -44,6 +44,10 @@
 	User     string
 	Password string
 	Log      hclog.Logger
+	// AcknowledgeAtCommit acknowledges writes without a majority, so that they
+	// can be lost. It is only for measuring what the wait costs and saves; no
+	// setting of the product leads to it.
+	AcknowledgeAtCommit bool
 }
 
 // Owner holds the owned backend servers. It is safe for concurrent use.
@@ -139,6 +143,8 @@
 	srv      *server
 	// role is that of the member that serves.
 	role string
+	// entered tells that the monitor counts the request.
+	entered bool
 }
 
 // run serves the stream. It returns a verdict that is still to be sent, or
@@ -152,13 +158,21 @@
 	if t.m = t.o.c.Monitor(g.Name); t.m == nil {
 		return peer.Verdict{Outcome: peer.Moved, Reason: "not-watched"}
 	}
+	t.srv = t.o.server(b, g, m)
+	y, end := t.srv.hold(x)
+	defer end()
 	if v := t.eligible(x, b, m); v.Outcome != "" {
 		return v
 	}
+	if t.entered {
+		defer t.m.Leave()
+	}
 	if t.o.isLeaving() {
 		return t.moved()
 	}
-	t.srv = t.o.server(b, g, m)
+	if t.role != "replica" {
+		x = y
+	}
 	k, err := t.srv.enter(x, t.arrival())
 	if err != nil {
 		return t.verdict(err)
@@ -166,6 +180,9 @@
 	c, err := t.take(x)
 	if err != nil {
 		k.free()
+		if e := context.Cause(x); isReplaced(e) {
+			return t.verdict(e)
+		}
 		return peer.Verdict{Outcome: peer.NotRun, Reason: "no-connection", RetryAfter: defaultRetryAfter}
 	}
 	if t.h.Kind == peer.KindRead {
@@ -207,7 +224,7 @@
 	x, stop := context.WithTimeout(x, min(primaryWait, max(time.Until(t.deadline), 0)))
 	defer stop()
 	elsewhere := false
-	ok := t.m.Await(x, func(g *failover.Group, now time.Time) bool {
+	t.entered = t.m.Enter(x, func(g *failover.Group, now time.Time) bool {
 		v := g.View(now)
 		elsewhere = v.Primary != "" && v.Primary != m.Name
 		return elsewhere || v.Primary == m.Name && v.Confirmed && !v.Leads(t.h.Floor)
@@ -215,8 +232,11 @@
 	v := t.m.View()
 	switch {
 	case elsewhere:
+		if t.entered {
+			t.m.Leave()
+		}
 		return peer.Verdict{Outcome: peer.Moved, Reason: "not-primary", View: &v}
-	case !ok:
+	case !t.entered:
 		return peer.Verdict{Outcome: peer.NotRun, Reason: "no-confirmed-primary", RetryAfter: defaultRetryAfter, View: &v}
 	default:
 		return peer.Verdict{}
@@ -234,7 +254,7 @@
 	}
 	x, stop := context.WithTimeout(x, replicaWait)
 	defer stop()
-	if t.m.View().Primary == m.Name {
+	if m.Leaving || t.m.View().Primary == m.Name {
 		return false
 	}
 	return t.m.AwaitReplica(x, ok)
