--- a/failover/race_test.go
+++ b/failover/race_test.go
@@ -13,8 +13,8 @@
 	"github.com/dragonflypick/dragonflypick/logpos"
 )
 
-// replica is a member of the group in a race.
-type replica struct {
+// racer is a member of the group in a race.
+type racer struct {
 	name    string
 	role    failover.Role
 	term    uint64
@@ -23,7 +23,7 @@
 	log     []logpos.Position
 }
 
-func (m *replica) status() failover.Status {
+func (m *racer) status() failover.Status {
 	s := failover.Status{Role: m.role, Term: m.term, Primary: m.primary}
 	if n := len(m.log); n > 0 {
 		s.Position = m.log[n-1]
@@ -31,7 +31,7 @@
 	return s
 }
 
-func (m *replica) fence(t uint64, holder string) bool {
+func (m *racer) fence(t uint64, holder string) bool {
 	if t < m.term || t == m.term && m.holder != holder {
 		return false
 	}
@@ -41,7 +41,7 @@
 	return true
 }
 
-func (m *replica) promote(t uint64, holder string) bool {
+func (m *racer) promote(t uint64, holder string) bool {
 	if t != m.term || holder != m.holder {
 		return false
 	}
@@ -52,7 +52,7 @@
 	return true
 }
 
-func (m *replica) follow(t uint64, primary string) bool {
+func (m *racer) follow(t uint64, primary string) bool {
 	if t < m.term || t == m.term && m.role == failover.Primary {
 		return false
 	}
@@ -63,7 +63,7 @@
 	return true
 }
 
-func (m *replica) write() {
+func (m *racer) write() {
 	m.log = append(m.log, logpos.Position{Term: m.term, Offset: uint64(len(m.log) + 1)})
 }
 
@@ -71,7 +71,7 @@
 type race struct {
 	t       *rapid.T
 	now     time.Time
-	members []*replica
+	members []*racer
 	daemons []*failover.Group
 	// pending are messages on their way, which arrive in any order.
 	pending []func()
@@ -86,9 +86,9 @@
 	var l []failover.Member
 	for i := range members {
 		n := string(rune('a' + i))
-		m := &replica{name: n, role: failover.Replica, term: 1, primary: "a"}
+		m := &racer{name: n, role: failover.Replica, term: 1, primary: "a"}
 		r.members = append(r.members, m)
-		l = append(l, failover.Member{Name: n, Address: n, Near: i})
+		l = append(l, failover.Member{Name: n, Address: n, Near: i, Leaving: rapid.IntRange(0, 3).Draw(t, "leaving") == 0})
 	}
 	r.members[0].role, r.members[0].primary = failover.Primary, ""
 	for i := range daemons {
@@ -99,8 +99,8 @@
 	return r
 }
 
-func (r *race) member(n string) *replica {
-	i := slices.IndexFunc(r.members, func(m *replica) bool { return m.name == n })
+func (r *race) member(n string) *racer {
+	i := slices.IndexFunc(r.members, func(m *racer) bool { return m.name == n })
 	return r.members[i]
 }
 
@@ -151,7 +151,7 @@
 }
 
 // check looks at a member that has been promoted.
-func (r *race) check(m *replica) {
+func (r *race) check(m *racer) {
 	if o, ok := r.promoted[m.term]; ok && o != m.name {
 		r.t.Fatalf("%s and %s were both promoted in term %d", o, m.name, m.term)
 	}
@@ -164,7 +164,7 @@
 }
 
 // pull copies the log of a member's primary.
-func (r *race) pull(m *replica) {
+func (r *race) pull(m *racer) {
 	if m.primary == "" {
 		return
 	}
@@ -188,7 +188,7 @@
 		r.deliver()
 	case 4:
 		r.now = r.now.Add(time.Duration(rapid.IntRange(0, 700).Draw(r.t, "pause")) * time.Millisecond)
-		r.handle(d, failover.Ticked{Jitter: 0.5})
+		r.handle(d, failover.Ticked{Jitter: 0.5, InFlight: rapid.IntRange(0, 1).Draw(r.t, "in flight")})
 	case 5, 6:
 		s, t := m.status(), r.now
 		r.send(func() { r.handle(d, failover.Reported{Member: m.name, Status: s, Sent: t}) })
