--- /dev/null
+++ b/experiment/experiment_test.go
@@ -0,0 +1,79 @@
+package experiment_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/experiment"
+)
+
+const seed = 1
+
+func TestExperiment(t *testing.T) {
+	RegisterFailHandler(Fail)
+	t.Log("seed", seed)
+	RunSpecs(t, "Experiment")
+}
+
+func run(s experiment.Scenario, factor float64, v experiment.Variant) *experiment.Report {
+	f, err := experiment.FindFleet("lankaglow")
+	Expect(err).NotTo(HaveOccurred())
+	r, err := experiment.Run(experiment.Config{
+		Fleet: f, Scenario: s, Factor: factor, Variant: v, Seed: seed, Warm: time.Second, Duration: 1500 * time.Millisecond,
+	})
+	Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+func inTime(r *experiment.Report, k bundle.Rank) float64 {
+	return float64(r.Rows[k].InTime) / float64(r.Rows[k].Offered)
+}
+
+var _ = Describe("the policy in virtual time", func() {
+	It("gives the same report for the same seed", func() {
+		Expect(run(experiment.Baseline, 1, experiment.Variant{})).To(Equal(run(experiment.Baseline, 1, experiment.Variant{})))
+	})
+
+	It("serves the ordinary load whole and tolerant reads by replicas", func() {
+		r := run(experiment.Baseline, 1, experiment.Variant{})
+		for k := range bundle.Rank(bundle.RankCount) {
+			Expect(inTime(r, k)).To(Equal(1.0))
+		}
+		Expect(r.TolerantReplica).To(BeNumerically(">", 0.9))
+	})
+
+	DescribeTable("keeps urgent work in time while others flood",
+		func(s experiment.Scenario, factor float64) {
+			r := run(s, factor, experiment.Variant{})
+			Expect(inTime(r, bundle.Urgent)).To(BeNumerically(">=", 0.99))
+			Expect(r.PeakQueue).To(BeNumerically("<=", 3*4096))
+		},
+		Entry("background at 10", experiment.BackgroundFlood, 10.0),
+		Entry("background at 30", experiment.BackgroundFlood, 30.0),
+		Entry("one caller at 4", experiment.CallerFlood, 4.0),
+		Entry("background over the region link", experiment.LinkFlood, 10.0),
+		Entry("an owner dies", experiment.OwnerDeath, 1.0),
+	)
+
+	It("keeps one caller's flood from the other callers of its rank", func() {
+		r := run(experiment.CallerFlood, 4, experiment.Variant{})
+		Expect(inTime(r, bundle.Routine)).To(BeNumerically(">=", 0.99))
+	})
+
+	It("leaves the lower ranks their share of an urgent flood", func() {
+		r := run(experiment.UrgentFlood, 10, experiment.Variant{})
+		Expect(r.Rows[bundle.Routine].Share).To(BeNumerically(">=", 0.1))
+		Expect(r.Rows[bundle.Background].Share).To(BeNumerically(">=", 0.02))
+	})
+
+	It("refuses unknown names", func() {
+		_, err := experiment.FindFleet("x")
+		Expect(err).To(MatchError(ContainSubstring("unknown fleet x")))
+		_, err = experiment.FindScenario("x")
+		Expect(err).To(MatchError(ContainSubstring("unknown scenario x")))
+	})
+})
