Connections: open transactions bounded by rank, one warm connection a slot

Cause: idle transactions could take all connections of a backend server, and a statement that found none idle paid for a new one.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -91,7 +91,12 @@
 	return d
 }
 
-// Sweep checks the idle connections of all owned servers.
+// warmTimeout bounds the opening of connections in one sweep.
+const warmTimeout = time.Second
+
+// Sweep checks the idle connections of all owned servers, and opens others
+// until each has one for each slot, so that no statement waits for a new
+// connection.
 func (o *Owner) Sweep() {
 	o.mu.Lock()
 	l := make([]*server, 0, len(o.servers))
@@ -99,8 +104,11 @@
 		l = append(l, s)
 	}
 	o.mu.Unlock()
+	x, stop := context.WithTimeout(context.Background(), warmTimeout)
+	defer stop()
 	for _, s := range l {
 		s.pool.Sweep()
+		s.pool.Warm(x, s.slots())
 	}
 }
 
@@ -168,13 +176,12 @@
 	if err != nil {
 		return t.verdict(err)
 	}
-	c, err := t.take(x)
-	if err != nil {
-		k.free()
-		if e := context.Cause(x); isReplaced(e) {
-			return t.verdict(e)
-		}
-		return peer.Verdict{Outcome: peer.NotRun, Reason: "no-connection", RetryAfter: defaultRetryAfter}
+	c, v := t.connection(x, k)
+	if c == nil {
+		return v
+	}
+	if t.h.Kind == peer.KindTransaction {
+		defer t.srv.endTransaction(bundle.Rank(t.h.Rank))
 	}
 	if t.h.Kind == peer.KindRead {
 		t.o.metrics.read(t.h, t.role)
@@ -192,6 +199,30 @@
 	return admit.Arrived{Rank: bundle.Rank(t.h.Rank), Caller: t.h.Caller, Deadline: t.deadline}
 }
 
+// connection takes a connection for the request that holds k, and counts its
+// transaction in. If there is none, it frees k and returns nil and a verdict.
+func (t *task) connection(x context.Context, k ticket) (*backend.Conn, peer.Verdict) {
+	none := peer.Verdict{Outcome: peer.NotRun, Reason: "no-connection", RetryAfter: defaultRetryAfter}
+	r := bundle.Rank(t.h.Rank)
+	counts := t.h.Kind == peer.KindTransaction
+	if counts && !t.srv.beginTransaction(r) {
+		k.free()
+		return nil, none
+	}
+	c, err := t.take(x)
+	if err == nil {
+		return c, peer.Verdict{}
+	}
+	if counts {
+		t.srv.endTransaction(r)
+	}
+	k.free()
+	if e := context.Cause(x); isReplaced(e) {
+		return nil, t.verdict(e)
+	}
+	return nil, none
+}
+
 func (t *task) take(x context.Context) (*backend.Conn, error) {
 	x, stop := context.WithDeadline(x, t.deadline)
 	defer stop()
@@ -263,6 +294,7 @@
 		s.pool.Resize(poolSize(m))
 		s.mu.Lock()
 		s.handle(admit.Configured{Config: queueConfig(b, m)})
+		s.transactions.Connections, s.transactions.Slots = poolSize(m), m.Slots
 		s.mu.Unlock()
 	}
 }
--- a/owner/server.go
+++ b/owner/server.go
@@ -26,6 +26,8 @@
 	next uint64
 	// waiting maps requests to where their action goes.
 	waiting map[uint64]chan admit.Action
+	// transactions bounds the open transactions.
+	transactions admit.Transactions
 	// gone is closed when left is set: the server has another owner, another
 	// address, or no place in the bundle.
 	gone chan struct{}
@@ -48,10 +50,31 @@
 	return &server{
 		name: m.Name, pool: backend.NewPool(c, poolSize(m)),
 		q: admit.New(queueConfig(b, m)), waiting: map[uint64]chan admit.Action{},
-		address: m.Address, gone: make(chan struct{}), holds: map[uint64]context.CancelCauseFunc{},
+		transactions: admit.Transactions{Connections: poolSize(m), Slots: m.Slots},
+		address:      m.Address, gone: make(chan struct{}), holds: map[uint64]context.CancelCauseFunc{},
 	}
 }
 
+func (s *server) slots() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.transactions.Slots
+}
+
+// beginTransaction reports whether a transaction of rank r may hold a
+// connection, and counts it in.
+func (s *server) beginTransaction(r bundle.Rank) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.transactions.Begin(r)
+}
+
+func (s *server) endTransaction(r bundle.Rank) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.transactions.End(r)
+}
+
 // handle feeds the queue; s.mu is held.
 func (s *server) handle(e admit.Event) {
 	for _, a := range s.q.Handle(e, time.Now()) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -28,8 +28,10 @@
 
 func group() *bundle.Group {
 	return &bundle.Group{Name: "orders", Members: []bundle.Member{
-		{Name: "w1", Region: "west", FailureDomain: "west-1"}, {Name: "w2", Region: "west", FailureDomain: "west-2"},
-		{Name: "w3", Region: "west", FailureDomain: "west-2"}, {Name: "n1", Region: "north", FailureDomain: "north-1"},
+		{Name: "w1", Region: "west", FailureDomain: "west-1"},
+		{Name: "w2", Region: "west", FailureDomain: "west-2"},
+		{Name: "w3", Region: "west", FailureDomain: "west-2"},
+		{Name: "n1", Region: "north", FailureDomain: "north-1"},
 	}}
 }
 
