--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -37,6 +37,8 @@
 	BackendUser     string             `long:"backend-user" env:"DRAGONFLYPICK_BACKEND_USER" default:"dragonflypick" description:"User name at backend servers"`
 	BackendPassword string             `long:"backend-password" env:"DRAGONFLYPICK_BACKEND_PASSWORD" description:"Password at backend servers; better given by environment"`
 	DrainTime       time.Duration      `long:"drain-time" env:"DRAGONFLYPICK_DRAIN_TIME" default:"30s" description:"Longest time that a shutdown waits for transactions"`
+	RegionLink      float64            `long:"region-link" env:"DRAGONFLYPICK_REGION_LINK" default:"5" description:"This host's part of the link between regions in Mbit/s"`
+	LogEvery        uint64             `long:"log-every" env:"DRAGONFLYPICK_LOG_EVERY" default:"1" description:"Log one in this many routing decisions"`
 	Certificate     string             `long:"tls-certificate" env:"DRAGONFLYPICK_TLS_CERTIFICATE" description:"File of the certificate chain for callers"`
 	Key             string             `long:"tls-key" env:"DRAGONFLYPICK_TLS_KEY" description:"File of the certificate's key"`
 	Log             factory.LogOptions `group:"Logging"`
@@ -73,6 +75,9 @@
 	return d.Run(x)
 }
 
+// bytesPerMegabit is the number of bytes in a megabit.
+const bytesPerMegabit = 1e6 / 8
+
 // config checks the settings and lists every fault at once.
 func (o *Options) config() (daemon.Config, error) {
 	k := &checker{}
@@ -80,6 +85,7 @@
 		Host: membership.Host{ID: o.ID, Region: o.Region, FailureDomain: o.FailureDomain}, CallerListen: o.Listen,
 		PeerListen: o.PeerListen, PeerAdvertise: o.PeerAdvertise, AdminListen: o.AdminListen, Platform: o.Platform, Seeds: o.Seeds, Secret: o.Secret,
 		BackendUser: o.BackendUser, BackendPassword: o.BackendPassword, DrainTime: o.DrainTime,
+		RegionLink: o.RegionLink * bytesPerMegabit, LogEvery: o.LogEvery,
 		Log: o.factory.Logger("dragonflypick", o.Log),
 	}
 	if c.Host.ID == "" {
@@ -102,6 +108,9 @@
 	if c.Trust, err = bundle.ParseTrust(o.Authors, o.Approvers); err != nil {
 		k.add("--author and --approver: " + err.Error())
 	}
+	if o.RegionLink <= 0 {
+		k.add("--region-link must be above zero")
+	}
 	if o.DrainTime <= 0 {
 		k.add("--drain-time must be above zero")
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -68,18 +69,24 @@
 	DrainTime time.Duration
 	// TLS is offered to callers; nil for none.
 	TLS *tls.Config
-	Log hclog.Logger
+	// RegionLink is this host's part of the link between regions in bytes a
+	// second, zero for DefaultRegionLink.
+	RegionLink float64
+	// LogEvery is N if one in N routing decisions is logged; zero logs all.
+	LogEvery uint64
+	Log      hclog.Logger
 }
 
 // Daemon is one proxy process.
 type Daemon struct {
-	c        Config
-	platform *platform.Client
-	node     *peer.Node
-	callers  *caller.Server
-	admin    *operator.Server
-	owner    *owner.Owner
-	router   *router
+	c         Config
+	platform  *platform.Client
+	node      *peer.Node
+	callers   *caller.Server
+	admin     *operator.Server
+	owner     *owner.Owner
+	router    *router
+	decisions *decisions
 	// group runs short work; ctx ends with the daemon.
 	group *errgroup.Group
 	ctx   context.Context
@@ -120,6 +127,7 @@
 	d.owner = owner.New(owner.Config{
 		Host: c.Host.ID, Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
 	})
+	d.decisions = newDecisions(c.LogEvery)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -154,7 +162,7 @@
 	}
 	d.admin, err = operator.New(operator.Config{
 		Listen: d.c.AdminListen, Status: d.Status, Ready: d.Ready,
-		Collectors: append(d.owner.Collectors(), d.node.Collectors()...),
+		Collectors: slices.Concat(d.owner.Collectors(), d.node.Collectors(), d.decisions.collectors()),
 	})
 	return err
 }
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -2,21 +2,20 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/dragonflypick/dragonflypick/budget"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/caller"
 	"github.com/dragonflypick/dragonflypick/peer"
 )
 
-// Limits of the link between regions.
-const (
-	// regionLink is the link's rate in bytes a second, each way.
-	regionLink = 30_000_000 / 8
-	// regionEntries is the number of entry hosts of a region that share it.
-	regionEntries = 6
-)
+// DefaultRegionLink is a host's part of the link between regions in bytes a
+// second: a sixth of 30 Mbit/s.
+const DefaultRegionLink = 30_000_000 / 8 / 6
 
 // Reasons of refusals at the entry.
 const (
@@ -31,11 +30,53 @@
 	link     *budget.Link
 }
 
-func newLimits() limits {
-	return limits{
-		throttle: budget.NewThrottle(budget.DefaultThrottle()),
-		link:     budget.NewLink(budget.DefaultLink(regionLink, regionEntries)),
+func newLimits(rate float64) limits {
+	if rate <= 0 {
+		rate = DefaultRegionLink
+	}
+	return limits{throttle: budget.NewThrottle(budget.DefaultThrottle()), link: budget.NewLink(budget.DefaultLink(rate, 1))}
+}
+
+// decisions counts routing decisions by rank and reason, and picks those that
+// are logged.
+type decisions struct {
+	routed  *prometheus.CounterVec
+	refused *prometheus.CounterVec
+	// every is N if one in N decisions is logged; zero and one log all.
+	every uint64
+	n     atomic.Uint64
+}
+
+func newDecisions(every uint64) *decisions {
+	return &decisions{
+		every: every,
+		routed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_routed_total", Help: "Statements sent to owners by rank and reason of the choice.",
+		}, []string{"rank", "reason"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_entry_refused_total", Help: "Statements refused at the entry by rank and reason.",
+		}, []string{"rank", "reason"}),
+	}
+}
+
+func (s *decisions) collectors() []prometheus.Collector {
+	return []prometheus.Collector{s.routed, s.refused}
+}
+
+// logged reports whether the next decision is logged.
+func (s *decisions) logged() bool { return s.every <= 1 || s.n.Add(1)%s.every == 0 }
+
+// refuse counts and logs a refusal, and returns it as an error.
+func (d *Daemon) refuse(q caller.Request, member, why string, after time.Duration) error {
+	k := bundle.Rank(q.Header.Rank).String()
+	d.decisions.refused.WithLabelValues(k, why).Inc()
+	if d.decisions.logged() {
+		d.c.Log.Debug("statement refused", "group", q.Header.Group, "member", member, "rank", k, "reason", why, "retry-after", after)
+	}
+	if why != reasonOverloaded {
+		member = ""
 	}
+	return Error.Wrap(&caller.RouteError{Reason: why, RetryAfter: after, Member: member})
 }
 
 func flow(q caller.Request, member string) budget.Flow {
@@ -66,16 +107,14 @@
 		ok, d = false, routeRetryAfter
 	}
 	if !ok {
-		r.d.c.Log.Debug("statement refused", "group", q.Header.Group, "member", m.Name, "rank", k.String(), "reason", reasonOverloaded, "retry-after", d)
-		return 0, Error.Wrap(&caller.RouteError{Reason: reasonOverloaded, RetryAfter: d, Member: m.Name})
+		return 0, r.d.refuse(q, m.Name, reasonOverloaded, d)
 	}
 	if !far || q.Header.Kind != peer.KindRead {
 		return 0, nil
 	}
 	n, d, ok := r.limits.link.Reserve(k, time.Now())
 	if !ok {
-		r.d.c.Log.Debug("statement refused", "group", q.Header.Group, "member", m.Name, "rank", k.String(), "reason", reasonLink, "retry-after", d)
-		return 0, Error.Wrap(&caller.RouteError{Reason: reasonLink, RetryAfter: d})
+		return 0, r.d.refuse(q, m.Name, reasonLink, d)
 	}
 	return n, nil
 }
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -44,7 +44,7 @@
 
 func newRouter(d *Daemon) *router {
 	h := d.c.Host
-	return &router{d: d, t: route.New(route.Place{Region: h.Region, FailureDomain: h.FailureDomain}), floors: map[string]*floorCall{}, limits: newLimits()}
+	return &router{d: d, t: route.New(route.Place{Region: h.Region, FailureDomain: h.FailureDomain}), floors: map[string]*floorCall{}, limits: newLimits(d.c.RegionLink)}
 }
 
 // Open implements caller.Router.
@@ -65,7 +65,7 @@
 	if err != nil {
 		return caller.Route{}, err
 	}
-	t, err := r.connect(x, g, m, c, q)
+	t, err := r.connect(x, m, c, q)
 	if err != nil {
 		r.Ended(caller.Route{Rank: bundle.Rank(q.Header.Rank), Reserved: n})
 		return caller.Route{}, err
@@ -75,13 +75,12 @@
 }
 
 // connect opens a stream to the owner of the chosen member.
-func (r *router) connect(x context.Context, g *bundle.Group, m *bundle.Member, c route.Choice, q caller.Request) (caller.Route, error) {
+func (r *router) connect(x context.Context, m *bundle.Member, c route.Choice, q caller.Request) (caller.Route, error) {
 	h, ok := r.d.ownerOf(m)
 	if !ok {
 		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "no-owner", RetryAfter: routeRetryAfter})
 	}
-	r.d.c.Log.Debug("statement routed", "group", g.Name, "member", m.Name, "owner", h.ID, "rank", bundle.Rank(q.Header.Rank).String(),
-		"kind", q.Header.Kind, "reason", c.Reason, "floor", q.Header.Floor.String(), "tolerance", q.Header.Tolerance)
+	r.d.routed(q, c, h.ID)
 	s, err := r.d.open(x, h)
 	if err != nil {
 		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "owner-unreachable", RetryAfter: routeRetryAfter})
@@ -97,6 +96,16 @@
 	return caller.Route{Stream: s, Member: m.Name, Rank: bundle.Rank(q.Header.Rank)}, nil
 }
 
+// routed counts and logs a choice.
+func (d *Daemon) routed(q caller.Request, c route.Choice, owner string) {
+	k := bundle.Rank(q.Header.Rank).String()
+	d.decisions.routed.WithLabelValues(k, string(c.Reason)).Inc()
+	if d.decisions.logged() {
+		d.c.Log.Debug("statement routed", "group", q.Header.Group, "member", c.Member, "owner", owner, "rank", k,
+			"kind", q.Header.Kind, "reason", c.Reason, "floor", q.Header.Floor.String(), "tolerance", q.Header.Tolerance)
+	}
+}
+
 func (r *router) choose(x context.Context, g *bundle.Group, q caller.Request) (route.Choice, error) {
 	if q.Header.Kind == peer.KindRead && !q.Primary {
 		r.mu.Lock()
