Specs of rollout fail without the mechanism they are for

Cause: with the fall of the index ignored, or no further watchers, all specs of package rollout passed: indexes were small, and neighbours found the dead. Change: the platform's index starts at 1000; the killed watchers' spec has 150 hosts.

--- a/rollout/spread_test.go
+++ b/rollout/spread_test.go
@@ -101,7 +101,7 @@
 }
 
 func newWorld(seed uint64, n int) *world {
-	w := &world{r: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), version: 1, index: 1, list: fleet(n, 3)}
+	w := &world{r: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(1000, 0), version: 1, index: 1000, list: fleet(n, 3)}
 	for _, h := range w.list {
 		k := &node{host: h, view: membership.New(h), roster: rollout.NewRoster(), watcher: w.now}
 		k.view.Handle(membership.Listed{Hosts: w.list}, w.now)
@@ -164,13 +164,13 @@
 
 var _ = Describe("a fleet whose watchers are all killed at once", func() {
 	It("finds new watchers, and learns of it", func() {
-		w := newWorld(6, 30)
+		w := newWorld(6, 150)
 		w.second()
 		for _, n := range w.nodes {
 			n.dead = rollout.Watches(n.host, w.list, 0)
 		}
 		w.version++
-		for range 60 {
+		for range 40 {
 			w.second()
 		}
 		for _, n := range w.nodes {
