--- a/standin/cluster/rollout_test.go
+++ b/standin/cluster/rollout_test.go
@@ -72,6 +72,7 @@
 	}
 	// whole expects that no request was cut.
 	whole := func(r load.Report) {
+		GinkgoWriter.Printf("load seed 6: %d orders, ranks %+v\n", r.Orders, r.Ranks)
 		Expect(r.Orders).NotTo(BeZero())
 		Expect(r.Lost).To(BeZero())
 		Expect(r.Doubled).To(BeZero())
@@ -140,6 +141,7 @@
 			c.Daemons[0].Drain()
 			c.Daemons[2].Drain()
 		})
+		GinkgoWriter.Printf("load seed 6: %d orders, codes %v, ranks %+v\n", r.Orders, r.Codes, r.Ranks)
 		Expect(r.Lost + r.Doubled + r.WronglyRefused + r.Stale).To(BeZero())
 		for _, k := range r.Ranks {
 			Expect(k.InDoubt+k.Failed).To(BeZero(), "%+v %v", k, r.Codes)
