--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -21,6 +21,10 @@
 	retryMost  = 10 * time.Second
 	// watchInterval is how often a daemon considers whether it is a watcher.
 	watchInterval = 500 * time.Millisecond
+	// watchDelay is how long a daemon that has a bundle and a host list waits
+	// before it begins to watch, so that a host passed over for a moment costs no
+	// calls.
+	watchDelay = 2 * time.Second
 	// listPause follows each new host list, so that many changes are read at
 	// once.
 	listPause = time.Second
@@ -61,6 +65,12 @@
 			pause(x, watchInterval)
 			continue
 		}
+		if d.informed() {
+			pause(x, watchDelay)
+			if !d.isWatcher() {
+				continue
+			}
+		}
 		d.c.Log.Info("watches the platform", "host", d.c.Host.ID)
 		y, stop := context.WithCancel(x)
 		g, y := errgroup.WithContext(y)
@@ -76,6 +86,13 @@
 	return nil
 }
 
+// informed reports whether this daemon has a bundle and a host list.
+func (d *Daemon) informed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.held != nil && d.roster.Stamp() != rollout.Stamp{}
+}
+
 // isWatcher reports whether this daemon is to watch the platform, and counts as
 // a sign of a watcher if so.
 func (d *Daemon) isWatcher() bool {
