--- a/standin/measure/failover.go
+++ b/standin/measure/failover.go
@@ -40,7 +40,9 @@
 // Course of a failover's run.
 const (
 	failoverFault = 1 * time.Second
-	failoverTime  = 5 * time.Second
+	// failoverHeal is when a fault that can end does.
+	failoverHeal = 4500 * time.Millisecond
+	failoverTime = 5 * time.Second
 )
 
 // failoverSessions is the number of sessions of a run.
@@ -112,7 +114,7 @@
 		return FailoverRun{}, err
 	}
 	defer s.Stop()
-	f, err := c.Fault.on(s)
+	f, heal, err := c.Fault.on(s)
 	if err != nil {
 		return FailoverRun{}, err
 	}
@@ -130,6 +132,8 @@
 		raised <- f()
 	})
 	defer t.Stop()
+	h := time.AfterFunc(failoverHeal, func() { _ = heal() })
+	defer h.Stop()
 	r, err := load.Run(x, l)
 	if err != nil {
 		return FailoverRun{}, err
@@ -151,36 +155,38 @@
 	return o, nil
 }
 
-// on returns the function that raises the fault in a system.
-func (f Fault) on(s *process.System) (func() error, error) {
+// on returns the functions that raise the fault in a system and end it.
+func (f Fault) on(s *process.System) (raise, heal func() error, err error) {
 	p, _, err := s.Primary()
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	d, err := s.Owner(p)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
+	never := func() error { return nil }
+	set := func(r *relay.Relay, m relay.Mode) func() error { return func() error { return r.Set(m) } }
 	switch f {
 	case Kill:
-		return p.Kill, nil
+		return p.Kill, never, nil
 	case Freeze:
-		return p.Freeze, nil
+		return p.Freeze, p.Thaw, nil
 	case Cut:
-		return func() error { return p.Relay.Set(relay.Drop) }, nil
+		return set(p.Relay, relay.Drop), set(p.Relay, relay.Pass), nil
 	case Silence:
 		return func() error {
 			p.Relay.Silence()
 			return nil
-		}, nil
+		}, never, nil
 	case OwnerKill:
-		return d.Kill, nil
+		return d.Kill, never, nil
 	case OwnerFreeze:
-		return d.Freeze, nil
+		return d.Freeze, d.Thaw, nil
 	case OwnerCut:
-		return func() error { return d.Relay.Set(relay.Drop) }, nil
+		return set(d.Relay, relay.Drop), set(d.Relay, relay.Pass), nil
 	default:
-		return nil, Error.Wrap(&FaultError{Name: string(f)})
+		return nil, nil, Error.Wrap(&FaultError{Name: string(f)})
 	}
 }
 
