Published primaries; test of the record

Cause: the platform had no record of who is primary.

Change: the daemon that has placed a primary writes {term, primary} to dragonflypick/groups/NAME by compare-and-swap, never to a lower term, and tries again every 5 s up to 60 times while the store doesn't answer. A daemon that begins to watch a group whose primary it doesn't know reads the record once, as a hint of whom to ask.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -308,6 +308,10 @@
 	x, stop := context.WithCancel(d.ctx)
 	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now()}
 	d.group.Go(func() error { return m.Run(x) })
+	d.group.Go(func() error {
+		d.recall(x, g.Name)
+		return nil
+	})
 	return m
 }
 
@@ -359,6 +363,7 @@
 func (d *Daemon) groupChanged(group string, c failover.Changed) {
 	d.router.learn(group, failover.View{Term: c.Term, Primary: c.Primary})
 	d.owner.Replaced(group, c.Primary)
+	d.publish(group, c)
 }
 
 // reconcile watches the groups of which this daemon owns a member. The owned
--- a/standin/cluster/switchover_test.go
+++ b/standin/cluster/switchover_test.go
@@ -7,6 +7,7 @@
 	"github.com/jackc/pgx/v5"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/standin/cluster"
@@ -42,13 +43,16 @@
 			l.Addresses = append(l.Addresses, d.CallerAddress())
 		}
 		p := c.Primary("orders")
-		t := time.AfterFunc(l.Duration/3, func() {
+		g := &errgroup.Group{}
+		g.Go(func() error {
 			defer GinkgoRecover()
+			time.Sleep(l.Duration / 3)
 			leave(p.Name)
+			return nil
 		})
-		defer t.Stop()
 		r, err := load.Run(x, l)
 		Expect(err).NotTo(HaveOccurred())
+		Expect(g.Wait()).To(Succeed())
 		Expect(c.Primary("orders").Name).NotTo(Equal(p.Name))
 		Expect(r.Lost + r.Doubled + r.WronglyRefused + r.Stale).To(BeZero())
 		for _, k := range r.Ranks {
