--- a/daemon/publish.go
+++ b/daemon/publish.go
@@ -2,49 +2,44 @@
 
 import (
 	"context"
-	"time"
-
-	"github.com/dragonflypick/dragonflypick/failover"
-	"github.com/dragonflypick/dragonflypick/platform"
 )
 
-// Timing of the published record of a primary.
-const (
-	// publishPause is the pause after a failed attempt to write it.
-	publishPause = 5 * time.Second
-	// publishTries is the greatest number of attempts.
-	publishTries = 60
-)
+// methodChanged tells that a group has another primary.
+const methodChanged = "group.changed"
 
-// publish writes a new primary, which this daemon has placed, to the platform
-// as soon as it answers, unless the group has changed again.
-func (d *Daemon) publish(group string, c failover.Changed) {
-	if c.Stages == (failover.Stages{}) {
+// publish tells the owners of a group's members that the group has another
+// primary, so that they look at once. They believe only the members.
+func (d *Daemon) publish(group string) {
+	g, ok := d.bundle().Group(group)
+	if !ok {
 		return
 	}
-	r := platform.Record{Term: c.Term, Primary: c.Primary}
-	d.group.Go(func() error {
-		for range publishTries {
-			err := d.platform.Publish(d.ctx, group, r)
-			d.c.Log.Info("primary published", "group", group, "term", c.Term, "member", c.Primary, "error", err)
-			if p, ok := d.router.knownPrimary(group); err == nil || ok && p != c.Primary || d.ctx.Err() != nil {
-				return nil
-			}
-			pause(d.ctx, publishPause)
+	told := map[string]bool{d.c.Host.ID: true}
+	for i := range g.Members {
+		m := &g.Members[i]
+		h, ok := d.ownerOf(m)
+		if !ok || told[h.ID] {
+			continue
 		}
-		return nil
-	})
+		told[h.ID] = true
+		d.group.Go(func() error {
+			x, stop := context.WithTimeout(d.ctx, callTimeout)
+			defer stop()
+			if err := d.node.Call(x, h, methodChanged, memberParams{Group: group, Member: m.Name}, nil); err != nil {
+				d.c.Log.Debug("change not told", "group", group, "host", h.ID, "error", err)
+			}
+			return nil
+		})
+	}
 }
 
-// recall takes the published primary of a group as a hint of whom to ask first
-// while this daemon knows none.
-func (d *Daemon) recall(x context.Context, group string) {
-	if _, ok := d.router.knownPrimary(group); ok {
-		return
+// changed looks at a group's members at once.
+func (d *Daemon) changed(p memberParams) error {
+	if _, _, err := d.member(p); err != nil {
+		return err
 	}
-	r, err := d.platform.Published(x, group)
-	d.c.Log.Debug("published primary", "group", group, "term", r.Term, "member", r.Primary, "error", err)
-	if err == nil && r.Primary != "" {
-		d.router.learn(group, failover.View{Term: r.Term, Primary: r.Primary})
+	if m := d.watch(p.Group); m != nil {
+		m.Hasten()
 	}
+	return nil
 }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -74,6 +74,8 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	// closed tells that new links are to end at once.
+	closed bool
 }
 
 // link is an open connection to another daemon.
@@ -166,6 +168,7 @@
 func (n *Node) closeLinks() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.closed = true
 	for _, l := range n.links {
 		if l.s != nil {
 			_ = l.s.Close()
@@ -286,7 +289,13 @@
 
 // open connects a link and watches it until it ends.
 func (n *Node) open(l *link, h membership.Host) {
-	l.s, l.c, l.err = n.dial(h)
+	s, c, err := n.dial(h)
+	n.mu.Lock()
+	if n.closed && s != nil {
+		_ = s.Close()
+	}
+	l.s, l.c, l.err = s, c, err
+	n.mu.Unlock()
 	close(l.ready)
 	if l.err != nil {
 		n.drop(l)
