--- a/bundle/bench_test.go
+++ b/bundle/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -63,3 +64,42 @@
 		})
 	}
 }
+
+// heapBytes returns the live heap in bytes.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// BenchmarkHeld measures the memory of a bundle in force with its envelope.
+func BenchmarkHeld(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(strconv.Itoa(n)+" groups", func(b *testing.B) {
+			x := context.Background()
+			a, err := bundle.NewKey("author")
+			if err != nil {
+				b.Fatal(err)
+			}
+			p, err := bundle.NewKey("approver")
+			if err != nil {
+				b.Fatal(err)
+			}
+			e, err := bundle.Sign(x, large(n), a, p)
+			if err != nil {
+				b.Fatal(err)
+			}
+			t := bundle.Trust{Authors: []*bundle.Key{a}, Approvers: []*bundle.Key{p}}
+			for b.Loop() {
+				before := heapBytes()
+				s, err := bundle.Open(x, append([]byte(nil), e...), t)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.ReportMetric(float64(heapBytes()-before), "held-bytes")
+				runtime.KeepAlive(s)
+			}
+		})
+	}
+}
--- a/membership/bench_test.go
+++ b/membership/bench_test.go
@@ -1,6 +1,7 @@
 package membership_test
 
 import (
+	"runtime"
 	"strconv"
 	"testing"
 	"time"
@@ -37,3 +38,40 @@
 		})
 	}
 }
+
+// BenchmarkHeld measures the memory of a view of the hosts.
+func BenchmarkHeld(b *testing.B) {
+	for _, n := range []int{9, 500, 5000} {
+		b.Run(strconv.Itoa(n)+" hosts", func(b *testing.B) {
+			for b.Loop() {
+				before := heapBytes()
+				v := membership.New(benchHost(0))
+				var l []membership.Host
+				for i := range n {
+					l = append(l, benchHost(i))
+				}
+				now := time.Now()
+				v.Handle(membership.Listed{Hosts: l}, now)
+				for i := range 18600 {
+					d := i % 7
+					v.Owner(&bundle.Member{Name: "m-" + strconv.Itoa(i), Region: "r" + strconv.Itoa(d%3), FailureDomain: "d" + strconv.Itoa(d)}, now)
+				}
+				b.ReportMetric(float64(heapBytes()-before), "held-bytes")
+				runtime.KeepAlive(v)
+			}
+		})
+	}
+}
+
+func benchHost(i int) membership.Host {
+	d := i % 7
+	return membership.Host{ID: "host-" + strconv.Itoa(i), PeerAddress: "10.0.0.1:" + strconv.Itoa(i), Region: "r" + strconv.Itoa(d%3), FailureDomain: "d" + strconv.Itoa(d)}
+}
+
+// heapBytes returns the live heap in bytes.
+func heapBytes() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
