Entries bound unanswered requests to another region

Ruled out: counting unanswered requests as refused in the throttle, since one busy caller's first requests would be refused without any load.

--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -124,3 +124,16 @@
 		})
 	})
 })
+
+var _ = Describe("a bound of unanswered requests", func() {
+	It("holds for each backend server and rank by itself", func() {
+		f := &budget.Flight{Limit: 2}
+		Expect(f.Begin("a", bundle.Urgent)).To(BeTrue())
+		Expect(f.Begin("a", bundle.Urgent)).To(BeTrue())
+		Expect(f.Begin("a", bundle.Urgent)).To(BeFalse())
+		Expect(f.Begin("a", bundle.Routine)).To(BeTrue())
+		Expect(f.Begin("b", bundle.Urgent)).To(BeTrue())
+		f.End("a", bundle.Urgent)
+		Expect(f.Begin("a", bundle.Urgent)).To(BeTrue())
+	})
+})
--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -25,6 +25,7 @@
 	reasonOverloaded = "overloaded"
 	reasonExpired    = "expired"
 	reasonLink       = "region-link"
+	reasonFlight     = "in-flight"
 	reasonBudget     = "retry-budget"
 )
 
@@ -79,7 +80,7 @@
 // again reports whether a request that was not run should be sent again.
 func again(v peer.Verdict) bool {
 	switch v.Reason {
-	case reasonOverloaded, reasonExpired, reasonLink, "withdrawn", reasonCut:
+	case reasonOverloaded, reasonExpired, reasonLink, reasonFlight, "withdrawn", reasonCut:
 		return false
 	default:
 		return v.Outcome != peer.InDoubt
--- a/caller/caller.go
+++ b/caller/caller.go
@@ -50,6 +50,8 @@
 	Stream *peer.Stream
 	Member string
 	Rank   bundle.Rank
+	// Far tells that the member stands in another region.
+	Far bool
 	// Reserved are bytes of the region link that were reserved for the answer,
 	// and Received those that came.
 	Reserved int
--- a/caller/errors.go
+++ b/caller/errors.go
@@ -69,7 +69,7 @@
 		}
 	}
 	c := codeNotNow
-	if v.Reason == reasonOverloaded || v.Reason == reasonExpired || v.Reason == reasonLink || v.Reason == "no-connection" {
+	if v.Reason == reasonOverloaded || v.Reason == reasonExpired || v.Reason == reasonLink || v.Reason == reasonFlight || v.Reason == "no-connection" {
 		c = codeTooMany
 	}
 	return &RefusedError{Code: c, Message: "not run: " + v.Reason, Hint: retryHint(v.RetryAfter)}
--- a/command/standin/experiment/experiment.go
+++ b/command/standin/experiment/experiment.go
@@ -26,6 +26,7 @@
 	OneCaller     bool          `long:"one-caller" description:"Make all requests look like one caller's"`
 	NoRetryBudget bool          `long:"no-retry-budget" description:"Repeat without a budget"`
 	NoThrottle    bool          `long:"no-throttle" description:"Send to overloaded owners whatever comes"`
+	NoFlight      bool          `long:"no-flight" description:"Don't bound unanswered requests to the other region"`
 	NoSpill       bool          `long:"no-spill" description:"Keep reads that a server refuses for load from other servers"`
 	NoLinkBudget  bool          `long:"no-link-budget" description:"Let background reads use all of the region link"`
 	JSON          bool          `long:"json" description:"Print the report as JSON"`
@@ -65,7 +66,7 @@
 		Fleet: f, Scenario: s, Factor: o.Factor, Seed: o.Seed, Warm: o.Warm, Duration: o.Duration,
 		Variant: experiment.Variant{
 			Split: o.Split, Exponential: o.Exponential, NoReserve: o.NoReserve, NoShares: o.NoShares, ArrivalOrder: o.ArrivalOrder,
-			OneCaller: o.OneCaller, NoRetryBudget: o.NoRetryBudget, NoThrottle: o.NoThrottle, NoSpill: o.NoSpill, NoLinkBudget: o.NoLinkBudget,
+			OneCaller: o.OneCaller, NoRetryBudget: o.NoRetryBudget, NoThrottle: o.NoThrottle, NoFlight: o.NoFlight, NoSpill: o.NoSpill, NoLinkBudget: o.NoLinkBudget,
 		},
 	})
 	if err != nil {
--- a/daemon/limits.go
+++ b/daemon/limits.go
@@ -17,24 +17,33 @@
 // second: a sixth of 30 Mbit/s.
 const DefaultRegionLink = 30_000_000 / 8 / 6
 
+// flightRetryAfter is the least come-back time while too many requests to
+// another region are unanswered.
+const flightRetryAfter = 500 * time.Millisecond
+
 // Reasons of refusals at the entry.
 const (
 	reasonOverloaded = "overloaded"
 	reasonExpired    = "expired"
 	reasonLink       = "region-link"
+	reasonFlight     = "in-flight"
 )
 
 // limits are the budgets of what this daemon sends to owners.
 type limits struct {
 	throttle *budget.Throttle
 	link     *budget.Link
+	flight   budget.Flight
 }
 
 func newLimits(rate float64) limits {
 	if rate <= 0 {
 		rate = DefaultRegionLink
 	}
-	return limits{throttle: budget.NewThrottle(budget.DefaultThrottle()), link: budget.NewLink(budget.DefaultLink(rate, 1))}
+	return limits{
+		throttle: budget.NewThrottle(budget.DefaultThrottle()), link: budget.NewLink(budget.DefaultLink(rate, 1)),
+		flight: budget.Flight{Limit: budget.DefaultFlight},
+	}
 }
 
 // decisions counts routing decisions by rank and reason, and picks those that
@@ -96,8 +105,8 @@
 }
 
 // pass reports whether the budgets let a request through to a member; it
-// returns the bytes of the region link that it has reserved.
-func (r *router) pass(q caller.Request, m *bundle.Member) (int, error) {
+// returns the route without its stream.
+func (r *router) pass(q caller.Request, m *bundle.Member) (caller.Route, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	far := m.Region != r.d.c.Host.Region
@@ -107,14 +116,31 @@
 		ok, d = false, routeRetryAfter
 	}
 	if !ok {
-		return 0, r.d.refuse(q, m.Name, reasonOverloaded, d)
+		return caller.Route{}, r.d.refuse(q, m.Name, reasonOverloaded, d)
+	}
+	if !far {
+		return caller.Route{Member: m.Name, Rank: k}, nil
+	}
+	if !r.limits.flight.Begin(m.Name, k) {
+		return caller.Route{}, r.d.refuse(q, m.Name, reasonFlight, flightRetryAfter+time.Duration(rand.Float64()*float64(flightRetryAfter)))
 	}
-	if !far || q.Header.Kind != peer.KindRead {
-		return 0, nil
+	if q.Header.Kind != peer.KindRead {
+		return caller.Route{Member: m.Name, Rank: k, Far: true}, nil
 	}
 	n, d, ok := r.limits.link.Reserve(k, time.Now())
 	if !ok {
-		return 0, r.d.refuse(q, m.Name, reasonLink, d)
+		r.limits.flight.End(m.Name, k)
+		return caller.Route{}, r.d.refuse(q, m.Name, reasonLink, d)
+	}
+	return caller.Route{Member: m.Name, Rank: k, Far: true, Reserved: n}, nil
+}
+
+// end gives back what pass took for a request.
+func (l *limits) end(t caller.Route) {
+	if t.Far {
+		l.flight.End(t.Member, t.Rank)
+	}
+	if t.Reserved > 0 {
+		l.link.Settle(t.Rank, t.Reserved, t.Received, time.Now())
 	}
-	return n, nil
 }
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -61,39 +61,40 @@
 	if !ok {
 		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "unknown-member", RetryAfter: routeRetryAfter})
 	}
-	n, err := r.pass(q, m)
+	t, err := r.pass(q, m)
 	if err != nil {
 		return caller.Route{}, err
 	}
-	t, err := r.connect(x, m, c, q)
+	t.Stream, err = r.connect(x, m, c, q)
 	if err != nil {
-		r.Ended(caller.Route{Rank: bundle.Rank(q.Header.Rank), Reserved: n})
+		r.mu.Lock()
+		r.limits.end(t)
+		r.mu.Unlock()
 		return caller.Route{}, err
 	}
-	t.Reserved = n
 	return t, nil
 }
 
 // connect opens a stream to the owner of the chosen member.
-func (r *router) connect(x context.Context, m *bundle.Member, c route.Choice, q caller.Request) (caller.Route, error) {
+func (r *router) connect(x context.Context, m *bundle.Member, c route.Choice, q caller.Request) (*peer.Stream, error) {
 	h, ok := r.d.ownerOf(m)
 	if !ok {
-		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "no-owner", RetryAfter: routeRetryAfter})
+		return nil, Error.Wrap(&caller.RouteError{Reason: "no-owner", RetryAfter: routeRetryAfter})
 	}
 	r.d.routed(q, c, h.ID)
 	s, err := r.d.open(x, h)
 	if err != nil {
-		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "owner-unreachable", RetryAfter: routeRetryAfter})
+		return nil, Error.Wrap(&caller.RouteError{Reason: "owner-unreachable", RetryAfter: routeRetryAfter})
 	}
 	q.Header.Member = m.Name
 	if err := s.WriteHeader(q.Header); err != nil {
 		_ = s.Close()
-		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "owner-unreachable", RetryAfter: routeRetryAfter})
+		return nil, Error.Wrap(&caller.RouteError{Reason: "owner-unreachable", RetryAfter: routeRetryAfter})
 	}
 	r.mu.Lock()
 	r.t.Handle(route.Sent{Member: m.Name}, time.Now())
 	r.mu.Unlock()
-	return caller.Route{Stream: s, Member: m.Name, Rank: bundle.Rank(q.Header.Rank)}, nil
+	return s, nil
 }
 
 // routed counts and logs a choice.
@@ -174,12 +175,8 @@
 func (r *router) Ended(t caller.Route) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if t.Reserved > 0 {
-		r.limits.link.Settle(t.Rank, t.Reserved, t.Received, time.Now())
-	}
-	if t.Member != "" {
-		r.t.Handle(route.Ended{Member: t.Member}, time.Now())
-	}
+	r.limits.end(t)
+	r.t.Handle(route.Ended{Member: t.Member}, time.Now())
 }
 
 // Learn implements caller.Router.
--- a/experiment/config.go
+++ b/experiment/config.go
@@ -132,6 +132,8 @@
 	NoRetryBudget bool
 	// NoThrottle sends to overloaded owners whatever comes.
 	NoThrottle bool
+	// NoFlight doesn't bound unanswered requests to the other region.
+	NoFlight bool
 	// NoSpill keeps reads that a server refuses for load from other servers.
 	NoSpill bool
 	// NoLinkBudget lets background reads use all of the region link.
@@ -153,6 +155,7 @@
 		{v.OneCaller, "one-caller"},
 		{v.NoRetryBudget, "no-retry-budget"},
 		{v.NoThrottle, "no-throttle"},
+		{v.NoFlight, "no-flight"},
 		{v.NoSpill, "no-spill"},
 		{v.NoLinkBudget, "no-link-budget"},
 	} {
--- a/experiment/flow.go
+++ b/experiment/flow.go
@@ -38,6 +38,8 @@
 	repeats int
 	// reserved are bytes of the region link.
 	reserved int
+	// flying tells that the request counts as unanswered in another region.
+	flying bool
 	// spilled tells that the request was sent on after a refusal for load.
 	spilled bool
 }
--- a/experiment/limit.go
+++ b/experiment/limit.go
@@ -20,19 +20,38 @@
 		}
 	}
 	q.reserved = 0
-	if w.c.Variant.NoLinkBudget || w.classes[q.rank].write || region(e.domain) == region(w.servers[s].domain) {
+	if region(e.domain) == region(w.servers[s].domain) {
+		return true
+	}
+	if !w.c.Variant.NoFlight {
+		if q.flying = e.flight.Begin(w.servers[s].name, q.rank); !q.flying {
+			w.refused(q, "in-flight", retryAfter+time.Duration(q.jitter*float64(retryAfter)))
+			return false
+		}
+	}
+	if w.c.Variant.NoLinkBudget || w.classes[q.rank].write {
 		return true
 	}
 	n, d, ok := e.link.Reserve(q.rank, w.time())
 	if !ok {
+		w.land(e, q, s)
 		w.refused(q, "region-link", d)
 	}
 	q.reserved = n
 	return ok
 }
 
+// land counts a request as answered.
+func (w *world) land(e *entry, q *request, s int) {
+	if q.flying {
+		e.flight.End(w.servers[s].name, q.rank)
+	}
+	q.flying = false
+}
+
 // settle gives back what was reserved of the region link, less what was used.
 func (w *world) settle(e *entry, q *request, used int) {
+	w.land(e, q, q.server)
 	if q.reserved > 0 {
 		e.link.Settle(q.rank, q.reserved, used, w.time())
 	}
--- a/experiment/world.go
+++ b/experiment/world.go
@@ -97,7 +97,8 @@
 	retry       *budget.Retry
 	throttle    *budget.Throttle
 	// link is the budget of answers from the other region.
-	link *budget.Link
+	link   *budget.Link
+	flight budget.Flight
 }
 
 // world is the state of an experiment.
@@ -169,6 +170,7 @@
 	for i := range c.Fleet.Entries {
 		d := i % domains
 		e := &entry{domain: d, t: route.New(route.Place{Region: region(d), FailureDomain: domainName(d)}), outstanding: make([]int, len(w.servers))}
+		e.flight.Limit = budget.DefaultFlight
 		e.retry, e.throttle = budget.NewRetry(budget.DefaultRetry()), budget.NewThrottle(budget.DefaultThrottle())
 		e.link = budget.NewLink(budget.DefaultLink(c.Fleet.Link, c.Fleet.Entries/domains))
 		w.entries = append(w.entries, e)
