--- a/experiment/config.go
+++ b/experiment/config.go
@@ -126,6 +126,8 @@
 	NoShares bool
 	// ArrivalOrder serves each caller's requests in order of arrival.
 	ArrivalOrder bool
+	// MixedDeadlines gives half of the requests a fifth of the limit.
+	MixedDeadlines bool
 	// OneCaller makes all requests look like one caller's.
 	OneCaller bool
 	// NoRetryBudget lets entries repeat requests without a budget.
@@ -152,6 +154,7 @@
 		{v.NoReserve, "no-reserve"},
 		{v.NoShares, "no-shares"},
 		{v.ArrivalOrder, "arrival-order"},
+		{v.MixedDeadlines, "mixed-deadlines"},
 		{v.OneCaller, "one-caller"},
 		{v.NoRetryBudget, "no-retry-budget"},
 		{v.NoThrottle, "no-throttle"},
--- a/experiment/load.go
+++ b/experiment/load.go
@@ -9,6 +9,10 @@
 // callers is the number of callers of the ordinary load.
 const callers = 30
 
+// shortPart is the part of the limit that half of the requests get with
+// Variant.MixedDeadlines.
+const shortPart = 5
+
 // flooder is the number of the one flooding caller.
 const flooder = callers
 
@@ -73,6 +77,9 @@
 		tolerant: w.load.Float64() < c.tolerant, service: time.Duration(w.load.ExpFloat64() * float64(c.service)), jitter: w.load.Float64(),
 		first: w.now, arrived: w.now, deadline: w.now + c.limit, tried: map[string]bool{},
 	}
+	if w.c.Variant.MixedDeadlines && w.load.IntN(2) == 0 {
+		q.deadline = w.now + c.limit/shortPart
+	}
 	if flood {
 		q.caller = flooder
 	}
