--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -16,6 +16,7 @@
 	PrimaryFrozen      Fault = "primary-frozen"
 	ReplicaBehind      Fault = "replica-far-behind"
 	SilentConnection   Fault = "silent-connection"
+	BrokenConnection   Fault = "broken-connection"
 	EntryKilled        Fault = "entry-killed"
 	OwnerKilled        Fault = "owner-killed"
 	OwnerFrozen        Fault = "owner-frozen"
@@ -33,7 +34,7 @@
 // Faults returns all faults.
 func Faults() []Fault {
 	return []Fault{
-		PrimaryCut, PrimaryKilled, PrimaryFrozen, ReplicaBehind, SilentConnection, EntryKilled, OwnerKilled,
+		PrimaryCut, PrimaryKilled, PrimaryFrozen, ReplicaBehind, SilentConnection, BrokenConnection, EntryKilled, OwnerKilled,
 		OwnerFrozen, PlatformDown, PlatformSlow, PlatformAnswerLost, RacingOperators, TwoPromoting, DomainCut,
 		HostLeaving, LateAnswers, SuccessorKilled,
 	}
@@ -78,6 +79,8 @@
 		r.slowReplicas(p)
 	case SilentConnection:
 		w.Silence(p.Node)
+	case BrokenConnection:
+		w.Break(p.Node)
 	case EntryKilled:
 		r.replace(e)
 	case OwnerKilled:
@@ -135,19 +138,16 @@
 	}
 }
 
-// slowReplicas stops one replica and slows the other down.
+// slowReplicas lets one replica fall far behind, and the others a little.
 func (r *run) slowReplicas(p *model.Member) {
-	first := true
+	var last *model.Member
 	for _, m := range r.w.Members {
-		switch {
-		case m == p:
-		case first:
+		if m != p {
 			m.Lag = littleBehind
-			first = false
-		default:
-			m.Lag = farBehind
+			last = m
 		}
 	}
+	last.Lag = farBehind
 }
 
 // replace kills a daemon; another host takes its place.
--- a/standin/database/database.go
+++ b/standin/database/database.go
@@ -100,7 +100,9 @@
 	// epoch rises whenever role, term or primary change; work of an older
 	// epoch must not change the log.
 	epoch uint64
-	log   []entry
+	// unfollow ends the pull that runs; nil before the first.
+	unfollow context.CancelFunc
+	log      []entry
 	// contact is when the primary last answered a pull.
 	contact time.Time
 	// grown is closed and replaced when log grows.
@@ -293,11 +295,17 @@
 	return p
 }
 
-// changed ends the transactions of the epoch before; m.mu is held.
+// changed ends the writing transactions of the epoch before; reads go on. m.mu
+// is held.
 func (m *Member) changed() {
 	m.epoch++
+	if m.unfollow != nil {
+		m.unfollow()
+	}
 	for s := range m.sessions {
-		s.interrupt()
+		if s.wants.Load() {
+			s.interrupt()
+		}
 	}
 	close(m.grown)
 	m.grown = make(chan struct{})
