Retry budget wide enough for a primary change in the ordinary load

Cause: 100 repeats saved up and 20 a second refused a quarter of the urgent work that waits out 2 s without primaries. Change: 500 and 500 a second; a spec, which fails with the old figures.

--- a/budget/retry.go
+++ b/budget/retry.go
@@ -17,7 +17,7 @@
 }
 
 // DefaultRetry returns the limits that entries use.
-func DefaultRetry() RetryConfig { return RetryConfig{Ratio: 0.2, Burst: 100, Rate: 20} }
+func DefaultRetry() RetryConfig { return RetryConfig{Ratio: 0.2, Burst: 500, Rate: 500} }
 
 // Bounds of the pause before a repeat.
 const (
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -56,6 +56,7 @@
 		Entry("background at 30", experiment.BackgroundFlood, 30.0),
 		Entry("one caller at 4", experiment.CallerFlood, 4.0),
 		Entry("background over the region link", experiment.LinkFlood, 10.0),
+		Entry("two seconds without primaries", experiment.PrimaryChange, 0.01),
 		Entry("an owner dies", experiment.OwnerDeath, 1.0),
 	)
 
