--- /dev/null
+++ b/admit/bench_test.go
@@ -0,0 +1,42 @@
+package admit_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/admit"
+	"github.com/dragonflypick/dragonflypick/bundle"
+)
+
+// BenchmarkHandle measures an arrival with a finish while 10,000 requests of
+// 100 callers wait.
+func BenchmarkHandle(b *testing.B) {
+	c := config()
+	c.MaxWaiting = 20000
+	q := admit.New(c)
+	now := start
+	var running []uint64
+	id := uint64(0)
+	handle := func(e admit.Event) {
+		for _, a := range q.Handle(e, now) {
+			if s, ok := a.(admit.Start); ok {
+				running = append(running, s.ID)
+			}
+		}
+	}
+	arrive := func() {
+		id++
+		handle(admit.Arrived{ID: id, Rank: bundle.Urgent, Caller: strconv.FormatUint(id%100, 10), Deadline: now.Add(time.Hour)})
+	}
+	for q.Depth(bundle.Urgent) < 10000 {
+		arrive()
+	}
+	for b.Loop() {
+		now = now.Add(time.Microsecond)
+		arrive()
+		r := running[0]
+		running = running[1:]
+		handle(admit.Finished{ID: r})
+	}
+}
