A lost answer doesn't cost a host its place on the platform's list

Cause: a renewal that failed for any reason dropped the session, and an entry whose write's answer was lost was held by a session nobody knew; both kept the host from registering until the session's time to live ended, now a minute or more. Change: only a 404 drops the session; a session is known before the entry is written, and is ended before a new one is made. Conclusion: spec with one and two lost answers passes with -race.

--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"net/http"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/membership"
@@ -102,7 +104,8 @@
 	ttl := rollout.SessionTTL(d.fleet())
 	if e.session != "" && d.listed() && ttl <= sessionGrowth*e.ttl {
 		err := d.platform.RenewSession(x, e.session)
-		if err != nil {
+		var s *platform.StatusError
+		if errors.As(err, &s) && s.Status == http.StatusNotFound {
 			e.session = ""
 		}
 		return err
@@ -113,29 +116,27 @@
 		}
 		e.session = ""
 	}
-	var err error
 	e.ttl = ttl
-	e.session, err = d.enlist(x, ttl)
-	return err
+	return d.enlist(x, e)
 }
 
-func (d *Daemon) enlist(x context.Context, ttl time.Duration) (string, error) {
-	id, err := d.platform.CreateSession(x, ttl)
+// enlist makes a session and writes the entry. If the write's answer is lost,
+// the session stays known, so that the next attempt can end it.
+func (d *Daemon) enlist(x context.Context, e *entry) error {
+	id, err := d.platform.CreateSession(x, e.ttl)
 	if err != nil {
-		return "", err
+		return err
 	}
+	e.session = id
 	v, err := json.Marshal(d.c.Host)
 	if err != nil {
-		return "", Error.Wrap(err)
+		return Error.Wrap(err)
 	}
 	ok, err := d.platform.Acquire(x, platform.HostPrefix+d.c.Host.ID, v, id)
-	if err != nil {
-		return "", err
-	}
-	if !ok {
-		return "", Error.Wrap(&TakenError{ID: d.c.Host.ID})
+	if err == nil && !ok {
+		err = Error.Wrap(&TakenError{ID: d.c.Host.ID})
 	}
-	return id, nil
+	return err
 }
 
 // fleet returns the number of hosts known.
--- a/standin/cluster/rollout_test.go
+++ b/standin/cluster/rollout_test.go
@@ -126,6 +126,21 @@
 		everywhere()
 	})
 
+	It("keeps its place on the list when answers to the registration are lost", func() {
+		start(1, 0)
+		for lost := 1; lost <= 2; lost++ {
+			c.Platform.SetFault(kv.Fault{LoseAnswers: lost})
+			d, err := c.StartDaemon(1)
+			Expect(err).NotTo(HaveOccurred())
+			k := platform.New(platform.Config{Address: c.Platform.Address()})
+			Eventually(func() int {
+				r, err := k.Get(x, platform.HostPrefix+d.ID, 0, 0)
+				Expect(err).NotTo(HaveOccurred())
+				return len(r.Pairs)
+			}, within).Should(Equal(1))
+		}
+	})
+
 	It("cuts no request when owners are drained one after another under load", func() {
 		start(4, 0)
 		whole(run(5*time.Second, []*cluster.Daemon{c.Daemons[1], c.Daemons[3]}, func() {
