--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -67,20 +68,26 @@
 	DrainTime time.Duration
 	// TLS is offered to callers; nil for none.
 	TLS *tls.Config
-	Log hclog.Logger
 	// AcknowledgeAtCommit is as in owner.Config; it is only for measurements.
 	AcknowledgeAtCommit bool
+	// RegionLink is this host's part of the link between regions in bytes a
+	// second, zero for DefaultRegionLink.
+	RegionLink float64
+	// LogEvery is N if one in N routing decisions is logged; zero logs all.
+	LogEvery uint64
+	Log      hclog.Logger
 }
 
 // Daemon is one proxy process.
 type Daemon struct {
-	c        Config
-	platform *platform.Client
-	node     *peer.Node
-	callers  *caller.Server
-	admin    *operator.Server
-	owner    *owner.Owner
-	router   *router
+	c         Config
+	platform  *platform.Client
+	node      *peer.Node
+	callers   *caller.Server
+	admin     *operator.Server
+	owner     *owner.Owner
+	router    *router
+	decisions *decisions
 	// group runs short work; ctx ends with the daemon.
 	group *errgroup.Group
 	ctx   context.Context
@@ -120,6 +127,7 @@
 		Host: c.Host.ID, Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
 		AcknowledgeAtCommit: c.AcknowledgeAtCommit,
 	})
+	d.decisions = newDecisions(c.LogEvery)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -154,7 +162,7 @@
 	}
 	d.admin, err = operator.New(operator.Config{
 		Listen: d.c.AdminListen, Status: d.Status, Ready: d.Ready,
-		Collectors: append(d.owner.Collectors(), d.node.Collectors()...),
+		Collectors: slices.Concat(d.owner.Collectors(), d.node.Collectors(), d.decisions.collectors()),
 	})
 	return err
 }
@@ -311,6 +319,10 @@
 	x, stop := context.WithCancel(d.ctx)
 	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now()}
 	d.group.Go(func() error { return m.Run(x) })
+	d.group.Go(func() error {
+		d.recall(x, g.Name)
+		return nil
+	})
 	return m
 }
 
@@ -362,6 +374,7 @@
 func (d *Daemon) groupChanged(group string, c failover.Changed) {
 	d.router.learn(group, failover.View{Term: c.Term, Primary: c.Primary})
 	d.owner.Replaced(group, c.Primary)
+	d.record(group, c)
 	if c.Stages != (failover.Stages{}) {
 		d.publish(group)
 	}
