--- a/command/standin/measure/slopes.go
+++ b/command/standin/measure/slopes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/dragonflypick/dragonflypick/command"
 	"github.com/dragonflypick/dragonflypick/command/factory"
@@ -12,9 +13,10 @@
 // SlopesOptions are the flags of "slopes".
 type SlopesOptions struct {
 	SystemOptions `group:"System"`
-	Callers       []int `long:"callers" description:"Number of idle callers (default: 0, 1000 and 5000)"`
-	Groups        []int `long:"groups" description:"Number of watched groups of 3 members (default: 2, 20 and 60)"`
-	Daemons       []int `long:"daemons" description:"Number of daemons (default: 2, 8 and 20)"`
+	Callers       []int         `long:"callers" description:"Number of idle callers (default: 0, 1000 and 5000)"`
+	Groups        []int         `long:"groups" description:"Number of watched groups of 3 members (default: 2, 20 and 60)"`
+	Daemons       []int         `long:"daemons" description:"Number of daemons (default: 2, 8 and 20)"`
+	Settle        time.Duration `long:"settle" default:"3s" description:"Pause before a system is watched"`
 }
 
 func newCmdSlopes(f *factory.Factory) *command.Command {
@@ -28,7 +30,7 @@
 				o.Callers, o.Groups, o.Daemons = []int{0, 1000, 5000}, []int{2, 20, 60}, []int{2, 8, 20}
 			}
 			return o.run(x, f, func(x context.Context, c process.Config) (report, error) {
-				r, err := measure.Slopes(x, measure.SlopesConfig{Process: c, Callers: o.Callers, Groups: o.Groups, Daemons: o.Daemons})
+				r, err := measure.Slopes(x, measure.SlopesConfig{Process: c, Callers: o.Callers, Groups: o.Groups, Daemons: o.Daemons, Settle: o.Settle})
 				return &r, err
 			})
 		},
--- a/standin/measure/slopes.go
+++ b/standin/measure/slopes.go
@@ -30,6 +30,8 @@
 	Callers []int
 	Groups  []int
 	Daemons []int
+	// Settle is the pause before a system is watched.
+	Settle time.Duration
 }
 
 // SlopePoint is what the first daemon uses in a system at rest.
@@ -82,7 +84,7 @@
 		if err := os.MkdirAll(c.Process.Dir, dirMode); err != nil {
 			return o, Error.Wrap(err)
 		}
-		if err := p.measure(x, c.Process); err != nil {
+		if err := p.measure(x, c.Process, c.Settle); err != nil {
 			return o, err
 		}
 		o.Points = append(o.Points, p)
@@ -104,7 +106,7 @@
 }
 
 // measure fills the point in.
-func (p *SlopePoint) measure(x context.Context, c process.Config) error {
+func (p *SlopePoint) measure(x context.Context, c process.Config, settle time.Duration) error {
 	c.Groups, c.Daemons = p.Groups, p.Daemons
 	s, err := process.Start(x, c)
 	if err != nil {
@@ -117,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(settleTime)
+	time.Sleep(settle)
 	b, err := observe(s)
 	if err != nil {
 		return err
