--- a/command/standin/standin.go
+++ b/command/standin/standin.go
@@ -5,6 +5,7 @@
 	"github.com/dragonflypick/dragonflypick/command"
 	"github.com/dragonflypick/dragonflypick/command/factory"
 	"github.com/dragonflypick/dragonflypick/command/standin/database"
+	"github.com/dragonflypick/dragonflypick/command/standin/experiment"
 	"github.com/dragonflypick/dragonflypick/command/standin/load"
 	"github.com/dragonflypick/dragonflypick/command/standin/measure"
 	"github.com/dragonflypick/dragonflypick/command/standin/platform"
@@ -17,6 +18,7 @@
 		Name: "standin", Short: "Stand-ins for what the proxy talks to",
 		Commands: []*command.Command{
 			platform.NewCmdPlatform(f, nil),
+			experiment.NewCmdExperiment(f, nil),
 			database.NewCmdDatabase(f, nil),
 			load.NewCmdLoad(f, nil),
 			measure.NewCmdMeasure(f),
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -4,8 +4,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -35,9 +38,6 @@
 	reconcileInterval = 250 * time.Millisecond
 	// watchLinger is how long a group that isn't needed stays watched.
 	watchLinger = 10 * time.Second
-	// retiredPlace is the place of a watch that another has taken over from: far
-	// behind all others.
-	retiredPlace = 1000
 	// sweepInterval is how often idle connections are checked.
 	sweepInterval = 500 * time.Millisecond
 )
@@ -68,20 +68,26 @@
 	DrainTime time.Duration
 	// TLS is offered to callers; nil for none.
 	TLS *tls.Config
-	Log hclog.Logger
 	// AcknowledgeAtCommit is as in owner.Config; it is only for measurements.
 	AcknowledgeAtCommit bool
+	// RegionLink is this host's part of the link between regions in bytes a
+	// second, zero for DefaultRegionLink.
+	RegionLink float64
+	// LogEvery is N if one in N routing decisions is logged; zero logs all.
+	LogEvery uint64
+	Log      hclog.Logger
 }
 
 // Daemon is one proxy process.
 type Daemon struct {
-	c        Config
-	platform *platform.Client
-	node     *peer.Node
-	callers  *caller.Server
-	admin    *operator.Server
-	owner    *owner.Owner
-	router   *router
+	c         Config
+	platform  *platform.Client
+	node      *peer.Node
+	callers   *caller.Server
+	admin     *operator.Server
+	owner     *owner.Owner
+	router    *router
+	decisions *decisions
 	// group runs short work; ctx ends with the daemon.
 	group *errgroup.Group
 	ctx   context.Context
@@ -107,8 +113,6 @@
 	g      *bundle.Group
 	stop   context.CancelFunc
 	needed time.Time
-	// retired is set when another watch takes over.
-	retired *atomic.Bool
 }
 
 // New returns a daemon with open listening sockets.
@@ -123,6 +127,7 @@
 		Host: c.Host.ID, Bundle: d.bundle, Monitor: d.watch, User: c.BackendUser, Password: c.BackendPassword, Log: c.Log.Named("owner"),
 		AcknowledgeAtCommit: c.AcknowledgeAtCommit,
 	})
+	d.decisions = newDecisions(c.LogEvery)
 	if err := d.listen(); err != nil {
 		return nil, err
 	}
@@ -157,7 +162,7 @@
 	}
 	d.admin, err = operator.New(operator.Config{
 		Listen: d.c.AdminListen, Status: d.Status, Ready: d.Ready,
-		Collectors: append(d.owner.Collectors(), d.node.Collectors()...),
+		Collectors: slices.Concat(d.owner.Collectors(), d.node.Collectors(), d.decisions.collectors()),
 	})
 	return err
 }
@@ -290,64 +295,50 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w, ok := d.watches[group]
-	if ok && sameMembers(w.g, g) {
-		w.needed = time.Now()
-		return w.m
+	if !ok {
+		return d.startWatch(g)
 	}
-	if ok {
-		d.retire(w)
+	w.needed = time.Now()
+	if !reflect.DeepEqual(w.g, g) {
+		w.g = g
+		w.m.Configure(g)
 	}
-	return d.startWatch(g)
-}
-
-// sameMembers reports whether two versions of a group differ in limits only.
-func sameMembers(a, b *bundle.Group) bool {
-	if a.Name != b.Name || len(a.Members) != len(b.Members) {
-		return false
-	}
-	for i := range a.Members {
-		x, y := a.Members[i], b.Members[i]
-		x.Slots, x.Connections = y.Slots, y.Connections
-		if x != y {
-			return false
-		}
-	}
-	return true
-}
-
-// retire stops a monitor after a while, so that writes which wait for a
-// majority aren't cut; it leaves failover to the next one.
-func (d *Daemon) retire(w *watch) {
-	w.retired.Store(true)
-	d.group.Go(func() error {
-		pause(d.ctx, watchLinger)
-		w.stop()
-		return nil
-	})
+	return w.m
 }
 
 // startWatch starts a monitor; d.mu is held.
 func (d *Daemon) startWatch(g *bundle.Group) *monitor.Monitor {
-	retired := &atomic.Bool{}
 	m := monitor.New(monitor.Config{
-		Group: g, Holder: d.c.Host.ID, Log: d.c.Log.Named("monitor"),
-		Place: func() int {
-			if retired.Load() {
-				return retiredPlace
-			}
-			return d.place(g)
-		},
-		Near:    func(m *bundle.Member) int { return near(g, m) },
+		Group: g, Holder: holder(d.c.Host.ID), Log: d.c.Log.Named("monitor"),
+		Place:   func() int { return d.place(d.groupNow(g)) },
+		Near:    near,
 		Status:  func(x context.Context, m *bundle.Member) (failover.Status, error) { return d.askStatus(x, g, m) },
 		Control: func(m *bundle.Member) *backend.Control { return d.control(g, m) },
 		Changed: func(group string, c failover.Changed) { d.groupChanged(group, c) },
 	})
 	x, stop := context.WithCancel(d.ctx)
-	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now(), retired: retired}
+	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now()}
 	d.group.Go(func() error { return m.Run(x) })
+	d.group.Go(func() error {
+		d.recall(x, g.Name)
+		return nil
+	})
 	return m
 }
 
+// holder names one monitor in fences. No two have the same name, also of one
+// host and after a restart: a promotion that an earlier one has sent and that
+// comes late must not meet the fence of a later one.
+func holder(id string) string { return id + "#" + strconv.FormatUint(rand.Uint64(), 36) }
+
+// groupNow returns a group as the bundle in force has it.
+func (d *Daemon) groupNow(g *bundle.Group) *bundle.Group {
+	if n, ok := d.bundle().Group(g.Name); ok {
+		return n
+	}
+	return g
+}
+
 // near counts the other members in a member's region, so that a write on the
 // member reaches a majority without the region link where it can.
 func near(g *bundle.Group, m *bundle.Member) int {
@@ -383,6 +374,7 @@
 func (d *Daemon) groupChanged(group string, c failover.Changed) {
 	d.router.learn(group, failover.View{Term: c.Term, Primary: c.Primary})
 	d.owner.Replaced(group, c.Primary)
+	d.record(group, c)
 	if c.Stages != (failover.Stages{}) {
 		d.publish(group)
 	}
@@ -450,7 +442,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for n, w := range d.watches {
-		if time.Since(w.needed) > watchLinger {
+		if time.Since(w.needed) > watchLinger && w.m.InFlight() == 0 {
 			w.stop()
 			delete(d.watches, n)
 		}
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -32,6 +32,7 @@
 	// floors holds the look-up of a primary's position that is to begin next
 	// for each group.
 	floors map[string]*floorCall
+	limits limits
 }
 
 // floorCall is one look-up that several sessions wait for.
@@ -43,7 +44,7 @@
 
 func newRouter(d *Daemon) *router {
 	h := d.c.Host
-	return &router{d: d, t: route.New(route.Place{Region: h.Region, FailureDomain: h.FailureDomain}), floors: map[string]*floorCall{}}
+	return &router{d: d, t: route.New(route.Place{Region: h.Region, FailureDomain: h.FailureDomain}), floors: map[string]*floorCall{}, limits: newLimits(d.c.RegionLink)}
 }
 
 // Open implements caller.Router.
@@ -56,13 +57,30 @@
 	if err != nil {
 		return caller.Route{}, err
 	}
-	_, m, _ := r.d.bundle().Member(c.Member)
+	_, m, ok := r.d.bundle().Member(c.Member)
+	if !ok {
+		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "unknown-member", RetryAfter: routeRetryAfter})
+	}
+	n, err := r.pass(q, m)
+	if err != nil {
+		return caller.Route{}, err
+	}
+	t, err := r.connect(x, m, c, q)
+	if err != nil {
+		r.Ended(caller.Route{Rank: bundle.Rank(q.Header.Rank), Reserved: n})
+		return caller.Route{}, err
+	}
+	t.Reserved = n
+	return t, nil
+}
+
+// connect opens a stream to the owner of the chosen member.
+func (r *router) connect(x context.Context, m *bundle.Member, c route.Choice, q caller.Request) (caller.Route, error) {
 	h, ok := r.d.ownerOf(m)
 	if !ok {
 		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "no-owner", RetryAfter: routeRetryAfter})
 	}
-	r.d.c.Log.Debug("statement routed", "group", g.Name, "member", m.Name, "owner", h.ID, "rank", bundle.Rank(q.Header.Rank).String(),
-		"kind", q.Header.Kind, "reason", c.Reason, "floor", q.Header.Floor.String(), "tolerance", q.Header.Tolerance)
+	r.d.routed(q, c, h.ID)
 	s, err := r.d.open(x, h)
 	if err != nil {
 		return caller.Route{}, Error.Wrap(&caller.RouteError{Reason: "owner-unreachable", RetryAfter: routeRetryAfter})
@@ -75,17 +93,30 @@
 	r.mu.Lock()
 	r.t.Handle(route.Sent{Member: m.Name}, time.Now())
 	r.mu.Unlock()
-	return caller.Route{Stream: s, Member: m.Name}, nil
+	return caller.Route{Stream: s, Member: m.Name, Rank: bundle.Rank(q.Header.Rank)}, nil
+}
+
+// routed counts and logs a choice.
+func (d *Daemon) routed(q caller.Request, c route.Choice, owner string) {
+	k := bundle.Rank(q.Header.Rank).String()
+	d.decisions.routed.WithLabelValues(k, string(c.Reason)).Inc()
+	if d.decisions.logged() {
+		d.c.Log.Debug("statement routed", "group", q.Header.Group, "member", c.Member, "owner", owner, "rank", k,
+			"kind", q.Header.Kind, "reason", c.Reason, "floor", q.Header.Floor.String(), "tolerance", q.Header.Tolerance)
+	}
 }
 
 func (r *router) choose(x context.Context, g *bundle.Group, q caller.Request) (route.Choice, error) {
 	if q.Header.Kind == peer.KindRead && !q.Primary {
 		r.mu.Lock()
-		c, ok := r.t.Read(g, q.Tried, time.Now())
+		c, ok := r.t.Read(g, demand(q), q.Tried, time.Now())
 		r.mu.Unlock()
 		if ok {
 			return c, nil
 		}
+		if q.Spilled {
+			return route.Choice{}, Error.Wrap(&caller.RouteError{Reason: reasonOverloaded, RetryAfter: routeRetryAfter})
+		}
 	}
 	p, err := r.primary(x, g, len(q.Tried) > 0)
 	if err != nil {
@@ -140,25 +171,36 @@
 }
 
 // Ended implements caller.Router.
-func (r *router) Ended(member string) {
+func (r *router) Ended(t caller.Route) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.t.Handle(route.Ended{Member: member}, time.Now())
+	if t.Reserved > 0 {
+		r.limits.link.Settle(t.Rank, t.Reserved, t.Received, time.Now())
+	}
+	if t.Member != "" {
+		r.t.Handle(route.Ended{Member: t.Member}, time.Now())
+	}
 }
 
 // Learn implements caller.Router.
-func (r *router) Learn(group, member string, v peer.Verdict) {
+func (r *router) Learn(q caller.Request, member string, v peer.Verdict) {
 	if v.View != nil {
-		r.learn(group, *v.View)
+		r.learn(q.Header.Group, *v.View)
 	}
 	if v.Left != "" {
 		r.d.heardLeave(v.Left)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if v.Outcome == peer.Moved {
-		r.mu.Lock()
-		r.t.Handle(route.Declined{Member: member}, time.Now())
-		r.mu.Unlock()
+		r.t.Handle(route.Declined{Member: member, Demand: demand(q)}, time.Now())
 	}
+	r.limits.learn(q, member, v)
+}
+
+// demand returns how fresh the data of a read must be.
+func demand(q caller.Request) route.Demand {
+	return route.Demand{Floor: q.Header.Floor, Tolerance: q.Header.Tolerance, AgeOnly: q.Header.AgeOnly, OwnWrites: q.Header.OwnWrites}
 }
 
 // Floor implements caller.Router. Sessions that ask while a look-up runs share
@@ -202,7 +244,11 @@
 			c.err = err
 			return
 		}
-		_, m, _ := r.d.bundle().Member(p)
+		_, m, ok := r.d.bundle().Member(p)
+		if !ok {
+			c.err = Error.Wrap(&caller.RouteError{Reason: "unknown-member", RetryAfter: routeRetryAfter})
+			continue
+		}
 		if c.p, c.err = r.d.askPosition(x, g, m); c.err == nil {
 			return
 		}
@@ -228,10 +274,12 @@
 }
 
 // Ended implements caller.Router.
-func (d routerOf) Ended(member string) { d.router.Ended(member) }
+func (d routerOf) Ended(t caller.Route) { d.router.Ended(t) }
 
 // Learn implements caller.Router.
-func (d routerOf) Learn(group, member string, v peer.Verdict) { d.router.Learn(group, member, v) }
+func (d routerOf) Learn(q caller.Request, member string, v peer.Verdict) {
+	d.router.Learn(q, member, v)
+}
 
 // Floor implements caller.Router.
 func (d routerOf) Floor(x context.Context, group string) (logpos.Position, error) {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -95,7 +95,12 @@
 	return d
 }
 
-// Sweep checks the idle connections of all owned servers.
+// warmTimeout bounds the opening of connections in one sweep.
+const warmTimeout = time.Second
+
+// Sweep checks the idle connections of all owned servers, and opens others
+// until each has one for each slot, so that no statement waits for a new
+// connection.
 func (o *Owner) Sweep() {
 	o.mu.Lock()
 	l := make([]*server, 0, len(o.servers))
@@ -103,8 +108,11 @@
 		l = append(l, s)
 	}
 	o.mu.Unlock()
+	x, stop := context.WithTimeout(context.Background(), warmTimeout)
+	defer stop()
 	for _, s := range l {
 		s.pool.Sweep()
+		s.pool.Warm(x, s.slots())
 	}
 }
 
@@ -143,6 +151,8 @@
 	srv      *server
 	// role is that of the member that serves.
 	role string
+	// entered tells that the monitor counts the request.
+	entered bool
 }
 
 // run serves the stream. It returns a verdict that is still to be sent, or
@@ -162,6 +172,9 @@
 	if v := t.eligible(x, b, m); v.Outcome != "" {
 		return v
 	}
+	if t.entered {
+		defer t.m.Leave()
+	}
 	if t.o.isLeaving() {
 		return t.moved()
 	}
@@ -172,13 +185,12 @@
 	if err != nil {
 		return t.verdict(err)
 	}
-	c, err := t.take(x)
-	if err != nil {
-		k.free()
-		if e := context.Cause(x); isReplaced(e) {
-			return t.verdict(e)
-		}
-		return peer.Verdict{Outcome: peer.NotRun, Reason: "no-connection", RetryAfter: defaultRetryAfter}
+	c, v := t.connection(x, k)
+	if c == nil {
+		return v
+	}
+	if t.h.Kind == peer.KindTransaction {
+		defer t.srv.endTransaction(bundle.Rank(t.h.Rank))
 	}
 	if t.h.Kind == peer.KindRead {
 		t.o.metrics.read(t.h, t.role)
@@ -196,6 +208,30 @@
 	return admit.Arrived{Rank: bundle.Rank(t.h.Rank), Caller: t.h.Caller, Deadline: t.deadline}
 }
 
+// connection takes a connection for the request that holds k, and counts its
+// transaction in. If there is none, it frees k and returns nil and a verdict.
+func (t *task) connection(x context.Context, k ticket) (*backend.Conn, peer.Verdict) {
+	none := peer.Verdict{Outcome: peer.NotRun, Reason: "no-connection", RetryAfter: defaultRetryAfter}
+	r := bundle.Rank(t.h.Rank)
+	counts := t.h.Kind == peer.KindTransaction
+	if counts && !t.srv.beginTransaction(r) {
+		k.free()
+		return nil, none
+	}
+	c, err := t.take(x)
+	if err == nil {
+		return c, peer.Verdict{}
+	}
+	if counts {
+		t.srv.endTransaction(r)
+	}
+	k.free()
+	if e := context.Cause(x); isReplaced(e) {
+		return nil, t.verdict(e)
+	}
+	return nil, none
+}
+
 func (t *task) take(x context.Context) (*backend.Conn, error) {
 	x, stop := context.WithDeadline(x, t.deadline)
 	defer stop()
@@ -219,7 +255,7 @@
 	x, stop := context.WithTimeout(x, min(primaryWait, max(time.Until(t.deadline), 0)))
 	defer stop()
 	elsewhere := false
-	ok := t.m.Await(x, func(g *failover.Group, now time.Time) bool {
+	t.entered = t.m.Enter(x, func(g *failover.Group, now time.Time) bool {
 		v := g.View(now)
 		elsewhere = v.Primary != "" && v.Primary != m.Name
 		return elsewhere || v.Primary == m.Name && v.Confirmed && !v.Leads(t.h.Floor)
@@ -227,8 +263,11 @@
 	v := t.m.View()
 	switch {
 	case elsewhere:
+		if t.entered {
+			t.m.Leave()
+		}
 		return peer.Verdict{Outcome: peer.Moved, Reason: "not-primary", View: &v}
-	case !ok:
+	case !t.entered:
 		return peer.Verdict{Outcome: peer.NotRun, Reason: "no-confirmed-primary", RetryAfter: defaultRetryAfter, View: &v}
 	default:
 		return peer.Verdict{}
@@ -246,7 +285,7 @@
 	}
 	x, stop := context.WithTimeout(x, replicaWait)
 	defer stop()
-	if t.m.View().Primary == m.Name {
+	if m.Leaving || t.m.View().Primary == m.Name {
 		return false
 	}
 	return t.m.AwaitReplica(x, ok)
@@ -267,6 +306,7 @@
 		s.pool.Resize(poolSize(m))
 		s.mu.Lock()
 		s.handle(admit.Configured{Config: queueConfig(b, m)})
+		s.transactions.Connections, s.transactions.Slots = poolSize(m), m.Slots
 		s.mu.Unlock()
 	}
 }
--- a/standin/measure/slopes.go
+++ b/standin/measure/slopes.go
@@ -30,7 +30,8 @@
 	Callers []int
 	Groups  []int
 	Daemons []int
-	// Settle is the pause before a system is watched.
+	// Settle is the pause before a system is watched: a daemon watches a group
+	// for 10 s after it has needed it last, as all do at their start.
 	Settle time.Duration
 }
 
