--- a/command/standin/measure/failover.go
+++ b/command/standin/measure/failover.go
@@ -13,7 +13,7 @@
 // FailoverOptions are the flags of "failover".
 type FailoverOptions struct {
 	SystemOptions `group:"System"`
-	Fault         string  `long:"fault" required:"true" description:"kill, freeze, cut or silence for the primary; owner-kill, owner-freeze or owner-cut for its owner"`
+	Fault         string  `long:"fault" required:"true" description:"kill, freeze, cut or silence for the primary; owner-kill, owner-freeze or owner-cut for its owner; leave for a switchover"`
 	Runs          int     `long:"runs" default:"10" description:"Runs, each in a new system"`
 	Rate          float64 `long:"rate" default:"200" description:"Orders a second"`
 	Seed          uint64  `long:"seed" default:"1" description:"Seed of the first run; each further run adds one"`
--- a/standin/measure/failover.go
+++ b/standin/measure/failover.go
@@ -30,11 +30,13 @@
 	OwnerKill   Fault = "owner-kill"
 	OwnerFreeze Fault = "owner-freeze"
 	OwnerCut    Fault = "owner-cut"
+	// Leave is no fault: a bundle marks the primary as leaving.
+	Leave Fault = "leave"
 )
 
 // Faults returns all faults.
 func Faults() []Fault {
-	return []Fault{Kill, Freeze, Cut, Silence, OwnerKill, OwnerFreeze, OwnerCut}
+	return []Fault{Kill, Freeze, Cut, Silence, OwnerKill, OwnerFreeze, OwnerCut, Leave}
 }
 
 // Course of a failover's run.
@@ -71,7 +73,7 @@
 	Fence   time.Duration `json:"fence-ns"`
 	Promote time.Duration `json:"promote-ns"`
 	// FirstWrite is from the new primary's report to the first acknowledged
-	// order.
+	// order; -1 if the longest gap lies elsewhere.
 	FirstWrite time.Duration `json:"first-write-ns"`
 	Orders     int64         `json:"orders"`
 	InDoubt    int64         `json:"in-doubt"`
@@ -150,7 +152,9 @@
 	if ok {
 		o.Confirm, o.Fence, o.Promote = p.Confirm, p.Fence, p.Promote
 		o.Notice = p.At.Add(-p.Confirm - p.Fence - p.Promote).Sub(at)
-		o.FirstWrite = r.WriteGapEnd.Sub(p.At)
+		if d := r.WriteGapEnd.Sub(p.At); d >= 0 && d <= r.WriteGap {
+			o.FirstWrite = d
+		}
 	}
 	return o, nil
 }
@@ -185,6 +189,8 @@
 		return d.Freeze, d.Thaw, nil
 	case OwnerCut:
 		return set(d.Relay, relay.Drop), set(d.Relay, relay.Pass), nil
+	case Leave:
+		return func() error { return s.Leave(context.Background(), p) }, never, nil
 	default:
 		return nil, nil, Error.Wrap(&FaultError{Name: string(f)})
 	}
@@ -227,7 +233,7 @@
 	r := bufio.NewScanner(f)
 	for r.Scan() {
 		var p placement
-		if json.Unmarshal(r.Bytes(), &p) == nil && p.Message == "primary placed" && p.Confirm > 0 && p.At.After(after) {
+		if json.Unmarshal(r.Bytes(), &p) == nil && p.Message == "primary placed" && p.Confirm+p.Fence+p.Promote > 0 && p.At.After(after) {
 			o = append(o, p)
 		}
 	}
--- a/standin/process/process_test.go
+++ b/standin/process/process_test.go
@@ -149,6 +149,14 @@
 		replaced(p)
 	})
 
+	It("cuts no request when the primary leaves", func() {
+		p := primary()
+		r := run(steps{fault: func() { must(s.Leave(x, p)) }})
+		replaced(p)
+		u := r.Ranks[bundle.Urgent]
+		Expect(u.Done).To(Equal(u.Offered))
+	})
+
 	It("keeps its promises when the primary's owner is killed", func() {
 		d := owner()
 		run(steps{fault: func() { must(d.Kill()) }})
--- a/standin/process/system.go
+++ b/standin/process/system.go
@@ -99,6 +99,7 @@
 	s        *starter
 	author   *bundle.Key
 	approver *bundle.Key
+	bundle   *bundle.Bundle
 	ports    *ports
 }
 
@@ -186,7 +187,25 @@
 	}
 	b.Callers = []bundle.Caller{{Name: cluster.CallerName, Scram: v, Rank: "routine", Groups: []string{Group}}}
 	b.Groups = s.groups()
-	e, err := bundle.Sign(x, b, s.author, s.approver)
+	s.bundle = b
+	return s.rollOut(x)
+}
+
+// Leave marks a member as leaving, in a bundle of the next version.
+func (s *System) Leave(x context.Context, m *Member) error {
+	s.bundle.Version++
+	for i := range s.bundle.Groups {
+		l := s.bundle.Groups[i].Members
+		for k := range l {
+			l[k].Leaving = l[k].Leaving || l[k].Name == m.Name
+		}
+	}
+	return s.rollOut(x)
+}
+
+// rollOut signs the bundle and pushes it until it is accepted.
+func (s *System) rollOut(x context.Context) error {
+	e, err := bundle.Sign(x, s.bundle, s.author, s.approver)
 	if err != nil {
 		return err
 	}
