matrix: leaving primary, silent connections without promotion; write: properties

Cause: a leaving backend server, and the promise that one silent connection promotes nobody, had no run; the order of a transaction's events no property.

--- a/matrix/check.go
+++ b/matrix/check.go
@@ -139,12 +139,30 @@
 		r.violate("the step was never reached")
 		return
 	}
+	r.checkSingle()
 	r.report.Gap = r.gap()
 	if r.bounded() && r.report.Gap > gapTarget {
 		r.violate("gap in service of " + r.report.Gap.String())
 	}
 }
 
+// checkSingle looks at what holds when nothing else goes wrong.
+func (r *run) checkSingle() {
+	if r.p.Second != "" {
+		return
+	}
+	switch r.p.First {
+	case MemberLeaving, HostLeaving:
+		if r.report.InDoubt > 0 {
+			r.violate("a graceful shutdown cut a request")
+		}
+	case SilentConnection, BrokenConnection:
+		if r.report.Terms > 1+farther {
+			r.violate("a connection that failed led to a promotion")
+		}
+	}
+}
+
 // bounded reports whether the faults leave a majority that can serve, so that
 // the gap in service has a bound.
 func (r *run) bounded() bool {
--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -27,6 +27,7 @@
 	TwoPromoting       Fault = "two-daemons-promoting"
 	DomainCut          Fault = "failure-domain-cut"
 	HostLeaving        Fault = "host-leaving"
+	MemberLeaving      Fault = "primary-leaving"
 	LateAnswers        Fault = "late-duplicate-reordered"
 	SuccessorKilled    Fault = "promoted-primary-killed"
 )
@@ -36,7 +37,7 @@
 	return []Fault{
 		PrimaryCut, PrimaryKilled, PrimaryFrozen, ReplicaBehind, SilentConnection, BrokenConnection, EntryKilled, OwnerKilled,
 		OwnerFrozen, PlatformDown, PlatformSlow, PlatformAnswerLost, RacingOperators, TwoPromoting, DomainCut,
-		HostLeaving, LateAnswers, SuccessorKilled,
+		HostLeaving, MemberLeaving, LateAnswers, SuccessorKilled,
 	}
 }
 
@@ -99,6 +100,8 @@
 			w.After(replaceTime, o.End)
 			w.AddDaemon(o.Place)
 		}
+	case MemberLeaving:
+		p.Leave(true)
 	case LateAnswers:
 		w.Noise = model.Noise{Duplicate: lateShare, Late: lateShare, Delay: lateBy}
 	case SuccessorKilled:
@@ -165,7 +168,7 @@
 	n := 0
 	for _, d := range r.w.Daemons {
 		if d.Alive() && n < 2 {
-			d.SetPlace(0)
+			d.ForceFirst(true)
 			r.w.Cut(d.Node, p.Node)
 			n++
 		}
@@ -180,13 +183,14 @@
 	r.w.Platform.Up()
 	for _, m := range r.w.Members {
 		m.Lag = 0
+		m.Leave(false)
 		m.Restart()
 		if m.Frozen() {
 			m.Thaw()
 		}
 	}
-	for i, d := range r.w.Daemons {
-		d.SetPlace(i)
+	for _, d := range r.w.Daemons {
+		d.ForceFirst(false)
 		if d.Frozen() {
 			d.Thaw()
 		}
--- a/model/daemon.go
+++ b/model/daemon.go
@@ -27,8 +27,12 @@
 	core *failover.Group
 	view *membership.View
 	held *bundle.Signed
-	// place is the daemon's place among those that watch the group.
-	place int
+	// place is the daemon's place among those that watch the group, and forced
+	// tells that it isn't computed.
+	place  int
+	forced bool
+	// inFlight counts the requests that run here on the primary.
+	inFlight int
 	// waiters are conditions that something waits for.
 	waiters []*waiter
 	servers map[string]*server
@@ -61,7 +65,7 @@
 func (w *World) AddDaemon(p Place) *Daemon {
 	id := "host-" + strconv.Itoa(w.hosts)
 	d := &Daemon{
-		Node: w.node(id, p), core: failover.New(), servers: map[string]*server{}, place: w.hosts % daemonCount,
+		Node: w.node(id, p), core: failover.New(), servers: map[string]*server{},
 		host:    membership.Host{ID: id, FailureDomain: p.Domain, Region: p.Region},
 		hurried: map[string]bool{}, polled: map[string]int{},
 	}
@@ -88,15 +92,34 @@
 	}
 }
 
-// SetPlace changes the daemon's place among those that watch the group.
-func (d *Daemon) SetPlace(n int) {
-	d.place = n
-	d.configure()
+// ForceFirst makes the daemon the first to act, or no longer.
+func (d *Daemon) ForceFirst(on bool) { d.forced = on }
+
+// rank returns the daemon's place: the owner of the primary comes first, then
+// the owners of the other members.
+func (d *Daemon) rank() int {
+	if d.forced {
+		return 0
+	}
+	n := 1
+	for _, m := range d.w.Members {
+		first := m.Name == d.primary
+		if d.w.Owner(d, m) == d {
+			if first {
+				return 0
+			}
+			return n
+		}
+		if !first {
+			n++
+		}
+	}
+	return n
 }
 
 // Leave announces that the daemon leaves.
 func (d *Daemon) Leave() {
-	d.leaving = true
+	d.leaving, d.host.Leaving = true, true
 	d.view.Handle(membership.Left{ID: d.Name}, d.w.now)
 	for _, x := range d.w.Daemons {
 		if x != d {
@@ -114,13 +137,17 @@
 		if m.Place.Region == places[0].Region {
 			near = 1
 		}
-		l = append(l, failover.Member{Name: m.Name, Address: m.Name, Near: near})
+		l = append(l, failover.Member{Name: m.Name, Address: m.Name, Near: near, Leaving: m.leaving})
 	}
 	d.core.Handle(failover.Configured{Members: l, Place: d.place}, d.w.now)
 }
 
 func (d *Daemon) tick() {
-	d.handle(failover.Ticked{Jitter: d.w.r.Float64()})
+	if n := d.rank(); n != d.place {
+		d.place = n
+		d.configure()
+	}
+	d.handle(failover.Ticked{Jitter: d.w.r.Float64(), InFlight: d.inFlight})
 	d.after(tickInterval, d.tick)
 }
 
--- a/model/member.go
+++ b/model/member.go
@@ -10,6 +10,9 @@
 // statementCost is how long a member works on a statement.
 const statementCost = 2 * time.Millisecond
 
+// spreadTime is how long a change takes to reach all daemons.
+const spreadTime = time.Second
+
 // Member is a member of the database group.
 type Member struct {
 	*Node
@@ -25,8 +28,8 @@
 	contact time.Time
 	// Lag delays replication to this member.
 	Lag time.Duration
-	// Stopped keeps this member from applying entries.
-	Stopped bool
+	// leaving tells that the member is being returned.
+	leaving bool
 	// ended are statements whose session was ended.
 	ended map[string]bool
 	// pulls wait for the log to grow or the role to change.
@@ -57,6 +60,15 @@
 	return s
 }
 
+// Leave marks the member as one that is being returned, or no longer; the
+// daemons learn of it one after the other.
+func (m *Member) Leave(on bool) {
+	m.leaving = on
+	for _, d := range m.w.Daemons {
+		d.after(time.Duration(m.w.r.Float64()*float64(spreadTime)), d.configure)
+	}
+}
+
 // Restart starts a killed member, which has kept its log and its term.
 func (m *Member) Restart() {
 	if m.alive {
--- a/model/owner.go
+++ b/model/owner.go
@@ -123,13 +123,20 @@
 	}
 	w := d.await(func(g *failover.Group) bool {
 		v := g.View(d.w.now)
+		if g.Changing() {
+			return false
+		}
 		return v.Primary != "" && v.Primary != r.member || v.Primary == r.member && v.Confirmed && !v.Leads(r.floor)
 	}, func() {
 		if d.core.View(d.w.now).Primary != r.member {
 			reply(verdict{outcome: NotRun})
 			return
 		}
-		d.enter(r, reply)
+		d.inFlight++
+		d.enter(r, func(v verdict) {
+			d.inFlight--
+			reply(v)
+		})
 	})
 	d.after(primaryWait, func() {
 		if !w.over {
--- a/model/transaction.go
+++ b/model/transaction.go
@@ -41,7 +41,6 @@
 // forward sends the write to the primary.
 func (t *transaction) forward(use string) {
 	t.handle(write.Forwarded{Commits: true})
-	t.d.w.reach(Forwarded, t.r.Statement)
 	m := t.d.w.Member(t.r.member)
 	t.d.w.do(&call{
 		from: t.d.Node, to: m.Node, use: use, timeout: t.r.deadline.Sub(t.d.w.now) + cancelGrace,
@@ -49,6 +48,7 @@
 		handle: func(answer func(any)) { m.execute(t.r.Statement, answer) },
 		done:   t.answered,
 	})
+	t.d.w.reach(Forwarded, t.r.Statement)
 }
 
 func (t *transaction) answered(v any, ok bool) {
--- /dev/null
+++ b/write/property_test.go
@@ -0,0 +1,114 @@
+package write_test
+
+import (
+	"flag"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/write"
+)
+
+// drawEvent draws any event.
+func drawEvent(t *rapid.T) write.Event {
+	p := logpos.Position{Term: rapid.Uint64Range(1, 3).Draw(t, "term"), Offset: rapid.Uint64Range(1, 9).Draw(t, "offset")}
+	yes := rapid.Bool().Draw(t, "yes")
+	return rapid.SampledFrom([]write.Event{
+		write.Forwarded{Commits: yes},
+		write.Committed{Position: p},
+		write.Answered{},
+		write.Lost{},
+		write.Durable{},
+		write.Superseded{},
+		write.Settled{Holds: yes},
+		write.Found{Ran: yes, Position: p},
+		write.Expired{},
+	}).Draw(t, "event")
+}
+
+// isEnd reports whether an action ends the transaction; Done without a
+// position passes the answer of a statement that hasn't committed.
+func isEnd(a write.Action) bool {
+	switch x := a.(type) {
+	case write.Done:
+		return !x.Position.IsZero()
+	case write.NotRun, write.InDoubt:
+		return true
+	default:
+		return false
+	}
+}
+
+var _ = Describe("a transaction with events in any order", func() {
+	BeforeEach(func() {
+		const seed = "20260101"
+		Expect(flag.Set("rapid.seed", seed)).To(Succeed())
+		Expect(flag.Set("rapid.checks", "2000")).To(Succeed())
+		Expect(flag.Set("rapid.nofailfile", "true")).To(Succeed())
+		GinkgoWriter.Println("rapid seed", seed)
+	})
+
+	It("ends at most once, and then asks for nothing", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			x := write.New(rapid.Bool().Draw(t, "keyed"))
+			over := false
+			for range 20 {
+				for _, a := range x.Handle(drawEvent(t)) {
+					if over {
+						t.Fatalf("%T after the end", a)
+					}
+					over = isEnd(a)
+				}
+			}
+		})
+	})
+
+	It("is never reported not run once it may have committed, unless that is settled", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			x := write.New(rapid.Bool().Draw(t, "keyed"))
+			open, committed, settled := false, false, false
+			for range 20 {
+				e := drawEvent(t)
+				switch y := e.(type) {
+				case write.Forwarded:
+					open = open || y.Commits
+				case write.Committed:
+					open, committed = true, true
+				case write.Answered:
+					open = committed
+				case write.Settled:
+					settled = settled || !y.Holds
+				case write.Found:
+					settled = settled || !y.Ran
+				}
+				for _, a := range x.Handle(e) {
+					if _, ok := a.(write.NotRun); ok && open && !settled {
+						t.Fatalf("not run after %T", e)
+					}
+				}
+			}
+		})
+	})
+
+	It("is done with a position only when that is durable or found", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			x := write.New(rapid.Bool().Draw(t, "keyed"))
+			for range 20 {
+				e := drawEvent(t)
+				for _, a := range x.Handle(e) {
+					d, ok := a.(write.Done)
+					if !ok || d.Position.IsZero() {
+						continue
+					}
+					switch e.(type) {
+					case write.Durable, write.Settled, write.Found:
+					default:
+						t.Fatalf("done at %s after %T", d.Position, e)
+					}
+				}
+			}
+		})
+	})
+})
