matrix: the fault on a promoted primary kills its predecessor first

Cause: alone, the fault waited for a promotion that nothing caused. Conclusion: no promise broken with primary and successor both killed.

--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -106,6 +106,7 @@
 		w.Noise = model.Noise{Duplicate: lateShare, Late: lateShare, Delay: lateBy}
 	case SuccessorKilled:
 		r.killSuccessor = true
+		p.Kill()
 	default:
 		r.injectPlatform(f)
 	}
