A monitor that has stopped begins no more actions

Cause: a request that ends after its monitor has stopped may feed the core, and an action would then be started in a group that has been waited for. Found by reading while looking for a data race that 1 of 6 runs of standin/cluster with -race reported and whose text was overwritten; not reproduced in 7 runs of parts of the suite, so whether this was its cause isn't known.

--- a/monitor/monitor.go
+++ b/monitor/monitor.go
@@ -216,6 +216,9 @@
 }
 
 func (m *Monitor) act(x context.Context, g *errgroup.Group, a failover.Action) {
+	if x == nil || x.Err() != nil {
+		return
+	}
 	switch y := a.(type) {
 	case failover.Fence:
 		g.Go(func() error { return m.fence(x, y) })
