--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -91,6 +91,9 @@
 	// group runs short work; ctx ends with the daemon.
 	group *errgroup.Group
 	ctx   context.Context
+	// working guards ended, which tells that group is waited for.
+	working sync.Mutex
+	ended   bool
 
 	mu     sync.Mutex
 	held   *bundle.Signed
@@ -239,7 +242,7 @@
 	d.drain()
 	stop()
 	<-e
-	_ = d.group.Wait()
+	d.end()
 	return nil
 }
 
@@ -318,8 +321,8 @@
 	})
 	x, stop := context.WithCancel(d.ctx)
 	d.watches[g.Name] = &watch{m: m, g: g, stop: stop, needed: time.Now()}
-	d.group.Go(func() error { return m.Run(x) })
-	d.group.Go(func() error {
+	d.start(func() error { return m.Run(x) })
+	d.start(func() error {
 		d.recall(x, g.Name)
 		return nil
 	})
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -69,7 +69,7 @@
 	}
 	d.mu.Unlock()
 	if p.Host.ID != "" && (p.Version > o.Version || p.Roster.After(o.Roster)) {
-		d.group.Go(func() error {
+		d.start(func() error {
 			d.fetch(d.ctx, p.Host, p.Version, p.Roster)
 			return nil
 		})
@@ -228,7 +228,7 @@
 	if !d.noteMember(membership.Left{ID: id}) {
 		return
 	}
-	d.group.Go(func() error {
+	d.start(func() error {
 		d.sendLeave(d.neighbours(), id)
 		return nil
 	})
--- a/daemon/publish.go
+++ b/daemon/publish.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		told[h.ID] = true
-		d.group.Go(func() error {
+		d.start(func() error {
 			x, stop := context.WithTimeout(d.ctx, callTimeout)
 			defer stop()
 			if err := d.node.Call(x, h, methodChanged, memberParams{Group: group, Member: m.Name}, nil); err != nil {
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -23,7 +23,7 @@
 		return
 	}
 	r := platform.Record{Term: c.Term, Primary: c.Primary}
-	d.group.Go(func() error {
+	d.start(func() error {
 		for range publishTries {
 			err := d.platform.Publish(d.ctx, group, r)
 			d.c.Log.Info("primary published", "group", group, "term", c.Term, "member", c.Primary, "error", err)
--- a/daemon/router.go
+++ b/daemon/router.go
@@ -212,7 +212,7 @@
 	if !ok {
 		c = &floorCall{done: make(chan struct{})}
 		r.floors[group] = c
-		r.d.group.Go(func() error {
+		r.d.start(func() error {
 			r.lookUp(group, c)
 			return nil
 		})
@@ -261,7 +261,7 @@
 		return d.node.Open(x, h)
 	}
 	a, b := net.Pipe()
-	d.group.Go(func() error {
+	d.start(func() error {
 		d.owner.Serve(d.ctx, peer.NewStream(b))
 		return nil
 	})
