--- a/write/write.go
+++ b/write/write.go
@@ -71,7 +71,9 @@
 // ResolveKey asks for Found for the transaction's idempotency key.
 type ResolveKey struct{}
 
-// Done ends the transaction: the answer may go to the caller.
+// Done says that the answer may go to the caller. With a position, or after a
+// statement that may commit, it ends the transaction; after another statement
+// the transaction goes on.
 type Done struct{ Position logpos.Position }
 
 // NotRun ends the transaction: it has no effect and never will.
