A keyed write whose owner is lost is sent again by the entry itself

Its key makes a repeat harmless, so the entry repeats it within the deadline and the budget. Only success of a repeat is certain: an error or a refusal of it says nothing of the first attempt, which may still run, so the caller is told in doubt then.

--- a/caller/answer.go
+++ b/caller/answer.go
@@ -50,6 +50,9 @@
 		case wire.ReadyForQuery:
 			return answered, done, a.finish(m, done)
 		default:
+			if m.Type == wire.ErrorResponse && a.w.doubtful {
+				return declined, ownerLost, nil
+			}
 			if o, err := a.take(m); err != nil || o != answered {
 				return o, peer.Verdict{}, err
 			}
--- a/caller/attempt.go
+++ b/caller/attempt.go
@@ -39,21 +39,28 @@
 		switch {
 		case err != nil || o == answered || o == settled:
 			return err
-		case x.Err() != nil:
+		case x.Err() != nil && !w.doubtful:
 			return n.end(w, canceled())
+		case x.Err() != nil:
+			return n.end(w, refusal(ownerLost))
+		case o == lost && n.repeatsKeyed(w, r, deadline):
+			w.doubtful = true
+			pause(x, budget.Pause(repeats, rand.Float64()))
+			repeats++
+			continue
 		case o == lost && r.Header.Kind != peer.KindRead:
-			return n.end(w, refusal(peer.Verdict{Outcome: peer.InDoubt, Reason: "owner-lost"}))
+			return n.end(w, refusal(ownerLost))
 		case spills(w, r, v):
 			r.Spilled = true
 			continue
 		case !w.whole || !again(v) || time.Until(deadline) < retryPause:
-			return n.end(w, refusal(v))
+			return n.end(w, w.refusal(v))
 		}
 		if moves++; v.Outcome == peer.Moved && moves <= freeMoves {
 			continue
 		}
 		if !n.s.mayRepeat(r.Header) {
-			return n.end(w, refusal(exhausted()))
+			return n.end(w, w.refusal(exhausted()))
 		}
 		if o == readOnly {
 			r.asWrite()
@@ -65,6 +72,26 @@
 	}
 }
 
+// ownerLost is the verdict on a write that was sent to an owner which did not
+// answer.
+var ownerLost = peer.Verdict{Outcome: peer.InDoubt, Reason: "owner-lost"}
+
+// refusal turns a verdict into the answer for the caller; while an earlier
+// attempt may still run, none can be certain.
+func (w work) refusal(v peer.Verdict) *RefusedError {
+	if w.doubtful {
+		v = ownerLost
+	}
+	return refusal(v)
+}
+
+// repeatsKeyed reports whether a write whose owner was lost may be sent again:
+// its key makes sure that it runs once, and gives the outcome if it has run.
+func (n *client) repeatsKeyed(w work, r Request, deadline time.Time) bool {
+	return r.Header.Key != "" && r.Header.Kind == peer.KindWrite && w.whole &&
+		time.Until(deadline) > retryPause && n.s.mayRepeat(r.Header)
+}
+
 // exhausted is the verdict once the budget of repeats is used up.
 func exhausted() peer.Verdict {
 	d := budgetRetryAfter + time.Duration(rand.Float64()*float64(budgetRetryAfter))
--- /dev/null
+++ b/caller/attempt_test.go
@@ -0,0 +1,101 @@
+package caller
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/wire"
+)
+
+// scriptRouter answers each request by the next step of a script; after the
+// last step no owner is found.
+type scriptRouter struct {
+	noRouter
+	g     *errgroup.Group
+	steps []func(*peer.Stream)
+	opens atomic.Int32
+}
+
+func (r *scriptRouter) Open(x context.Context, q Request) (Route, error) {
+	i := int(r.opens.Add(1)) - 1
+	if i >= len(r.steps) {
+		return r.noRouter.Open(x, q)
+	}
+	a, b := net.Pipe()
+	r.g.Go(func() error {
+		s := peer.NewStream(b)
+		_, _ = s.Read()
+		r.steps[i](s)
+		return s.Close()
+	})
+	return Route{Stream: peer.NewStream(a), Member: "m"}, nil
+}
+
+// vanish ends the stream without an answer.
+func vanish(*peer.Stream) {}
+
+// reply sends messages and ReadyForQuery.
+func reply(m ...pgproto3.BackendMessage) func(*peer.Stream) {
+	return func(s *peer.Stream) {
+		for _, x := range append(m, &pgproto3.ReadyForQuery{TxStatus: 'I'}) {
+			b, err := x.Encode(nil)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(s.Write(wire.Message{Type: b[0], Body: b[5:]})).To(Succeed())
+		}
+		Expect(s.Flush()).To(Succeed())
+	}
+}
+
+var _ = Describe("a write whose owner is lost", func() {
+	x := context.Background()
+	inserted := reply(&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")})
+	failed := reply(&pgproto3.ErrorResponse{Severity: "ERROR", Code: "23505", Message: "duplicate"})
+
+	run := func(sql string, steps ...func(*peer.Stream)) (string, int) {
+		b := loginBundle()
+		d := bundle.RankLimits{Deadline: bundle.Duration(2 * time.Second)}
+		b.Ranks = bundle.Ranks{Urgent: d, Routine: d, Background: d}
+		r := &scriptRouter{g: &errgroup.Group{}, steps: steps}
+		s, err := New(Config{Listen: "127.0.0.1:0", Bundle: func() *bundle.Bundle { return b }, Router: r, Log: hclog.NewNullLogger()})
+		Expect(err).NotTo(HaveOccurred())
+		y, stop := context.WithCancel(x)
+		r.g.Go(func() error { return s.Run(y) })
+		n, err := pgx.Connect(x, "postgres://shop:amber@"+s.Address()+"/orders?sslmode=disable")
+		Expect(err).NotTo(HaveOccurred())
+		_, err = n.Exec(x, sql)
+		_ = n.Close(x)
+		stop()
+		Expect(r.g.Wait()).To(Succeed())
+		if err == nil {
+			return "done", int(r.opens.Load())
+		}
+		return sqlState(err), int(r.opens.Load())
+	}
+
+	const keyed = "/* dragonflypick key=k */ INSERT INTO t VALUES (1)"
+
+	DescribeTable("is repeated only with a key, and is certain only if the repeat succeeds",
+		func(sql, want string, opens int, steps ...func(*peer.Stream)) {
+			got, n := run(sql, steps...)
+			Expect(got).To(Equal(want))
+			Expect(n).To(BeNumerically(">=", opens))
+		},
+		Entry("without a key", "INSERT INTO t VALUES (1)", codeInDoubt, 1, vanish, inserted, inserted),
+		Entry("with a key", keyed, "done", 2, vanish, inserted),
+		Entry("with a key, lost twice", keyed, "done", 3, vanish, vanish, inserted),
+		Entry("with a key, and the repeat fails", keyed, codeInDoubt, 2, vanish, failed),
+		Entry("with a key, and nobody takes the repeat", keyed, codeInDoubt, 2, vanish),
+		Entry("with a key, failing at once", keyed, "23505", 1, failed),
+	)
+})
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -38,6 +38,9 @@
 	// whole tells that the messages end with the Query or Sync, so that they
 	// can be sent again.
 	whole bool
+	// doubtful tells that an earlier attempt may still run, so that only
+	// success is a certain answer.
+	doubtful bool
 	// describeOnly tells that nothing is run.
 	describeOnly bool
 	// local tells that no statement needs a backend server.
--- a/caller/login_test.go
+++ b/caller/login_test.go
@@ -62,6 +62,13 @@
 	}
 }
 
+// sqlState returns the SQLSTATE of an error.
+func sqlState(err error) string {
+	var p *pgconn.PgError
+	ExpectWithOffset(1, errors.As(err, &p)).To(BeTrue(), "%v", err)
+	return p.Code
+}
+
 var _ = Describe("log-in", func() {
 	x := context.Background()
 	var b *bundle.Bundle
@@ -93,11 +100,7 @@
 		}
 		return n, err
 	}
-	code := func(err error) string {
-		var p *pgconn.PgError
-		ExpectWithOffset(1, errors.As(err, &p)).To(BeTrue(), "%v", err)
-		return p.Code
-	}
+	code := sqlState
 
 	BeforeEach(func() { b = loginBundle() })
 
