--- a/admit/admit.go
+++ b/admit/admit.go
@@ -17,6 +17,9 @@
 	initialCost = 5 * time.Millisecond
 	// costWeight is the weight of the newest sample in the mean slot time.
 	costWeight = 0.1
+	// costGrowth bounds a sample to this multiple of the mean, so that a few
+	// requests that ran through a freeze don't have others refused.
+	costGrowth = 8
 	// costPart is the greatest part of a request's time to its deadline that
 	// the mean slot time is taken for, so that a few slow statements don't shut
 	// a rank out.
--- a/admit/serve.go
+++ b/admit/serve.go
@@ -56,7 +56,7 @@
 	}
 	delete(q.running, id)
 	d := now.Sub(r.started)
-	q.cost[r.Rank] += time.Duration(costWeight * float64(d-q.cost[r.Rank]))
+	q.cost[r.Rank] += time.Duration(costWeight * float64(min(d, costGrowth*q.cost[r.Rank])-q.cost[r.Rank]))
 	q.load[r.Rank].add(d, now)
 	q.lines[r.Rank].charge(r.Caller, d-r.charged, -1)
 	if r.onShare {
--- a/command/standin/load/load.go
+++ b/command/standin/load/load.go
@@ -27,7 +27,8 @@
 	Sessions   int           `long:"sessions" default:"30" description:"Sessions"`
 	Duration   time.Duration `long:"duration" default:"10s" description:"Duration, at most 10m"`
 	Roam       int           `long:"roam" default:"10" description:"Operations after which a session moves to another daemon; 0 never"`
-	Keyed      bool          `long:"keyed" description:"Give orders idempotency keys and repeat those in doubt"`
+	Keyed      bool          `long:"keyed" description:"Give orders idempotency keys"`
+	Repeats    int           `long:"repeats" default:"5" description:"How often a keyed order in doubt is repeated"`
 	Seed       uint64        `long:"seed" default:"1" description:"Seed"`
 	JSON       bool          `long:"json" description:"Print the report as JSON"`
 
@@ -54,7 +55,7 @@
 	c := load.Config{
 		Addresses: o.Addresses, Admins: o.Admins, User: o.User, Password: o.Password, Group: o.Group,
 		Rates:    [bundle.RankCount]float64{o.Urgent, o.Routine, o.Background},
-		Sessions: o.Sessions, Duration: o.Duration, Roam: o.Roam, Keyed: o.Keyed, Seed: o.Seed,
+		Sessions: o.Sessions, Duration: o.Duration, Roam: o.Roam, Keyed: o.Keyed, Repeats: o.Repeats, Seed: o.Seed,
 	}
 	s := o.factory.Streams
 	if s.Terminal && !o.JSON {
--- a/command/standin/measure/failover.go
+++ b/command/standin/measure/failover.go
@@ -17,6 +17,7 @@
 	Runs          int     `long:"runs" default:"10" description:"Runs, each in a new system"`
 	Rate          float64 `long:"rate" default:"200" description:"Orders a second"`
 	Seed          uint64  `long:"seed" default:"1" description:"Seed of the first run; each further run adds one"`
+	Keyed         bool    `long:"keyed" description:"Give the orders idempotency keys, and don't repeat those in doubt"`
 }
 
 func newCmdFailover(f *factory.Factory) *command.Command {
@@ -32,7 +33,7 @@
 			broken := false
 			err := o.run(x, f, func(x context.Context, c process.Config) (report, error) {
 				r, err := measure.Failover(x, measure.FailoverConfig{
-					Process: c, Fault: measure.Fault(o.Fault), Runs: o.Runs, Rate: o.Rate, Seed: o.Seed,
+					Process: c, Fault: measure.Fault(o.Fault), Runs: o.Runs, Rate: o.Rate, Seed: o.Seed, Keyed: o.Keyed,
 				})
 				for _, y := range r.Runs {
 					broken = broken || y.Broken > 0
--- a/owner/key.go
+++ b/owner/key.go
@@ -44,6 +44,10 @@
 // a key commits with its write or not at all.
 const createKeys = `CREATE TABLE IF NOT EXISTS dragonflypick_keys (name TEXT PRIMARY KEY, digest TEXT NOT NULL, tag TEXT NOT NULL, gave_rows INTEGER NOT NULL, expires BIGINT NOT NULL)`
 
+// boundIdle lets the server end the transaction of a daemon that is frozen, so
+// that its locks don't keep others waiting; in milliseconds.
+const boundIdle = "SET LOCAL idle_in_transaction_session_timeout = 300; "
+
 // key is the use of an idempotency key by one exchange. The key's row is
 // written first in the transaction: it makes another attempt wait for the end
 // of this one, and then fail.
@@ -128,7 +132,7 @@
 func (k *key) open() (peer.Verdict, bool) {
 	e := k.e
 	for time.Now().Before(e.t.deadline) {
-		r, err := e.own("BEGIN; " + k.insert(""))
+		r, err := e.own("BEGIN; " + boundIdle + k.insert(""))
 		if err != nil {
 			return e.broken(err), true
 		}
--- a/standin/database/builtin.go
+++ b/standin/database/builtin.go
@@ -16,9 +16,38 @@
 
 var call = regexp.MustCompile(`(?is)^\s*select\s+(?:\*\s+from\s+)?(member_status|fence|promote|follow|log_after|log_holds|terminate_session|session_idle)\s*\(\s*(.*?)\s*\)\s*;?\s*$`)
 
+// idleTimeout sets how long the open transaction may wait for a message.
+var idleTimeout = regexp.MustCompile(`(?is)^\s*set\s+local\s+idle_in_transaction_session_timeout\s*=\s*(\d+)\s*$`)
+
+// setIdle sets the limit of the open transaction, if q does so.
+func (s *session) setIdle(q string) bool {
+	f := idleTimeout.FindStringSubmatch(q)
+	if f == nil {
+		return false
+	}
+	n, err := strconv.Atoi(f[1])
+	if err != nil {
+		return false
+	}
+	s.idle = time.Duration(n) * time.Millisecond
+	return true
+}
+
+// awaitMessage bounds the wait for the next message inside a transaction.
+func (s *session) awaitMessage() {
+	var t time.Time
+	if s.open && s.idle > 0 {
+		t = time.Now().Add(s.idle)
+	}
+	_ = s.n.SetReadDeadline(t)
+}
+
 // builtin runs one of the functions that every member of a database group
 // has; it returns nil if q calls none.
 func (s *session) builtin(c context.Context, q string) (*running, error) {
+	if s.setIdle(q) {
+		return &running{tag: "SET"}, nil
+	}
 	f := call.FindStringSubmatch(q)
 	if f == nil {
 		return nil, nil
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -67,6 +67,10 @@
 
 func (s *session) startSQL(c context.Context, p *portal, write, multi bool) error {
 	x, stop := s.running(c)
+	if err := s.prepare(x, write || multi || s.open, write); err != nil {
+		stop()
+		return err
+	}
 	free, err := s.slot(x)
 	if err != nil {
 		stop()
@@ -76,10 +80,6 @@
 		free()
 		stop()
 	}
-	if err := s.prepare(x, write || multi || s.open, write); err != nil {
-		done()
-		return err
-	}
 	r, err := s.conn.QueryContext(x, p.sql, anys(p.args)...)
 	if err != nil {
 		done()
@@ -256,7 +256,7 @@
 		s.writing = false
 		s.wants.Store(false)
 	}
-	s.open, s.began, s.failed, s.pending = false, false, false, nil
+	s.open, s.began, s.failed, s.pending, s.idle = false, false, false, nil, 0
 }
 
 // abort handles a failed statement.
--- a/standin/database/session.go
+++ b/standin/database/session.go
@@ -40,6 +40,9 @@
 	engine bool
 	// db is the member's database that conn belongs to.
 	db *sql.DB
+	// idle is how long the open transaction may wait for a message; zero means
+	// any time.
+	idle time.Duration
 	// writing tells that the transaction holds the writer token.
 	writing bool
 	// wants tells that it holds or waits for that token.
@@ -87,6 +90,7 @@
 	}
 	defer s.leave()
 	for {
+		s.awaitMessage()
 		m, err := s.b.Receive()
 		if err != nil {
 			return
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -44,9 +44,11 @@
 	Duration time.Duration
 	// Roam is the number of operations after which a session moves on.
 	Roam int
-	// Keyed gives every order an idempotency key, and repeats one in doubt.
+	// Keyed gives every order an idempotency key.
 	Keyed bool
-	Seed  uint64
+	// Repeats is how often a keyed order in doubt is repeated.
+	Repeats int
+	Seed    uint64
 	// Progress is told of the counts now and then; nil for none.
 	Progress func(Report)
 }
--- a/standin/load/worker.go
+++ b/standin/load/worker.go
@@ -22,8 +22,6 @@
 	connectTimeout   = 5 * time.Second
 	// reconnectPause is the pause after a failed connect.
 	reconnectPause = 50 * time.Millisecond
-	// keyedAttempts is how often an order with a key is repeated while in doubt.
-	keyedAttempts = 5
 	// bringsToken is the share of moves that bring the session's token.
 	bringsToken = 0.8
 )
@@ -144,7 +142,7 @@
 	id := fmt.Sprintf("o-%d-%d-%d", w.r.c.Seed, w.id, w.count)
 	b := time.Now()
 	o, code := w.place(x, id)
-	for i := 0; w.r.c.Keyed && o == inDoubt && i < keyedAttempts; i++ {
+	for i := 0; w.r.c.Keyed && o == inDoubt && i < w.r.c.Repeats; i++ {
 		time.Sleep(reconnectPause)
 		o, code = w.place(x, id)
 		if o == refused {
--- a/standin/measure/failover.go
+++ b/standin/measure/failover.go
@@ -58,6 +58,8 @@
 	// Rate is the number of orders a second.
 	Rate float64
 	Seed uint64
+	// Keyed gives the orders idempotency keys; the load doesn't repeat them.
+	Keyed bool
 }
 
 // FailoverRun is what one run has shown. Stages are -1 if no primary was
@@ -122,7 +124,7 @@
 	}
 	l := load.Config{
 		User: cluster.CallerName, Password: cluster.CallerPassword, Group: process.Group, Seed: seed,
-		Sessions: failoverSessions, Duration: failoverTime, Rates: [bundle.RankCount]float64{c.Rate},
+		Sessions: failoverSessions, Duration: failoverTime, Rates: [bundle.RankCount]float64{c.Rate}, Keyed: c.Keyed,
 	}
 	for _, d := range s.Daemons {
 		l.Addresses = append(l.Addresses, d.Address)
--- a/standin/process/process_test.go
+++ b/standin/process/process_test.go
@@ -79,7 +79,7 @@
 	run := func(t steps) load.Report {
 		l := load.Config{
 			User: cluster.CallerName, Password: cluster.CallerPassword, Group: process.Group, Seed: seed, Sessions: 24,
-			Duration: loadTime, Roam: 10, Rates: [bundle.RankCount]float64{80, 80, 10}, Keyed: t.keyed,
+			Duration: loadTime, Roam: 10, Rates: [bundle.RankCount]float64{80, 80, 10}, Keyed: t.keyed, Repeats: 5,
 		}
 		for _, d := range s.Daemons {
 			l.Addresses = append(l.Addresses, d.Address)
@@ -131,6 +131,15 @@
 		replaced(p)
 	})
 
+	It("keeps its promises to keyed orders when owner and primary are killed", func() {
+		d, p := owner(), primary()
+		run(steps{keyed: true, fault: func() {
+			must(d.Kill())
+			must(p.Kill())
+		}})
+		replaced(p)
+	})
+
 	It("keeps its promises when the primary is frozen and thawed", func() {
 		p := primary()
 		run(steps{fault: func() { must(p.Freeze()) }, heal: func() { must(p.Thaw()) }})
