--- a/bundle/bench_test.go
+++ b/bundle/bench_test.go
@@ -35,24 +35,29 @@
 	return b
 }
 
+// signed returns a signed bundle with n groups, and who is trusted.
+func signed(b *testing.B, n int) ([]byte, bundle.Trust) {
+	a, err := bundle.NewKey("author")
+	if err != nil {
+		b.Fatal(err)
+	}
+	p, err := bundle.NewKey("approver")
+	if err != nil {
+		b.Fatal(err)
+	}
+	e, err := bundle.Sign(context.Background(), large(n), a, p)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return e, bundle.Trust{Authors: []*bundle.Key{a}, Approvers: []*bundle.Key{p}}
+}
+
 // BenchmarkOpen verifies and reads signed bundles.
 func BenchmarkOpen(b *testing.B) {
 	for _, n := range []int{10, 100, 1000} {
 		b.Run(strconv.Itoa(n)+" groups", func(b *testing.B) {
 			x := context.Background()
-			a, err := bundle.NewKey("author")
-			if err != nil {
-				b.Fatal(err)
-			}
-			p, err := bundle.NewKey("approver")
-			if err != nil {
-				b.Fatal(err)
-			}
-			e, err := bundle.Sign(x, large(n), a, p)
-			if err != nil {
-				b.Fatal(err)
-			}
-			t := bundle.Trust{Authors: []*bundle.Key{a}, Approvers: []*bundle.Key{p}}
+			e, t := signed(b, n)
 			b.ReportMetric(float64(len(e)), "bytes")
 			b.ReportAllocs()
 			for b.Loop() {
@@ -78,19 +83,7 @@
 	for _, n := range []int{10, 100, 1000} {
 		b.Run(strconv.Itoa(n)+" groups", func(b *testing.B) {
 			x := context.Background()
-			a, err := bundle.NewKey("author")
-			if err != nil {
-				b.Fatal(err)
-			}
-			p, err := bundle.NewKey("approver")
-			if err != nil {
-				b.Fatal(err)
-			}
-			e, err := bundle.Sign(x, large(n), a, p)
-			if err != nil {
-				b.Fatal(err)
-			}
-			t := bundle.Trust{Authors: []*bundle.Key{a}, Approvers: []*bundle.Key{p}}
+			e, t := signed(b, n)
 			for b.Loop() {
 				before := heapBytes()
 				s, err := bundle.Open(x, append([]byte(nil), e...), t)
--- a/standin/load/worker.go
+++ b/standin/load/worker.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"strconv"
 	"strings"
 	"time"
 
@@ -104,7 +103,7 @@
 	}
 	x, stop := context.WithTimeout(x, connectTimeout)
 	defer stop()
-	c, err := dial(x, w.r.c, w.r.c.Addresses[w.at], map[string]string{"dragonflypick.rank": w.k.String(), "dragonflypick.session": w.token})
+	c, err := Dial(x, w.r.c, w.r.c.Addresses[w.at], map[string]string{"dragonflypick.rank": w.k.String(), "dragonflypick.session": w.token})
 	if err != nil {
 		w.at = w.u.IntN(len(w.r.c.Addresses))
 		time.Sleep(reconnectPause)
@@ -114,29 +113,6 @@
 	return nil
 }
 
-func dial(x context.Context, c Config, address string, settings map[string]string) (*pgx.Conn, error) {
-	f, err := pgx.ParseConfig("sslmode=disable")
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	h, p, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	n, err := strconv.ParseUint(p, 10, 16)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	f.Host, f.Port, f.User, f.Password, f.Database, f.Fallbacks = h, uint16(n), c.User, c.Password, c.Group, nil
-	for k, v := range settings {
-		if v != "" {
-			f.RuntimeParams[k] = v
-		}
-	}
-	o, err := pgx.ConnectConfig(x, f)
-	return o, Error.Wrap(err)
-}
-
 // order places an order.
 func (w *worker) order(x context.Context, due time.Time) {
 	id := fmt.Sprintf("o-%d-%d-%d", w.r.c.Seed, w.id, w.count)
@@ -249,7 +225,7 @@
 func (r *Runner) prepare(x context.Context) error {
 	x, stop := context.WithTimeout(x, operationTimeout)
 	defer stop()
-	c, err := dial(x, r.c, r.c.Addresses[0], nil)
+	c, err := Dial(x, r.c, r.c.Addresses[0], nil)
 	if err != nil {
 		return err
 	}
@@ -280,7 +256,7 @@
 	x, stop := context.WithTimeout(x, operationTimeout)
 	defer stop()
 	a := r.c.Addresses[rand.IntN(len(r.c.Addresses))]
-	c, err := dial(x, r.c, a, nil)
+	c, err := Dial(x, r.c, a, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/measure/measure.go
+++ b/standin/measure/measure.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"strconv"
 	"strings"
@@ -19,6 +18,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dragonflypick/dragonflypick/standin/cluster"
+	"github.com/dragonflypick/dragonflypick/standin/load"
 	"github.com/dragonflypick/dragonflypick/standin/process"
 )
 
@@ -66,20 +66,7 @@
 func dial(x context.Context, address, user, password string) (*pgx.Conn, error) {
 	x, stop := context.WithTimeout(x, connectTimeout)
 	defer stop()
-	f, err := pgx.ParseConfig("sslmode=disable")
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	h, p, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	n, err := strconv.ParseUint(p, 10, 16)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	f.Host, f.Port, f.User, f.Password, f.Database, f.Fallbacks = h, uint16(n), user, password, process.Group, nil
-	c, err := pgx.ConnectConfig(x, f)
+	c, err := load.Dial(x, load.Config{User: user, Password: password, Group: process.Group}, address, nil)
 	return c, Error.Wrap(err)
 }
 
