A statement of an open transaction doesn't wait for a slot

Three statements waited in the database for the lock of a transaction whose own next statement waited for one of their three slots, until the deadline of 5 s. Ruled out: mixing of statements, lost rows. Change: requests of open transactions start at once; their number is bounded by admit.Transactions. Also: the control connections' own messages go to the log instead of the error output.

--- a/admit/admit.go
+++ b/admit/admit.go
@@ -33,7 +33,8 @@
 
 // Config holds the limits of one backend server's queue.
 type Config struct {
-	// Slots is the number of requests that run at a time.
+	// Slots is the number of requests that run at a time, besides those of open
+	// transactions.
 	Slots int
 	// Shares holds the least share of slot time for each rank, by rank.
 	Shares [bundle.RankCount]float64
@@ -58,8 +59,9 @@
 	Caller string
 	// Deadline is when the answer must have left.
 	Deadline time.Time
-	// Held marks a request of an open transaction: it goes first and is never
-	// refused for load, since it already holds a connection.
+	// Held marks a request of an open transaction: it starts at once, even while
+	// all slots are taken, as the running ones may wait for its locks. Their
+	// number is bounded by Transactions.
 	Held bool
 	// Jitter is a random number from 0 to 1.
 	Jitter float64
--- a/admit/serve.go
+++ b/admit/serve.go
@@ -10,7 +10,7 @@
 // fill starts requests while slots are free.
 func (q *Queue) fill(now time.Time) []Action {
 	var o []Action
-	for len(q.running) < q.c.Slots {
+	for {
 		r := q.next()
 		if r == nil {
 			break
@@ -34,6 +34,9 @@
 			return l[0]
 		}
 	}
+	if len(q.running) >= q.c.Slots {
+		return nil
+	}
 	for i := bundle.RankCount - 1; i > 0; i-- {
 		if q.credit[i] > 0 && q.c.Shares[i] > 0 && q.lines[i].len() > 0 {
 			r := q.lines[i].first()
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -227,7 +227,7 @@
 		h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(x context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 			return n.c.Handle(x, r)
 		}))
-		c := jsonrpc2.NewConn(x, jsonrpc2.NewPlainObjectStream(t), h)
+		c := jsonrpc2.NewConn(x, jsonrpc2.NewPlainObjectStream(t), h, n.logger())
 		<-c.DisconnectNotify()
 	default:
 		_ = t.Close()
@@ -334,7 +334,7 @@
 	d := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
 	})
-	return s, jsonrpc2.NewConn(n.x, jsonrpc2.NewPlainObjectStream(t), d), nil
+	return s, jsonrpc2.NewConn(n.x, jsonrpc2.NewPlainObjectStream(t), d, n.logger()), nil
 }
 
 // Seed returns a host of which only the address is known.
@@ -354,6 +354,11 @@
 	return h.ID
 }
 
+// logger sends the control connection's own messages to the log.
+func (n *Node) logger() jsonrpc2.ConnOpt {
+	return jsonrpc2.SetLogger(n.c.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}))
+}
+
 // drop forgets a link and tells of its loss.
 func (n *Node) drop(l *link) {
 	n.mu.Lock()
