ROLLBACK by the extended protocol after a failure here is answered in full

Found on reading: only the completion was sent, without ParseComplete, BindComplete and NoData, so a driver that rolls back with a prepared statement would have lost its place. The new spec expects 12nCZ.

--- a/caller/attempt_test.go
+++ b/caller/attempt_test.go
@@ -99,3 +99,44 @@
 		Entry("with a key, failing at once", keyed, "23505", 1, failed),
 	)
 })
+
+var _ = Describe("a transaction that has failed at the proxy", func() {
+	It("is rolled back by the extended protocol too", func() {
+		x := context.Background()
+		b := loginBundle()
+		r := &scriptRouter{g: &errgroup.Group{}, steps: []func(*peer.Stream){vanish}}
+		s, err := New(Config{Listen: "127.0.0.1:0", Bundle: func() *bundle.Bundle { return b }, Router: r, Log: hclog.NewNullLogger()})
+		Expect(err).NotTo(HaveOccurred())
+		y, stop := context.WithCancel(x)
+		r.g.Go(func() error { return s.Run(y) })
+		c, z := net.Pipe()
+		n := &client{s: s, n: z, w: wire.NewWriter(z), status: statusFailed, prepared: map[string]parsed{}}
+		r.g.Go(func() error {
+			defer func() { _ = z.Close() }()
+			for _, m := range []wire.Message{
+				{Type: wire.Parse, Body: []byte("\x00ROLLBACK\x00\x00\x00")},
+				{Type: wire.Bind, Body: []byte("\x00\x00\x00\x00\x00\x00\x00\x00")},
+				{Type: wire.Describe, Body: []byte("P\x00")},
+				{Type: wire.Execute, Body: []byte("\x00\x00\x00\x00\x00")},
+				{Type: wire.Sync},
+			} {
+				if err := n.extend(x, m); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		var got []byte
+		for a := wire.NewReader(c, wire.MaxMessage); ; {
+			m, err := a.Read()
+			if err != nil {
+				break
+			}
+			got = append(got, m.Type)
+		}
+		stop()
+		Expect(r.g.Wait()).To(Succeed())
+		Expect(string(got)).To(Equal("12nCZ"))
+		Expect(n.status).To(Equal(statusIdle))
+	})
+})
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -57,31 +57,45 @@
 		n.runLocal(l)
 		return nil
 	}
-	if n.status == statusFailed && n.open == nil {
-		e := n.failedTransaction(w.class)
-		if e == nil {
-			return n.endFailed(l, w)
-		}
-		n.refuse(e)
-		if w.whole {
-			n.ready()
-		} else {
-			n.skip = true
-		}
+	if n.status != statusFailed || n.open != nil {
+		return n.dispatch(x, w)
+	}
+	if w.class.Kind == statement.End {
+		n.rollBack(l)
 		return nil
 	}
-	return n.dispatch(x, w)
-}
-
-// endFailed answers the extended form of ROLLBACK after a failure; the
-// completion has been sent.
-func (n *client) endFailed(_ []wire.Message, w work) error {
+	n.refuse(n.failedTransaction(w.class))
 	if w.whole {
 		n.ready()
+	} else {
+		n.skip = true
 	}
 	return nil
 }
 
+// rollBack answers the messages that end a transaction which has failed here.
+func (n *client) rollBack(l []wire.Message) {
+	for _, m := range l {
+		switch m.Type {
+		case wire.Parse:
+			n.send(&pgproto3.ParseComplete{})
+		case wire.Bind:
+			n.send(&pgproto3.BindComplete{})
+		case wire.Describe:
+			if m.Body[0] == 'S' {
+				n.send(&pgproto3.ParameterDescription{})
+			}
+			n.send(&pgproto3.NoData{})
+		case wire.Execute:
+			_ = n.failedTransaction(statement.Class{Kind: statement.End})
+		case wire.Close:
+			n.send(&pgproto3.CloseComplete{})
+		case wire.Sync:
+			n.ready()
+		}
+	}
+}
+
 // plan rewrites a batch for a pooled connection: each use of a prepared
 // statement parses it anew under the empty name.
 func (n *client) plan(l []wire.Message) (work, *RefusedError) {
--- a/caller/login_test.go
+++ b/caller/login_test.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"crypto/x509"
 	"errors"
+	"io"
 	"math/big"
 	"testing"
 	"time"
@@ -167,6 +168,28 @@
 		Expect(err.(*pgconn.PgError).Hint).To(Equal("retry-after-ms=70"))
 	})
 
+	DescribeTable("ends a session that breaks the protocol, and only that one",
+		func(packet []byte) {
+			start(nil)
+			other, err := connect("orders", "disable")
+			Expect(err).NotTo(HaveOccurred())
+			n, err := connect("orders", "disable")
+			Expect(err).NotTo(HaveOccurred())
+			h, err := n.PgConn().Hijack()
+			Expect(err).NotTo(HaveOccurred())
+			_, err = h.Conn.Write(packet)
+			Expect(err).NotTo(HaveOccurred())
+			b, err := io.ReadAll(h.Conn)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(string(b)).To(ContainSubstring("FATAL"))
+			Expect(string(b)).To(ContainSubstring(codeProtocol))
+			var t string
+			Expect(other.QueryRow(x, "SHOW dragonflypick.rank").Scan(&t)).To(Succeed())
+		},
+		Entry("unknown message", []byte{'!', 0, 0, 0, 4}),
+		Entry("length below its own size", []byte{'Q', 0, 0, 0, 1}),
+	)
+
 	It("shows the token that a session brought", func() {
 		start(nil)
 		n, err := connect("orders", "disable", "dragonflypick.session", "1:orders:2/9")
--- a/daemon/control.go
+++ b/daemon/control.go
@@ -169,47 +169,42 @@
 	return s.Position, nil
 }
 
-// askStatus asks a member for its report: through its owner, or directly if
-// the owner doesn't answer.
-func (d *Daemon) askStatus(x context.Context, g *bundle.Group, m *bundle.Member) (failover.Status, error) {
+// askOwner calls a method of the daemon that owns a member. It reports false,
+// without a call, if this daemon is to answer itself.
+func (d *Daemon) askOwner(x context.Context, g *bundle.Group, m *bundle.Member, method string, result any) (bool, error) {
 	h, ok := d.ownerOf(m)
 	if !ok || h.ID == d.c.Host.ID {
-		return d.control(g, m).Status(x)
+		return false, nil
 	}
+	x, stop := context.WithTimeout(x, viewTimeout)
+	defer stop()
+	return true, d.node.Call(x, h, method, memberParams{Group: g.Name, Member: m.Name}, result)
+}
+
+// askStatus asks a member for its report: through its owner, or directly if
+// the owner doesn't answer.
+func (d *Daemon) askStatus(x context.Context, g *bundle.Group, m *bundle.Member) (failover.Status, error) {
 	var s failover.Status
-	y, stop := context.WithTimeout(x, viewTimeout)
-	err := d.node.Call(y, h, methodStatus, memberParams{Group: g.Name, Member: m.Name}, &s)
-	stop()
-	if err == nil {
+	if asked, err := d.askOwner(x, g, m, methodStatus, &s); asked && err == nil {
 		return s, nil
 	}
 	return d.control(g, m).Status(x)
 }
 
 func (d *Daemon) askView(x context.Context, g *bundle.Group, m *bundle.Member) (failover.View, error) {
-	p := memberParams{Group: g.Name, Member: m.Name}
-	h, ok := d.ownerOf(m)
-	if !ok || h.ID == d.c.Host.ID {
-		return d.localView(x, p)
-	}
 	var v failover.View
-	x, stop := context.WithTimeout(x, viewTimeout)
-	defer stop()
-	err := d.node.Call(x, h, methodView, p, &v)
-	return v, err
+	if asked, err := d.askOwner(x, g, m, methodView, &v); asked {
+		return v, err
+	}
+	return d.localView(x, memberParams{Group: g.Name, Member: m.Name})
 }
 
 func (d *Daemon) askPosition(x context.Context, g *bundle.Group, m *bundle.Member) (logpos.Position, error) {
-	p := memberParams{Group: g.Name, Member: m.Name}
-	h, ok := d.ownerOf(m)
-	if !ok || h.ID == d.c.Host.ID {
-		return d.localPosition(x, p)
+	var p logpos.Position
+	if asked, err := d.askOwner(x, g, m, methodPosition, &p); asked {
+		return p, err
 	}
-	var v logpos.Position
-	x, stop := context.WithTimeout(x, viewTimeout)
-	defer stop()
-	err := d.node.Call(x, h, methodPosition, p, &v)
-	return v, err
+	return d.localPosition(x, memberParams{Group: g.Name, Member: m.Name})
 }
 
 // control returns the control connection of a member.
