A transaction's next message can't overtake the end of the answer before it

Cause: the owner sent the end of an answer before it noted that the next message takes a slot. Change: the note comes first, as a flag under the lock; a ticket that comes after the exchange has ended is freed.

--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -28,14 +28,14 @@
 	c *backend.Conn
 	// idle is the longest pause inside an open transaction.
 	idle time.Duration
-	// ready carries the end of each answer to the forwarding side.
-	ready chan struct{}
 
 	// out is held while the connection is written to.
 	out sync.Mutex
 
 	mu sync.Mutex
 	k  ticket
+	// paused tells that an answer has ended and the next message takes a slot.
+	paused bool
 	// holds tells that the ticket is held.
 	holds bool
 	// cancelled tells that a cancel request was sent, so that the connection
@@ -63,7 +63,6 @@
 // run moves messages until the transaction ends, and returns a verdict that is
 // still to be sent, or none.
 func (e *exchange) run(x context.Context) peer.Verdict {
-	e.ready = make(chan struct{}, 1)
 	e.began, e.term = time.Now(), e.t.m.View().Term
 	e.tx = write.New(e.key != nil)
 	x, stop := context.WithCancel(x)
@@ -210,9 +209,11 @@
 
 // begin takes a slot again for the first message after an answer.
 func (e *exchange) begin(x context.Context) error {
-	select {
-	case <-e.ready:
-	default:
+	e.mu.Lock()
+	first := e.paused
+	e.paused = false
+	e.mu.Unlock()
+	if !first {
 		return nil
 	}
 	_ = e.t.s.SetReadDeadline(time.Time{})
@@ -224,13 +225,35 @@
 	if err != nil {
 		return err
 	}
-	e.mu.Lock()
-	e.k, e.holds = k, true
-	e.mu.Unlock()
+	if !e.keep(k) {
+		return Error.Wrap(net.ErrClosed)
+	}
 	e.arm(x, e.t.deadline)
 	return nil
 }
 
+// keep holds a ticket for the next answer; it frees the ticket if the exchange
+// has ended.
+func (e *exchange) keep(k ticket) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.returned {
+		k.free()
+		return false
+	}
+	e.k, e.holds = k, true
+	return true
+}
+
+// pause notes that an answer has ended inside a transaction. It comes before the
+// answer's end is sent, so that the next message finds it.
+func (e *exchange) pause() {
+	_ = e.t.s.SetReadDeadline(time.Now().Add(e.idle))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.paused = true
+}
+
 // note looks for statements that may commit.
 func (e *exchange) note(m wire.Message) {
 	switch e.t.h.Kind {
@@ -350,13 +373,12 @@
 	} else if v.Outcome != peer.Done && v.Outcome != "" {
 		return true, v
 	}
+	if !over {
+		e.pause()
+	}
 	if e.t.s.Write(append(e.tail, m)...) != nil || e.t.s.Flush() != nil {
 		return true, peer.Verdict{Outcome: peer.NotRun, Reason: "entry-gone"}
 	}
 	e.tail = nil
-	if !over {
-		_ = e.t.s.SetReadDeadline(time.Now().Add(e.idle))
-		e.ready <- struct{}{}
-	}
 	return over, peer.Verdict{}
 }
