--- /dev/null
+++ b/backend/backend.go
@@ -0,0 +1,139 @@
+// Package backend talks to backend servers: the members of database groups.
+//
+// It assumes of a member, besides the PostgreSQL protocol, the functions
+// member_status(), fence(term, holder), promote(term, holder) and
+// follow(term, primary), and that it reports the parameter member_position
+// when a transaction that wrote has committed.
+package backend
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/zeebo/errs"
+
+	"github.com/dragonflypick/dragonflypick/wire"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("backend")
+
+// PositionParameter is the parameter that a member reports after a commit.
+const PositionParameter = "member_position"
+
+// Timing of connections.
+const (
+	// ConnectTimeout bounds connecting and logging in.
+	ConnectTimeout = 700 * time.Millisecond
+	// CallTimeout bounds a status call on an open connection.
+	CallTimeout = 500 * time.Millisecond
+	// tcpKeepAlive finds connections whose other end is gone.
+	tcpKeepAlive = 15 * time.Second
+)
+
+// Config holds what a connection needs.
+type Config struct {
+	// Address is the IP address and port of the backend server.
+	Address string
+	// User and Password are for the log-in.
+	User     string
+	Password string
+	// Database is the database's name.
+	Database string
+}
+
+// Conn is a logged-in connection for statements.
+type Conn struct {
+	net.Conn
+	// R and W move messages.
+	R *wire.Reader
+	W *wire.Writer
+	// Used is when the connection last answered.
+	Used time.Time
+	pid  uint32
+	key  []byte
+	c    Config
+}
+
+// Connect opens a connection for statements.
+func Connect(x context.Context, c Config) (*Conn, error) {
+	p, err := login(x, c)
+	if err != nil {
+		return nil, err
+	}
+	h, err := p.Hijack()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Conn{
+		Conn: h.Conn, R: wire.NewReader(h.Conn, wire.MaxMessage), W: wire.NewWriter(h.Conn),
+		pid: h.PID, key: h.SecretKey, c: c, Used: time.Now(),
+	}, nil
+}
+
+func login(x context.Context, c Config) (*pgconn.PgConn, error) {
+	x, stop := context.WithTimeout(x, ConnectTimeout)
+	defer stop()
+	f, err := pgconn.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	h, port, err := net.SplitHostPort(c.Address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	n, err := strconv.ParseUint(port, 10, 16)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	f.Host, f.Port, f.User, f.Password, f.Database = h, uint16(n), c.User, c.Password, c.Database
+	f.Fallbacks, f.RuntimeParams = nil, map[string]string{"application_name": "dragonflypick"}
+	f.DialFunc = (&net.Dialer{KeepAlive: tcpKeepAlive}).DialContext
+	p, err := pgconn.ConnectConfig(x, f)
+	return p, Error.Wrap(err)
+}
+
+// Cancel asks the backend server to end the statement that runs on the
+// connection.
+func (c *Conn) Cancel(x context.Context) error {
+	x, stop := context.WithTimeout(x, ConnectTimeout)
+	defer stop()
+	n, err := (&net.Dialer{}).DialContext(x, "tcp", c.c.Address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = n.Close() }()
+	b, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.key}).Encode(nil)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = n.Write(b)
+	return Error.Wrap(err)
+}
+
+// Check sends a heartbeat on an idle connection and waits for the answer.
+func (c *Conn) Check(timeout time.Duration) error {
+	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := c.W.Write(wire.Message{Type: wire.Sync}); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := c.W.Flush(); err != nil {
+		return Error.Wrap(err)
+	}
+	for {
+		m, err := c.R.Read()
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if m.Type == wire.ReadyForQuery {
+			c.Used = time.Now()
+			return Error.Wrap(c.SetDeadline(time.Time{}))
+		}
+	}
+}
--- /dev/null
+++ b/bundle/bundle.go
@@ -0,0 +1,228 @@
+// Package bundle defines the versioned configuration that operators sign and
+// roll out, and the decisions about which version is in force.
+package bundle
+
+import (
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("bundle")
+
+// MaxSize is the largest signed bundle in bytes: the largest value that the
+// platform's key-value service holds.
+const MaxSize = 1 << 20
+
+// Rank orders work. A lower rank value is served first.
+type Rank int
+
+// The three ranks of work.
+const (
+	Urgent Rank = iota
+	Routine
+	Background
+	// RankCount is the number of ranks.
+	RankCount = 3
+)
+
+// ParseRank returns the rank with the given name.
+func ParseRank(s string) (Rank, bool) {
+	switch s {
+	case "urgent":
+		return Urgent, true
+	case "routine":
+		return Routine, true
+	case "background":
+		return Background, true
+	default:
+		return Routine, false
+	}
+}
+
+// String returns the rank's name in a bundle.
+func (r Rank) String() string {
+	switch r {
+	case Urgent:
+		return "urgent"
+	case Routine:
+		return "routine"
+	default:
+		return "background"
+	}
+}
+
+// Bundle is one version of the operators' configuration.
+type Bundle struct {
+	// Version rises by at least one with every accepted bundle.
+	Version uint64 `json:"version" yaml:"version"`
+	// Note tells other operators what changed.
+	Note string `json:"note,omitempty" yaml:"note,omitempty"`
+	// Groups are the database groups; names are unique.
+	Groups []Group `json:"groups" yaml:"groups"`
+	// Ranks holds limits for the ranks of work.
+	Ranks Ranks `json:"ranks" yaml:"ranks"`
+	// ReadClasses name read tolerances; names are unique.
+	ReadClasses []ReadClass `json:"read-classes,omitempty" yaml:"read-classes,omitempty"`
+	// Callers may log in; names are unique.
+	Callers []Caller `json:"callers" yaml:"callers"`
+	// Limits bound what one entry host takes on.
+	Limits Limits `json:"limits" yaml:"limits"`
+}
+
+// Group is a database group: one primary and its replicas.
+type Group struct {
+	// Name is the database name that callers ask for.
+	Name string `json:"name" yaml:"name"`
+	// Members are the group's backend servers; names and addresses are unique
+	// in the bundle.
+	Members []Member `json:"members" yaml:"members"`
+}
+
+// Majority returns the number of members that make a majority.
+func (g *Group) Majority() int { return len(g.Members)/2 + 1 }
+
+// Member is one backend server of a database group.
+type Member struct {
+	// Name is unique in the bundle.
+	Name string `json:"name" yaml:"name"`
+	// Address is the IP address and port of the backend server.
+	Address string `json:"address" yaml:"address"`
+	// Region is the region of the failure domain.
+	Region string `json:"region" yaml:"region"`
+	// FailureDomain is where the backend server stands.
+	FailureDomain string `json:"failure-domain" yaml:"failure-domain"`
+	// Slots is the number of statements that the server runs at a time.
+	Slots int `json:"slots" yaml:"slots"`
+	// Connections is the number of connections that the server takes; it is
+	// greater than Slots.
+	Connections int `json:"connections" yaml:"connections"`
+	// Leaving marks a backend server that is being returned: it gets no new
+	// work.
+	Leaving bool `json:"leaving,omitempty" yaml:"leaving,omitempty"`
+}
+
+// Ranks holds the limits of each rank.
+type Ranks struct {
+	Urgent     RankLimits `json:"urgent" yaml:"urgent"`
+	Routine    RankLimits `json:"routine" yaml:"routine"`
+	Background RankLimits `json:"background" yaml:"background"`
+}
+
+// Of returns the limits of rank r.
+func (r *Ranks) Of(k Rank) RankLimits {
+	switch k {
+	case Urgent:
+		return r.Urgent
+	case Routine:
+		return r.Routine
+	default:
+		return r.Background
+	}
+}
+
+// RankLimits are the limits of one rank.
+type RankLimits struct {
+	// Deadline is the longest time from arrival to answer.
+	Deadline Duration `json:"deadline" yaml:"deadline"`
+	// Share is the least share of a backend server's slot time that the rank
+	// gets while higher ranks flood, from 0 to 1. The shares sum to at most 1.
+	Share float64 `json:"share" yaml:"share"`
+	// IdleInTransaction is the longest pause inside an open transaction.
+	IdleInTransaction Duration `json:"idle-in-transaction" yaml:"idle-in-transaction"`
+}
+
+// ReadClass is a named read tolerance.
+type ReadClass struct {
+	Name string `json:"name" yaml:"name"`
+	// Age is the greatest age of data that the class accepts.
+	Age Duration `json:"age" yaml:"age"`
+	// OwnWrites reports whether the class may show the caller's own writes, so
+	// that its session floor holds.
+	OwnWrites bool `json:"own-writes" yaml:"own-writes"`
+}
+
+// Caller is an application that may log in.
+type Caller struct {
+	Name string `json:"name" yaml:"name"`
+	// Scram is the SCRAM-SHA-256 verifier in PostgreSQL's form.
+	Scram string `json:"scram" yaml:"scram"`
+	// Rank is the rank of statements that name none.
+	Rank string `json:"rank" yaml:"rank"`
+	// Groups are the database groups that the caller may use.
+	Groups []string `json:"groups" yaml:"groups"`
+}
+
+// Limits bound one entry host.
+type Limits struct {
+	// Callers is the greatest number of client connections of one daemon.
+	Callers int `json:"callers" yaml:"callers"`
+	// StatementBytes is the greatest size of one statement with parameters.
+	StatementBytes int `json:"statement-bytes" yaml:"statement-bytes"`
+	// ReplicaAge is the greatest age of data that a replica serves to a read
+	// that names no tolerance, besides the session's floor.
+	ReplicaAge Duration `json:"replica-age" yaml:"replica-age"`
+	// Tolerance is the greatest age that a read may accept without a class.
+	Tolerance Duration `json:"tolerance" yaml:"tolerance"`
+}
+
+// Duration is a time span that is written as text, such as "2s".
+type Duration time.Duration
+
+// MarshalText writes the duration in the form of time.Duration.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads the form of time.ParseDuration.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Group returns the database group with the given name.
+func (b *Bundle) Group(n string) (*Group, bool) {
+	for i := range b.Groups {
+		if b.Groups[i].Name == n {
+			return &b.Groups[i], true
+		}
+	}
+	return nil, false
+}
+
+// Caller returns the caller with the given name.
+func (b *Bundle) Caller(n string) (*Caller, bool) {
+	for i := range b.Callers {
+		if b.Callers[i].Name == n {
+			return &b.Callers[i], true
+		}
+	}
+	return nil, false
+}
+
+// ReadClass returns the read class with the given name.
+func (b *Bundle) ReadClass(n string) (*ReadClass, bool) {
+	for i := range b.ReadClasses {
+		if b.ReadClasses[i].Name == n {
+			return &b.ReadClasses[i], true
+		}
+	}
+	return nil, false
+}
+
+// Member returns the backend server with the given name and its group.
+func (b *Bundle) Member(n string) (*Group, *Member, bool) {
+	for i := range b.Groups {
+		for j := range b.Groups[i].Members {
+			if b.Groups[i].Members[j].Name == n {
+				return &b.Groups[i], &b.Groups[i].Members[j], true
+			}
+		}
+	}
+	return nil, nil, false
+}
--- /dev/null
+++ b/bundle/encode.go
@@ -0,0 +1,226 @@
+package bundle
+
+import (
+	"bytes"
+	"context"
+	"crypto"
+	"crypto/ed25519"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/hex"
+	"encoding/json"
+	"strconv"
+
+	"github.com/goccy/go-yaml"
+	"github.com/secure-systems-lab/go-securesystemslib/dsse"
+)
+
+// PayloadType names the signed content in the DSSE envelope.
+const PayloadType = "application/vnd.dragonflypick.bundle+json"
+
+// Parse reads a bundle from YAML. Unknown keys and duplicate keys are errors
+// that name line and column.
+func Parse(b []byte) (*Bundle, error) {
+	var v Bundle
+	d := yaml.NewDecoder(bytes.NewReader(b), yaml.Strict(), yaml.DisallowUnknownField())
+	if err := d.Decode(&v); err != nil {
+		return nil, Error.Wrap(&FormatError{Reason: yaml.FormatError(err, false, true)})
+	}
+	if err := Check(&v); err != nil {
+		return nil, err
+	}
+	return &v, nil
+}
+
+// Canonical returns the bundle's canonical JSON: fields in the order of the
+// type, without white space.
+func Canonical(b *Bundle) ([]byte, error) {
+	p, err := json.Marshal(b)
+	return p, Error.Wrap(err)
+}
+
+// Signed is a bundle whose signatures have been checked.
+type Signed struct {
+	// Bundle is the content.
+	Bundle *Bundle
+	// Digest is the SHA-256 of the canonical JSON in hexadecimal.
+	Digest string
+	// Envelope is the signed form as it travels.
+	Envelope []byte
+}
+
+// Key is an ed25519 key of an author or approver.
+type Key struct {
+	// Name is the key's identifier in signatures.
+	Name string
+	// PublicKey checks signatures.
+	PublicKey ed25519.PublicKey
+	// PrivateKey signs; it is nil for a trusted approver.
+	PrivateKey ed25519.PrivateKey
+}
+
+// NewKey makes a key with a fresh private part.
+func NewKey(n string) (*Key, error) {
+	p, s, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Key{Name: n, PublicKey: p, PrivateKey: s}, nil
+}
+
+// PublicText formats the public part as "name:base64".
+func (k *Key) PublicText() string {
+	return k.Name + ":" + base64.StdEncoding.EncodeToString(k.PublicKey)
+}
+
+// PrivateText formats the private part as "name:base64".
+func (k *Key) PrivateText() string {
+	return k.Name + ":" + base64.StdEncoding.EncodeToString(k.PrivateKey.Seed())
+}
+
+// KeyID returns the key's name; it serves package dsse.
+func (k *Key) KeyID() (string, error) { return k.Name, nil }
+
+// Public returns the public key; it serves package dsse.
+func (k *Key) Public() crypto.PublicKey { return k.PublicKey }
+
+// Sign signs data; it serves package dsse.
+func (k *Key) Sign(_ context.Context, b []byte) ([]byte, error) {
+	return ed25519.Sign(k.PrivateKey, b), nil
+}
+
+// Verify checks a signature; it serves package dsse.
+func (k *Key) Verify(_ context.Context, b, s []byte) error {
+	if !ed25519.Verify(k.PublicKey, b, s) {
+		return Error.Wrap(&SignatureError{Reason: "signature of key " + k.Name + " is broken"})
+	}
+	return nil
+}
+
+// Sign puts the bundle into an envelope signed by its author and an approver
+// with another key.
+func Sign(c context.Context, b *Bundle, author, approver *Key) ([]byte, error) {
+	if author.Name == approver.Name || author.PublicKey.Equal(approver.PublicKey) {
+		return nil, Error.Wrap(&SignatureError{Reason: "author and approver are the same key"})
+	}
+	p, err := Canonical(b)
+	if err != nil {
+		return nil, err
+	}
+	s, err := dsse.NewEnvelopeSigner(author, approver)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	e, err := s.SignPayload(c, PayloadType, p)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	o, err := json.Marshal(e)
+	return o, Error.Wrap(err)
+}
+
+// Open checks the envelope against the trusted approvers and returns the
+// bundle. It needs the signature of one trusted approver and a second
+// signature by another key.
+func Open(c context.Context, b []byte, approvers []*Key) (*Signed, error) {
+	if len(b) > MaxSize {
+		return nil, Error.Wrap(&FormatError{Reason: "signed bundle has " + strconv.Itoa(len(b)) + " bytes, over " + strconv.Itoa(MaxSize)})
+	}
+	var e dsse.Envelope
+	if err := json.Unmarshal(b, &e); err != nil {
+		return nil, Error.Wrap(&FormatError{Reason: err.Error()})
+	}
+	if e.PayloadType != PayloadType {
+		return nil, Error.Wrap(&FormatError{Reason: "payload type " + strconv.Quote(e.PayloadType)})
+	}
+	if err := checkSignatures(c, &e, approvers); err != nil {
+		return nil, err
+	}
+	p, err := e.DecodeB64Payload()
+	if err != nil {
+		return nil, Error.Wrap(&FormatError{Reason: err.Error()})
+	}
+	var v Bundle
+	d := json.NewDecoder(bytes.NewReader(p))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&v); err != nil {
+		return nil, Error.Wrap(&FormatError{Reason: err.Error()})
+	}
+	if err := Check(&v); err != nil {
+		return nil, err
+	}
+	h := sha256.Sum256(p)
+	return &Signed{Bundle: &v, Digest: hex.EncodeToString(h[:]), Envelope: b}, nil
+}
+
+func checkSignatures(c context.Context, e *dsse.Envelope, approvers []*Key) error {
+	if len(approvers) == 0 {
+		return Error.Wrap(&SignatureError{Reason: "no trusted approver is set"})
+	}
+	n := make(map[string]bool)
+	for _, s := range e.Signatures {
+		n[s.KeyID] = true
+	}
+	if len(n) < 2 {
+		return Error.Wrap(&SignatureError{Reason: "author and approver must both sign"})
+	}
+	v := make([]dsse.Verifier, 0, len(approvers))
+	for _, k := range approvers {
+		v = append(v, k)
+	}
+	x, err := dsse.NewMultiEnvelopeVerifier(1, v...)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if _, err := x.Verify(c, e); err != nil {
+		return Error.Wrap(&SignatureError{Reason: "no trusted approver signed this bundle"})
+	}
+	return nil
+}
+
+// ParsePublicKey reads the form "name:base64".
+func ParsePublicKey(s string) (*Key, error) {
+	n, b, err := parseKey(s, ed25519.PublicKeySize)
+	if err != nil {
+		return nil, err
+	}
+	return &Key{Name: n, PublicKey: b}, nil
+}
+
+// ParsePrivateKey reads the form "name:base64" of a private key.
+func ParsePrivateKey(s string) (*Key, error) {
+	n, b, err := parseKey(s, ed25519.SeedSize)
+	if err != nil {
+		return nil, err
+	}
+	p := ed25519.NewKeyFromSeed(b)
+	return &Key{Name: n, PublicKey: p.Public().(ed25519.PublicKey), PrivateKey: p}, nil
+}
+
+func parseKey(s string, size int) (string, []byte, error) {
+	n, t, ok := bytes.Cut(bytes.TrimSpace([]byte(s)), []byte(":"))
+	if !ok || len(n) == 0 {
+		return "", nil, Error.Wrap(&KeyError{Reason: "a key has the form name:base64"})
+	}
+	b, err := base64.StdEncoding.DecodeString(string(t))
+	if err != nil {
+		return "", nil, Error.Wrap(&KeyError{Reason: err.Error()})
+	}
+	if len(b) != size {
+		return "", nil, Error.Wrap(&KeyError{Reason: "key has " + strconv.Itoa(len(b)) + " bytes instead of " + strconv.Itoa(size)})
+	}
+	return string(n), b, nil
+}
+
+// Supersedes reports whether n takes the place of the bundle held, which may
+// be nil. The same version with other content is a *ConflictError.
+func Supersedes(n, held *Signed) (bool, error) {
+	if held == nil || n.Bundle.Version > held.Bundle.Version {
+		return true, nil
+	}
+	if n.Bundle.Version == held.Bundle.Version && n.Digest != held.Digest {
+		return false, Error.Wrap(&ConflictError{Version: n.Bundle.Version})
+	}
+	return false, nil
+}
--- /dev/null
+++ b/caller/caller.go
@@ -0,0 +1,224 @@
+// Package caller serves callers over the PostgreSQL protocol: it logs them in,
+// keeps their sessions, and sends each statement to where it can be served.
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/peer"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("caller")
+
+// Limits before log-in.
+const (
+	// loginTimeout bounds the log-in.
+	loginTimeout = 10 * time.Second
+	// maxLogins is the number of log-ins that run at a time.
+	maxLogins = 256
+)
+
+// Request is a statement, or a transaction's first, that needs a backend
+// server.
+type Request struct {
+	Header peer.Header
+	// Primary asks for the primary even for a read.
+	Primary bool
+	// Tried are members that have declined the request.
+	Tried map[string]bool
+}
+
+// Route is where a request was sent.
+type Route struct {
+	Stream *peer.Stream
+	Member string
+}
+
+// Router finds owners for requests.
+type Router interface {
+	// Open opens a stream to the owner of a member that may serve the request,
+	// and sends the header.
+	Open(x context.Context, r Request) (Route, error)
+	// Ended tells that the stream to a member that Open gave has ended.
+	Ended(member string)
+	// Learn takes in what an owner has said of a group.
+	Learn(group, member string, v peer.Verdict)
+	// Floor returns the primary's position as of the call or later.
+	Floor(x context.Context, group string) (logpos.Position, error)
+}
+
+// Config holds a server's settings.
+type Config struct {
+	// Listen is the IP address and port for callers.
+	Listen string
+	// TLS is offered to callers; nil for none.
+	TLS *tls.Config
+	// Bundle returns the bundle in force, or nil.
+	Bundle func() *bundle.Bundle
+	Router Router
+	Log    hclog.Logger
+}
+
+// Server accepts callers.
+type Server struct {
+	c Config
+	l net.Listener
+	// logins holds a token for each log-in in progress.
+	logins chan struct{}
+
+	mu       sync.Mutex
+	sessions map[cancelKey]*client
+	draining bool
+}
+
+// cancelKey identifies a session in cancel requests.
+type cancelKey struct{ pid, secret uint32 }
+
+// New returns a server with an open listening socket.
+func New(c Config) (*Server, error) {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Server{c: c, l: l, logins: make(chan struct{}, maxLogins), sessions: map[cancelKey]*client{}}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.l.Addr().String() }
+
+// Sessions returns the number of logged-in callers.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// Run accepts callers until the context ends.
+func (s *Server) Run(x context.Context) error {
+	stop := context.AfterFunc(x, func() { _ = s.l.Close() })
+	defer stop()
+	g := &errgroup.Group{}
+	err := s.accept(x, g)
+	_ = g.Wait()
+	if x.Err() != nil || s.isDraining() {
+		return nil
+	}
+	return err
+}
+
+func (s *Server) accept(x context.Context, g *errgroup.Group) error {
+	for {
+		c, err := s.l.Accept()
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		g.Go(func() error {
+			s.serve(x, c)
+			return nil
+		})
+	}
+}
+
+func (s *Server) serve(x context.Context, c net.Conn) {
+	stop := context.AfterFunc(x, func() { _ = c.Close() })
+	defer stop()
+	defer func() { _ = c.Close() }()
+	n, err := s.login(x, c)
+	if err != nil {
+		s.c.Log.Info("caller refused", "from", c.RemoteAddr().String(), "error", err)
+		return
+	}
+	if n == nil {
+		return
+	}
+	defer s.remove(n)
+	defer func() { _ = n.n.Close() }()
+	n.run(x)
+}
+
+// add registers a session under a fresh key.
+func (s *Server) add(n *client) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return &RefusedError{Code: codeShutdown, Message: "the proxy is shutting down"}
+	}
+	if b := s.c.Bundle(); b != nil && len(s.sessions) >= b.Limits.Callers {
+		return &RefusedError{Code: codeTooMany, Message: "too many callers on this host"}
+	}
+	for {
+		n.key = newKey()
+		if _, ok := s.sessions[n.key]; !ok {
+			s.sessions[n.key] = n
+			return nil
+		}
+	}
+}
+
+func newKey() cancelKey {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return cancelKey{pid: binary.BigEndian.Uint32(b[:4]) &^ (1 << 31), secret: binary.BigEndian.Uint32(b[4:])}
+}
+
+func (s *Server) remove(n *client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, n.key)
+}
+
+// Cancel cancels the running statement of the session with the given key and
+// reports whether there is one.
+func (s *Server) Cancel(pid, secret uint32) bool {
+	s.mu.Lock()
+	n := s.sessions[cancelKey{pid: pid, secret: secret}]
+	s.mu.Unlock()
+	if n == nil {
+		return false
+	}
+	n.cancel()
+	return true
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// Drain stops taking callers, ends idle sessions, and waits until the others
+// have ended their transaction or the context ends.
+func (s *Server) Drain(x context.Context) {
+	s.mu.Lock()
+	s.draining = true
+	_ = s.l.Close()
+	for _, n := range s.sessions {
+		n.leave()
+	}
+	s.mu.Unlock()
+	t := time.NewTicker(drainPoll)
+	defer t.Stop()
+	for s.Sessions() > 0 {
+		select {
+		case <-x.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// drainPoll is how often Drain looks for sessions.
+const drainPoll = 10 * time.Millisecond
--- /dev/null
+++ b/caller/dispatch.go
@@ -0,0 +1,327 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/session"
+	"github.com/dragonflypick/dragonflypick/statement"
+	"github.com/dragonflypick/dragonflypick/wire"
+)
+
+// Timing of attempts.
+const (
+	// retryPause is the pause before a request is sent again.
+	retryPause = 30 * time.Millisecond
+	// answerGrace is how long after the deadline an owner may still answer.
+	answerGrace = 2 * time.Second
+)
+
+// work is a simple query or a batch of an extended one.
+type work struct {
+	class    statement.Class
+	messages []wire.Message
+	// plan rewrites what the caller sends after messages; nil for a simple
+	// query.
+	plan *planner
+	// names are the statements that the batch prepares.
+	names []string
+	// whole tells that the messages end with the Query or Sync, so that they
+	// can be sent again.
+	whole bool
+	// describeOnly tells that nothing is run.
+	describeOnly bool
+	// local tells that no statement needs a backend server.
+	local bool
+}
+
+// end tells how an exchange with an owner ended.
+type end int
+
+const (
+	// answered means that the answer is whole.
+	answered end = iota
+	// declined means that the owner gave a verdict instead.
+	declined
+	// lost means that the stream broke.
+	lost
+	// gone means that the caller has gone.
+	gone
+	// readOnly means that a replica can't run the statement.
+	readOnly
+	// settled means that the caller was refused and its batch has ended.
+	settled
+)
+
+// dispatch runs work on a backend server and answers the caller.
+func (n *client) dispatch(x context.Context, w work) error {
+	x, stop := context.WithCancel(x)
+	defer stop()
+	n.mu.Lock()
+	n.stop = stop
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		n.stop, n.active = nil, nil
+		n.mu.Unlock()
+	}()
+	if n.open != nil {
+		return n.carryOn(x, w)
+	}
+	b := n.s.c.Bundle()
+	v, e := n.wishes(b, w.class.Hints)
+	if e != nil {
+		return n.end(w, e)
+	}
+	r := n.request(b, w, v)
+	d := time.Now().Add(r.Header.Remaining)
+	if e := n.findFloor(x, &r); e != nil {
+		return n.end(w, e)
+	}
+	return n.attempts(x, w, r, d)
+}
+
+// end refuses work and ends its answer.
+func (n *client) end(w work, e *RefusedError) error {
+	for _, s := range w.names {
+		delete(n.prepared, s)
+	}
+	n.refuse(e)
+	if w.whole {
+		n.ready()
+	} else {
+		n.skip = true
+	}
+	return nil
+}
+
+func (n *client) request(b *bundle.Bundle, w work, v wishes) Request {
+	h := peer.Header{
+		Group: n.group, Caller: n.name, Rank: int(v.rank), Kind: kindOf(w.class),
+		Remaining: time.Duration(b.Ranks.Of(v.rank).Deadline), Floor: n.floor.Position,
+	}
+	r := Request{Header: h, Tried: map[string]bool{}, Primary: h.Kind != peer.KindRead}
+	switch {
+	case h.Kind == peer.KindRead:
+		r.Header.Tolerance, r.Header.AgeOnly, r.Header.OwnWrites = v.tolerance, v.ageOnly, v.ownWrites
+	case w.describeOnly:
+		r.Header.Kind = peer.KindRead
+		r.Header.Floor = logpos.Position{}
+	default:
+		r.Header.Key = v.key
+		n.set.key = ""
+	}
+	return r
+}
+
+// findFloor asks for the primary's position if a read needs a floor and the
+// session has none. It asks again until the deadline.
+func (n *client) findFloor(x context.Context, r *Request) *RefusedError {
+	if r.Header.Kind != peer.KindRead || r.Primary || r.Header.AgeOnly || n.floor.Known {
+		return nil
+	}
+	x, stop := context.WithTimeout(x, r.Header.Remaining)
+	defer stop()
+	for {
+		p, err := n.s.c.Router.Floor(x, n.group)
+		if err == nil {
+			n.floor = n.floor.Raise(p)
+			r.Header.Floor = n.floor.Position
+			return nil
+		}
+		n.s.c.Log.Debug("floor unknown", "group", n.group, "error", err)
+		if x.Err() != nil {
+			return refusal(peer.Verdict{Outcome: peer.NotRun, Reason: "floor-unknown", RetryAfter: time.Second})
+		}
+		pause(x, retryPause)
+	}
+}
+
+// attempts sends a request until it is answered, refused for good, or its
+// deadline has passed.
+func (n *client) attempts(x context.Context, w work, r Request, deadline time.Time) error {
+	for {
+		r.Header.Remaining = time.Until(deadline)
+		o, v, err := n.attempt(x, w, r)
+		switch {
+		case err != nil || o == answered || o == settled:
+			return err
+		case x.Err() != nil:
+			return n.end(w, &RefusedError{Code: codeCanceled, Message: "canceling statement due to user request"})
+		case o == readOnly:
+			r.Primary, r.Header.Kind = true, peer.KindWrite
+			continue
+		case o == lost && r.Header.Kind != peer.KindRead:
+			return n.end(w, refusal(peer.Verdict{Outcome: peer.InDoubt, Reason: "owner-lost"}))
+		case !w.whole || !again(v) || time.Until(deadline) < retryPause:
+			return n.end(w, refusal(v))
+		}
+		if v.Outcome != peer.Moved {
+			r.Tried = map[string]bool{}
+			pause(x, retryPause)
+		}
+	}
+}
+
+// again reports whether a request that was not run should be sent again.
+func again(v peer.Verdict) bool {
+	switch v.Reason {
+	case "overloaded", "expired", "withdrawn", reasonCut:
+		return false
+	default:
+		return v.Outcome != peer.InDoubt
+	}
+}
+
+// attempt sends a request once.
+func (n *client) attempt(x context.Context, w work, r Request) (end, peer.Verdict, error) {
+	t, err := n.s.c.Router.Open(x, r)
+	if err != nil {
+		var u *RouteError
+		v := peer.Verdict{Outcome: peer.NotRun, Reason: "no-route", RetryAfter: retryPause}
+		if errors.As(err, &u) {
+			v.Reason, v.RetryAfter = u.Reason, u.RetryAfter
+		}
+		return declined, v, nil
+	}
+	o, v, err := n.exchange(x, t.Stream, w, r.Header.Remaining)
+	if o != answered || n.status == statusIdle || n.status == statusFailed && o == settled {
+		_ = t.Stream.Close()
+		n.s.c.Router.Ended(t.Member)
+	} else {
+		n.open, n.member = t.Stream, t.Member
+	}
+	if o == declined || o == answered && v.Outcome != "" {
+		n.s.c.Router.Learn(n.group, t.Member, v)
+	}
+	if v.Outcome == peer.Moved || o == lost {
+		r.Tried[t.Member] = true
+	}
+	if o == lost {
+		v = peer.Verdict{Outcome: peer.NotRun, Reason: "owner-lost", RetryAfter: retryPause}
+	}
+	return o, v, err
+}
+
+// carryOn sends work on the stream of the open transaction.
+func (n *client) carryOn(x context.Context, w work) error {
+	d := time.Duration(n.s.c.Bundle().Ranks.Of(n.set.rank).Deadline)
+	o, v, err := n.exchange(x, n.open, w, d)
+	if err != nil {
+		return err
+	}
+	switch o {
+	case answered, settled:
+		if n.status == statusIdle {
+			n.closeStream()
+		}
+		return nil
+	case lost:
+		v = peer.Verdict{Outcome: peer.NotRun, Reason: "transaction-lost", RetryAfter: retryPause}
+		if w.class.Kind == statement.End || w.class.Count > 1 {
+			v.Outcome = peer.InDoubt
+		}
+	}
+	n.closeStream()
+	if v.Outcome == peer.InDoubt {
+		n.status = statusIdle
+	}
+	return n.end(w, refusal(v))
+}
+
+// exchange sends the messages and passes the answer on.
+func (n *client) exchange(x context.Context, t *peer.Stream, w work, remaining time.Duration) (end, peer.Verdict, error) {
+	n.setActive(t)
+	defer n.setActive(nil)
+	if err := t.SetReadDeadline(time.Now().Add(remaining + answerGrace)); err != nil {
+		return lost, peer.Verdict{}, nil
+	}
+	g := &errgroup.Group{}
+	g.Go(func() error { return n.submit(t, w) })
+	a := &answer{n: n, t: t, w: w, sent: !w.whole}
+	o, v, err := a.run(x)
+	if o != answered {
+		_ = t.Close()
+	}
+	if o != answered && err == nil && !w.whole {
+		return settled, v, n.settle(w, o, v, g)
+	}
+	if e := g.Wait(); e != nil && err == nil && !w.whole {
+		return gone, v, e
+	}
+	return o, v, err
+}
+
+// settle refuses a batch whose end the caller has yet to send, and waits for
+// that end.
+func (n *client) settle(w work, o end, v peer.Verdict, g *errgroup.Group) error {
+	if o == lost {
+		v = peer.Verdict{Outcome: peer.NotRun, Reason: "owner-lost", RetryAfter: retryPause}
+		if kindOf(w.class) != peer.KindRead {
+			v.Outcome = peer.InDoubt
+		}
+	}
+	n.refuse(refusal(v))
+	if err := n.w.Flush(); err != nil {
+		return Error.Wrap(err)
+	}
+	if err := g.Wait(); err != nil {
+		return err
+	}
+	n.ready()
+	return Error.Wrap(n.w.Flush())
+}
+
+// submit sends the messages; if they aren't whole, it sends on what the caller
+// sends up to its Sync. An error then means that the caller has gone.
+func (n *client) submit(t *peer.Stream, w work) error {
+	err := t.Write(w.messages...)
+	if err == nil {
+		err = t.Flush()
+	}
+	if w.whole {
+		return err
+	}
+	for {
+		m, err := n.r.Read()
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if m.Type == wire.Terminate {
+			return Error.Wrap(net.ErrClosed)
+		}
+		l, e := w.plan.next(m)
+		if e != nil {
+			_ = t.Close()
+			continue
+		}
+		if t.Write(l...) == nil && (m.Type == wire.Sync || m.Type == wire.Flush) {
+			_ = t.Flush()
+		}
+		if m.Type == wire.Sync {
+			return nil
+		}
+	}
+}
+
+// learnPosition raises the session's floor and tells the caller its token.
+func (n *client) learnPosition(v peer.Verdict) {
+	n.floor = n.floor.Raise(v.Position)
+	n.reportToken(session.Token(n.group, n.floor.Position))
+}
+
+func pause(x context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-x.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/caller/errors.go
@@ -0,0 +1,79 @@
+package caller
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/dragonflypick/dragonflypick/peer"
+)
+
+// SQLSTATEs that callers get from the proxy itself.
+const (
+	codeProtocol      = "08P01"
+	codeInDoubt       = "08007"
+	codeUnsupported   = "0A000"
+	codeBadPassword   = "28P01"
+	codeNoGroup       = "3D000"
+	codeNotAllowed    = "42501"
+	codeTooMany       = "53300"
+	codeTooLarge      = "54000"
+	codeShutdown      = "57P01"
+	codeNotNow        = "57P03"
+	codeCanceled      = "57014"
+	codeBadSetting    = "22023"
+	codeUnknownName   = "42704"
+	codeNoPrepared    = "26000"
+	codeFailedTx      = "25P02"
+	codeReadOnly      = "25006"
+	codeInternalError = "XX000"
+)
+
+// RefusedError is an answer to a caller that its request was not run.
+type RefusedError struct {
+	// Code is the SQLSTATE.
+	Code    string
+	Message string
+	Hint    string
+}
+
+func (e *RefusedError) Error() string { return e.Message }
+
+// response builds the protocol message.
+func (e *RefusedError) response(fatal bool) *pgproto3.ErrorResponse {
+	s := "ERROR"
+	if fatal {
+		s = "FATAL"
+	}
+	return &pgproto3.ErrorResponse{Severity: s, SeverityUnlocalized: s, Code: e.Code, Message: e.Message, Hint: e.Hint}
+}
+
+// RouteError reports that no owner could be reached for a request, which was
+// not run.
+type RouteError struct {
+	Reason     string
+	RetryAfter time.Duration
+}
+
+func (e *RouteError) Error() string { return "no route: " + e.Reason }
+
+// refusal turns a verdict into the answer for the caller.
+func refusal(v peer.Verdict) *RefusedError {
+	if v.Outcome == peer.InDoubt {
+		return &RefusedError{
+			Code: codeInDoubt, Message: "outcome in doubt: the statement may or may not have been run (" + v.Reason + ")",
+			Hint: "Repeat it with the same idempotency key, or look before you repeat it.",
+		}
+	}
+	c := codeNotNow
+	if v.Reason == "overloaded" || v.Reason == "expired" || v.Reason == "no-connection" {
+		c = codeTooMany
+	}
+	return &RefusedError{Code: c, Message: "not run: " + v.Reason, Hint: retryHint(v.RetryAfter)}
+}
+
+// retryHint tells when to come back, in a form that programs can read.
+func retryHint(d time.Duration) string {
+	return "retry-after-ms=" + strconv.FormatInt(max(d.Milliseconds(), 1), 10)
+}
--- /dev/null
+++ b/caller/settings.go
@@ -0,0 +1,214 @@
+package caller
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/session"
+	"github.com/dragonflypick/dragonflypick/statement"
+)
+
+// prefix starts the names of session settings in start-up messages and
+// reported parameters.
+const prefix = "dragonflypick."
+
+// settingSession is the parameter that carries the session's token.
+const settingSession = prefix + "session"
+
+// settings are what a session asks for all its statements.
+type settings struct {
+	rank      bundle.Rank
+	tolerance time.Duration
+	class     string
+	// key is the idempotency key of the next write only.
+	key string
+}
+
+// applyStartup takes the settings of the start-up message. Unknown ones of
+// PostgreSQL itself are ignored, as pooled connections can't have them.
+func (n *client) applyStartup(p map[string]string) error {
+	names := make([]string, 0, len(p))
+	for k := range p {
+		names = append(names, k)
+	}
+	sort.Strings(names)
+	for _, k := range names {
+		s, ok := strings.CutPrefix(k, prefix)
+		if !ok {
+			continue
+		}
+		if e := n.apply(s, p[k]); e != nil {
+			return e
+		}
+	}
+	return n.applyOptions(p["options"])
+}
+
+// applyOptions takes settings from the start-up option string, in the form
+// "-c dragonflypick.rank=urgent".
+func (n *client) applyOptions(o string) error {
+	f := strings.Fields(o)
+	for i, x := range f {
+		if i == 0 || f[i-1] != "-c" {
+			x = strings.TrimPrefix(x, "-c")
+		}
+		s, ok := strings.CutPrefix(x, prefix)
+		if !ok {
+			continue
+		}
+		k, v, _ := strings.Cut(s, "=")
+		if e := n.apply(k, v); e != nil {
+			return e
+		}
+	}
+	return nil
+}
+
+// apply changes one setting.
+func (n *client) apply(name, value string) *RefusedError {
+	bad := &RefusedError{Code: codeBadSetting, Message: "invalid value for " + prefix + name}
+	switch name {
+	case "rank":
+		k, ok := bundle.ParseRank(value)
+		if !ok {
+			bad.Hint = "Ranks are urgent, routine and background."
+			return bad
+		}
+		n.set.rank = k
+	case "tolerance":
+		d, err := time.ParseDuration(value)
+		if err != nil || d < 0 {
+			bad.Hint = "A tolerance is a duration such as 5s."
+			return bad
+		}
+		n.set.tolerance = d
+	case "class":
+		if b := n.s.c.Bundle(); value != "" && b != nil {
+			if _, ok := b.ReadClass(value); !ok {
+				bad.Hint = "The bundle in force has no such read class."
+				return bad
+			}
+		}
+		n.set.class = value
+	case "key":
+		n.set.key = value
+	case "session":
+		p, err := session.ParseToken(n.group, value)
+		if err != nil {
+			bad.Hint = err.Error()
+			return bad
+		}
+		n.floor = n.floor.Raise(p)
+	default:
+		return &RefusedError{Code: codeUnknownName, Message: "unknown setting " + prefix + name, Hint: "Settings are rank, tolerance, class, key and session."}
+	}
+	return nil
+}
+
+// show returns a setting's value.
+func (n *client) show(name string) (string, *RefusedError) {
+	switch name {
+	case "rank":
+		return n.set.rank.String(), nil
+	case "tolerance":
+		return n.set.tolerance.String(), nil
+	case "class":
+		return n.set.class, nil
+	case "key":
+		return n.set.key, nil
+	case "session":
+		return session.Token(n.group, n.floor.Position), nil
+	default:
+		return "", &RefusedError{Code: codeUnknownName, Message: "unknown setting " + prefix + name}
+	}
+}
+
+// wishes are what a statement asks for, after hints and settings.
+type wishes struct {
+	rank      bundle.Rank
+	tolerance time.Duration
+	ageOnly   bool
+	ownWrites bool
+	key       string
+}
+
+// wishes merges the hints of a statement with the session's settings, within
+// what the bundle allows.
+func (n *client) wishes(b *bundle.Bundle, h statement.Hints) (wishes, *RefusedError) {
+	if h.Bad != "" {
+		return wishes{}, &RefusedError{Code: codeBadSetting, Message: "hint can't be read: " + h.Bad, Hint: "Hints are rank=, tolerance=, class= and key=."}
+	}
+	w := wishes{rank: n.set.rank, tolerance: n.set.tolerance, key: n.set.key}
+	if h.HasRank {
+		w.rank = h.Rank
+	}
+	if h.Tolerance > 0 {
+		w.tolerance = h.Tolerance
+	}
+	if h.Key != "" {
+		w.key = h.Key
+	}
+	c := n.set.class
+	if h.Class != "" {
+		c = h.Class
+	}
+	if c == "" {
+		w.tolerance = min(w.tolerance, time.Duration(b.Limits.Tolerance))
+		return w, nil
+	}
+	k, ok := b.ReadClass(c)
+	if !ok {
+		return w, &RefusedError{Code: codeBadSetting, Message: "the bundle in force has no read class \"" + c + "\""}
+	}
+	if w.tolerance == 0 || w.tolerance > time.Duration(k.Age) {
+		w.tolerance = time.Duration(k.Age)
+	}
+	w.ownWrites, w.ageOnly = k.OwnWrites, !k.OwnWrites
+	return w, nil
+}
+
+// local runs a statement that concerns only the session.
+func (n *client) local(c statement.Class) *RefusedError {
+	switch c.Kind {
+	case statement.SetLocal:
+		if e := n.apply(c.Setting, c.Value); e != nil {
+			return e
+		}
+		n.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+	case statement.Ignored:
+		n.send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+	case statement.ShowLocal:
+		v, e := n.show(c.Setting)
+		if e != nil {
+			return e
+		}
+		n.send(&pgproto3.DataRow{Values: [][]byte{[]byte(v)}})
+		n.send(&pgproto3.CommandComplete{CommandTag: []byte("SHOW")})
+	default:
+		n.send(&pgproto3.EmptyQueryResponse{})
+	}
+	return nil
+}
+
+// describeLocal sends the columns of such a statement and reports whether it
+// has any.
+func (n *client) describeLocal(c statement.Class) bool {
+	if c.Kind != statement.ShowLocal {
+		return false
+	}
+	n.send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{{
+		Name: []byte(prefix + c.Setting), DataTypeOID: oidText, DataTypeSize: -1, TypeModifier: -1,
+	}}})
+	return true
+}
+
+// oidText is PostgreSQL's number of the type text.
+const oidText = 25
+
+func isLocal(k statement.Kind) bool {
+	return k == statement.SetLocal || k == statement.ShowLocal || k == statement.Ignored || k == statement.Empty
+}
--- /dev/null
+++ b/command/bundle/bundle.go
@@ -0,0 +1,21 @@
+// Package bundle groups the commands on bundles.
+package bundle
+
+import (
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/bundle/keygen"
+	"github.com/dragonflypick/dragonflypick/command/bundle/push"
+	"github.com/dragonflypick/dragonflypick/command/bundle/sign"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+)
+
+// NewCmdBundle returns the group of commands.
+func NewCmdBundle(f *factory.Factory) *command.Command {
+	return &command.Command{
+		Name: "bundle", Short: "Make, sign and roll out bundles",
+		Long: "A bundle is one signed version of the configuration of all daemons.",
+		Commands: []*command.Command{
+			keygen.NewCmdKeygen(f, nil), sign.NewCmdSign(f, nil), push.NewCmdPush(f, nil),
+		},
+	}
+}
--- /dev/null
+++ b/command/bundle/push/push.go
@@ -0,0 +1,62 @@
+// Package push rolls out signed bundles.
+package push
+
+import (
+	"context"
+	"os"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+	"github.com/dragonflypick/dragonflypick/platform"
+)
+
+// Options are the flags of the command.
+type Options struct {
+	Platform  string   `long:"platform" env:"DRAGONFLYPICK_PLATFORM" required:"true" description:"IP address and port of the platform's key-value service"`
+	Approvers []string `long:"approver" env:"DRAGONFLYPICK_APPROVERS" env-delim:"," required:"true" description:"Public key (name:base64) that may approve bundles"`
+
+	factory *factory.Factory
+	file    string
+}
+
+// NewCmdPush returns the command; runF replaces its work in tests.
+func NewCmdPush(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{factory: f}
+	if runF == nil {
+		runF = pushRun
+	}
+	return &command.Command{
+		Name: "push", Short: "Roll out a signed bundle", Options: o,
+		Long:    "Put a signed bundle in force on all daemons, if its version is above the one in force.",
+		Example: "dragonflypick bundle push --platform 127.0.0.1:8500 --approver ops:BASE64 bundle.json",
+		Run: func(x context.Context, a []string) error {
+			if len(a) != 1 {
+				return &command.FlagError{Reason: "name one signed bundle"}
+			}
+			o.file = a[0]
+			return runF(x, o)
+		},
+	}
+}
+
+func pushRun(x context.Context, o *Options) error {
+	e, err := os.ReadFile(o.file)
+	if err != nil {
+		return err
+	}
+	var k []*bundle.Key
+	for _, a := range o.Approvers {
+		p, err := bundle.ParsePublicKey(a)
+		if err != nil {
+			return &command.FlagError{Reason: err.Error()}
+		}
+		k = append(k, p)
+	}
+	r, err := platform.Push(x, platform.New(platform.Config{Address: o.Platform}), e, k)
+	if err != nil {
+		return &command.RefusedError{Reason: err.Error()}
+	}
+	o.factory.Streams.Outf("version %d is accepted (digest %s)\n", r.Bundle.Version, r.Digest)
+	return nil
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,159 @@
+// Package command describes commands of the programs and runs them.
+package command
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strings"
+
+	"github.com/jessevdk/go-flags"
+
+	"github.com/dragonflypick/dragonflypick/command/factory"
+)
+
+// Command is a command or a group of commands.
+type Command struct {
+	Name  string
+	Short string
+	Long  string
+	// Example holds lines to paste.
+	Example string
+	// Options is a pointer to a struct with flag tags, or nil.
+	Options any
+	// Run is nil for a group of commands.
+	Run func(x context.Context, args []string) error
+	// Commands are the commands of a group.
+	Commands []*Command
+}
+
+// Exit codes of all programs.
+const (
+	ExitOK = 0
+	// ExitError tells of a failure.
+	ExitError = 1
+	// ExitUsage tells of a wrong flag, argument or setting.
+	ExitUsage = 2
+	// ExitRefused tells that something was well-formed but not accepted.
+	ExitRefused = 3
+	// ExitCheck tells that a check found a fault.
+	ExitCheck = 4
+)
+
+// FlagError reports a wrong flag or argument.
+type FlagError struct{ Reason string }
+
+func (e *FlagError) Error() string { return e.Reason }
+
+// RefusedError reports something that was not accepted.
+type RefusedError struct{ Reason string }
+
+func (e *RefusedError) Error() string { return e.Reason }
+
+// SilentError ends a command whose output has told everything.
+type SilentError struct{ Code int }
+
+func (e *SilentError) Error() string { return "failed" }
+
+// Execute runs the command that the arguments name, and returns the exit code.
+func Execute(x context.Context, f *factory.Factory, root *Command, args []string) int {
+	err := run(x, f, root, args)
+	var s *SilentError
+	if err != nil && !errors.As(err, &s) {
+		f.Streams.Errf("%s: %s\n", root.Name, err)
+	}
+	return code(err)
+}
+
+func code(err error) int {
+	var s *SilentError
+	var u *FlagError
+	var r *RefusedError
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.As(err, &s):
+		return s.Code
+	case errors.As(err, &u):
+		return ExitUsage
+	case errors.As(err, &r):
+		return ExitRefused
+	default:
+		return ExitError
+	}
+}
+
+func run(x context.Context, f *factory.Factory, root *Command, args []string) error {
+	p := flags.NewNamedParser(root.Name, flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription, p.LongDescription = root.Short, root.Long
+	if root.Options != nil {
+		if _, err := p.AddGroup("Options", "", root.Options); err != nil {
+			return err
+		}
+	}
+	chosen := map[*flags.Command]*Command{p.Command: root}
+	if err := add(p.Command, root, chosen); err != nil {
+		return err
+	}
+	p.SubcommandsOptional = root.Run != nil
+	p.CommandHandler = func(flags.Commander, []string) error { return nil }
+	if os.Getenv("GO_FLAGS_COMPLETION") != "" {
+		_, err := p.ParseArgs(args)
+		return err
+	}
+	rest, err := p.ParseArgs(args)
+	if err != nil {
+		return parseError(f, p, chosen, err)
+	}
+	c := chosen[active(p.Command)]
+	if c == nil || c.Run == nil {
+		return &FlagError{Reason: "name a command; see --help"}
+	}
+	return c.Run(x, rest)
+}
+
+func add(p *flags.Command, c *Command, chosen map[*flags.Command]*Command) error {
+	for _, s := range c.Commands {
+		o := s.Options
+		if o == nil {
+			o = &struct{}{}
+		}
+		n, err := p.AddCommand(s.Name, s.Short, s.Long, o)
+		if err != nil {
+			return err
+		}
+		n.SubcommandsOptional = s.Run != nil
+		chosen[n] = s
+		if err := add(n, s, chosen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func active(c *flags.Command) *flags.Command {
+	for c.Active != nil {
+		c = c.Active
+	}
+	return c
+}
+
+// parseError prints help, or turns the parser's error into a *FlagError.
+func parseError(f *factory.Factory, p *flags.Parser, chosen map[*flags.Command]*Command, err error) error {
+	var e *flags.Error
+	if !errors.As(err, &e) {
+		return err
+	}
+	if e.Type != flags.ErrHelp {
+		return &FlagError{Reason: e.Message}
+	}
+	f.Streams.Outf("%s", e.Message)
+	if c := chosen[active(p.Command)]; c != nil && c.Example != "" {
+		f.Streams.Outf("\nExamples:\n%s\n", indent(c.Example))
+	}
+	return nil
+}
+
+func indent(s string) string {
+	return "  " + strings.ReplaceAll(strings.TrimSpace(s), "\n", "\n  ")
+}
--- /dev/null
+++ b/command/root/root.go
@@ -0,0 +1,18 @@
+// Package root is the command line of the daemon's program.
+package root
+
+import (
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/bundle"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+	"github.com/dragonflypick/dragonflypick/command/serve"
+	"github.com/dragonflypick/dragonflypick/command/version"
+)
+
+// NewCmdRoot returns the root command.
+func NewCmdRoot(f *factory.Factory) *command.Command {
+	return &command.Command{
+		Name: "dragonflypick", Short: "Database proxy with session consistency",
+		Commands: []*command.Command{serve.NewCmdServe(f, nil), bundle.NewCmdBundle(f), version.NewCmdVersion(f)},
+	}
+}
--- /dev/null
+++ b/command/serve/serve.go
@@ -0,0 +1,149 @@
+// Package serve runs the daemon.
+package serve
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+	"github.com/dragonflypick/dragonflypick/daemon"
+	"github.com/dragonflypick/dragonflypick/membership"
+)
+
+// Options are the settings of the daemon.
+type Options struct {
+	Listen          string             `long:"listen" env:"DRAGONFLYPICK_LISTEN" default:"127.0.0.1:6432" description:"IP address and port for callers"`
+	PeerListen      string             `long:"peer-listen" env:"DRAGONFLYPICK_PEER_LISTEN" default:"127.0.0.1:6433" description:"IP address and port for other daemons"`
+	AdminListen     string             `long:"admin-listen" env:"DRAGONFLYPICK_ADMIN_LISTEN" default:"127.0.0.1:6434" description:"IP address and port for metrics, health and status"`
+	ID              string             `long:"id" env:"DRAGONFLYPICK_ID" description:"Unique name of this process (default: random)"`
+	Region          string             `long:"region" env:"DRAGONFLYPICK_REGION" description:"Region of this host"`
+	FailureDomain   string             `long:"failure-domain" env:"DRAGONFLYPICK_FAILURE_DOMAIN" description:"Failure domain of this host"`
+	Platform        string             `long:"platform" env:"DRAGONFLYPICK_PLATFORM" description:"IP address and port of the platform's key-value service"`
+	Seeds           []string           `long:"seed" env:"DRAGONFLYPICK_SEEDS" env-delim:"," description:"Peer address of another daemon, asked while the platform doesn't answer"`
+	Approvers       []string           `long:"approver" env:"DRAGONFLYPICK_APPROVERS" env-delim:"," description:"Public key (name:base64) that may approve bundles"`
+	Secret          string             `long:"secret" env:"DRAGONFLYPICK_SECRET" description:"Secret shared by all daemons; better given by environment"`
+	BackendUser     string             `long:"backend-user" env:"DRAGONFLYPICK_BACKEND_USER" default:"dragonflypick" description:"User name at backend servers"`
+	BackendPassword string             `long:"backend-password" env:"DRAGONFLYPICK_BACKEND_PASSWORD" description:"Password at backend servers; better given by environment"`
+	DrainTime       time.Duration      `long:"drain-time" env:"DRAGONFLYPICK_DRAIN_TIME" default:"30s" description:"Longest time that a shutdown waits for transactions"`
+	Certificate     string             `long:"tls-certificate" env:"DRAGONFLYPICK_TLS_CERTIFICATE" description:"File of the certificate chain for callers"`
+	Key             string             `long:"tls-key" env:"DRAGONFLYPICK_TLS_KEY" description:"File of the certificate's key"`
+	Log             factory.LogOptions `group:"Logging"`
+
+	factory *factory.Factory
+}
+
+// NewCmdServe returns the command; runF replaces its work in tests.
+func NewCmdServe(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{factory: f}
+	if runF == nil {
+		runF = serveRun
+	}
+	return &command.Command{
+		Name: "serve", Short: "Run the daemon", Options: o,
+		Long: "Run one proxy daemon until SIGTERM or SIGINT, which drain it.",
+		Example: `dragonflypick serve --region west --failure-domain west-1 --platform 127.0.0.1:8500 \
+  --approver ops:BASE64 --secret SECRET`,
+		Run: func(x context.Context, _ []string) error { return runF(x, o) },
+	}
+}
+
+func serveRun(x context.Context, o *Options) error {
+	c, err := o.config()
+	if err != nil {
+		return err
+	}
+	x, stop := signal.NotifyContext(x, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	d, err := daemon.New(c)
+	if err != nil {
+		return err
+	}
+	return d.Run(x)
+}
+
+// config checks the settings and lists every fault at once.
+func (o *Options) config() (daemon.Config, error) {
+	k := &checker{}
+	c := daemon.Config{
+		Host: membership.Host{ID: o.ID, Region: o.Region, FailureDomain: o.FailureDomain}, CallerListen: o.Listen,
+		PeerListen: o.PeerListen, AdminListen: o.AdminListen, Platform: o.Platform, Seeds: o.Seeds, Secret: o.Secret,
+		BackendUser: o.BackendUser, BackendPassword: o.BackendPassword, DrainTime: o.DrainTime,
+		Log: o.factory.Logger("dragonflypick", o.Log),
+	}
+	if c.Host.ID == "" {
+		c.Host.ID = uuid.NewString()
+	}
+	k.address("--listen", o.Listen)
+	k.address("--peer-listen", o.PeerListen)
+	k.address("--admin-listen", o.AdminListen)
+	k.address("--platform", o.Platform)
+	for _, s := range o.Seeds {
+		k.address("--seed", s)
+	}
+	k.set("--region", o.Region)
+	k.set("--failure-domain", o.FailureDomain)
+	k.set("--secret", o.Secret)
+	if len(o.Approvers) == 0 {
+		k.add("--approver must be given at least once")
+	}
+	for _, a := range o.Approvers {
+		p, err := bundle.ParsePublicKey(a)
+		if err != nil {
+			k.add("--approver: " + err.Error())
+			continue
+		}
+		c.Approvers = append(c.Approvers, p)
+	}
+	if o.DrainTime <= 0 {
+		k.add("--drain-time must be above zero")
+	}
+	c.TLS = k.certificate(o.Certificate, o.Key)
+	return c, k.err()
+}
+
+// checker gathers the faults of settings.
+type checker struct{ faults []string }
+
+func (k *checker) add(s string) { k.faults = append(k.faults, s) }
+
+func (k *checker) set(flag, v string) {
+	if v == "" {
+		k.add(flag + " must be set")
+	}
+}
+
+func (k *checker) address(flag, a string) {
+	h, _, err := net.SplitHostPort(a)
+	if err != nil || net.ParseIP(h) == nil {
+		k.add(flag + " must be an IP address with a port, not \"" + a + "\"")
+	}
+}
+
+func (k *checker) certificate(cert, key string) *tls.Config {
+	if cert == "" && key == "" {
+		return nil
+	}
+	p, err := tls.LoadX509KeyPair(cert, key)
+	if err != nil {
+		k.add("--tls-certificate and --tls-key: " + err.Error())
+		return nil
+	}
+	return &tls.Config{Certificates: []tls.Certificate{p}, MinVersion: tls.VersionTLS12}
+}
+
+func (k *checker) err() error {
+	if len(k.faults) == 0 {
+		return nil
+	}
+	return &command.FlagError{Reason: "settings are wrong:\n  " + strings.Join(k.faults, "\n  ")}
+}
--- /dev/null
+++ b/command/standin/platform/platform.go
@@ -0,0 +1,48 @@
+// Package platform runs the stand-in of the platform's service.
+package platform
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/standin/kv"
+)
+
+// Options are the flags of the command.
+type Options struct {
+	Listen  string        `long:"listen" default:"127.0.0.1:8500" description:"IP address and port"`
+	HostLag time.Duration `long:"host-lag" default:"1s" description:"How late the list of hosts is read"`
+
+	factory *factory.Factory
+}
+
+// NewCmdPlatform returns the command; runF replaces its work in tests.
+func NewCmdPlatform(f *factory.Factory, runF func(context.Context, *Options) error) *command.Command {
+	o := &Options{factory: f}
+	if runF == nil {
+		runF = platformRun
+	}
+	return &command.Command{
+		Name: "platform", Short: "Run the key-value service", Options: o,
+		Long:    "Faults are switched by POST /standin/fault?down=true&delay=1s&lose-answers=1; GET /standin/counts counts the calls.",
+		Example: "standin platform --listen 127.0.0.1:8500",
+		Run:     func(x context.Context, _ []string) error { return runF(x, o) },
+	}
+}
+
+func platformRun(x context.Context, o *Options) error {
+	x, stop := signal.NotifyContext(x, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	s, err := kv.NewServer(kv.Config{Listen: o.Listen, HostPrefix: platform.HostPrefix, HostLag: o.HostLag})
+	if err != nil {
+		return err
+	}
+	o.factory.Streams.Errf("key-value service on %s\n", s.Address())
+	return s.Run(x)
+}
--- /dev/null
+++ b/command/standin/standin.go
@@ -0,0 +1,18 @@
+// Package standin is the command line of the stand-ins.
+package standin
+
+import (
+	"github.com/dragonflypick/dragonflypick/command"
+	"github.com/dragonflypick/dragonflypick/command/factory"
+	"github.com/dragonflypick/dragonflypick/command/standin/database"
+	"github.com/dragonflypick/dragonflypick/command/standin/load"
+	"github.com/dragonflypick/dragonflypick/command/standin/platform"
+)
+
+// NewCmdStandin returns the root command.
+func NewCmdStandin(f *factory.Factory) *command.Command {
+	return &command.Command{
+		Name: "standin", Short: "Stand-ins for what the proxy talks to",
+		Commands: []*command.Command{platform.NewCmdPlatform(f, nil), database.NewCmdDatabase(f, nil), load.NewCmdLoad(f, nil)},
+	}
+}
--- /dev/null
+++ b/daemon/control.go
@@ -0,0 +1,231 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/dragonflypick/dragonflypick/backend"
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/membership"
+)
+
+// Methods of control calls between daemons.
+const (
+	methodStatus   = "member.status"
+	methodView     = "group.view"
+	methodPosition = "group.position"
+	methodBundle   = "bundle.get"
+	methodVersion  = "bundle.version"
+	methodLeave    = "host.leave"
+)
+
+// memberParams names a member of a group.
+type memberParams struct {
+	Group  string `json:"group"`
+	Member string `json:"member"`
+}
+
+// versionParams names a bundle version.
+type versionParams struct {
+	Version uint64 `json:"version"`
+}
+
+// versionResult is the answer to versionParams.
+type versionResult struct {
+	Version uint64            `json:"version"`
+	Hosts   []membership.Host `json:"hosts"`
+}
+
+// hostParams names a host.
+type hostParams struct {
+	ID string `json:"id"`
+}
+
+// handle answers a control call of another daemon.
+func (d *Daemon) handle(x context.Context, r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
+	case methodStatus:
+		var p memberParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.localStatus(x, p)
+	case methodView:
+		var p memberParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.localView(x, p)
+	case methodPosition:
+		var p memberParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.localPosition(x, p)
+	case methodBundle:
+		return d.localBundle(), nil
+	case methodVersion:
+		var p versionParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return d.localVersion(), nil
+	case methodLeave:
+		var p hostParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		d.noteMember(membership.Left{ID: p.ID})
+		return true, nil
+	default:
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + r.Method}
+	}
+}
+
+func params(r *jsonrpc2.Request, v any) error {
+	if r.Params == nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "parameters are missing"}
+	}
+	if err := json.Unmarshal(*r.Params, v); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
+
+func (d *Daemon) member(p memberParams) (*bundle.Group, *bundle.Member, error) {
+	g, m, ok := d.bundle().Member(p.Member)
+	if !ok || g.Name != p.Group {
+		return nil, nil, Error.Wrap(&UnknownError{Name: p.Group + "/" + p.Member})
+	}
+	return g, m, nil
+}
+
+func (d *Daemon) localVersion() versionResult {
+	v := versionResult{Version: d.version()}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v.Hosts = d.view.Known()
+	return v
+}
+
+// localStatus asks a member that this daemon is taken to own.
+func (d *Daemon) localStatus(x context.Context, p memberParams) (failover.Status, error) {
+	g, m, err := d.member(p)
+	if err != nil {
+		return failover.Status{}, err
+	}
+	return d.control(g, m).Status(x)
+}
+
+// localView returns this daemon's view of a group, which it begins to watch if
+// it doesn't yet.
+func (d *Daemon) localView(x context.Context, p memberParams) (failover.View, error) {
+	if _, _, err := d.member(p); err != nil {
+		return failover.View{}, err
+	}
+	w := d.watch(p.Group)
+	if w == nil {
+		return failover.View{}, Error.Wrap(&UnknownError{Name: p.Group})
+	}
+	x, stop := context.WithTimeout(x, viewTimeout/2)
+	defer stop()
+	w.Await(x, func(g *failover.Group, now time.Time) bool { return g.View(now).Confirmed })
+	return w.View(), nil
+}
+
+// localPosition returns the position of a primary, asked after the call came
+// in.
+func (d *Daemon) localPosition(x context.Context, p memberParams) (logpos.Position, error) {
+	g, m, err := d.member(p)
+	if err != nil {
+		return logpos.Position{}, err
+	}
+	s, err := d.control(g, m).Status(x)
+	if err != nil {
+		return logpos.Position{}, err
+	}
+	w := d.watch(p.Group)
+	if w == nil {
+		return logpos.Position{}, Error.Wrap(&UnknownError{Name: p.Group})
+	}
+	v := w.View()
+	if s.Role != failover.Primary || v.Primary != p.Member || !v.Confirmed || v.Term != s.Term {
+		return logpos.Position{}, Error.Wrap(&NotPrimaryError{Member: p.Member})
+	}
+	return s.Position, nil
+}
+
+// askStatus asks a member for its report: through its owner, or directly if
+// the owner doesn't answer.
+func (d *Daemon) askStatus(x context.Context, g *bundle.Group, m *bundle.Member) (failover.Status, error) {
+	h, ok := d.ownerOf(m)
+	if !ok || h.ID == d.c.Host.ID {
+		return d.control(g, m).Status(x)
+	}
+	var s failover.Status
+	y, stop := context.WithTimeout(x, viewTimeout)
+	err := d.node.Call(y, h, methodStatus, memberParams{Group: g.Name, Member: m.Name}, &s)
+	stop()
+	if err == nil {
+		return s, nil
+	}
+	return d.control(g, m).Status(x)
+}
+
+func (d *Daemon) askView(x context.Context, g *bundle.Group, m *bundle.Member) (failover.View, error) {
+	p := memberParams{Group: g.Name, Member: m.Name}
+	h, ok := d.ownerOf(m)
+	if !ok || h.ID == d.c.Host.ID {
+		return d.localView(x, p)
+	}
+	var v failover.View
+	x, stop := context.WithTimeout(x, viewTimeout)
+	defer stop()
+	err := d.node.Call(x, h, methodView, p, &v)
+	return v, err
+}
+
+func (d *Daemon) askPosition(x context.Context, g *bundle.Group, m *bundle.Member) (logpos.Position, error) {
+	p := memberParams{Group: g.Name, Member: m.Name}
+	h, ok := d.ownerOf(m)
+	if !ok || h.ID == d.c.Host.ID {
+		return d.localPosition(x, p)
+	}
+	var v logpos.Position
+	x, stop := context.WithTimeout(x, viewTimeout)
+	defer stop()
+	err := d.node.Call(x, h, methodPosition, p, &v)
+	return v, err
+}
+
+// control returns the control connection of a member.
+func (d *Daemon) control(g *bundle.Group, m *bundle.Member) *backend.Control {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	k := m.Name + "@" + m.Address
+	c, ok := d.controls[k]
+	if !ok {
+		c = backend.NewControl(backend.Config{Address: m.Address, User: d.c.BackendUser, Password: d.c.BackendPassword, Database: g.Name})
+		d.controls[k] = c
+	}
+	return c
+}
+
+// UnknownError reports a group or member that the bundle in force doesn't have.
+type UnknownError struct {
+	Name string
+}
+
+func (e *UnknownError) Error() string { return "unknown in the bundle in force: " + e.Name }
+
+// NotPrimaryError reports a member that isn't the confirmed primary.
+type NotPrimaryError struct {
+	Member string
+}
+
+func (e *NotPrimaryError) Error() string { return e.Member + " is not the confirmed primary" }
--- /dev/null
+++ b/monitor/monitor.go
@@ -0,0 +1,296 @@
+// Package monitor watches a database group: it polls the members, drives the
+// decisions of package failover, and lets writes wait until a majority of the
+// members has them.
+package monitor
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/backend"
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/logpos"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("monitor")
+
+// Timing of polls.
+const (
+	// pollInterval is the pause between polls of a member.
+	pollInterval = 250 * time.Millisecond
+	// busyInterval is that pause while writes wait for the member.
+	busyInterval = time.Millisecond
+	// failInterval is that pause while the member fails.
+	failInterval = 100 * time.Millisecond
+	// tickInterval is how often time-outs are looked at.
+	tickInterval = 50 * time.Millisecond
+)
+
+// Config holds what a monitor needs.
+type Config struct {
+	Group *bundle.Group
+	// Holder names this daemon in fences; it is unique among daemons.
+	Holder string
+	// Place is this daemon's place among those that watch the group.
+	Place func() int
+	// Near tells the worth of a member as primary among equals.
+	Near func(*bundle.Member) int
+	// Status asks a member for its report.
+	Status func(context.Context, *bundle.Member) (failover.Status, error)
+	// Control returns the control connection of a member.
+	Control func(*bundle.Member) *backend.Control
+	// Changed is told of a new primary.
+	Changed func(group string, c failover.Changed)
+	Log     hclog.Logger
+}
+
+// Monitor watches one group. It is safe for concurrent use.
+type Monitor struct {
+	c Config
+	g *errgroup.Group
+	x context.Context
+
+	mu   sync.Mutex
+	core *failover.Group
+	// moved is closed and replaced whenever the core has learned something.
+	moved chan struct{}
+	// waiters counts writes that wait for a majority.
+	waiters int
+	// kick is closed and replaced when the first write begins to wait.
+	kick chan struct{}
+}
+
+// New returns a monitor; Run starts it.
+func New(c Config) *Monitor {
+	m := &Monitor{c: c, core: failover.New(), moved: make(chan struct{}), kick: make(chan struct{})}
+	m.configure(len(c.Group.Members))
+	return m
+}
+
+// configure tells the core the members and this daemon's place.
+func (m *Monitor) configure(place int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	l := make([]failover.Member, 0, len(m.c.Group.Members))
+	for i := range m.c.Group.Members {
+		b := &m.c.Group.Members[i]
+		l = append(l, failover.Member{Name: b.Name, Address: b.Address, Leaving: b.Leaving, Near: m.c.Near(b)})
+	}
+	m.core.Handle(failover.Configured{Members: l, Place: place}, time.Now())
+}
+
+// Run polls until the context ends.
+func (m *Monitor) Run(x context.Context) error {
+	g, x := errgroup.WithContext(x)
+	m.mu.Lock()
+	m.g, m.x = g, x
+	m.mu.Unlock()
+	for i := range m.c.Group.Members {
+		b := &m.c.Group.Members[i]
+		g.Go(func() error { return m.poll(x, b) })
+	}
+	g.Go(func() error { return m.tick(x) })
+	err := g.Wait()
+	return err
+}
+
+func (m *Monitor) tick(x context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-x.Done():
+			return nil
+		case <-t.C:
+			m.configure(m.c.Place())
+			m.handle(failover.Ticked{Jitter: rand.Float64()})
+		}
+	}
+}
+
+func (m *Monitor) poll(x context.Context, b *bundle.Member) error {
+	for x.Err() == nil {
+		s := time.Now()
+		r, err := m.c.Status(x, b)
+		d := pollInterval
+		if err == nil {
+			m.handle(failover.Reported{Member: b.Name, Status: r, Sent: s})
+		} else if x.Err() == nil {
+			m.c.Log.Trace("member gives no report", "group", m.c.Group.Name, "member", b.Name, "error", err)
+			m.handle(failover.Failed{Member: b.Name})
+			d = failInterval
+		}
+		m.pause(x, d, err == nil)
+	}
+	return nil
+}
+
+// pause waits between polls; a waiting write ends it early.
+func (m *Monitor) pause(x context.Context, d time.Duration, alive bool) {
+	m.mu.Lock()
+	busy, k := m.waiters > 0, m.kick
+	m.mu.Unlock()
+	if busy && alive {
+		d, k = busyInterval, nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-x.Done():
+	case <-t.C:
+	case <-k:
+	}
+}
+
+// handle feeds the core and carries out what it asks for.
+func (m *Monitor) handle(e failover.Event) {
+	m.mu.Lock()
+	a := m.core.Handle(e, time.Now())
+	close(m.moved)
+	m.moved = make(chan struct{})
+	g, x := m.g, m.x
+	m.mu.Unlock()
+	for _, y := range a {
+		m.act(x, g, y)
+	}
+}
+
+func (m *Monitor) act(x context.Context, g *errgroup.Group, a failover.Action) {
+	switch y := a.(type) {
+	case failover.Fence:
+		g.Go(func() error { return m.fence(x, y) })
+	case failover.Promote:
+		g.Go(func() error { return m.promote(x, y) })
+	case failover.Follow:
+		g.Go(func() error { return m.follow(x, y) })
+	case failover.Suspected:
+		m.c.Log.Warn("failover begins", "group", m.c.Group.Name, "term", y.Term, "reason", y.Reason)
+	case failover.Changed:
+		m.c.Log.Info("primary placed", "group", m.c.Group.Name, "term", y.Term, "member", y.Primary,
+			"confirm", y.Stages.Confirm, "fence", y.Stages.Fence, "promote", y.Stages.Promote)
+		m.c.Changed(m.c.Group.Name, y)
+	}
+}
+
+func (m *Monitor) member(n string) *bundle.Member {
+	for i := range m.c.Group.Members {
+		if m.c.Group.Members[i].Name == n {
+			return &m.c.Group.Members[i]
+		}
+	}
+	return nil
+}
+
+func (m *Monitor) fence(x context.Context, y failover.Fence) error {
+	s, err := m.c.Control(m.member(y.Member)).Fence(x, y.Term, m.c.Holder)
+	m.c.Log.Info("fence", "group", m.c.Group.Name, "member", y.Member, "term", y.Term, "position", s.Position.String(), "error", err)
+	m.handle(failover.Fenced{Member: y.Member, Term: y.Term, OK: err == nil, Status: s})
+	return nil
+}
+
+func (m *Monitor) promote(x context.Context, y failover.Promote) error {
+	s, err := m.c.Control(m.member(y.Member)).Promote(x, y.Term, m.c.Holder)
+	m.c.Log.Info("promote", "group", m.c.Group.Name, "member", y.Member, "term", y.Term, "error", err)
+	m.handle(failover.Promoted{Member: y.Member, Term: y.Term, OK: err == nil, Status: s})
+	return nil
+}
+
+func (m *Monitor) follow(x context.Context, y failover.Follow) error {
+	t := time.Now()
+	s, err := m.c.Control(m.member(y.Member)).Follow(x, y.Term, y.Primary)
+	m.c.Log.Info("follow", "group", m.c.Group.Name, "member", y.Member, "term", y.Term, "primary", y.Primary, "error", err)
+	if err == nil {
+		m.handle(failover.Reported{Member: y.Member, Status: s, Sent: t})
+	}
+	return nil
+}
+
+// View returns what is known of the group now.
+func (m *Monitor) View() failover.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.View(time.Now())
+}
+
+// Await waits until ok holds of the group, and reports whether it does.
+func (m *Monitor) Await(x context.Context, ok func(*failover.Group, time.Time) bool) bool {
+	for {
+		m.mu.Lock()
+		r, n := ok(m.core, time.Now()), m.moved
+		m.mu.Unlock()
+		if r {
+			return true
+		}
+		select {
+		case <-n:
+		case <-x.Done():
+			return false
+		}
+	}
+}
+
+// AwaitDurable waits until a majority of the members has the write at p. It
+// returns *SupersededError once another term has begun, and *TimeoutError when
+// the context ends first; both leave the write's fate open.
+func (m *Monitor) AwaitDurable(x context.Context, p logpos.Position) error {
+	m.wait(1)
+	defer m.wait(-1)
+	lost := false
+	ok := m.Await(x, func(g *failover.Group, _ time.Time) bool {
+		if g.Durable(p) {
+			return true
+		}
+		lost = g.Superseded(p.Term)
+		return lost
+	})
+	switch {
+	case lost:
+		return Error.Wrap(&SupersededError{Term: p.Term})
+	case !ok:
+		return Error.Wrap(&TimeoutError{Position: p})
+	default:
+		return nil
+	}
+}
+
+func (m *Monitor) wait(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.waiters += n
+	if n > 0 && m.waiters == 1 {
+		close(m.kick)
+		m.kick = make(chan struct{})
+	}
+}
+
+// AwaitReplica waits until a replica may serve a read, and reports whether it
+// may.
+func (m *Monitor) AwaitReplica(x context.Context, ok func(*failover.Group, time.Time) bool) bool {
+	m.wait(1)
+	defer m.wait(-1)
+	return m.Await(x, ok)
+}
+
+// SupersededError reports that the term of a write has ended.
+type SupersededError struct {
+	Term uint64
+}
+
+func (e *SupersededError) Error() string { return "the term of the write has ended" }
+
+// TimeoutError reports that a majority didn't have a write in time.
+type TimeoutError struct {
+	Position logpos.Position
+}
+
+func (e *TimeoutError) Error() string {
+	return "no majority had position " + e.Position.String() + " in time"
+}
--- /dev/null
+++ b/owner/exchange.go
@@ -0,0 +1,334 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/backend"
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/monitor"
+	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/statement"
+	"github.com/dragonflypick/dragonflypick/wire"
+)
+
+// cancelGrace is how long a cancelled statement may take to end.
+const cancelGrace = 500 * time.Millisecond
+
+// exchange moves messages between a stream and a connection until the
+// transaction ends.
+type exchange struct {
+	t *task
+	c *backend.Conn
+	// idle is the longest pause inside an open transaction.
+	idle time.Duration
+	// ready carries the end of each answer to the forwarding side.
+	ready chan struct{}
+
+	mu sync.Mutex
+	k  ticket
+	// holds tells that the ticket is held.
+	holds bool
+	// cancelled tells that a cancel request was sent, so that the connection
+	// must not serve another statement.
+	cancelled bool
+	// returned tells that the connection went back to the pool; it must not be
+	// touched then.
+	returned bool
+	// committing tells that a statement that may commit was sent.
+	committing bool
+	timer      *time.Timer
+
+	// position is what the backend server reported of a commit.
+	position logpos.Position
+	// tail holds the last CommandComplete.
+	tail []wire.Message
+}
+
+// run moves messages until the transaction ends, and returns a verdict that is
+// still to be sent, or none.
+func (e *exchange) run(x context.Context) peer.Verdict {
+	e.ready = make(chan struct{}, 1)
+	x, stop := context.WithCancel(x)
+	defer stop()
+	e.arm(x, e.t.deadline)
+	unhook := context.AfterFunc(x, e.cut)
+	g := &errgroup.Group{}
+	g.Go(func() error {
+		defer stop()
+		return e.forward(x)
+	})
+	v := e.answer()
+	unhook()
+	e.release(v.Outcome != "")
+	_ = e.t.s.SetReadDeadline(time.Unix(1, 0))
+	_ = g.Wait()
+	return v
+}
+
+// arm bounds the next answer: the statement is cancelled at its deadline, and
+// the connection given up soon after.
+func (e *exchange) arm(x context.Context, d time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.returned || x.Err() != nil {
+		return
+	}
+	_ = e.c.SetReadDeadline(d.Add(cancelGrace))
+	e.timer = time.AfterFunc(time.Until(d), func() { e.cancel(x) })
+}
+
+// cancel asks the backend server to end the running statement.
+func (e *exchange) cancel(x context.Context) {
+	e.mu.Lock()
+	skip := e.returned || !e.holds
+	e.cancelled = e.cancelled || !skip
+	e.mu.Unlock()
+	if !skip {
+		_ = e.c.Cancel(x)
+	}
+}
+
+// cut ends the reading of the answer at once.
+func (e *exchange) cut() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.returned {
+		_ = e.c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// release gives back the slot and the connection, if they are still held.
+func (e *exchange) release(broken bool) {
+	e.pauseSlot()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.returned {
+		return
+	}
+	e.returned = true
+	_ = e.c.SetDeadline(time.Time{})
+	e.t.srv.pool.Put(e.c, broken || e.cancelled)
+}
+
+// pauseSlot gives back the slot.
+func (e *exchange) pauseSlot() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.timer != nil {
+		e.timer.Stop()
+	}
+	if e.holds {
+		e.holds = false
+		e.k.free()
+	}
+}
+
+// forward sends the entry's messages to the backend server.
+func (e *exchange) forward(x context.Context) error {
+	for {
+		m, err := e.t.s.Read()
+		if err != nil {
+			return err
+		}
+		if m.Type == peer.TypeCancel {
+			e.cancel(x)
+			continue
+		}
+		if err := e.begin(x); err != nil {
+			return err
+		}
+		e.note(m)
+		if err := e.c.W.Write(m); err != nil {
+			return Error.Wrap(err)
+		}
+		if m.Type != wire.Sync && m.Type != wire.Query && m.Type != wire.Flush && e.t.s.Buffered() > 0 {
+			continue
+		}
+		if err := e.c.W.Flush(); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+}
+
+// begin takes a slot again for the first message after an answer.
+func (e *exchange) begin(x context.Context) error {
+	select {
+	case <-e.ready:
+	default:
+		return nil
+	}
+	_ = e.t.s.SetReadDeadline(time.Time{})
+	b := e.t.o.c.Bundle()
+	e.t.deadline = time.Now().Add(time.Duration(b.Ranks.Of(bundle.Rank(e.t.h.Rank)).Deadline))
+	a := e.t.arrival()
+	a.Held = true
+	k, err := e.t.srv.enter(x, a)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.k, e.holds = k, true
+	e.mu.Unlock()
+	e.arm(x, e.t.deadline)
+	return nil
+}
+
+// note looks for statements that may commit.
+func (e *exchange) note(m wire.Message) {
+	if e.t.h.Kind != peer.KindTransaction {
+		e.commits()
+		return
+	}
+	q := ""
+	switch m.Type {
+	case wire.Query:
+		q = wire.CString(m.Body)
+	case wire.Parse:
+		q = wire.CString(m.Body[min(len(wire.CString(m.Body))+1, len(m.Body)):])
+	default:
+		return
+	}
+	if k := statement.Classify(q); k.Kind == statement.End || k.Count > 1 {
+		e.commits()
+	}
+}
+
+func (e *exchange) commits() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.committing = true
+}
+
+// answer sends the backend server's messages to the entry until the
+// transaction has ended.
+func (e *exchange) answer() peer.Verdict {
+	for {
+		m, err := e.c.R.Read()
+		if err != nil {
+			return e.broken(err)
+		}
+		switch m.Type {
+		case wire.ParameterStatus:
+			e.parameter(m)
+		case wire.CommandComplete:
+			err = e.pass(e.tail...)
+			e.tail = []wire.Message{m}
+		case wire.ReadyForQuery:
+			if done, v := e.finish(m); done {
+				return v
+			}
+		default:
+			err = e.pass(append(e.tail, m)...)
+			e.tail = nil
+		}
+		if err != nil {
+			return peer.Verdict{Outcome: peer.NotRun, Reason: "entry-gone"}
+		}
+	}
+}
+
+func (e *exchange) pass(m ...wire.Message) error {
+	if len(m) == 0 {
+		return nil
+	}
+	if err := e.t.s.Write(m...); err != nil {
+		return err
+	}
+	if e.c.R.Buffered() > 0 {
+		return nil
+	}
+	return e.t.s.Flush()
+}
+
+func (e *exchange) parameter(m wire.Message) {
+	n := wire.CString(m.Body)
+	if n != backend.PositionParameter {
+		return
+	}
+	p, err := logpos.Parse(wire.CString(m.Body[len(n)+1:]))
+	if err != nil {
+		e.t.o.c.Log.Error("member reports no position", "member", e.t.h.Member, "error", err)
+		return
+	}
+	e.position = logpos.Max(e.position, p)
+}
+
+// finish ends one answer. It reports whether the transaction is over.
+func (e *exchange) finish(m wire.Message) (bool, peer.Verdict) {
+	over := len(m.Body) == 1 && m.Body[0] == 'I'
+	deadline := e.t.deadline
+	if over {
+		e.release(false)
+	} else {
+		e.pauseSlot()
+		_ = e.c.SetReadDeadline(time.Time{})
+	}
+	if !e.position.IsZero() {
+		if v := e.durable(deadline); v.Outcome != "" {
+			return true, v
+		}
+	}
+	if e.pass(append(e.tail, m)...) != nil || e.t.s.Flush() != nil {
+		return true, peer.Verdict{Outcome: peer.NotRun, Reason: "entry-gone"}
+	}
+	e.tail = nil
+	if !over {
+		_ = e.t.s.SetReadDeadline(time.Now().Add(e.idle))
+		e.ready <- struct{}{}
+	}
+	return over, peer.Verdict{}
+}
+
+// durable waits until a majority has the write, and then tells the entry.
+func (e *exchange) durable(deadline time.Time) peer.Verdict {
+	x, stop := context.WithDeadline(context.Background(), deadline)
+	defer stop()
+	b := time.Now()
+	err := e.t.m.AwaitDurable(x, e.position)
+	e.t.o.metrics.wait.Observe(time.Since(b).Seconds())
+	e.t.o.c.Log.Debug("write on majority", "group", e.t.h.Group, "member", e.t.h.Member, "rank", bundle.Rank(e.t.h.Rank).String(),
+		"position", e.position.String(), "waited", time.Since(b), "error", err)
+	if err != nil {
+		r := "majority-timeout"
+		var s *monitor.SupersededError
+		if errors.As(err, &s) {
+			r = "term-ended"
+		}
+		return peer.Verdict{Outcome: peer.InDoubt, Reason: r, Position: e.position}
+	}
+	v := peer.Verdict{Outcome: peer.Done, Position: e.position}
+	e.position = logpos.Position{}
+	if e.t.s.WriteVerdict(v) != nil {
+		return peer.Verdict{Outcome: peer.InDoubt, Reason: "entry-gone"}
+	}
+	return peer.Verdict{}
+}
+
+// broken gives the verdict after the connection failed.
+func (e *exchange) broken(err error) peer.Verdict {
+	var n net.Error
+	r := "connection-lost"
+	if errors.As(err, &n) && n.Timeout() {
+		r = "timeout"
+	}
+	e.mu.Lock()
+	c := e.committing
+	e.mu.Unlock()
+	if e.t.h.Kind == peer.KindRead || !c {
+		return peer.Verdict{Outcome: peer.NotRun, Reason: r, RetryAfter: defaultRetryAfter}
+	}
+	return peer.Verdict{Outcome: peer.InDoubt, Reason: r}
+}
+
+func asRefused(err error) (*RefusedError, bool) {
+	var r *RefusedError
+	ok := errors.As(err, &r)
+	return r, ok
+}
--- /dev/null
+++ b/owner/server.go
@@ -0,0 +1,144 @@
+package owner
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/admit"
+	"github.com/dragonflypick/dragonflypick/backend"
+	"github.com/dragonflypick/dragonflypick/bundle"
+)
+
+// controlConnections is the number of connections of a backend server that are
+// kept for status calls of this and other daemons.
+const controlConnections = 4
+
+// backgroundReserve is the number of slots that background work leaves free.
+const backgroundReserve = 1
+
+// server is an owned backend server: its queue and its connections.
+type server struct {
+	name string
+	pool *backend.Pool
+
+	mu   sync.Mutex
+	q    *admit.Queue
+	next uint64
+	// waiting maps requests to where their action goes.
+	waiting map[uint64]chan admit.Action
+}
+
+func queueConfig(b *bundle.Bundle, m *bundle.Member) admit.Config {
+	c := admit.Config{Slots: m.Slots, Reserve: min(backgroundReserve, m.Slots-1)}
+	for i := range c.Shares {
+		c.Shares[i] = b.Ranks.Of(bundle.Rank(i)).Share
+	}
+	return c
+}
+
+func newServer(c backend.Config, b *bundle.Bundle, m *bundle.Member) *server {
+	return &server{
+		name: m.Name, pool: backend.NewPool(c, max(m.Connections-controlConnections, 1)),
+		q: admit.New(queueConfig(b, m)), waiting: map[uint64]chan admit.Action{},
+	}
+}
+
+// handle feeds the queue; s.mu is held.
+func (s *server) handle(e admit.Event) {
+	for _, a := range s.q.Handle(e, time.Now()) {
+		var id uint64
+		switch x := a.(type) {
+		case admit.Start:
+			id = x.ID
+		case admit.Refuse:
+			id = x.ID
+		}
+		if c, ok := s.waiting[id]; ok {
+			c <- a
+			delete(s.waiting, id)
+		}
+	}
+}
+
+// ticket is a slot that a request holds.
+type ticket struct {
+	s  *server
+	id uint64
+}
+
+// free gives the slot back.
+func (t ticket) free() {
+	t.s.mu.Lock()
+	defer t.s.mu.Unlock()
+	t.s.handle(admit.Finished{ID: t.id})
+}
+
+// enter waits for a slot. It returns *RefusedError if the request isn't run.
+func (s *server) enter(x context.Context, a admit.Arrived) (ticket, error) {
+	c := make(chan admit.Action, 1)
+	s.mu.Lock()
+	s.next++
+	a.ID, a.Jitter = s.next, rand.Float64()
+	s.waiting[a.ID] = c
+	s.handle(a)
+	s.mu.Unlock()
+	t := time.NewTimer(time.Until(a.Deadline) + time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case r := <-c:
+			return s.settle(a.ID, r)
+		case <-t.C:
+			s.mu.Lock()
+			s.handle(admit.Ticked{})
+			s.mu.Unlock()
+		case <-x.Done():
+			return ticket{}, s.withdraw(a.ID, c)
+		}
+	}
+}
+
+func (s *server) settle(id uint64, a admit.Action) (ticket, error) {
+	if r, ok := a.(admit.Refuse); ok {
+		return ticket{}, Error.Wrap(&RefusedError{Reason: string(r.Reason), RetryAfter: r.RetryAfter})
+	}
+	return ticket{s: s, id: id}, nil
+}
+
+// withdraw takes a request out that nobody waits for any more.
+func (s *server) withdraw(id uint64, c chan admit.Action) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waiting, id)
+	select {
+	case a := <-c:
+		if _, ok := a.(admit.Start); ok {
+			s.handle(admit.Finished{ID: id})
+		}
+	default:
+		s.handle(admit.Withdrawn{ID: id})
+	}
+	return Error.Wrap(&RefusedError{Reason: "withdrawn"})
+}
+
+// depth returns the numbers of waiting requests by rank.
+func (s *server) depth() [bundle.RankCount]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var d [bundle.RankCount]int
+	for i := range d {
+		d[i] = s.q.Depth(bundle.Rank(i))
+	}
+	return d
+}
+
+// RefusedError reports a request that was not run.
+type RefusedError struct {
+	Reason string
+	// RetryAfter is when the caller should come back.
+	RetryAfter time.Duration
+}
+
+func (e *RefusedError) Error() string { return "not run: " + e.Reason }
--- /dev/null
+++ b/standin/cluster/cluster.go
@@ -0,0 +1,346 @@
+// Package cluster runs a whole system in one process on loopback: the stand-in
+// platform, database groups, and daemons with a signed bundle.
+package cluster
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/daemon"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/standin/database"
+	"github.com/dragonflypick/dragonflypick/standin/kv"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("standin cluster")
+
+// Names and passwords of the cluster.
+const (
+	CallerName      = "shop"
+	CallerPassword  = "amber"
+	backendPassword = "backend"
+	secret          = "loopback"
+)
+
+// Settings of the cluster.
+const (
+	// startTimeout bounds the wait until all daemons serve.
+	startTimeout = 20 * time.Second
+	// stopPoll is how often a start looks for readiness.
+	startPoll = 20 * time.Millisecond
+	drainTime = 3 * time.Second
+)
+
+// Config holds a cluster's settings.
+type Config struct {
+	// Groups are the names of the database groups.
+	Groups []string
+	// Daemons is the number of daemons.
+	Daemons int
+	// Domains are the failure domains, all of one region; daemons and members
+	// are spread over them in turn.
+	Domains []string
+	Region  string
+	// Listen is the IP address and first port for callers; port 0 takes free
+	// ones.
+	Listen string
+	// Lag delays replication.
+	Lag time.Duration
+	// Slots and Connections are the limits of each member.
+	Slots       int
+	Connections int
+	// ConnectCost and StatementCost are processing times of each member.
+	ConnectCost   time.Duration
+	StatementCost time.Duration
+	Log           hclog.Logger
+}
+
+// Default returns the settings of the demo.
+func Default() Config {
+	return Config{
+		Groups: []string{"orders", "stock"}, Daemons: 3, Domains: []string{"west-1", "west-2"}, Region: "west",
+		Listen: "127.0.0.1:0", Slots: 3, Connections: 20, ConnectCost: 12 * time.Millisecond,
+		StatementCost: time.Millisecond, Lag: time.Millisecond, Log: hclog.NewNullLogger(),
+	}
+}
+
+// Member is a running member of a group.
+type Member struct {
+	*database.Member
+	Name  string
+	Group string
+	stop  context.CancelFunc
+}
+
+// Daemon is a running daemon.
+type Daemon struct {
+	*daemon.Daemon
+	ID   string
+	stop context.CancelFunc
+	done chan struct{}
+}
+
+// Cluster is a running system.
+type Cluster struct {
+	Config   Config
+	Platform *kv.Server
+	Members  []*Member
+	Daemons  []*Daemon
+	Bundle   *bundle.Bundle
+	author   *bundle.Key
+	approver *bundle.Key
+	x        context.Context
+	stop     context.CancelFunc
+	g        *errgroup.Group
+}
+
+// Start runs a cluster and returns when every daemon serves.
+func Start(x context.Context, c Config) (*Cluster, error) {
+	x, stop := context.WithCancel(x)
+	g, x := errgroup.WithContext(x)
+	o := &Cluster{Config: c, x: x, stop: stop, g: g}
+	if err := o.start(); err != nil {
+		o.Stop()
+		return nil, err
+	}
+	return o, nil
+}
+
+func (c *Cluster) start() error {
+	var err error
+	if c.author, err = bundle.NewKey("author"); err != nil {
+		return err
+	}
+	if c.approver, err = bundle.NewKey("approver"); err != nil {
+		return err
+	}
+	c.Platform, err = kv.NewServer(kv.Config{Listen: "127.0.0.1:0", HostPrefix: platform.HostPrefix, HostLag: 200 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	c.g.Go(func() error { return c.Platform.Run(c.x) })
+	for _, n := range c.Config.Groups {
+		if err := c.startGroup(n); err != nil {
+			return err
+		}
+	}
+	if c.Bundle, err = c.newBundle(); err != nil {
+		return err
+	}
+	if err := c.Push(c.Bundle); err != nil {
+		return err
+	}
+	for i := range c.Config.Daemons {
+		if _, err := c.StartDaemon(i); err != nil {
+			return err
+		}
+	}
+	return c.awaitReady()
+}
+
+// membersPerGroup is the number of members of each group.
+const membersPerGroup = 3
+
+func (c *Cluster) startGroup(n string) error {
+	first := ""
+	for i := range membersPerGroup {
+		m, err := database.New(database.Config{
+			Listen: "127.0.0.1:0", Password: backendPassword, Primary: first, Lag: c.Config.Lag,
+			ConnectCost: c.Config.ConnectCost, StatementCost: c.Config.StatementCost,
+			Slots: c.Config.Slots, Connections: c.Config.Connections,
+		})
+		if err != nil {
+			return err
+		}
+		if first == "" {
+			first = m.Address()
+		}
+		x, stop := context.WithCancel(c.x)
+		c.Members = append(c.Members, &Member{Member: m, Name: n + "-" + strconv.Itoa(i+1), Group: n, stop: stop})
+		c.g.Go(func() error { return m.Run(x) })
+	}
+	return nil
+}
+
+func (c *Cluster) domain(i int) string { return c.Config.Domains[i%len(c.Config.Domains)] }
+
+func (c *Cluster) newBundle() (*bundle.Bundle, error) {
+	b := NewBundle()
+	salt := make([]byte, 16)
+	_, _ = rand.Read(salt)
+	v, err := bundle.NewVerifier(CallerName, CallerPassword, salt)
+	if err != nil {
+		return nil, err
+	}
+	b.Callers = []bundle.Caller{{Name: CallerName, Scram: v, Rank: "routine", Groups: c.Config.Groups}}
+	for _, n := range c.Config.Groups {
+		g := bundle.Group{Name: n}
+		for _, m := range c.Members {
+			if m.Group == n {
+				g.Members = append(g.Members, bundle.Member{
+					Name: m.Name, Address: m.Address(), Region: c.Config.Region, FailureDomain: c.domain(len(g.Members)),
+					Slots: c.Config.Slots, Connections: c.Config.Connections,
+				})
+			}
+		}
+		b.Groups = append(b.Groups, g)
+	}
+	return b, nil
+}
+
+// NewBundle returns a bundle with the stand-in's ranks and limits, without
+// groups and callers.
+func NewBundle() *bundle.Bundle {
+	d := func(t time.Duration) bundle.Duration { return bundle.Duration(t) }
+	return &bundle.Bundle{
+		Version: 1,
+		Ranks: bundle.Ranks{
+			Urgent:     bundle.RankLimits{Deadline: d(5 * time.Second), Share: 0.88, IdleInTransaction: d(5 * time.Second)},
+			Routine:    bundle.RankLimits{Deadline: d(5 * time.Second), Share: 0.10, IdleInTransaction: d(5 * time.Second)},
+			Background: bundle.RankLimits{Deadline: d(20 * time.Second), Share: 0.02, IdleInTransaction: d(5 * time.Second)},
+		},
+		ReadClasses: []bundle.ReadClass{
+			{Name: "swatch", Age: d(5 * time.Second)},
+			{Name: "invoice", Age: d(30 * time.Second), OwnWrites: true},
+		},
+		Limits: bundle.Limits{Callers: 10000, StatementBytes: 1 << 20, ReplicaAge: d(2 * time.Second), Tolerance: d(time.Minute)},
+	}
+}
+
+// Push signs a bundle and rolls it out.
+func (c *Cluster) Push(b *bundle.Bundle) error {
+	e, err := bundle.Sign(c.x, b, c.author, c.approver)
+	if err != nil {
+		return err
+	}
+	_, err = platform.Push(c.x, platform.New(platform.Config{Address: c.Platform.Address()}), e, []*bundle.Key{c.approver})
+	return err
+}
+
+// StartDaemon starts daemon number i.
+func (c *Cluster) StartDaemon(i int) (*Daemon, error) {
+	l, err := c.listen(i)
+	if err != nil {
+		return nil, err
+	}
+	id := "daemon-" + strconv.Itoa(len(c.Daemons)+1)
+	d, err := daemon.New(daemon.Config{
+		Host:         membership.Host{ID: id, Region: c.Config.Region, FailureDomain: c.domain(i)},
+		CallerListen: l, PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", Platform: c.Platform.Address(),
+		Approvers: []*bundle.Key{c.approver}, Secret: secret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
+		DrainTime: drainTime, Log: c.Config.Log.Named(id),
+	})
+	if err != nil {
+		return nil, err
+	}
+	x, stop := context.WithCancel(c.x)
+	r := &Daemon{Daemon: d, ID: id, stop: stop, done: make(chan struct{})}
+	c.Daemons = append(c.Daemons, r)
+	c.g.Go(func() error {
+		defer close(r.done)
+		return d.Run(x)
+	})
+	return r, nil
+}
+
+// Drain shuts a daemon down in order and waits for its end.
+func (d *Daemon) Drain() {
+	d.stop()
+	<-d.done
+}
+
+func (c *Cluster) listen(i int) (string, error) {
+	h, p, err := net.SplitHostPort(c.Config.Listen)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	n, err := strconv.Atoi(p)
+	if err != nil {
+		return "", Error.Wrap(err)
+	}
+	if n == 0 {
+		return c.Config.Listen, nil
+	}
+	return net.JoinHostPort(h, strconv.Itoa(n+i)), nil
+}
+
+// awaitReady waits until every daemon has the bundle and every group a
+// confirmed primary.
+func (c *Cluster) awaitReady() error {
+	t := time.Now().Add(startTimeout)
+	for !c.ready() {
+		if time.Now().After(t) {
+			return Error.Wrap(&StartError{})
+		}
+		time.Sleep(startPoll)
+	}
+	return nil
+}
+
+func (c *Cluster) ready() bool {
+	seen := map[string]bool{}
+	for _, d := range c.Daemons {
+		s := d.Status()
+		if s.Version == 0 || len(s.Hosts) < len(c.Daemons) {
+			return false
+		}
+		for _, g := range s.Groups {
+			seen[g.Name] = seen[g.Name] || g.Confirmed
+		}
+	}
+	for _, g := range c.Config.Groups {
+		if !seen[g] {
+			return false
+		}
+	}
+	return true
+}
+
+// URL returns the line to connect to a group through a daemon.
+func (d *Daemon) URL(group string) string {
+	return "postgres://" + CallerName + ":" + CallerPassword + "@" + d.CallerAddress() + "/" + group + "?sslmode=disable"
+}
+
+// Primary returns the running member that is primary of the highest term.
+func (c *Cluster) Primary(group string) *Member {
+	var b *Member
+	for _, m := range c.Members {
+		s := m.Status()
+		if m.Group == group && m.Live() && s.Role == database.Primary && (b == nil || s.Term > b.Status().Term) {
+			b = m
+		}
+	}
+	return b
+}
+
+// Kill stops a member at once.
+func (m *Member) Kill() { m.stop() }
+
+// Stop ends everything and waits.
+func (c *Cluster) Stop() {
+	for _, d := range c.Daemons {
+		d.stop()
+	}
+	for _, d := range c.Daemons {
+		<-d.done
+	}
+	c.stop()
+	_ = c.g.Wait()
+}
+
+// StartError reports a cluster that didn't come up in time.
+type StartError struct{}
+
+func (e *StartError) Error() string {
+	return "the daemons were not ready within " + startTimeout.String()
+}
--- /dev/null
+++ b/standin/database/errors.go
@@ -0,0 +1,44 @@
+package database
+
+import "strconv"
+
+// TermError reports a term that the member can't accept.
+type TermError struct {
+	// Asked is the term of the request.
+	Asked uint64
+	// Have is the member's term.
+	Have uint64
+	// Holder fenced the member at its term.
+	Holder string
+}
+
+func (e *TermError) Error() string {
+	return "term " + strconv.FormatUint(e.Asked, 10) + " refused: member is at term " + strconv.FormatUint(e.Have, 10) + " of " + strconv.Quote(e.Holder)
+}
+
+// StatementError is a failure of a statement with its SQLSTATE.
+type StatementError struct {
+	Code    string
+	Message string
+}
+
+func (e *StatementError) Error() string { return e.Message }
+
+// SQLSTATEs that the stand-in sends.
+const (
+	codeReadOnly      = "25006"
+	codeNoTransaction = "25P01"
+	codeInTransaction = "25P02"
+	codeFenced        = "57P01"
+	codeSyntax        = "42601"
+	codeTooMany       = "53300"
+	codePassword      = "28P01"
+	codeCanceled      = "57014"
+	codeInternal      = "XX000"
+	codeUnique        = "23505"
+	codeConstraint    = "23000"
+	codeNoTable       = "42P01"
+	codeProtocol      = "08P01"
+	codeSerialization = "40001"
+	codeObjectState   = "55000"
+)
--- /dev/null
+++ b/standin/database/fault.go
@@ -0,0 +1,104 @@
+package database
+
+import (
+	"context"
+	"net/http"
+	"time"
+)
+
+// Fault is a set of failures that are switched on at run time.
+type Fault struct {
+	// StopReplication stops this member from replicating.
+	StopReplication bool
+	// Refuse closes new connections at once.
+	Refuse bool
+	// Freeze stops all connections, old and new, until it ends.
+	Freeze bool
+}
+
+// SetFault replaces the member's faults.
+func (m *Member) SetFault(f Fault) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+	close(m.released)
+	m.released = make(chan struct{})
+}
+
+// SetLag changes the delay of replication to this member.
+func (m *Member) SetLag(d time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.c.Lag = d
+}
+
+// Silence makes all connections that are open now silent for good, while new
+// ones work.
+func (m *Member) Silence() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for s := range m.sessions {
+		s.silent.Store(true)
+	}
+}
+
+func (m *Member) refusing() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.fault.Refuse
+}
+
+// thawed waits while the member is frozen.
+func (m *Member) thawed(c context.Context) {
+	for {
+		m.mu.Lock()
+		f, r := m.fault.Freeze, m.released
+		m.mu.Unlock()
+		if !f {
+			return
+		}
+		select {
+		case <-r:
+		case <-c.Done():
+			return
+		}
+	}
+}
+
+// Handler serves the faults over HTTP: POST /fault?name=freeze&on=true,
+// POST /silence and POST /lag?delay=2s.
+func (m *Member) Handler() http.Handler {
+	x := http.NewServeMux()
+	x.HandleFunc("POST /fault", m.handleFault)
+	x.HandleFunc("POST /silence", func(http.ResponseWriter, *http.Request) { m.Silence() })
+	x.HandleFunc("POST /lag", m.handleLag)
+	return x
+}
+
+func (m *Member) handleFault(w http.ResponseWriter, r *http.Request) {
+	m.mu.Lock()
+	f := m.fault
+	m.mu.Unlock()
+	on := r.FormValue("on") == "true"
+	switch r.FormValue("name") {
+	case "stop-replication":
+		f.StopReplication = on
+	case "refuse":
+		f.Refuse = on
+	case "freeze":
+		f.Freeze = on
+	default:
+		http.Error(w, "name must be stop-replication, refuse or freeze", http.StatusBadRequest)
+		return
+	}
+	m.SetFault(f)
+}
+
+func (m *Member) handleLag(w http.ResponseWriter, r *http.Request) {
+	d, err := time.ParseDuration(r.FormValue("delay"))
+	if err != nil || d < 0 {
+		http.Error(w, "delay must be a duration", http.StatusBadRequest)
+		return
+	}
+	m.SetLag(d)
+}
--- /dev/null
+++ b/standin/kv/server.go
@@ -0,0 +1,289 @@
+package kv
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("standin platform")
+
+// Limits of the service.
+const (
+	// maxValue is the largest value in bytes.
+	maxValue = 1 << 20
+	// maxWait is the longest wait of a blocking query.
+	maxWait = time.Minute
+	// pollInterval is how often a blocking query looks at the lagging prefix.
+	pollInterval = 50 * time.Millisecond
+)
+
+// Fault is a set of failures that are switched on at run time.
+type Fault struct {
+	// Down makes every call fail.
+	Down bool
+	// Delay is added to every call.
+	Delay time.Duration
+	// LoseAnswers is the number of writes whose answer is lost after their
+	// effect.
+	LoseAnswers int
+}
+
+// Counts are the numbers of calls since the start.
+type Counts struct {
+	Reads  int64 `json:"reads"`
+	Writes int64 `json:"writes"`
+	Failed int64 `json:"failed"`
+}
+
+// Config holds the server's settings.
+type Config struct {
+	// Listen is the IP address and port.
+	Listen string
+	// HostPrefix is the key prefix of the lagging host list.
+	HostPrefix string
+	// HostLag is how late the host list is read.
+	HostLag time.Duration
+}
+
+// Server serves a Store over HTTP.
+type Server struct {
+	l net.Listener
+	s *Store
+
+	mu    sync.Mutex
+	fault Fault
+	count Counts
+}
+
+// NewServer makes a server and opens its listening socket.
+func NewServer(c Config) (*Server, error) {
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Server{l: l, s: NewStore(c.HostPrefix, c.HostLag)}, nil
+}
+
+// Address returns the address that the server listens on.
+func (s *Server) Address() string { return s.l.Addr().String() }
+
+// SetFault replaces the server's faults.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Counts returns the numbers of calls so far.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.count
+}
+
+// Run serves until the context ends.
+func (s *Server) Run(c context.Context) error {
+	h := &http.Server{Handler: s.handler(), ReadHeaderTimeout: time.Minute, BaseContext: func(net.Listener) context.Context { return c }}
+	g, c := errgroup.WithContext(c)
+	g.Go(func() error {
+		<-c.Done()
+		return h.Close()
+	})
+	g.Go(func() error { return h.Serve(s.l) })
+	err := g.Wait()
+	if c.Err() != nil {
+		return nil
+	}
+	return Error.Wrap(err)
+}
+
+func (s *Server) handler() http.Handler {
+	x := http.NewServeMux()
+	x.HandleFunc("GET /v1/kv/{key...}", s.counted(s.get, false))
+	x.HandleFunc("PUT /v1/kv/{key...}", s.counted(s.put, true))
+	x.HandleFunc("DELETE /v1/kv/{key...}", s.counted(s.delete, true))
+	x.HandleFunc("PUT /v1/session/create", s.counted(s.createSession, true))
+	x.HandleFunc("PUT /v1/session/renew/{id}", s.counted(s.renewSession, true))
+	x.HandleFunc("PUT /v1/session/destroy/{id}", s.counted(s.destroySession, true))
+	x.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) { answer(w, s.Counts()) })
+	x.HandleFunc("POST /standin/fault", s.handleFault)
+	return x
+}
+
+// counted counts a call and applies the faults to it.
+func (s *Server) counted(h http.HandlerFunc, write bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		f, lose := s.enter(write)
+		if f.Delay > 0 {
+			wait(r.Context(), f.Delay)
+		}
+		if f.Down {
+			http.Error(w, "service unavailable", http.StatusServiceUnavailable)
+			return
+		}
+		if !lose {
+			h(w, r)
+			return
+		}
+		h(discard{}, r)
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// discard is a response that nobody gets.
+type discard struct{}
+
+func (discard) Header() http.Header         { return http.Header{} }
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+func (discard) WriteHeader(int)             {}
+
+func (s *Server) enter(write bool) (Fault, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := s.fault
+	if write {
+		s.count.Writes++
+	} else {
+		s.count.Reads++
+	}
+	if f.Down {
+		s.count.Failed++
+		return f, false
+	}
+	if write && f.LoseAnswers > 0 {
+		s.fault.LoseAnswers--
+		return f, true
+	}
+	return f, false
+}
+
+func (s *Server) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	_, recurse := q["recurse"]
+	after, _ := strconv.ParseUint(q.Get("index"), 10, 64)
+	d, err := time.ParseDuration(q.Get("wait"))
+	if err != nil || d > maxWait {
+		d = maxWait
+	}
+	end := time.Now().Add(d)
+	for {
+		n := s.s.Changed()
+		p, i := s.s.Get(r.PathValue("key"), recurse, time.Now())
+		if after == 0 || i > after || !time.Now().Before(end) || r.Context().Err() != nil {
+			s.pairs(w, p, i)
+			return
+		}
+		t := time.NewTimer(min(pollInterval, time.Until(end)))
+		select {
+		case <-n:
+		case <-t.C:
+		case <-r.Context().Done():
+		}
+		t.Stop()
+	}
+}
+
+func (s *Server) pairs(w http.ResponseWriter, p []Pair, index uint64) {
+	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
+	if len(p) == 0 {
+		http.Error(w, "", http.StatusNotFound)
+		return
+	}
+	answer(w, p)
+}
+
+func (s *Server) put(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, maxValue+1))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if len(b) > maxValue {
+		http.Error(w, "value is over 1 MiB", http.StatusRequestEntityTooLarge)
+		return
+	}
+	q := r.URL.Query()
+	x := Condition{CAS: parseIndex(q.Get("cas")), Acquire: q.Get("acquire"), Release: q.Get("release")}
+	answer(w, s.s.Put(r.PathValue("key"), b, x, time.Now()))
+}
+
+func (s *Server) delete(w http.ResponseWriter, r *http.Request) {
+	answer(w, s.s.Delete(r.PathValue("key"), parseIndex(r.URL.Query().Get("cas")), time.Now()))
+}
+
+func (s *Server) createSession(w http.ResponseWriter, r *http.Request) {
+	var v struct{ TTL string }
+	if err := json.NewDecoder(r.Body).Decode(&v); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	d, err := time.ParseDuration(v.TTL)
+	if err != nil || d <= 0 {
+		http.Error(w, "TTL must be a duration", http.StatusBadRequest)
+		return
+	}
+	answer(w, struct{ ID string }{s.s.CreateSession(d, time.Now())})
+}
+
+func (s *Server) renewSession(w http.ResponseWriter, r *http.Request) {
+	if !s.s.RenewSession(r.PathValue("id"), time.Now()) {
+		http.Error(w, "no such session", http.StatusNotFound)
+		return
+	}
+	answer(w, true)
+}
+
+func (s *Server) destroySession(w http.ResponseWriter, r *http.Request) {
+	s.s.DestroySession(r.PathValue("id"), time.Now())
+	answer(w, true)
+}
+
+func (s *Server) handleFault(w http.ResponseWriter, r *http.Request) {
+	d, err := time.ParseDuration(r.FormValue("delay"))
+	if err != nil && r.FormValue("delay") != "" {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	n, err := strconv.Atoi(r.FormValue("lose-answers"))
+	if err != nil && r.FormValue("lose-answers") != "" {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFault(Fault{Down: r.FormValue("down") == "true", Delay: d, LoseAnswers: n})
+}
+
+func parseIndex(s string) *uint64 {
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return nil
+	}
+	return &n
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func wait(c context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-c.Done():
+	case <-t.C:
+	}
+}
+
+// Key returns the request path of a key.
+func Key(k string) string { return "/v1/kv/" + strings.TrimPrefix(k, "/") }
--- /dev/null
+++ b/standin/kv/store.go
@@ -0,0 +1,221 @@
+// Package kv is a stand-in for the platform's key-value service: compare and
+// swap, sessions with a time to live, and blocking queries over HTTP.
+package kv
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// Pair is one key with its value.
+type Pair struct {
+	Key         string
+	Value       []byte
+	ModifyIndex uint64
+	Session     string `json:",omitempty"`
+}
+
+// lease is a session with a time to live.
+type lease struct {
+	ttl     time.Duration
+	expires time.Time
+}
+
+// Store holds the keys.
+type Store struct {
+	mu     sync.Mutex
+	index  uint64
+	pairs  map[string]Pair
+	leases map[string]*lease
+	// changed is closed and replaced with every change.
+	changed chan struct{}
+	// history holds earlier states of the lagging prefix, oldest first.
+	history []snapshot
+	prefix  string
+	lag     time.Duration
+}
+
+// snapshot is the state of the lagging prefix from a moment on.
+type snapshot struct {
+	at    time.Time
+	index uint64
+	pairs []Pair
+}
+
+// NewStore returns an empty store whose keys under prefix are read with a lag.
+func NewStore(prefix string, lag time.Duration) *Store {
+	return &Store{
+		index: 1, pairs: map[string]Pair{}, leases: map[string]*lease{},
+		changed: make(chan struct{}), prefix: prefix, lag: lag,
+	}
+}
+
+// touch records a change; s.mu is held.
+func (s *Store) touch(key string, now time.Time) {
+	close(s.changed)
+	s.changed = make(chan struct{})
+	if s.lag > 0 && strings.HasPrefix(key, s.prefix) {
+		s.history = append(s.history, snapshot{at: now, index: s.index, pairs: s.list(s.prefix)})
+	}
+}
+
+func (s *Store) list(prefix string) []Pair {
+	var o []Pair
+	for k, p := range s.pairs {
+		if strings.HasPrefix(k, prefix) {
+			o = append(o, p)
+		}
+	}
+	return o
+}
+
+// Get returns the pairs under a key or prefix and the index of the state.
+func (s *Store) Get(key string, recurse bool, now time.Time) ([]Pair, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	if s.lag > 0 && strings.HasPrefix(key, s.prefix) {
+		return s.lagging(key, recurse, now)
+	}
+	if recurse {
+		return s.list(key), s.index
+	}
+	p, ok := s.pairs[key]
+	if !ok {
+		return nil, s.index
+	}
+	return []Pair{p}, p.ModifyIndex
+}
+
+// lagging reads the lagging prefix as it was; s.mu is held.
+func (s *Store) lagging(key string, recurse bool, now time.Time) ([]Pair, uint64) {
+	i := -1
+	for n, h := range s.history {
+		if now.Sub(h.at) >= s.lag {
+			i = n
+		}
+	}
+	if i < 0 {
+		return nil, 1
+	}
+	s.history = s.history[i:]
+	var o []Pair
+	for _, p := range s.history[0].pairs {
+		if p.Key == key || recurse && strings.HasPrefix(p.Key, key) {
+			o = append(o, p)
+		}
+	}
+	return o, s.history[0].index
+}
+
+// Put writes a key under its conditions and reports whether they held.
+func (s *Store) Put(key string, value []byte, q Condition, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	p := s.pairs[key]
+	if q.CAS != nil && *q.CAS != p.ModifyIndex {
+		return false
+	}
+	if q.Acquire != "" && (s.leases[q.Acquire] == nil || p.Session != "" && p.Session != q.Acquire) {
+		return false
+	}
+	if q.Release != "" && p.Session != q.Release {
+		return false
+	}
+	s.index++
+	n := Pair{Key: key, Value: value, ModifyIndex: s.index, Session: p.Session}
+	if q.Acquire != "" {
+		n.Session = q.Acquire
+	}
+	if q.Release != "" {
+		n.Session = ""
+	}
+	s.pairs[key] = n
+	s.touch(key, now)
+	return true
+}
+
+// Condition holds what must be true for a write.
+type Condition struct {
+	// CAS is the index that the key must have; zero means it must not exist.
+	CAS *uint64
+	// Acquire and Release name a session.
+	Acquire string
+	Release string
+}
+
+// Delete removes a key and reports whether the condition held.
+func (s *Store) Delete(key string, cas *uint64, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	p, ok := s.pairs[key]
+	if cas != nil && *cas != p.ModifyIndex {
+		return false
+	}
+	if ok {
+		s.index++
+		delete(s.pairs, key)
+		s.touch(key, now)
+	}
+	return true
+}
+
+// CreateSession makes a session and returns its identifier.
+func (s *Store) CreateSession(ttl time.Duration, now time.Time) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	id := uuid.NewString()
+	s.leases[id] = &lease{ttl: ttl, expires: now.Add(ttl)}
+	return id
+}
+
+// RenewSession extends a session and reports whether it still lived.
+func (s *Store) RenewSession(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.expire(now)
+	l, ok := s.leases[id]
+	if ok {
+		l.expires = now.Add(l.ttl)
+	}
+	return ok
+}
+
+// DestroySession ends a session and deletes the keys that it holds.
+func (s *Store) DestroySession(id string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drop(id, now)
+}
+
+func (s *Store) drop(id string, now time.Time) {
+	delete(s.leases, id)
+	for k, p := range s.pairs {
+		if p.Session == id {
+			s.index++
+			delete(s.pairs, k)
+			s.touch(k, now)
+		}
+	}
+}
+
+// expire ends sessions whose time has run out; s.mu is held.
+func (s *Store) expire(now time.Time) {
+	for id, l := range s.leases {
+		if now.After(l.expires) {
+			s.drop(id, now)
+		}
+	}
+}
+
+// Changed returns a channel that is closed with the next change.
+func (s *Store) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
--- /dev/null
+++ b/statement/lex.go
@@ -0,0 +1,128 @@
+package statement
+
+import "strings"
+
+// token is a word, number or symbol of SQL text outside comments and quotes.
+type token struct {
+	// text is in lower case; quoted text is replaced by its opening quote.
+	text string
+	// comment is set on comments and holds their content.
+	comment bool
+	// at and end are the token's place in the text.
+	at, end int
+}
+
+// lex splits SQL text into tokens. Quoted strings and identifiers become a
+// single token, so that their content can't be taken for a keyword.
+func lex(s string) []token {
+	var o []token
+	for i := 0; i < len(s); {
+		if strings.IndexByte(" \t\n\r\f", s[i]) >= 0 {
+			i++
+			continue
+		}
+		t := next(s, i)
+		o = append(o, t)
+		i = t.end
+	}
+	return o
+}
+
+// next returns the token at i, which is no white space.
+func next(s string, i int) token {
+	c := s[i]
+	switch {
+	case strings.HasPrefix(s[i:], "--"):
+		n := until(s, i+2, "\n")
+		return token{text: strings.TrimSuffix(s[i+2:n], "\n"), comment: true, at: i, end: n}
+	case strings.HasPrefix(s[i:], "/*"):
+		n := blockEnd(s, i)
+		return token{text: strings.TrimSuffix(s[i+2:n], "*/"), comment: true, at: i, end: n}
+	case c == '\'':
+		return token{text: "'", at: i, end: quoteEnd(s, i, c, escaped(s, i))}
+	case c == '"':
+		return token{text: "\"", at: i, end: quoteEnd(s, i, c, false)}
+	case c == '$' && dollarTag(s[i:]) != "":
+		t := dollarTag(s[i:])
+		return token{text: "'", at: i, end: until(s, i+len(t), t)}
+	case isWord(c):
+		n := i + 1
+		for n < len(s) && (isWord(s[n]) || s[n] == '$') {
+			n++
+		}
+		return token{text: strings.ToLower(s[i:n]), at: i, end: n}
+	default:
+		return token{text: s[i : i+1], at: i, end: i + 1}
+	}
+}
+
+func isWord(c byte) bool {
+	return c == '_' || c >= 0x80 || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+}
+
+// until returns the index after the next t at or after i, or the end.
+func until(s string, i int, t string) int {
+	if n := strings.Index(s[i:], t); n >= 0 {
+		return i + n + len(t)
+	}
+	return len(s)
+}
+
+// blockEnd returns the index after the comment at i; such comments nest.
+func blockEnd(s string, i int) int {
+	d := 0
+	for i < len(s) {
+		switch {
+		case strings.HasPrefix(s[i:], "/*"):
+			d++
+			i += 2
+		case strings.HasPrefix(s[i:], "*/"):
+			d--
+			i += 2
+		default:
+			i++
+		}
+		if d == 0 {
+			return i
+		}
+	}
+	return len(s)
+}
+
+// escaped reports whether the quote at i opens a string with backslash
+// escapes.
+func escaped(s string, i int) bool {
+	if i == 0 || s[i-1] != 'e' && s[i-1] != 'E' {
+		return false
+	}
+	return i == 1 || !isWord(s[i-2])
+}
+
+func quoteEnd(s string, i int, q byte, escapes bool) int {
+	for i++; i < len(s); i++ {
+		switch {
+		case escapes && s[i] == '\\':
+			i++
+		case s[i] == q && i+1 < len(s) && s[i+1] == q:
+			i++
+		case s[i] == q:
+			return i + 1
+		}
+	}
+	return len(s)
+}
+
+// dollarTag returns the opening tag of a dollar-quoted string, or "".
+func dollarTag(s string) string {
+	n := 1
+	for n < len(s) && isWord(s[n]) {
+		n++
+	}
+	if n >= len(s) || s[n] != '$' {
+		return ""
+	}
+	if n > 1 && s[1] >= '0' && s[1] <= '9' {
+		return ""
+	}
+	return s[:n+1]
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,165 @@
+// Package wire moves PostgreSQL protocol messages between connections without
+// decoding them.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"io"
+	"strconv"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("wire")
+
+// MaxMessage is the largest message in bytes that a Reader takes by default.
+const MaxMessage = 64 << 20
+
+// headerSize is the size in bytes of a message's type and length.
+const headerSize = 5
+
+// Message types of the PostgreSQL protocol version 3 that this project handles.
+const (
+	Bind            = byte('B')
+	Close           = byte('C')
+	CopyData        = byte('d')
+	CopyDone        = byte('c')
+	CopyFail        = byte('f')
+	Describe        = byte('D')
+	Execute         = byte('E')
+	Flush           = byte('H')
+	FunctionCall    = byte('F')
+	Parse           = byte('P')
+	Password        = byte('p')
+	Query           = byte('Q')
+	Sync            = byte('S')
+	Terminate       = byte('X')
+	CommandComplete = byte('C')
+	DataRow         = byte('D')
+	EmptyQuery      = byte('I')
+	ErrorResponse   = byte('E')
+	Notice          = byte('N')
+	ParameterStatus = byte('S')
+	ParseComplete   = byte('1')
+	BindComplete    = byte('2')
+	CloseComplete   = byte('3')
+	PortalSuspended = byte('s')
+	ReadyForQuery   = byte('Z')
+	CopyInResponse  = byte('G')
+)
+
+// Message is one protocol message.
+type Message struct {
+	// Type is the message's first byte.
+	Type byte
+	// Body is the content after the length.
+	Body []byte
+}
+
+// Size returns the message's size in bytes on the wire.
+func (m Message) Size() int { return headerSize + len(m.Body) }
+
+// Reader reads messages.
+type Reader struct {
+	r *bufio.Reader
+	// max is the largest body in bytes.
+	max int
+}
+
+// readBuffer is the size in bytes of a Reader's buffer: small, since a daemon
+// holds one for every idle caller.
+const readBuffer = 2 << 10
+
+// NewReader returns a Reader on r that takes bodies of up to limit bytes.
+func NewReader(r io.Reader, limit int) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, readBuffer), max: limit}
+}
+
+// Read returns the next message. Its body is the caller's to keep. A message
+// that is too large is passed over and gives a *LengthError.
+func (r *Reader) Read() (Message, error) {
+	var h [headerSize]byte
+	if _, err := io.ReadFull(r.r, h[:]); err != nil {
+		return Message{}, err
+	}
+	n := int(binary.BigEndian.Uint32(h[1:])) - 4
+	if n < 0 {
+		return Message{}, Error.Wrap(&LengthError{Type: h[0], Length: n})
+	}
+	if n > r.max {
+		if _, err := io.CopyN(io.Discard, r.r, int64(n)); err != nil {
+			return Message{}, err
+		}
+		return Message{}, Error.Wrap(&LengthError{Type: h[0], Length: n, Max: r.max})
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r.r, b); err != nil {
+		return Message{}, err
+	}
+	return Message{Type: h[0], Body: b}, nil
+}
+
+// Buffered returns the number of bytes that can be read without waiting.
+func (r *Reader) Buffered() int { return r.r.Buffered() }
+
+// Writer writes messages.
+type Writer struct {
+	w *bufio.Writer
+}
+
+// NewWriter returns a Writer on w.
+func NewWriter(w io.Writer) *Writer {
+	return &Writer{w: bufio.NewWriterSize(w, writeBuffer)}
+}
+
+// writeBuffer is the size in bytes of a Writer's buffer.
+const writeBuffer = 4 << 10
+
+// Write adds a message to the buffer.
+func (w *Writer) Write(m Message) error {
+	var h [headerSize]byte
+	h[0] = m.Type
+	binary.BigEndian.PutUint32(h[1:], uint32(len(m.Body)+4))
+	if _, err := w.w.Write(h[:]); err != nil {
+		return err
+	}
+	_, err := w.w.Write(m.Body)
+	return err
+}
+
+// WriteRaw adds bytes that are already encoded.
+func (w *Writer) WriteRaw(b []byte) error {
+	_, err := w.w.Write(b)
+	return err
+}
+
+// Flush sends what is buffered.
+func (w *Writer) Flush() error { return w.w.Flush() }
+
+// LengthError reports a message whose length can't be taken.
+type LengthError struct {
+	Type byte
+	// Length is the length in bytes that the message claims.
+	Length int
+	// Max is the greatest length in bytes; zero if the length is negative.
+	Max int
+}
+
+func (e *LengthError) Error() string {
+	s := "message " + strconv.QuoteRune(rune(e.Type)) + " claims " + strconv.Itoa(e.Length) + " bytes"
+	if e.Max > 0 {
+		s += ", over " + strconv.Itoa(e.Max)
+	}
+	return s
+}
+
+// CString returns the text before the first zero byte.
+func CString(b []byte) string {
+	if i := bytes.IndexByte(b, 0); i >= 0 {
+		return string(b[:i])
+	}
+	return string(b)
+}
