Rename the loopback key-value client to consul

What stood there speaks the HTTP protocol of Consul's key-value service and keeps doing so for signed bundles and the loopback demo.

--- a/command/bundle/push/push.go
+++ b/command/bundle/push/push.go
@@ -8,7 +8,7 @@
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/command"
 	"github.com/dragonflypick/dragonflypick/command/factory"
-	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/consul"
 )
 
 // Options are the flags of the command.
@@ -50,7 +50,7 @@
 	if err != nil {
 		return &command.FlagError{Reason: err.Error()}
 	}
-	r, err := platform.Push(x, platform.New(platform.Config{Address: o.Platform}), e, t)
+	r, err := consul.Push(x, consul.New(consul.Config{Address: o.Platform}), e, t)
 	if err != nil {
 		return &command.RefusedError{Reason: err.Error()}
 	}
--- a/command/bundle/source/source.go
+++ b/command/bundle/source/source.go
@@ -8,7 +8,7 @@
 
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/command"
-	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/consul"
 )
 
 // Options are the flags of commands that read bundles.
@@ -47,7 +47,7 @@
 	if o.Platform == "" {
 		return Loaded{}, &command.FlagError{Reason: "give --platform, or name a file"}
 	}
-	r, err := platform.New(platform.Config{Address: o.Platform}).Get(x, platform.BundleKey, 0, 0)
+	r, err := consul.New(consul.Config{Address: o.Platform}).Get(x, consul.BundleKey, 0, 0)
 	if err != nil || len(r.Pairs) == 0 {
 		return Loaded{}, err
 	}
--- a/command/standin/platform/platform.go
+++ b/command/standin/platform/platform.go
@@ -10,7 +10,7 @@
 
 	"github.com/dragonflypick/dragonflypick/command"
 	"github.com/dragonflypick/dragonflypick/command/factory"
-	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/standin/kv"
 )
 
@@ -39,7 +39,7 @@
 func platformRun(x context.Context, o *Options) error {
 	x, stop := signal.NotifyContext(x, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	s, err := kv.NewServer(kv.Config{Listen: o.Listen, HostPrefix: platform.HostPrefix, HostLag: o.HostLag})
+	s, err := kv.NewServer(kv.Config{Listen: o.Listen, HostPrefix: consul.HostPrefix, HostLag: o.HostLag})
 	if err != nil {
 		return err
 	}
--- a/platform/platform.go
+++ b/consul/platform.go
@@ -1,6 +1,6 @@
-// Package platform talks to the platform's key-value service. Nothing else in
+// Package consul talks to the loopback platform's key-value service. Nothing else in
 // this project knows the service's protocol.
-package platform
+package consul
 
 import (
 	"bytes"
@@ -16,7 +16,7 @@
 )
 
 // Error is the class of all failures of this package.
-var Error = errs.Class("platform")
+var Error = errs.Class("consul")
 
 // Limits of calls.
 const (
--- a/platform/push_test.go
+++ b/consul/push_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package consul_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
-	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/standin/cluster"
 	"github.com/dragonflypick/dragonflypick/standin/kv"
 )
@@ -35,7 +35,7 @@
 var _ = Describe("a push", func() {
 	x := context.Background()
 	var s *kv.Server
-	var c *platform.Client
+	var c *consul.Client
 	var author, approver *bundle.Key
 	var trust bundle.Trust
 
@@ -50,7 +50,7 @@
 			stop()
 			Expect(g.Wait()).To(Succeed())
 		})
-		c = platform.New(platform.Config{Address: s.Address()})
+		c = consul.New(consul.Config{Address: s.Address()})
 		author, err = bundle.NewKey("author")
 		Expect(err).NotTo(HaveOccurred())
 		approver, err = bundle.NewKey("approver")
@@ -69,7 +69,7 @@
 		return e
 	}
 	held := func() *bundle.Signed {
-		r, err := c.Get(x, platform.BundleKey, 0, 0)
+		r, err := c.Get(x, consul.BundleKey, 0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r.Pairs).To(HaveLen(1))
 		h, err := bundle.Open(x, r.Pairs[0].Value, trust)
@@ -79,18 +79,18 @@
 
 	It("settles a lost answer by reading back, and may be repeated", func() {
 		s.SetFault(kv.Fault{LoseAnswers: 1})
-		_, err := platform.Push(x, c, signed(1, "first"), trust)
+		_, err := consul.Push(x, c, signed(1, "first"), trust)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Counts().Writes).To(Equal(int64(1)))
-		_, err = platform.Push(x, c, signed(1, "first"), trust)
+		_, err = consul.Push(x, c, signed(1, "first"), trust)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(s.Counts().Writes).To(Equal(int64(1)))
 	})
 
 	It("says so when it can't be settled", func() {
 		s.SetFault(kv.Fault{Down: true})
-		_, err := platform.Push(x, c, signed(1, "first"), trust)
-		var u *platform.UnsettledError
+		_, err := consul.Push(x, c, signed(1, "first"), trust)
+		var u *consul.UnsettledError
 		Expect(errors.As(err, &u)).To(BeTrue())
 	})
 
@@ -106,14 +106,14 @@
 				e := signed(v, string(rune('a'+i)))
 				g.Go(func() error {
 					time.Sleep(time.Duration(i%2) * time.Millisecond)
-					_, errs[i] = platform.Push(x, c, e, trust)
+					_, errs[i] = consul.Push(x, c, e, trust)
 					return nil
 				})
 			}
 			_ = g.Wait()
 			won := 0
 			for i, err := range errs {
-				var u *platform.SupersededError
+				var u *consul.SupersededError
 				switch {
 				case err == nil:
 					won++
@@ -131,15 +131,15 @@
 	})
 
 	It("refuses a lower version, other content of the same, and what nobody approved", func() {
-		_, err := platform.Push(x, c, signed(2, "b"), trust)
+		_, err := consul.Push(x, c, signed(2, "b"), trust)
 		Expect(err).NotTo(HaveOccurred())
 		for _, e := range [][]byte{signed(1, "a"), signed(2, "other")} {
-			_, err = platform.Push(x, c, e, trust)
+			_, err = consul.Push(x, c, e, trust)
 			Expect(err).To(MatchError(ContainSubstring("superseded by version 2")))
 		}
 		approver, author = author, approver
 		trust.Authors = nil
-		_, err = platform.Push(x, c, signed(3, "c"), bundle.Trust{Authors: []*bundle.Key{author}, Approvers: []*bundle.Key{author}})
+		_, err = consul.Push(x, c, signed(3, "c"), bundle.Trust{Authors: []*bundle.Key{author}, Approvers: []*bundle.Key{author}})
 		Expect(err).To(HaveOccurred())
 		Expect(s.Counts().Writes).To(Equal(int64(1)))
 	})
--- a/platform/record.go
+++ b/consul/record.go
@@ -1,4 +1,4 @@
-package platform
+package consul
 
 import (
 	"context"
--- a/platform/record_test.go
+++ b/consul/record_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package consul_test
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	. "github.com/onsi/gomega"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/standin/kv"
 )
 
@@ -18,21 +18,21 @@
 		Expect(err).NotTo(HaveOccurred())
 		g := &errgroup.Group{}
 		g.Go(func() error { return s.Run(x) })
-		c := platform.New(platform.Config{Address: s.Address()})
+		c := consul.New(consul.Config{Address: s.Address()})
 		r, err := c.Published(x, "orders")
 		Expect(err).NotTo(HaveOccurred())
 		Expect(r).To(BeZero())
 		w := &errgroup.Group{}
 		for _, t := range []uint64{3, 5, 2, 4} {
-			w.Go(func() error { return c.Publish(x, "orders", platform.Record{Term: t, Primary: "orders-1"}) })
+			w.Go(func() error { return c.Publish(x, "orders", consul.Record{Term: t, Primary: "orders-1"}) })
 		}
 		Expect(w.Wait()).To(Succeed())
-		Expect(c.Publish(x, "orders", platform.Record{Term: 5, Primary: "orders-2"})).To(Succeed())
+		Expect(c.Publish(x, "orders", consul.Record{Term: 5, Primary: "orders-2"})).To(Succeed())
 		r, err = c.Published(x, "orders")
 		Expect(err).NotTo(HaveOccurred())
-		Expect(r).To(Equal(platform.Record{Term: 5, Primary: "orders-1"}))
+		Expect(r).To(Equal(consul.Record{Term: 5, Primary: "orders-1"}))
 		stop()
 		Expect(g.Wait()).To(Succeed())
-		Expect(c.Publish(context.Background(), "orders", platform.Record{Term: 6})).NotTo(Succeed())
+		Expect(c.Publish(context.Background(), "orders", consul.Record{Term: 6})).NotTo(Succeed())
 	})
 })
--- a/daemon/configuration.go
+++ b/daemon/configuration.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
-	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/rollout"
 )
 
@@ -111,7 +111,7 @@
 	var b backoff
 	var i uint64
 	for x.Err() == nil {
-		r, err := d.platform.Get(x, platform.BundleKey, i, watchWait)
+		r, err := d.platform.Get(x, consul.BundleKey, i, watchWait)
 		if err != nil {
 			d.c.Log.Debug("bundle not read", "error", err)
 			b.wait(x, retryMost)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -16,11 +16,11 @@
 	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/caller"
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/operator"
 	"github.com/dragonflypick/dragonflypick/owner"
 	"github.com/dragonflypick/dragonflypick/peer"
-	"github.com/dragonflypick/dragonflypick/platform"
 	"github.com/dragonflypick/dragonflypick/rollout"
 )
 
@@ -76,7 +76,7 @@
 // Daemon is one proxy process.
 type Daemon struct {
 	c         Config
-	platform  *platform.Client
+	platform  *consul.Client
 	node      *peer.Node
 	callers   *caller.Server
 	admin     *operator.Server
@@ -108,7 +108,7 @@
 // New returns a daemon with open listening sockets.
 func New(c Config) (*Daemon, error) {
 	d := &Daemon{
-		c: c, platform: platform.New(platform.Config{Address: c.Platform}),
+		c: c, platform: consul.New(consul.Config{Address: c.Platform}),
 		watches: map[string]*watch{}, controls: map[string]*backend.Control{},
 		roster: rollout.NewRoster(), watcher: time.Now(), news: make(chan struct{}, 1),
 		group: &errgroup.Group{}, ctx: context.Background(),
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/membership"
-	"github.com/dragonflypick/dragonflypick/platform"
 	"github.com/dragonflypick/dragonflypick/rollout"
 )
 
@@ -25,7 +25,7 @@
 	var b backoff
 	var i uint64
 	for x.Err() == nil {
-		r, err := d.platform.List(x, platform.HostPrefix, i, watchWait)
+		r, err := d.platform.List(x, consul.HostPrefix, i, watchWait)
 		if err != nil {
 			d.c.Log.Debug("hosts not read", "error", err)
 			b.wait(x, retryMost)
@@ -56,7 +56,7 @@
 	d.tellSoon()
 }
 
-func (d *Daemon) hosts(l []platform.Pair) []membership.Host {
+func (d *Daemon) hosts(l []consul.Pair) []membership.Host {
 	var o []membership.Host
 	for _, p := range l {
 		var h membership.Host
@@ -104,7 +104,7 @@
 	ttl := rollout.SessionTTL(d.fleet())
 	if e.session != "" && d.listed() && ttl <= sessionGrowth*e.ttl {
 		err := d.platform.RenewSession(x, e.session)
-		var s *platform.StatusError
+		var s *consul.StatusError
 		if errors.As(err, &s) && s.Status == http.StatusNotFound {
 			e.session = ""
 		}
@@ -132,7 +132,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	ok, err := d.platform.Acquire(x, platform.HostPrefix+d.c.Host.ID, v, id)
+	ok, err := d.platform.Acquire(x, consul.HostPrefix+d.c.Host.ID, v, id)
 	if err == nil && !ok {
 		err = Error.Wrap(&TakenError{ID: d.c.Host.ID})
 	}
--- a/daemon/record.go
+++ b/daemon/record.go
@@ -4,8 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/failover"
-	"github.com/dragonflypick/dragonflypick/platform"
 )
 
 // Timing of the published record of a primary.
@@ -22,7 +22,7 @@
 	if c.Stages == (failover.Stages{}) {
 		return
 	}
-	r := platform.Record{Term: c.Term, Primary: c.Primary}
+	r := consul.Record{Term: c.Term, Primary: c.Primary}
 	d.start(func() error {
 		for range publishTries {
 			err := d.platform.Publish(d.ctx, group, r)
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -14,9 +14,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/daemon"
 	"github.com/dragonflypick/dragonflypick/membership"
-	"github.com/dragonflypick/dragonflypick/platform"
 	"github.com/dragonflypick/dragonflypick/standin/database"
 	"github.com/dragonflypick/dragonflypick/standin/kv"
 )
@@ -130,7 +130,7 @@
 	if c.approver, err = bundle.NewKey("approver"); err != nil {
 		return err
 	}
-	c.Platform, err = kv.NewServer(kv.Config{Listen: "127.0.0.1:0", HostPrefix: platform.HostPrefix, HostLag: 200 * time.Millisecond})
+	c.Platform, err = kv.NewServer(kv.Config{Listen: "127.0.0.1:0", HostPrefix: consul.HostPrefix, HostLag: 200 * time.Millisecond})
 	if err != nil {
 		return err
 	}
@@ -233,7 +233,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = platform.Push(c.x, platform.New(platform.Config{Address: c.Platform.Address()}), e, c.trust())
+	_, err = consul.Push(c.x, consul.New(consul.Config{Address: c.Platform.Address()}), e, c.trust())
 	return err
 }
 
--- a/standin/cluster/rollout_test.go
+++ b/standin/cluster/rollout_test.go
@@ -10,7 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
-	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/standin/cluster"
 	"github.com/dragonflypick/dragonflypick/standin/kv"
 	"github.com/dragonflypick/dragonflypick/standin/load"
@@ -87,15 +87,15 @@
 
 	It("keeps the highest approved version through forgery, rollback and outage, and heals", func() {
 		start(6, 0)
-		k := platform.New(platform.Config{Address: c.Platform.Address()})
-		old, err := k.Get(x, platform.BundleKey, 0, 0)
+		k := consul.New(consul.Config{Address: c.Platform.Address()})
+		old, err := k.Get(x, consul.BundleKey, 0, 0)
 		Expect(err).NotTo(HaveOccurred())
 		next(nil)
 		everywhere()
 
-		now, err := k.Get(x, platform.BundleKey, 0, 0)
+		now, err := k.Get(x, consul.BundleKey, 0, 0)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(k.Swap(x, platform.BundleKey, old.Pairs[0].Value, now.Pairs[0].Index)).To(BeTrue())
+		Expect(k.Swap(x, consul.BundleKey, old.Pairs[0].Value, now.Pairs[0].Index)).To(BeTrue())
 		a, err := bundle.NewKey("author")
 		Expect(err).NotTo(HaveOccurred())
 		b, err := bundle.NewKey("approver")
@@ -104,9 +104,9 @@
 		f.Version = 99
 		e, err := bundle.Sign(x, &f, a, b)
 		Expect(err).NotTo(HaveOccurred())
-		now, err = k.Get(x, platform.BundleKey, 0, 0)
+		now, err = k.Get(x, consul.BundleKey, 0, 0)
 		Expect(err).NotTo(HaveOccurred())
-		Expect(k.Swap(x, platform.BundleKey, e, now.Pairs[0].Index)).To(BeTrue())
+		Expect(k.Swap(x, consul.BundleKey, e, now.Pairs[0].Index)).To(BeTrue())
 		Consistently(versions, "1s").Should(HaveEach(uint64(2)))
 
 		c.Platform.SetFault(kv.Fault{Down: true})
@@ -132,9 +132,9 @@
 			c.Platform.SetFault(kv.Fault{LoseAnswers: lost})
 			d, err := c.StartDaemon(1)
 			Expect(err).NotTo(HaveOccurred())
-			k := platform.New(platform.Config{Address: c.Platform.Address()})
+			k := consul.New(consul.Config{Address: c.Platform.Address()})
 			Eventually(func() int {
-				r, err := k.Get(x, platform.HostPrefix+d.ID, 0, 0)
+				r, err := k.Get(x, consul.HostPrefix+d.ID, 0, 0)
 				Expect(err).NotTo(HaveOccurred())
 				return len(r.Pairs)
 			}, within).Should(Equal(1))
--- a/standin/process/system.go
+++ b/standin/process/system.go
@@ -14,8 +14,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/operator"
-	"github.com/dragonflypick/dragonflypick/platform"
 	"github.com/dragonflypick/dragonflypick/standin/cluster"
 	"github.com/dragonflypick/dragonflypick/standin/relay"
 )
@@ -209,9 +209,9 @@
 	if err != nil {
 		return err
 	}
-	c := platform.New(platform.Config{Address: s.platform})
+	c := consul.New(consul.Config{Address: s.platform})
 	return s.await(x, func() bool {
-		_, err := platform.Push(x, c, e, bundle.Trust{Authors: []*bundle.Key{s.author}, Approvers: []*bundle.Key{s.approver}})
+		_, err := consul.Push(x, c, e, bundle.Trust{Authors: []*bundle.Key{s.author}, Approvers: []*bundle.Key{s.approver}})
 		return err == nil
 	})
 }
