--- a/command/serve/serve.go
+++ b/command/serve/serve.go
@@ -18,6 +18,7 @@
 	"github.com/dragonflypick/dragonflypick/command/factory"
 	"github.com/dragonflypick/dragonflypick/daemon"
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/platform"
 )
 
 // Options are the settings of the daemon.
@@ -62,6 +63,9 @@
 }
 
 func serveRun(x context.Context, o *Options) error {
+	if p := os.Getenv(platform.SettingsVariable); p != "" {
+		return hostedRun(x, o, p)
+	}
 	c, err := o.config()
 	if err != nil {
 		return err
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,303 @@
+// Package entry keeps callers' sessions and turns their statements into
+// requests.
+package entry
+
+import (
+	"context"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// Pin tells where an open transaction runs.
+type Pin struct{ Host, Member string }
+
+// Router has requests run.
+type Router interface {
+	// Execute runs a request; pin is where its transaction runs, or nil.
+	Execute(x context.Context, r *query.Request, pin *Pin) query.Response
+}
+
+// Config holds an entry's settings.
+type Config struct {
+	// Host is part of the names of sessions.
+	Host string
+	// Catalog returns the configuration in force, or nil before the first.
+	Catalog func() *catalog.Catalog
+	Router  Router
+}
+
+// Entry opens sessions. It is safe for concurrent use.
+type Entry struct {
+	c    Config
+	next atomic.Uint64
+}
+
+// New returns an entry.
+func New(c Config) *Entry { return &Entry{c: c} }
+
+// rollBackTime bounds the rollback of a transaction whose caller has left.
+const rollBackTime = 2 * time.Second
+
+// Session is one caller's session. It is not safe for concurrent use.
+type Session struct {
+	e        *Entry
+	id       string
+	database string
+	// values are in the order in which they were first set.
+	values   []query.Value
+	prepared map[string]query.Shape
+	// floor is the position of the session's last commit.
+	floor logpos.Position
+	state query.State
+	tx    transaction
+}
+
+// transaction is what the session knows of its open transaction.
+type transaction struct {
+	// begin is the caller's name of the statement that opened it.
+	begin    string
+	readOnly bool
+	wrote    bool
+	// pin is nil until the first statement has run.
+	pin *Pin
+	// d is the database's configuration when it began.
+	d catalog.Database
+}
+
+// Open starts a session.
+func (e *Entry) Open(database string) (*Session, *query.Failure) {
+	if _, f := e.database(database); f != nil {
+		return nil, f
+	}
+	return &Session{
+		e: e, id: e.c.Host + "/" + strconv.FormatUint(e.next.Add(1), 36), database: database,
+		prepared: map[string]query.Shape{}, state: query.Idle,
+	}, nil
+}
+
+func (e *Entry) database(name string) (catalog.Database, *query.Failure) {
+	c := e.c.Catalog()
+	if c == nil {
+		return catalog.Database{}, &query.Failure{Reason: query.Overloaded, Text: "no configuration yet"}
+	}
+	d, ok := c.Databases[name]
+	if !ok {
+		return d, &query.Failure{Reason: query.NoDatabase, Text: "version " + strconv.FormatUint(c.Version, 10) + " has no such database"}
+	}
+	return d, nil
+}
+
+// State returns the session's state.
+func (s *Session) State() query.State { return s.state }
+
+// IdleLimit returns how long the open transaction may rest.
+func (s *Session) IdleLimit() time.Duration {
+	if c := s.e.c.Catalog(); c != nil {
+		return c.IdleInTransaction
+	}
+	return 0
+}
+
+// Close rolls an open transaction back.
+func (s *Session) Close() {
+	x, stop := context.WithTimeout(context.Background(), rollBackTime)
+	defer stop()
+	s.rollBack(x)
+}
+
+// Handle runs a statement that the caller has named id.
+func (s *Session) Handle(x context.Context, id string, st query.Statement) query.Reply {
+	o := s.handle(x, id, st)
+	o.State = s.state
+	return o
+}
+
+func (s *Session) handle(x context.Context, id string, st query.Statement) query.Reply {
+	if s.state == query.Failed {
+		return s.inFailed(st)
+	}
+	switch t := st.(type) {
+	case query.Begin:
+		return s.begin(id, t)
+	case query.Commit:
+		if s.state != query.Open {
+			return query.Refusal(query.Malformed, "no transaction is open")
+		}
+		return s.run(x, &query.Request{ID: id, Action: query.DoCommit})
+	case query.Rollback:
+		if s.state != query.Open {
+			return query.Refusal(query.Malformed, "no transaction is open")
+		}
+		s.rollBack(x)
+		return query.Reply{}
+	case query.Set:
+		s.set(t.Value)
+		return query.Reply{}
+	case query.Prepare:
+		s.prepared[t.Name] = t.Shape
+		return query.Reply{}
+	case query.Deallocate:
+		return s.deallocate(t)
+	case query.Read:
+		return s.run(x, &query.Request{ID: id, Text: t.Text})
+	case query.Write:
+		return s.run(x, &query.Request{ID: id, Text: t.Text, Action: query.DoWrite})
+	case query.Execute:
+		return s.execute(x, id, t)
+	default:
+		return query.Refusal(query.Malformed, "the statement is not known")
+	}
+}
+
+// inFailed handles a statement of a transaction that has failed.
+func (s *Session) inFailed(st query.Statement) query.Reply {
+	switch st.(type) {
+	case query.Rollback:
+		s.end()
+		return query.Reply{}
+	case query.Commit:
+		s.end()
+		return query.Refusal(query.Aborted, "the transaction had failed and was rolled back")
+	default:
+		return query.Refusal(query.Malformed, "the transaction has failed; roll it back")
+	}
+}
+
+func (s *Session) begin(id string, b query.Begin) query.Reply {
+	if s.state != query.Idle {
+		return query.Refusal(query.Malformed, "a transaction is open")
+	}
+	d, f := s.e.database(s.database)
+	if f != nil {
+		return query.Reply{Failure: f}
+	}
+	s.state = query.Open
+	s.tx = transaction{begin: id, readOnly: b.ReadOnly, d: d}
+	return query.Reply{}
+}
+
+func (s *Session) set(v query.Value) {
+	l := make([]query.Value, 0, len(s.values)+1)
+	found := false
+	for _, o := range s.values {
+		if o.Name == v.Name {
+			o, found = v, true
+		}
+		l = append(l, o)
+	}
+	if !found {
+		l = append(l, v)
+	}
+	s.values = l
+}
+
+func (s *Session) deallocate(t query.Deallocate) query.Reply {
+	if _, ok := s.prepared[t.Name]; !ok {
+		return query.Refusal(query.UnknownName, t.Name)
+	}
+	delete(s.prepared, t.Name)
+	return query.Reply{}
+}
+
+func (s *Session) execute(x context.Context, id string, t query.Execute) query.Reply {
+	h, ok := s.prepared[t.Name]
+	if !ok {
+		return query.Refusal(query.UnknownName, t.Name)
+	}
+	r := &query.Request{ID: id, Text: t.Arguments, Shape: &h}
+	if h.Write {
+		r.Action = query.DoWrite
+	}
+	return s.run(x, r)
+}
+
+// run has a request run and takes its outcome in.
+func (s *Session) run(x context.Context, r *query.Request) query.Reply {
+	d, f := s.complete(r)
+	if f != nil {
+		return query.Reply{Failure: f}
+	}
+	o := s.e.c.Router.Execute(x, r, s.tx.pin)
+	if d.Consistency != catalog.Primary && o.Failure == nil {
+		s.raise(r, o.Position)
+	}
+	if r.Use == query.Single {
+		return o.Reply
+	}
+	s.afterTx(r, &o)
+	return o.Reply
+}
+
+// raise notes the position of the session's own commit.
+func (s *Session) raise(r *query.Request, p logpos.Position) {
+	single := r.Use == query.Single && r.Action == query.DoWrite
+	commit := r.Action == query.DoCommit && s.tx.wrote
+	if single || commit {
+		s.floor = logpos.Max(s.floor, p)
+	}
+	if r.Action == query.DoWrite {
+		s.tx.wrote = true
+	}
+}
+
+// complete fills a request in from the session.
+func (s *Session) complete(r *query.Request) (catalog.Database, *query.Failure) {
+	d := s.tx.d
+	if s.state == query.Idle {
+		var f *query.Failure
+		if d, f = s.e.database(s.database); f != nil {
+			return d, f
+		}
+	}
+	r.Group, r.Session, r.Rank, r.Remaining = d.Group, s.id, d.Rank, d.Timeout
+	r.Values, r.Floor, r.MaxAge = s.values, s.floor, d.MaxAge
+	r.Primary = d.Consistency == catalog.Primary || r.Action == query.DoWrite
+	if s.state == query.Open {
+		r.Use, r.Begin, r.ReadOnly = query.Later, s.tx.begin, s.tx.readOnly
+		r.Primary = !s.tx.readOnly || d.Consistency == catalog.Primary
+		if s.tx.pin == nil {
+			r.Use = query.First
+		}
+	}
+	if d.Consistency == catalog.Bounded {
+		r.Floor = logpos.Position{}
+	}
+	return d, nil
+}
+
+// afterTx takes in the outcome of a statement inside a transaction.
+func (s *Session) afterTx(r *query.Request, o *query.Response) {
+	if r.Action == query.DoCommit {
+		s.end()
+		return
+	}
+	switch {
+	case o.State == query.Open:
+		s.tx.pin = &Pin{Host: o.Owner, Member: o.Member}
+	default:
+		s.state, s.tx.pin = query.Failed, nil
+		if o.Failure == nil {
+			o.Failure = &query.Failure{Reason: query.Aborted, Text: "the transaction was ended by the member"}
+		}
+	}
+}
+
+// rollBack ends an open transaction.
+func (s *Session) rollBack(x context.Context) {
+	if p := s.tx.pin; p != nil {
+		s.e.c.Router.Execute(x, &query.Request{
+			Group: s.tx.d.Group, Session: s.id, Use: query.Abandon, Rank: bundle.Urgent, Remaining: rollBackTime,
+		}, p)
+	}
+	s.end()
+}
+
+func (s *Session) end() {
+	s.state, s.tx = query.Idle, transaction{}
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,189 @@
+// Package fleet runs a daemon whose fleet is agreed on through the platform's
+// store: hosts, configuration, members and the holders of database groups.
+package fleet
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/zeebo/errs"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/boottime"
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/pool"
+	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
+)
+
+// Error is the class of all failures of this package.
+var Error = errs.Class("fleet")
+
+// Keys of this product in the store.
+const (
+	hostPrefix  = "dragonflypick/hosts/"
+	groupPrefix = "dragonflypick/groups/"
+)
+
+// Promoter has primaries replaced.
+type Promoter interface {
+	// Promote returns false if the member isn't running.
+	Promote(x context.Context, group, member, holder string, token uint64) (bool, error)
+}
+
+// Decoder reads what others write to the store.
+type Decoder struct {
+	// ConfigurationKey and MemberPrefix tell where it stands.
+	ConfigurationKey string
+	MemberPrefix     string
+	Configuration    func(value []byte) (*catalog.Catalog, error)
+	Member           func(key string, value []byte) (catalog.Member, error)
+	// Status reads a member's reply to query.AskStatus.
+	Status func(query.Reply) (query.Status, error)
+}
+
+// Config holds a daemon's settings.
+type Config struct {
+	// Self describes this process; its ID is unique among all that ever ran.
+	Self membership.Host
+	// PeerListen is the IP address and port for other daemons.
+	PeerListen string
+	Secret     string
+	Seeds      []string
+	Store      store.Store
+	Promoter   Promoter
+	Dialer     pool.Dialer
+	Decoder    Decoder
+	Log        hclog.Logger
+}
+
+// Fleet is one daemon. It is safe for concurrent use.
+type Fleet struct {
+	c       Config
+	node    *peer.Node
+	mirror  *mirror
+	metrics *metrics
+	catalog atomic.Pointer[catalog.Catalog]
+	leaving atomic.Bool
+	// work runs what outlives a call; ctx ends with the daemon.
+	work errgroup.Group
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu   sync.Mutex
+	view *membership.View
+	// members are those that may be used; gone maps a removed one to the time
+	// at which it is given up.
+	members map[string]catalog.Member
+	gone    map[string]time.Time
+	groups  map[string]*group
+	pools   map[string]*owned
+	// closing pools still have open transactions.
+	closing []*pool.Pool
+	table   *table
+	// lease is that of the own entry.
+	lease uint64
+}
+
+// owned is a pool with the time at which it was last wanted.
+type owned struct {
+	*pool.Pool
+	wanted time.Time
+}
+
+// New returns a daemon with an open socket for other daemons.
+func New(c Config) (*Fleet, error) {
+	x, stop := context.WithCancel(context.Background())
+	f := &Fleet{
+		c: c, mirror: newMirror(), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
+		members: map[string]catalog.Member{}, gone: map[string]time.Time{}, groups: map[string]*group{},
+		pools: map[string]*owned{}, table: newTable(),
+	}
+	var err error
+	f.node, err = peer.New(peer.Config{
+		Listen: c.PeerListen, Secret: c.Secret, Self: c.Self, Log: c.Log.Named("peer"), Handle: f.handle,
+		Serve: func(_ context.Context, s *peer.Stream) { _ = s.Close() },
+		Lost:  func(id string) { f.note(membership.Lost{ID: id}) },
+		Seen:  func(id string) { f.note(membership.Seen{ID: id}) },
+		Met:   func(h membership.Host) { f.note(membership.Met{Host: h, Direct: true}) },
+	})
+	if err != nil {
+		stop()
+		return nil, Error.Wrap(err)
+	}
+	return f, nil
+}
+
+// Run runs the daemon until the context ends.
+func (f *Fleet) Run(x context.Context) error {
+	defer f.stop()
+	g, x := errgroup.WithContext(x)
+	g.Go(func() error { return f.node.Run(x) })
+	g.Go(func() error { return f.follow(x) })
+	g.Go(func() error { return f.register(x) })
+	g.Go(func() error { return f.exchange(x) })
+	g.Go(func() error { return f.reconcile(x) })
+	err := g.Wait()
+	f.stop()
+	_ = f.work.Wait()
+	return err
+}
+
+// Catalog returns the configuration in force, or nil before the first.
+func (f *Fleet) Catalog() *catalog.Catalog { return f.catalog.Load() }
+
+// Ready reports whether callers can be served.
+func (f *Fleet) Ready() bool {
+	if f.leaving.Load() || f.Catalog() == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members) > 0
+}
+
+// note takes in news of a host.
+func (f *Fleet) note(e membership.Event) {
+	f.mu.Lock()
+	c := f.view.Handle(e, time.Now())
+	f.mu.Unlock()
+	if !c {
+		return
+	}
+	switch e := e.(type) {
+	case membership.Lost:
+		f.c.Log.Info("host lost", "host", e.ID)
+	case membership.Seen:
+		f.c.Log.Info("host answers again", "host", e.ID)
+	case membership.Met:
+		f.c.Log.Info("host met", "host", e.Host.ID)
+	}
+}
+
+// background runs work that outlives the call, until the daemon ends.
+func (f *Fleet) background(w func(x context.Context)) {
+	f.work.Go(func() error {
+		w(f.ctx)
+		return nil
+	})
+}
+
+// pause waits, or returns false if the context ends first.
+func pause(x context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-x.Done():
+		return false
+	}
+}
+
+// now reads the clock that validity is measured with.
+func now() time.Time { return boottime.Now() }
--- /dev/null
+++ b/fleet/metrics.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// metrics counts decisions.
+type metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+func newMetrics() *metrics {
+	return &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_requests_total", Help: "Statements by rank and outcome.",
+		}, []string{"rank", "outcome"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "dragonflypick_request_seconds", Help: "Time from a statement's arrival to its outcome.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
+		}, []string{"rank"}),
+	}
+}
+
+// Metrics returns what is to be registered with a metrics server.
+func (f *Fleet) Metrics() []prometheus.Collector {
+	return append(f.node.Collectors(), f.metrics.requests, f.metrics.latency)
+}
+
+// decided counts and logs the outcome of a request.
+func (f *Fleet) decided(r *query.Request, o *query.Response, t time.Time) {
+	if r.Use == query.Abandon {
+		return
+	}
+	d := time.Since(t)
+	w := "done"
+	if o.Failure != nil {
+		w = string(o.Failure.Reason)
+	}
+	f.metrics.requests.WithLabelValues(r.Rank.String(), w).Inc()
+	f.metrics.latency.WithLabelValues(r.Rank.String()).Observe(d.Seconds())
+	if o.Failure != nil {
+		f.c.Log.Info("request refused", "id", r.ID, "group", r.Group, "rank", r.Rank.String(), "use", r.Use, "action", r.Action,
+			"member", o.Member, "owner", o.Owner, "reason", w, "detail", o.Failure.Text, "took-ms", d.Milliseconds(), "queue-ms", o.Queue.Milliseconds())
+	}
+}
--- /dev/null
+++ b/fleet/mirror.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/store"
+)
+
+// tombTime is how long the removal of a key is remembered for other daemons.
+const tombTime = time.Minute
+
+// mirror holds the store's items as of a revision. It is safe for concurrent
+// use.
+type mirror struct {
+	mu    sync.Mutex
+	items map[string]store.Item
+	// tombs holds the time at which a removed key was learnt of.
+	tombs    map[string]time.Time
+	revision uint64
+	// changed is closed and replaced whenever the mirror changes.
+	changed chan struct{}
+}
+
+func newMirror() *mirror {
+	return &mirror{items: map[string]store.Item{}, tombs: map[string]time.Time{}, changed: make(chan struct{})}
+}
+
+// at returns the revision.
+func (m *mirror) at() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.revision
+}
+
+// apply takes in changes that lead up to a revision, and returns the items that
+// are news.
+func (m *mirror) apply(l []store.Item, revision uint64, now time.Time) []store.Item {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var o []store.Item
+	for _, i := range l {
+		if i.Revision <= m.items[i.Key].Revision {
+			continue
+		}
+		m.items[i.Key] = i
+		delete(m.tombs, i.Key)
+		if i.Removed {
+			m.tombs[i.Key] = now
+		}
+		o = append(o, i)
+	}
+	m.revision = max(m.revision, revision)
+	for k, t := range m.tombs {
+		if now.Sub(t) > tombTime {
+			delete(m.tombs, k)
+			delete(m.items, k)
+		}
+	}
+	if len(o) > 0 {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	return o
+}
+
+// replace takes in all items of the store, read at a revision or later, and
+// returns the news, with removals.
+func (m *mirror) replace(l []store.Item, revision uint64, now time.Time) []store.Item {
+	there := map[string]bool{}
+	for _, i := range l {
+		there[i.Key] = true
+	}
+	m.mu.Lock()
+	for k, i := range m.items {
+		if !there[k] && !i.Removed && i.Revision <= revision {
+			l = append(l, store.Item{Key: k, Revision: revision, Removed: true})
+		}
+	}
+	m.mu.Unlock()
+	return m.apply(l, revision, now)
+}
+
+// since returns the items that changed after a revision, and the present one.
+func (m *mirror) since(revision uint64) ([]store.Item, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var o []store.Item
+	if m.revision <= revision {
+		return nil, m.revision
+	}
+	for _, i := range m.items {
+		if i.Revision > revision {
+			o = append(o, i)
+		}
+	}
+	slices.SortFunc(o, func(a, b store.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	return o, m.revision
+}
--- /dev/null
+++ b/fleet/reconcile.go
@@ -0,0 +1,193 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/pool"
+)
+
+// Timing of the daemon's own work.
+const (
+	// tickInterval is how often groups and pools are looked after.
+	tickInterval = 50 * time.Millisecond
+	// unwantedTime is how long a pool that nobody asks for is kept.
+	unwantedTime = 20 * time.Second
+	// restMargin is added to the time that a transaction may rest before its
+	// owner ends it, as the entry does so first.
+	restMargin = 2 * time.Second
+	// restTicks is the number of ticks between two searches for such transactions.
+	restTicks = 20
+	// leavePoll is how often a leaving daemon looks whether it is done.
+	leavePoll = 50 * time.Millisecond
+)
+
+// reconcile looks after groups and pools until the context ends.
+func (f *Fleet) reconcile(x context.Context) error {
+	t := time.NewTicker(tickInterval)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-x.Done():
+			return nil
+		case <-t.C:
+		}
+		if n%restTicks == 0 {
+			f.endResting()
+		}
+		f.forgetGone()
+		f.tend()
+		f.tendPools()
+		f.followPositions()
+	}
+}
+
+// forgetGone gives up members whose entry did not come back.
+func (f *Fleet) forgetGone() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := time.Now()
+	for id, t := range f.gone {
+		if n.After(t) {
+			f.c.Log.Info("member given up", "member", id)
+			delete(f.gone, id)
+			delete(f.members, id)
+		}
+	}
+}
+
+// tendPools closes pools that this host has no use for any more.
+func (f *Fleet) tendPools() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := time.Now()
+	for id, o := range f.pools {
+		o.Sweep()
+		m, ok := f.members[id]
+		c := o.Member()
+		switch {
+		case !ok || m.Address != c.Address:
+			f.retire(id, o, "member gone")
+			o.Kill()
+		case m.Born != c.Born || m.Slots != c.Slots:
+			f.retire(id, o, "member changed")
+			o.Kill()
+		case n.Sub(o.wanted) > unwantedTime && !f.serving(id):
+			f.retire(id, o, "not wanted")
+		case f.leaving.Load() && !f.serving(id):
+			f.retire(id, o, "leaving")
+		}
+	}
+	var l []*pool.Pool
+	for _, p := range f.closing {
+		if p.Busy() > 0 {
+			l = append(l, p)
+		}
+	}
+	f.closing = l
+}
+
+// endResting ends transactions that their entry has left behind.
+func (f *Fleet) endResting() {
+	f.mu.Lock()
+	d := f.restLimit()
+	l := slices.Clone(f.closing)
+	for _, o := range f.pools {
+		l = append(l, o.Pool)
+	}
+	f.mu.Unlock()
+	for _, p := range l {
+		f.background(func(context.Context) { p.EndResting(d) })
+	}
+}
+
+// restLimit returns how long a transaction may rest at its owner; f.mu is held.
+func (f *Fleet) restLimit() time.Duration {
+	if c := f.Catalog(); c != nil {
+		return c.IdleInTransaction + restMargin
+	}
+	return restMargin
+}
+
+// serving reports whether a member is the primary of a group held here; f.mu is
+// held.
+func (f *Fleet) serving(member string) bool {
+	g := f.group(f.members[member].Group)
+	r, _, _ := g.tenure.Record()
+	return r.Holder == f.c.Self.ID && g.primary == member
+}
+
+// retire takes a pool out of use; f.mu is held.
+func (f *Fleet) retire(id string, o *owned, why string) {
+	f.c.Log.Info("member no longer owned", "member", id, "why", why)
+	delete(f.pools, id)
+	o.Close()
+	f.closing = append(f.closing, o.Pool)
+}
+
+// dropPool breaks all connections to a member.
+func (f *Fleet) dropPool(id string) {
+	f.mu.Lock()
+	o := f.pools[id]
+	if o != nil {
+		f.retire(id, o, "primary replaced")
+	}
+	f.mu.Unlock()
+	if o != nil {
+		o.Kill()
+	}
+}
+
+// followPositions keeps the end of the log known where replicas are read.
+func (f *Fleet) followPositions() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := now()
+	for _, g := range f.groups {
+		s, ok := g.history.Last()
+		r, _, _ := g.tenure.Record()
+		if n.Sub(g.read) > readMemory || ok && n.Sub(s.At) < positionInterval || g.asking != nil || r.Holder == f.c.Self.ID && ok && n.Sub(s.At) < positionInterval {
+			continue
+		}
+		f.background(func(x context.Context) { f.askPosition(x, g) })
+	}
+}
+
+// leaveView makes the host leave in its own view.
+func (f *Fleet) leaveView() { f.note(membership.Left{ID: f.c.Self.ID}) }
+
+// Leave hands everything over that this host owns or holds. It returns when
+// that is done or the context ends.
+func (f *Fleet) Leave(x context.Context) {
+	f.leaving.Store(true)
+	f.c.Log.Info("leaving")
+	f.leaveView()
+	if err := f.writeSelf(x); err != nil {
+		f.c.Log.Warn("leave not announced", "error", err)
+	}
+	for pause(x, leavePoll) {
+		if f.handedOver() {
+			break
+		}
+	}
+	f.c.Log.Info("left")
+}
+
+func (f *Fleet) handedOver() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, g := range f.groups {
+		r, _, ok := g.tenure.Record()
+		if ok && r.Holder == f.c.Self.ID || f.releasable(g) {
+			return false
+		}
+	}
+	for _, p := range f.closing {
+		if p.Busy() > 0 {
+			return false
+		}
+	}
+	return len(f.pools) == 0
+}
--- /dev/null
+++ b/fleet/route.go
@@ -0,0 +1,313 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/entry"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// Timing of routing.
+const (
+	// linkTimeout bounds a control call.
+	linkTimeout = time.Second
+	// callMargin is how long an answer may take beyond the request's own time,
+	// so that the owner's refusal arrives.
+	callMargin = 150 * time.Millisecond
+	// holderPause is the pause before a group's holder is looked up again.
+	holderPause = 20 * time.Millisecond
+	// tries bounds the members that one read is offered to.
+	tries = 6
+	// Assumed round trips to a host by distance.
+	nearTrip   = 500 * time.Microsecond
+	regionTrip = 4 * time.Millisecond
+	farTrip    = 60 * time.Millisecond
+)
+
+// target is a member and the host that owns it.
+type target struct {
+	member catalog.Member
+	host   membership.Host
+	cost   time.Duration
+}
+
+// Execute runs a request on the member that suits it best.
+func (f *Fleet) Execute(x context.Context, r *query.Request, pin *entry.Pin) query.Response {
+	t := time.Now()
+	var o query.Response
+	switch {
+	case pin != nil:
+		o = f.executePinned(x, r, pin)
+	case r.Primary:
+		o = f.executePrimary(x, r, t)
+	default:
+		o = f.executeRead(x, r, t)
+	}
+	if o.Failure != nil && (o.Failure.Reason == query.Moved || o.Failure.Reason == query.Unreachable) {
+		o.Failure.Reason = f.final(r)
+	}
+	f.decided(r, &o, t)
+	return o
+}
+
+// final returns the reason that a caller is told where no member could be
+// reached.
+func (f *Fleet) final(r *query.Request) query.Reason {
+	if r.Use == query.Later {
+		return query.Aborted
+	}
+	return query.Overloaded
+}
+
+// executePinned runs a request where its transaction is open.
+func (f *Fleet) executePinned(x context.Context, r *query.Request, pin *entry.Pin) query.Response {
+	f.mu.Lock()
+	h, ok := f.view.Host(pin.Host)
+	f.mu.Unlock()
+	r.Member = pin.Member
+	if !ok {
+		return query.Response{Reply: query.Refusal(query.Aborted, "the transaction's owner is gone")}
+	}
+	o := f.send(x, h, r, r.Remaining)
+	if o.Failure != nil && o.State != query.Open && r.Use == query.Later {
+		a := query.Request{Group: r.Group, Member: r.Member, Session: r.Session, Use: query.Abandon, Remaining: linkTimeout}
+		if o.Failure.Reason == query.InDoubt || o.Failure.Reason == query.Aborted {
+			f.background(func(x context.Context) { f.send(x, h, &a, linkTimeout) })
+		}
+	}
+	return o
+}
+
+// executePrimary runs a request at the group's holder.
+func (f *Fleet) executePrimary(x context.Context, r *query.Request, t time.Time) query.Response {
+	var o query.Response
+	hint := ""
+	for n := 0; ; n++ {
+		left := r.Remaining - time.Since(t)
+		if left <= 0 || n > 0 && left <= holderPause || x.Err() != nil {
+			if o.Failure == nil {
+				o.Reply = query.Refusal(query.Overloaded, "no holder of the group was found in time")
+			}
+			return o
+		}
+		f.mu.Lock()
+		h, ok := f.holder(r.Group, hint)
+		f.mu.Unlock()
+		if ok {
+			o = f.send(x, h, r, left)
+			if o.Failure == nil || o.Failure.Reason != query.Moved && o.Failure.Reason != query.Unreachable {
+				return o
+			}
+			if r.Action == query.DoWrite && o.Failure.Reason == query.Unreachable && o.Member != "" {
+				return o
+			}
+			hint = o.Holder
+		}
+		pause(x, holderPause)
+	}
+}
+
+// holder returns the host that holds a group; f.mu is held.
+func (f *Fleet) holder(name, hint string) (membership.Host, bool) {
+	if hint != "" {
+		if h, ok := f.view.Host(hint); ok {
+			return h, true
+		}
+	}
+	g := f.groups[name]
+	if g == nil {
+		return membership.Host{}, false
+	}
+	r, _, ok := g.tenure.Record()
+	if !ok || r.Holder == "" {
+		return membership.Host{}, false
+	}
+	return f.view.Host(r.Holder)
+}
+
+// executeRead offers a read to the members in the order of predicted cost.
+func (f *Fleet) executeRead(x context.Context, r *query.Request, t time.Time) query.Response {
+	var o query.Response
+	tried := map[string]int{}
+	for range tries {
+		left := r.Remaining - time.Since(t)
+		if left <= 0 || x.Err() != nil {
+			break
+		}
+		c, ok := f.choice(r, tried)
+		if !ok {
+			if !pause(x, min(holderPause, left)) {
+				break
+			}
+			clear(tried)
+			continue
+		}
+		if c.wait(r) && !pause(x, min(c.cost, left)) {
+			break
+		}
+		tried[c.member.ID]++
+		o = f.sendRead(x, c, r, t)
+		if !again(o.Failure) {
+			return o
+		}
+	}
+	if o.Failure == nil {
+		o.Reply = query.Refusal(query.Overloaded, "no member can serve the read now")
+	}
+	return o
+}
+
+// wait reports whether the member is to be given time to catch up first.
+func (c target) wait(r *query.Request) bool { return c.cost > r.MaxAge/8 && c.cost < r.Remaining/2 }
+
+// again reports whether a read may be offered to another member.
+func again(q *query.Failure) bool {
+	if q == nil {
+		return false
+	}
+	switch q.Reason {
+	case query.Lagging, query.Moved, query.Unreachable, query.TooManyConnections, query.WrongMember, query.Overloaded:
+		return true
+	default:
+		return false
+	}
+}
+
+// choice returns the member with the least predicted cost for a read.
+func (f *Fleet) choice(r *query.Request, tried map[string]int) (target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := time.Now()
+	g := f.group(r.Group)
+	var best target
+	for _, m := range f.members {
+		if m.Group != r.Group || m.Draining || tried[m.ID] > 0 {
+			continue
+		}
+		p, known := f.believed(g)
+		primary := known && p.ID == m.ID
+		h, ok := f.ownerOf(m, primary)
+		if !ok {
+			continue
+		}
+		age := r.MaxAge
+		if primary {
+			age = -1
+		}
+		c := f.distance(h.Region, h.FailureDomain) + f.table.of(m.ID).cost(m.Slots, age, n)
+		c += time.Duration(rand.Int64N(int64(time.Millisecond)))
+		if best.member.ID == "" || c < best.cost {
+			best = target{member: m, host: h, cost: c}
+		}
+	}
+	return best, best.member.ID != ""
+}
+
+// ownerOf returns the host that owns a member; f.mu is held.
+func (f *Fleet) ownerOf(m catalog.Member, primary bool) (membership.Host, bool) {
+	if primary {
+		if h, ok := f.holder(m.Group, ""); ok && f.alive(h.ID) {
+			return h, true
+		}
+	}
+	return f.view.Owner(place(m), time.Now())
+}
+
+// distance returns the assumed round trip to a place.
+func (f *Fleet) distance(region, domain string) time.Duration {
+	switch {
+	case domain == f.c.Self.FailureDomain:
+		return nearTrip
+	case region == f.c.Self.Region:
+		return regionTrip
+	default:
+		return farTrip
+	}
+}
+
+// sendRead sends a read to a member and notes what that tells of its load.
+func (f *Fleet) sendRead(x context.Context, c target, r *query.Request, t time.Time) query.Response {
+	q := *r
+	q.Member = c.member.ID
+	f.mu.Lock()
+	l := f.table.of(c.member.ID)
+	l.under++
+	f.mu.Unlock()
+	o := f.send(x, c.host, &q, r.Remaining-time.Since(t))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := time.Now()
+	l.under--
+	l.queue, l.told = o.Queue, n
+	if o.Failure == nil {
+		if n.Sub(l.lagged) > loadMemory/3 {
+			l.lag = 0
+		}
+		return o
+	}
+	switch o.Failure.Reason {
+	case query.Lagging:
+		l.lag, l.lagged = r.MaxAge+max(o.Failure.RetryAfter, holderPause), n
+	case query.Unreachable, query.Moved, query.TooManyConnections:
+		l.failed = n
+	}
+	return o
+}
+
+// send has a host run a request, this one included.
+func (f *Fleet) send(x context.Context, h membership.Host, r *query.Request, left time.Duration) query.Response {
+	q := *r
+	q.Remaining = left
+	if h.ID == f.c.Self.ID {
+		o := f.serve(x, &q)
+		o.Owner = h.ID
+		return o
+	}
+	y, stop := context.WithTimeout(x, left+callMargin)
+	defer stop()
+	var o query.Response
+	err := f.node.Call(y, h, methodExecute, &q, &o)
+	o.Owner = h.ID
+	if err == nil {
+		return o
+	}
+	o = query.Response{Owner: h.ID}
+	o.Failure = &query.Failure{Reason: query.Unreachable, Text: err.Error()}
+	var u *peer.UnsentError
+	if errors.As(err, &u) {
+		return o
+	}
+	switch {
+	case r.Action == query.DoCommit, r.Use == query.Single && r.Action == query.DoWrite:
+		o.Failure.Reason = query.InDoubt
+	case r.Use == query.Later, r.Use == query.First:
+		o.Failure.Reason = query.Aborted
+	}
+	if r.Use == query.First {
+		a := query.Request{Group: r.Group, Session: r.Session, Use: query.Abandon, Remaining: linkTimeout}
+		f.background(func(x context.Context) { f.abandon(x, h, a) })
+	}
+	return o
+}
+
+// abandon rolls back a transaction that may have been opened at a host.
+func (f *Fleet) abandon(x context.Context, h membership.Host, r query.Request) {
+	y, stop := context.WithTimeout(x, linkTimeout)
+	defer stop()
+	var o query.Response
+	if err := f.node.Call(y, h, methodExecute, &r, &o); err != nil {
+		f.c.Log.Debug("transaction not abandoned", "host", h.ID, "session", r.Session, "error", err)
+	}
+}
+
+// liveOthers returns the other live hosts; f.mu is held.
+func (f *Fleet) liveOthers() []membership.Host {
+	return slices.DeleteFunc(f.view.Live(time.Now()), func(h membership.Host) bool { return h.ID == f.c.Self.ID })
+}
--- /dev/null
+++ b/fleet/serve.go
@@ -0,0 +1,398 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/freshness"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/pool"
+	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
+)
+
+// Methods between daemons.
+const (
+	methodExecute  = "execute"
+	methodPosition = "position"
+	methodExchange = "exchange"
+	methodItem     = "item"
+	methodPing     = "ping"
+)
+
+// Timing of positions.
+const (
+	// positionFresh is how old the end of the log may be that a holder tells
+	// without asking the primary.
+	positionFresh = 100 * time.Millisecond
+	// positionInterval is how often the owner of a replica asks for the end of
+	// the log while the replica is read; readMemory is how long that is.
+	positionInterval = 250 * time.Millisecond
+	readMemory       = 3 * time.Second
+	// positionTimeout bounds the question.
+	positionTimeout = 700 * time.Millisecond
+)
+
+// positionReply tells that a group's log reached Position Age before the reply.
+type positionReply struct {
+	Known    bool            `json:"known"`
+	Position logpos.Position `json:"position"`
+	Age      time.Duration   `json:"age"`
+}
+
+type groupParams struct {
+	Group string `json:"group"`
+}
+
+// exchangeParams and exchangeReply bring two daemons' mirrors level.
+type exchangeParams struct {
+	Revision uint64 `json:"revision"`
+}
+
+type exchangeReply struct {
+	Revision uint64            `json:"revision"`
+	Items    []store.Item      `json:"items"`
+	Hosts    []membership.Host `json:"hosts"`
+}
+
+type itemParams struct {
+	Key string `json:"key"`
+}
+
+// handle answers a call of another daemon.
+func (f *Fleet) handle(x context.Context, r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
+	case methodExecute:
+		var q query.Request
+		if err := params(r, &q); err != nil {
+			return nil, err
+		}
+		return f.serve(x, &q), nil
+	case methodPosition:
+		var p groupParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		return f.position(x, p.Group), nil
+	case methodExchange:
+		var p exchangeParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		l, n := f.mirror.since(p.Revision)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return exchangeReply{Revision: n, Items: l, Hosts: f.view.Hearsay(time.Now())}, nil
+	case methodItem:
+		var p itemParams
+		if err := params(r, &p); err != nil {
+			return nil, err
+		}
+		y, stop := context.WithTimeout(x, readTimeout)
+		defer stop()
+		return f.c.Store.Get(y, p.Key)
+	case methodPing:
+		return struct{}{}, nil
+	default:
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
+	}
+}
+
+func params(r *jsonrpc2.Request, v any) error {
+	if r.Params == nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
+	}
+	if err := json.Unmarshal(*r.Params, v); err != nil {
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return nil
+}
+
+// serve runs a request on a member that this host owns, or on the primary of a
+// group that it holds.
+func (f *Fleet) serve(x context.Context, r *query.Request) query.Response {
+	switch {
+	case r.Use == query.Later || r.Use == query.Abandon:
+		return f.serveLater(x, r)
+	case r.Primary:
+		return f.servePrimary(x, r)
+	default:
+		return f.serveRead(x, r)
+	}
+}
+
+// serveLater runs a statement of a transaction that is open here.
+func (f *Fleet) serveLater(x context.Context, r *query.Request) query.Response {
+	f.mu.Lock()
+	l := append([]*pool.Pool{}, f.closing...)
+	for _, o := range f.pools {
+		l = append(l, o.Pool)
+	}
+	g := f.group(r.Group)
+	f.mu.Unlock()
+	for _, p := range l {
+		if !p.Holds(r.Session) {
+			continue
+		}
+		guard := func() *query.Failure { return nil }
+		if !r.ReadOnly {
+			guard = f.guardPrimary(g, r)
+		}
+		o := query.Response{Reply: p.Execute(x, r, logpos.Position{}, guard), Member: p.Member().ID}
+		o.Queue = p.Wait(r.Rank)
+		return o
+	}
+	return query.Response{Reply: query.Refusal(query.Aborted, "the transaction is not open here")}
+}
+
+// servePrimary runs a request at the primary, if this host holds the group.
+func (f *Fleet) servePrimary(x context.Context, r *query.Request) query.Response {
+	t := time.Now()
+	f.mu.Lock()
+	g := f.group(r.Group)
+	for !g.serves(now()) {
+		rec, _, _ := g.tenure.Record()
+		left := r.Remaining - time.Since(t)
+		if rec.Holder != f.c.Self.ID || left <= holderPause {
+			f.mu.Unlock()
+			o := query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder}
+			if rec.Holder == f.c.Self.ID {
+				o.Reply = query.Refusal(query.Overloaded, "the primary is being replaced")
+			}
+			return o
+		}
+		f.mu.Unlock()
+		pause(x, holderPause)
+		f.mu.Lock()
+	}
+	m, ok := f.members[g.primary]
+	var p *pool.Pool
+	if ok {
+		p = f.pool(m)
+	}
+	f.mu.Unlock()
+	if !ok {
+		return query.Response{Reply: query.Refusal(query.Overloaded, "the primary is not known")}
+	}
+	q := *r
+	q.Remaining -= time.Since(t)
+	o := query.Response{Reply: p.Execute(x, &q, logpos.Position{}, f.guardPrimary(g, r)), Member: m.ID}
+	o.Queue = p.Wait(r.Rank)
+	return o
+}
+
+// serveRead runs a read on the member that it names.
+func (f *Fleet) serveRead(x context.Context, r *query.Request) query.Response {
+	t, n := time.Now(), now()
+	f.mu.Lock()
+	g := f.group(r.Group)
+	g.read = n
+	m, ok := f.members[r.Member]
+	if !ok || m.Group != r.Group || m.Draining || f.leaving.Load() {
+		f.mu.Unlock()
+		return query.Response{Reply: query.Refusal(query.Moved, "the member is not served here")}
+	}
+	p := f.pool(m)
+	f.mu.Unlock()
+	after, ok := f.floor(x, g, n.Add(-r.MaxAge), r.Floor)
+	if !ok {
+		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID}
+	}
+	q := *r
+	q.Remaining -= time.Since(t)
+	o := query.Response{Reply: p.Execute(x, &q, after, func() *query.Failure { return nil }), Member: m.ID}
+	o.Queue = p.Wait(r.Rank)
+	if o.Failure != nil && o.Failure.Reason == query.Lagging {
+		f.mu.Lock()
+		if t := g.history.Held(o.Position); !t.IsZero() {
+			o.Failure.RetryAfter = max(n.Add(-r.MaxAge).Sub(t), 0)
+		}
+		f.mu.Unlock()
+	}
+	return o
+}
+
+// floor returns the position that a replica must hold for a read.
+func (f *Fleet) floor(x context.Context, g *group, since time.Time, own logpos.Position) (logpos.Position, bool) {
+	for range 2 {
+		f.mu.Lock()
+		p, ok := g.history.Floor(since, own)
+		f.mu.Unlock()
+		if ok {
+			return p, true
+		}
+		f.askPosition(x, g)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return g.history.Floor(since, own)
+}
+
+// askPosition asks the group's holder for the end of the log; callers at the
+// same time share one question.
+func (f *Fleet) askPosition(x context.Context, g *group) {
+	f.mu.Lock()
+	if w := g.asking; w != nil {
+		f.mu.Unlock()
+		select {
+		case <-w:
+		case <-x.Done():
+		}
+		return
+	}
+	w := make(chan struct{})
+	g.asking = w
+	h, ok := f.holder(g.name, "")
+	f.mu.Unlock()
+	t := now()
+	var p positionReply
+	var err error
+	y, stop := context.WithTimeout(x, positionTimeout)
+	switch {
+	case !ok:
+	case h.ID == f.c.Self.ID:
+		p = f.position(y, g.name)
+	default:
+		err = f.node.Call(y, h, methodPosition, groupParams{Group: g.name}, &p)
+	}
+	stop()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err == nil && p.Known && h.ID != f.c.Self.ID {
+		g.history.Add(freshness.Sample{Position: p.Position, At: t.Add(-p.Age)})
+	}
+	g.asking = nil
+	close(w)
+	if err != nil {
+		f.c.Log.Debug("end of log not known", "group", g.name, "holder", h.ID, "error", err)
+	}
+}
+
+// position tells the end of the log of a group that this host holds.
+func (f *Fleet) position(x context.Context, name string) positionReply {
+	for range 2 {
+		f.mu.Lock()
+		g := f.group(name)
+		t := now()
+		if !g.serves(t) {
+			f.mu.Unlock()
+			return positionReply{}
+		}
+		s, ok := g.history.Last()
+		m, known := f.members[g.primary]
+		var p *pool.Pool
+		if known {
+			p = f.pool(m)
+		}
+		f.mu.Unlock()
+		if ok && t.Sub(s.At) < positionFresh {
+			return positionReply{Known: true, Position: s.Position, Age: t.Sub(s.At)}
+		}
+		if !known {
+			return positionReply{}
+		}
+		f.refresh(x, p)
+	}
+	return positionReply{}
+}
+
+// refresh has the primary tell its position by a step that needs no slot.
+func (f *Fleet) refresh(x context.Context, p *pool.Pool) {
+	if _, err := p.Probe(x, query.Reset{}, positionTimeout); err != nil {
+		f.c.Log.Debug("primary not asked for its position", "member", p.Member().ID, "error", err)
+	}
+}
+
+// exchange keeps this daemon's mirror level with others', so that one that the
+// store turns away goes on.
+func (f *Fleet) exchange(x context.Context) error {
+	for pause(x, exchangeInterval/2+rand.N(exchangeInterval)) {
+		f.mu.Lock()
+		l := f.liveOthers()
+		l = append(l, f.view.Suspects(time.Now())...)
+		f.mu.Unlock()
+		for _, s := range f.c.Seeds {
+			if len(l) == 0 {
+				f.exchangeWith(x, peer.Seed(s))
+			}
+		}
+		if len(l) > 0 {
+			f.exchangeWith(x, l[rand.IntN(len(l))])
+		}
+	}
+	return nil
+}
+
+// exchangeInterval is how often another daemon is asked for news.
+const exchangeInterval = 700 * time.Millisecond
+
+func (f *Fleet) exchangeWith(x context.Context, h membership.Host) {
+	y, stop := context.WithTimeout(x, linkTimeout)
+	defer stop()
+	var o exchangeReply
+	if err := f.node.Call(y, h, methodExchange, exchangeParams{Revision: f.mirror.at()}, &o); err != nil {
+		f.c.Log.Debug("no exchange", "host", h.ID, "error", err)
+		return
+	}
+	for _, h := range o.Hosts {
+		f.note(membership.Met{Host: h})
+	}
+	if len(o.Items) > 0 {
+		f.take(f.mirror.apply(o.Items, o.Revision, time.Now()))
+	}
+}
+
+// askStore has another daemon read a key, for the time that the store turns
+// this one away.
+func (f *Fleet) askStore(x context.Context, key string) (store.Item, error) {
+	f.mu.Lock()
+	l := f.liveOthers()
+	f.mu.Unlock()
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	err := error(&NoPeerError{})
+	for _, h := range l[:min(len(l), 3)] {
+		y, stop := context.WithTimeout(x, linkTimeout)
+		var i store.Item
+		err = f.node.Call(y, h, methodItem, itemParams{Key: key}, &i)
+		stop()
+		if err == nil {
+			return i, nil
+		}
+	}
+	return store.Item{}, Error.Wrap(err)
+}
+
+// NoPeerError reports that no other daemon is known.
+type NoPeerError struct{}
+
+func (*NoPeerError) Error() string { return "no other daemon is known" }
+
+// pool returns the pool of a member, made if need be; f.mu is held.
+func (f *Fleet) pool(m catalog.Member) *pool.Pool {
+	o := f.pools[m.ID]
+	if o == nil {
+		g := f.group(m.Group)
+		n := 0
+		if c := f.Catalog(); c != nil {
+			n = c.Groups[m.Group].Connections
+		}
+		o = &owned{Pool: pool.New(pool.Config{
+			Member: m, Connections: n, Dialer: f.c.Dialer, Now: now, Log: f.c.Log,
+			Observe: func(p logpos.Position, sent time.Time) { f.observe(g, m.ID, p, sent) },
+		})}
+		f.pools[m.ID] = o
+		f.c.Log.Info("member owned", "member", m.ID, "group", m.Group, "slots", m.Slots, "connections", n)
+	}
+	o.wanted = time.Now()
+	return o.Pool
+}
+
+func asFailure(err error, q **query.Failure) bool { return errors.As(err, q) }
--- /dev/null
+++ b/hosted/hosted.go
@@ -0,0 +1,146 @@
+// Package hosted runs the daemon on the users' platform.
+package hosted
+
+import (
+	"context"
+	"math"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/entry"
+	"github.com/dragonflypick/dragonflypick/fleet"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/platform"
+)
+
+// Parts of the process's limits.
+const (
+	// memoryPart is the part of the memory that the collector aims for.
+	memoryPart = 0.6
+	// Parts of the time from SIGTERM to SIGKILL: until callers' resting
+	// connections are closed, until open transactions are ended, and until the
+	// process ends itself.
+	emptyPart = 0.42
+	endPart   = 0.5
+	exitPart  = 0.85
+)
+
+// Config holds the settings.
+type Config struct {
+	Settings platform.Settings
+	Secret   string
+	Log      hclog.Logger
+}
+
+// Run runs the daemon until the context ends, and then drains it.
+func Run(x context.Context, c Config) error {
+	s := c.Settings
+	runtime.GOMAXPROCS(s.Cores)
+	if s.Memory > 0 {
+		debug.SetMemoryLimit(int64(math.Round(float64(s.Memory) * memoryPart)))
+	}
+	id := s.Host + "." + uuid.NewString()[:8]
+	c.Log.Info("start", "host", id, "failure-domain", s.FailureDomain, "region", s.Region, "cores", s.Cores, "memory", s.Memory)
+	f, err := fleet.New(fleet.Config{
+		Self:       membership.Host{ID: id, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Region: s.Region},
+		PeerListen: s.PeerListen, Secret: c.Secret, Seeds: s.Seeds, Log: c.Log,
+		Store: platform.NewStore(s.Store), Promoter: platform.NewPromoter(s.Promotions),
+		Dialer: platform.MemberDialer{Name: s.Host}, Decoder: decoder(s),
+	})
+	if err != nil {
+		return err
+	}
+	e := entry.New(entry.Config{Host: id, Catalog: f.Catalog, Router: f})
+	k, err := platform.NewCallers(platform.CallerConfig{Listen: s.CallerListen, Entry: e, Log: c.Log})
+	if err != nil {
+		return err
+	}
+	return run(x, c, f, k)
+}
+
+func decoder(s platform.Settings) fleet.Decoder {
+	return fleet.Decoder{
+		ConfigurationKey: platform.ConfigurationKey, MemberPrefix: platform.MemberPrefix,
+		Configuration: platform.DecodeConfiguration,
+		Member: func(key string, value []byte) (catalog.Member, error) {
+			return platform.DecodeMember(key, value, s.Regions)
+		},
+		Status: platform.Status,
+	}
+}
+
+// run runs the parts together until one of them fails or the drain is over.
+func run(x context.Context, c Config, f *fleet.Fleet, k *platform.Callers) error {
+	y, stop := context.WithCancel(context.WithoutCancel(x))
+	defer stop()
+	var draining atomic.Bool
+	g, y := errgroup.WithContext(y)
+	g.Go(func() error { return f.Run(y) })
+	g.Go(func() error { return k.Run(y) })
+	g.Go(func() error {
+		return platform.ServeReady(y, c.Settings.ReadyListen, func() bool { return !draining.Load() && f.Ready() })
+	})
+	g.Go(func() error { return serveMetrics(y, c.Settings.MetricsListen, f) })
+	g.Go(func() error {
+		select {
+		case <-x.Done():
+		case <-y.Done():
+			return nil
+		}
+		draining.Store(true)
+		drain(y, c, f, k)
+		stop()
+		return nil
+	})
+	err := g.Wait()
+	c.Log.Info("stop", "error", err)
+	return err
+}
+
+// drain hands over what the host holds and lets callers go.
+func drain(x context.Context, c Config, f *fleet.Fleet, k *platform.Callers) {
+	t := time.Now()
+	at := func(part float64) time.Time { return t.Add(time.Duration(part * float64(c.Settings.Grace))) }
+	x, stop := context.WithDeadline(x, at(exitPart))
+	defer stop()
+	c.Log.Info("drain", "callers", k.Open(), "grace-ms", c.Settings.Grace.Milliseconds())
+	var w errgroup.Group
+	w.Go(func() error {
+		f.Leave(x)
+		return nil
+	})
+	until(x, at(emptyPart))
+	k.Enter(platform.Emptying)
+	until(x, at(endPart))
+	k.Enter(platform.Ending)
+	for k.Open() > 0 && x.Err() == nil {
+		until(x, time.Now().Add(pollInterval))
+	}
+	_ = w.Wait()
+	c.Log.Info("drained", "callers", k.Open(), "took-ms", time.Since(t).Milliseconds())
+}
+
+// pollInterval is how often the drain looks whether callers are gone.
+const pollInterval = 20 * time.Millisecond
+
+// until waits for a time or the end of the context.
+func until(x context.Context, t time.Time) {
+	y, stop := context.WithDeadline(x, t)
+	defer stop()
+	<-y.Done()
+}
+
+func serveMetrics(x context.Context, listen string, f *fleet.Fleet) error {
+	r := prometheus.NewRegistry()
+	r.MustRegister(f.Metrics()...)
+	return platform.ServeHTTP(x, listen, promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+}
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -38,6 +38,9 @@
 // welcome is the proof of the daemon that was called.
 type welcome struct {
 	Proof []byte `json:"proof"`
+	// Other is the ID of the daemon that was called, if the caller wanted
+	// another one; the proof then covers it.
+	Other string `json:"other,omitempty"`
 }
 
 func proof(secret, label string, parts ...[]byte) []byte {
@@ -73,6 +76,7 @@
 		return h.Host, Error.Wrap(&ProtocolError{Reason: "the caller's proof of the shared secret is wrong"})
 	}
 	if h.Want != "" && h.Want != self {
+		_ = writeLine(c, welcome{Other: self, Proof: proof(secret, "other", h.Nonce, n, []byte(self))})
 		return h.Host, Error.Wrap(&ProtocolError{Reason: "the caller wants another daemon"})
 	}
 	if err := writeLine(c, welcome{Proof: proof(secret, "answer", h.Nonce, n)}); err != nil {
@@ -99,6 +103,9 @@
 	if err := readLine(c, &w); err != nil {
 		return err
 	}
+	if w.Other != "" && hmac.Equal(w.Proof, proof(secret, "other", h.Nonce, a.Nonce, []byte(w.Other))) {
+		return Error.Wrap(&OtherError{Host: w.Other})
+	}
 	if !hmac.Equal(w.Proof, proof(secret, "answer", h.Nonce, a.Nonce)) {
 		return Error.Wrap(&ProtocolError{Reason: "the daemon's proof of the shared secret is wrong"})
 	}
@@ -143,3 +150,20 @@
 }
 
 func (e *ProtocolError) Error() string { return e.Reason }
+
+// OtherError reports that another daemon runs at a host's address, so the one
+// that was wanted has ended.
+type OtherError struct {
+	// Host is the ID of the daemon that runs there.
+	Host string
+}
+
+func (e *OtherError) Error() string { return "the address belongs to daemon " + e.Host }
+
+// UnsentError reports a call that was not sent.
+type UnsentError struct{ Err error }
+
+func (e *UnsentError) Error() string { return "not sent: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnsentError) Unwrap() error { return e.Err }
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -234,11 +234,12 @@
 	}
 }
 
-// Call makes a control call to a host.
+// Call makes a control call to a host. It returns an *UnsentError if there was
+// no link to send the call on.
 func (n *Node) Call(x context.Context, h membership.Host, method string, params, result any) error {
 	l, err := n.link(x, h)
 	if err != nil {
-		return err
+		return Error.Wrap(&UnsentError{Err: err})
 	}
 	if err := l.c.Call(x, method, params, result); err != nil {
 		return Error.Wrap(err)
--- /dev/null
+++ b/pool/conn.go
@@ -0,0 +1,76 @@
+package pool
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// Dialer opens connections to backend servers.
+type Dialer interface {
+	Dial(x context.Context, m catalog.Member) (Conn, error)
+}
+
+// Conn is a connection to a backend server. It is not safe for concurrent use.
+type Conn interface {
+	// Do runs one step. After an error the connection is of no use, and whether
+	// the step was run isn't known.
+	Do(s query.Step, deadline time.Time) (query.Reply, error)
+	Close()
+}
+
+// conn is a pooled connection with what its session holds.
+type conn struct {
+	Conn
+	values   []query.Value
+	prepared map[string]bool
+	// used is when the connection was last given back.
+	used time.Time
+}
+
+// fits reports whether the connection's values are the wanted ones.
+func (c *conn) fits(v []query.Value) bool { return slices.Equal(c.values, v) }
+
+// prepare makes the session values and the prepared shape of a request hold on
+// the connection. It returns a failed reply if the member refused.
+func (c *conn) prepare(r *query.Request, deadline time.Time) (query.Reply, error) {
+	if !c.fits(r.Values) {
+		if o, err := c.setValues(r.Values, deadline); err != nil || o.Failure != nil {
+			return o, err
+		}
+	}
+	if r.Shape == nil {
+		return query.Reply{}, nil
+	}
+	n := shapeName(*r.Shape)
+	if c.prepared[n] {
+		return query.Reply{}, nil
+	}
+	o, err := c.Do(query.PrepareShape{Name: n, Shape: *r.Shape}, deadline)
+	if err == nil && o.Failure == nil {
+		c.prepared[n] = true
+	}
+	return o, err
+}
+
+func (c *conn) setValues(v []query.Value, deadline time.Time) (query.Reply, error) {
+	if len(c.values) > 0 {
+		o, err := c.Do(query.Reset{}, deadline)
+		if err != nil || o.Failure != nil {
+			return o, err
+		}
+		clear(c.prepared)
+	}
+	c.values = nil
+	for _, x := range v {
+		o, err := c.Do(query.SetValue{Value: x}, deadline)
+		if err != nil || o.Failure != nil {
+			return o, err
+		}
+		c.values = append(c.values, x)
+	}
+	return query.Reply{}, nil
+}
--- /dev/null
+++ b/pool/execute.go
@@ -0,0 +1,262 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// Guard is asked right before a step is sent to a member; it returns nil if the
+// step may be sent.
+type Guard func() *query.Failure
+
+// Execute runs a request. after is the position that a replica must hold.
+func (p *Pool) Execute(x context.Context, r *query.Request, after logpos.Position, g Guard) query.Reply {
+	d := time.Now().Add(r.Remaining)
+	switch r.Use {
+	case query.Later:
+		return p.later(x, r, d, g)
+	case query.Abandon:
+		return p.abandon(r)
+	default:
+		return p.begin(x, r, after, d, g)
+	}
+}
+
+// begin runs a single statement, or the first one of a transaction.
+func (p *Pool) begin(x context.Context, r *query.Request, after logpos.Position, d time.Time, g Guard) query.Reply {
+	c, f := p.acquire(x, r, d)
+	if f != nil {
+		return query.Reply{Failure: f, State: query.Idle}
+	}
+	o, broken := p.onConn(x, c, r, after, d, g)
+	if r.Use == query.First {
+		if !broken && o.State == query.Open {
+			p.hold(r, c)
+			return o
+		}
+		p.mu.Lock()
+		p.limit.End(r.Rank)
+		p.mu.Unlock()
+		if !broken && o.State == query.Failed {
+			broken = !p.rollBack(c, "")
+		}
+	}
+	p.release(c, broken || r.Use == query.Single && o.State != query.Idle)
+	return o
+}
+
+// onConn runs a request on a connection that holds no transaction.
+func (p *Pool) onConn(x context.Context, c *conn, r *query.Request, after logpos.Position, d time.Time, g Guard) (query.Reply, bool) {
+	id, f := p.slot(x, r, d, false)
+	if f != nil {
+		return query.Reply{Failure: f, State: query.Idle}, false
+	}
+	defer p.free(id)
+	if f := g(); f != nil {
+		return query.Reply{Failure: f, State: query.Idle}, false
+	}
+	if o, err := c.prepare(r, d); err != nil || o.Failure != nil {
+		return unsent(o, err), true
+	}
+	if r.Use == query.First {
+		o, err := p.do(c, query.Start{ID: r.Begin, ReadOnly: r.ReadOnly, After: after}, d)
+		if err != nil || o.Failure != nil {
+			return unsent(o, err), err != nil
+		}
+		after = logpos.Position{}
+	}
+	o, err := p.do(c, step(r, after), d)
+	if err != nil {
+		return lost(r, err), true
+	}
+	return o, false
+}
+
+// step returns the step of a request.
+func step(r *query.Request, after logpos.Position) query.Step {
+	if r.Action == query.DoCommit {
+		return query.End{ID: r.ID, Commit: true}
+	}
+	s := query.Run{ID: r.ID, Text: r.Text, After: after}
+	if r.Shape != nil {
+		s.Prepared = shapeName(*r.Shape)
+	}
+	return s
+}
+
+// hold keeps a connection for a transaction.
+func (p *Pool) hold(r *query.Request, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.txs[r.Session] = &tx{c: c, rank: r.Rank, used: time.Now()}
+}
+
+// later runs a further statement of a transaction.
+func (p *Pool) later(x context.Context, r *query.Request, d time.Time, g Guard) query.Reply {
+	p.mu.Lock()
+	t := p.txs[r.Session]
+	p.mu.Unlock()
+	if t == nil {
+		return query.Refusal(query.Aborted, "the transaction is not open here")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended {
+		return query.Refusal(query.Aborted, "the transaction has ended")
+	}
+	o, broken := p.inTx(x, t.c, r, d, g)
+	t.used = time.Now()
+	if o.State != query.Open || broken {
+		p.endTx(r.Session, t, o.State == query.Failed && !broken, broken)
+	}
+	return o
+}
+
+func (p *Pool) inTx(x context.Context, c *conn, r *query.Request, d time.Time, g Guard) (query.Reply, bool) {
+	id, f := p.slot(x, r, d, true)
+	if f != nil {
+		return query.Reply{Failure: f, State: query.Failed}, false
+	}
+	defer p.free(id)
+	if f := g(); f != nil {
+		return query.Reply{Failure: f, State: query.Failed}, false
+	}
+	if o, err := c.prepare(r, d); err != nil || o.Failure != nil {
+		return lostInTx(err), true
+	}
+	o, err := p.do(c, step(r, logpos.Position{}), d)
+	switch {
+	case err == nil:
+		return o, false
+	case r.Action == query.DoCommit:
+		return lost(r, err), true
+	default:
+		return lostInTx(err), true
+	}
+}
+
+// endTx gives the connection of a transaction back; t.mu is held.
+func (p *Pool) endTx(session string, t *tx, rollBack, broken bool) {
+	t.ended = true
+	if rollBack {
+		broken = !p.rollBack(t.c, "")
+	}
+	p.mu.Lock()
+	if p.txs[session] == t {
+		delete(p.txs, session)
+	}
+	p.limit.End(t.rank)
+	p.mu.Unlock()
+	p.release(t.c, broken)
+}
+
+// abandon rolls a transaction back; the request's ID is empty if the caller did
+// not ask for it.
+func (p *Pool) abandon(r *query.Request) query.Reply {
+	p.mu.Lock()
+	t := p.txs[r.Session]
+	p.mu.Unlock()
+	if t == nil {
+		return query.Reply{State: query.Idle}
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.ended {
+		p.endTx(r.Session, t, true, false)
+	}
+	return query.Reply{State: query.Idle}
+}
+
+// rollBackTime bounds a rollback, which needs no slot.
+const rollBackTime = time.Second
+
+// rollBack ends the transaction on a connection and reports whether the
+// connection can be used again.
+func (p *Pool) rollBack(c *conn, id string) bool {
+	o, err := p.do(c, query.End{ID: id}, time.Now().Add(rollBackTime))
+	return err == nil && o.Failure == nil && o.State == query.Idle
+}
+
+// unsent is the outcome if the step before the caller's own failed.
+func unsent(o query.Reply, err error) query.Reply {
+	if err != nil {
+		return query.Reply{Failure: &query.Failure{Reason: query.Unreachable, Text: err.Error()}, State: query.Idle}
+	}
+	return o
+}
+
+// lostInTx is the outcome of a statement whose connection broke inside a
+// transaction, which the member then rolls back.
+func lostInTx(err error) query.Reply {
+	t := "the member refused to set up the session"
+	if err != nil {
+		t = err.Error()
+	}
+	return query.Reply{Failure: &query.Failure{Reason: query.Aborted, Text: t}, State: query.Failed}
+}
+
+// lost is the outcome of a statement whose answer was lost.
+func lost(r *query.Request, err error) query.Reply {
+	f := &query.Failure{Reason: query.InDoubt, Text: err.Error()}
+	switch {
+	case r.Action == query.DoRead:
+		f.Reason = query.Unreachable
+	case r.Use == query.First && r.Action != query.DoCommit:
+		f.Reason = query.Aborted
+	}
+	return query.Reply{Failure: f, State: query.Idle}
+}
+
+func asFailure(err error) (*query.Failure, bool) {
+	var f *query.Failure
+	ok := errors.As(err, &f)
+	return f, ok
+}
+
+// Probe runs a step that needs no slot on an idle connection, or on a new one
+// if none is idle.
+func (p *Pool) Probe(x context.Context, s query.Step, d time.Duration) (query.Reply, error) {
+	t := time.Now().Add(d)
+	c, f := p.acquire(x, &query.Request{Rank: bundle.Urgent}, t)
+	if f != nil {
+		return query.Reply{}, f
+	}
+	o, err := p.do(c, s, t)
+	if _, ok := s.(query.Reset); ok && err == nil {
+		c.values = nil
+		clear(c.prepared)
+	}
+	p.release(c, err != nil)
+	return o, err
+}
+
+// Holds reports whether a session's transaction is open here.
+func (p *Pool) Holds(session string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.txs[session] != nil
+}
+
+// EndResting rolls back transactions that have rested for longer than d.
+func (p *Pool) EndResting(d time.Duration) {
+	p.mu.Lock()
+	var l []string
+	for s, t := range p.txs {
+		if t.mu.TryLock() {
+			if time.Since(t.used) > d {
+				l = append(l, s)
+			}
+			t.mu.Unlock()
+		}
+	}
+	p.mu.Unlock()
+	for _, s := range l {
+		p.c.Log.Info("resting transaction ended", "member", p.c.Member.ID, "session", s)
+		p.abandon(&query.Request{Session: s})
+	}
+}
--- /dev/null
+++ b/tenure/tenure.go
@@ -0,0 +1,197 @@
+// Package tenure decides which host holds a database group: sends the work of
+// its primary and replaces the primary. It does no I/O and reads no clock.
+//
+// The record in the store names the holder. A holder sends primary work only
+// for Validity after it asked for a record that named it. Another host that
+// takes the record over may send work to the same primary at once, since the
+// primary itself orders what it commits; it may replace the primary only when
+// no earlier holder can still send work to the old one: each has handed over,
+// is known to have ended, or Validity has passed.
+package tenure
+
+import (
+	"slices"
+	"time"
+)
+
+// Timing of tenures.
+const (
+	// Validity is how long a holder goes on without the store; it outlasts the
+	// outages of the store that operators report.
+	Validity = 14 * time.Second
+	// ConfirmInterval is how often a holder asks for its record.
+	ConfirmInterval = 2 * time.Second
+	// confirmRetry is the pause after a question that failed.
+	confirmRetry = 500 * time.Millisecond
+	// settle covers work that was sent within validity and is still on its way.
+	settle = 1500 * time.Millisecond
+)
+
+// Record is what the store holds of a group.
+type Record struct {
+	// Holder is the host that holds the group.
+	Holder string `json:"holder"`
+	// Prior are earlier holders that may still send work to the primary.
+	Prior []string `json:"prior,omitempty"`
+	// Primary and Term are those of the last promotion that is known.
+	Primary string `json:"primary,omitempty"`
+	Term    uint64 `json:"term,omitempty"`
+	// Target is the member that a promotion may have been asked for.
+	Target string `json:"target,omitempty"`
+}
+
+// Event is something that a tenure learns.
+type Event interface{ event() }
+
+// Seen tells of the record in the store.
+type Seen struct {
+	Record Record
+	// Revision is the store's revision of the record; zero if there is none.
+	Revision uint64
+	// Asked is when the store was asked, by the clock that goes on in a freeze;
+	// zero for news that came unasked, which proves nothing of now.
+	Asked time.Time
+}
+
+// Ended tells that a host's process has ended or has handed over for good.
+type Ended struct{ Host string }
+
+// Finished tells that the host sends no more work of a group that it doesn't
+// hold any more.
+type Finished struct{}
+
+// Asking tells that the record is being asked for, or that this failed.
+type Asking struct{ Failed bool }
+
+func (Seen) event()     {}
+func (Ended) event()    {}
+func (Finished) event() {}
+func (Asking) event()   {}
+
+// Tenure is one host's knowledge of who holds a group. It is not safe for
+// concurrent use.
+type Tenure struct {
+	self     string
+	record   Record
+	revision uint64
+	known    bool
+	// until is the end of the own validity, which outlives the loss of the group.
+	until time.Time
+	// prior maps an earlier holder to the end of what it may still send.
+	prior map[string]time.Time
+	// next is when to confirm the record.
+	next time.Time
+}
+
+// New returns the knowledge of the host self, which is none.
+func New(self string) *Tenure {
+	return &Tenure{self: self, prior: map[string]time.Time{}}
+}
+
+// Handle takes in an event.
+func (t *Tenure) Handle(e Event, now time.Time) {
+	switch x := e.(type) {
+	case Seen:
+		t.see(x, now)
+	case Ended:
+		delete(t.prior, x.Host)
+	case Finished:
+		if t.record.Holder != t.self {
+			t.until = time.Time{}
+		}
+	case Asking:
+		t.next = now.Add(ConfirmInterval)
+		if x.Failed {
+			t.next = now.Add(confirmRetry)
+		}
+	}
+}
+
+func (t *Tenure) see(x Seen, now time.Time) {
+	if t.known && x.Revision < t.revision {
+		return
+	}
+	held := t.known && t.record.Holder == t.self
+	t.record, t.revision, t.known = x.Record, x.Revision, true
+	if x.Record.Holder != t.self {
+		clear(t.prior)
+		return
+	}
+	for h := range t.prior {
+		if !slices.Contains(x.Record.Prior, h) {
+			delete(t.prior, h)
+		}
+	}
+	if !held {
+		for _, h := range x.Record.Prior {
+			t.prior[h] = now.Add(Validity + settle)
+		}
+	}
+	if u := x.Asked.Add(Validity); !x.Asked.IsZero() && u.After(t.until) {
+		t.until = u
+	}
+}
+
+// Record returns the record and its revision, or false if none is known.
+func (t *Tenure) Record() (Record, uint64, bool) { return t.record, t.revision, t.known }
+
+// Holds reports whether the host may send primary work now.
+func (t *Tenure) Holds(now time.Time) bool {
+	return t.known && t.record.Holder == t.self && now.Before(t.until)
+}
+
+// Finishing reports whether the host may go on with open transactions, also
+// after it has lost or passed on the group.
+func (t *Tenure) Finishing(now time.Time) bool { return now.Before(t.until) }
+
+// MayReplace reports whether no other host can send work to the primary any
+// more, so that the host may replace it.
+func (t *Tenure) MayReplace(now time.Time) bool {
+	return t.Holds(now) && len(t.Waiting(now)) == 0
+}
+
+// Waiting returns the earlier holders that may still send work.
+func (t *Tenure) Waiting(now time.Time) []string {
+	var o []string
+	for h, u := range t.prior {
+		if now.Before(u) {
+			o = append(o, h)
+		}
+	}
+	slices.Sort(o)
+	return o
+}
+
+// Confirm reports whether the record is to be asked for now.
+func (t *Tenure) Confirm(now time.Time) bool {
+	return t.known && t.record.Holder == t.self && !now.Before(t.next)
+}
+
+// Take returns the record by which the host takes the group over. Those in
+// ended can't send work any more.
+func (t *Tenure) Take(ended func(host string) bool) Record {
+	r := t.record
+	p := append(slices.Clone(r.Prior), r.Holder)
+	r.Prior = slices.DeleteFunc(p, func(h string) bool { return h == "" || h == t.self || ended(h) })
+	slices.Sort(r.Prior)
+	r.Prior = slices.Compact(r.Prior)
+	r.Holder = t.self
+	return r
+}
+
+// Give returns the record by which the holder passes the group to another host
+// while its own work may go on until it has ended.
+func (t *Tenure) Give(host string, now time.Time) Record {
+	r := t.record
+	r.Prior = append(t.Waiting(now), t.self)
+	r.Holder = host
+	return r
+}
+
+// Released returns the record without the host among the earlier holders, and
+// whether it stood there.
+func (t *Tenure) Released() (Record, bool) {
+	r := t.record
+	r.Prior = slices.DeleteFunc(slices.Clone(r.Prior), func(h string) bool { return h == t.self })
+	return r, len(r.Prior) < len(t.record.Prior)
+}
