A primary's log is compared with what was heard before the question was sent

Now the end of the log is compared with the time at which it was heard, pools of primaries held elsewhere are closed, and a group moves to a host in its primary's failure domain.

--- a/fleet/group.go
+++ b/fleet/group.go
@@ -34,6 +34,13 @@
 	busy bool
 	// replacing is when the replacement of the primary began, zero if none is.
 	replacing time.Time
+	// end is the furthest position that the primary told of, ended when it was
+	// heard; a holder notes them.
+	end   logpos.Position
+	ended time.Time
+	// nearBy is since when another host stands nearer to the primary, zero if
+	// none does.
+	nearBy time.Time
 	// regressed tells that the primary's log has lost entries.
 	regressed bool
 	// probing tells that fresh connections to the primary are being tried;
@@ -166,9 +173,46 @@
 	case len(g.tenure.Waiting(t)) > 0:
 		return f.askPrior
 	}
+	if f.better(g, t) {
+		return f.giveAway
+	}
 	return f.watchPrimary(g, t)
 }
 
+// gap returns how far a host stands from a member: in its failure domain, in its
+// region, or further.
+func gap(h membership.Host, m catalog.Member) int {
+	switch {
+	case h.FailureDomain == m.FailureDomain:
+		return 0
+	case h.Region == m.Region:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// betterTime is how long another host has to stand nearer to the primary before
+// it is given the group, so that short suspicions don't move it.
+const betterTime = 2 * time.Second
+
+// better reports whether another host has stood nearer to the primary for a
+// while; f.mu is held.
+func (f *Fleet) better(g *group, t time.Time) bool {
+	m, ok := f.members[g.primary]
+	if ok && !m.Draining && m.FailureDomain != f.c.Self.FailureDomain {
+		h, ok := f.view.Owner(place(m), time.Now())
+		if ok && gap(h, m) < gap(f.c.Self, m) {
+			if g.nearBy.IsZero() {
+				g.nearBy = t
+			}
+			return t.Sub(g.nearBy) > betterTime
+		}
+	}
+	g.nearBy = time.Time{}
+	return false
+}
+
 // key returns the store's key of a group.
 func key(g *group) string { return groupPrefix + g.name }
 
@@ -319,13 +363,16 @@
 	if member != g.primary || !g.tenure.Holds(now()) {
 		return
 	}
-	if s, ok := g.history.Last(); ok && p.Term == s.Position.Term && p.Less(s.Position) && sent.After(s.At) {
+	if p.Less(g.end) && sent.After(g.ended) {
 		if !g.regressed {
-			f.c.Log.Warn("primary has lost entries", "group", g.name, "member", member, "position", p.String(), "had", s.Position.String())
+			f.c.Log.Warn("primary has lost entries", "group", g.name, "member", member, "position", p.String(), "had", g.end.String())
 		}
 		g.regressed = true
 		return
 	}
+	if g.end.Less(p) {
+		g.end, g.ended = p, now()
+	}
 	g.history.Add(freshness.Sample{Position: p, At: sent})
 }
 
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -74,6 +74,8 @@
 		case m.Born != c.Born || m.Slots != c.Slots:
 			f.retire(id, o, "member changed")
 			o.Kill()
+		case f.heldElsewhere(id):
+			f.retire(id, o, "primary of a group held elsewhere")
 		case n.Sub(o.wanted) > unwantedTime && !f.serving(id):
 			f.retire(id, o, "not wanted")
 		case f.leaving.Load() && !f.serving(id):
@@ -119,6 +121,14 @@
 	return r.Holder == f.c.Self.ID && g.primary == member
 }
 
+// heldElsewhere reports whether a member is the primary of a group that another
+// host holds, which needs all its connections; f.mu is held.
+func (f *Fleet) heldElsewhere(member string) bool {
+	g := f.group(f.members[member].Group)
+	r, _, _ := g.tenure.Record()
+	return r.Holder != "" && r.Holder != f.c.Self.ID && r.Primary == member
+}
+
 // retire takes a pool out of use; f.mu is held.
 func (f *Fleet) retire(id string, o *owned, why string) {
 	f.c.Log.Info("member no longer owned", "member", id, "why", why)
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -347,6 +347,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g.primary, g.term, g.regressed = m.ID, s.Term, false
+	g.end, g.ended = s.Received, now()
 	g.history.Add(freshness.Sample{Position: s.Received, At: now()})
 	return true
 }
