Tenure: a replaced primary needs a written intent; one gate for slots and one for transactions; cut-off daemons refuse at once

Confirmations run beside other work, peers call the store for a daemon that it turns away, and a primary that leads already is adopted.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -86,6 +86,10 @@
 	// closing pools still have open transactions.
 	closing []*pool.Pool
 	table   *table
+	// contact is when another daemon last answered.
+	contact time.Time
+	// answered is when each host last answered a request.
+	answered map[string]time.Time
 	// lease is that of the own entry.
 	lease uint64
 }
@@ -101,7 +105,7 @@
 	x, stop := context.WithCancel(context.Background())
 	f := &Fleet{
 		c: c, mirror: newMirror(), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
-		members: map[string]catalog.Member{}, gone: map[string]time.Time{}, groups: map[string]*group{},
+		members: map[string]catalog.Member{}, gone: map[string]time.Time{}, groups: map[string]*group{}, contact: time.Now(), answered: map[string]time.Time{},
 		pools: map[string]*owned{}, table: newTable(),
 	}
 	var err error
@@ -144,13 +148,28 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.members) > 0
+	return len(f.members) > 0 && !f.isolated()
+}
+
+// Isolated reports whether this daemon is cut off from all others.
+func (f *Fleet) Isolated() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.isolated()
 }
 
 // note takes in news of a host.
 func (f *Fleet) note(e membership.Event) {
 	f.mu.Lock()
 	c := f.view.Handle(e, time.Now())
+	switch e := e.(type) {
+	case membership.Seen:
+		f.contact = time.Now()
+	case membership.Met:
+		if e.Direct {
+			f.contact = time.Now()
+		}
+	}
 	f.mu.Unlock()
 	if !c {
 		return
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -194,7 +194,7 @@
 	was, rev, _ := g.tenure.Record()
 	g.tenure.Handle(tenure.Seen{Record: r, Revision: i.Revision, Asked: asked}, now())
 	if i.Revision > rev {
-		f.c.Log.Info("group record", "group", g.name, "revision", i.Revision, "holder", r.Holder, "was", was.Holder, "prior", r.Prior, "primary", r.Primary, "term", r.Term, "target", r.Target)
+		f.c.Log.Info("group record", "group", g.name, "revision", i.Revision, "holder", r.Holder.ID, "was", was.Holder.ID, "prior", r.Prior, "primary", r.Primary, "term", r.Term, "target", r.Target)
 		g.adopt(r)
 	}
 }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -30,8 +30,10 @@
 	term    uint64
 	// found tells that the holder has asked the members for the primary.
 	found bool
-	// busy tells that the holder's work on the group is under way.
-	busy bool
+	// busy tells that the holder's work on the group is under way, confirming that
+	// its record is being asked for.
+	busy       bool
+	confirming bool
 	// replacing is when the replacement of the primary began, zero if none is.
 	replacing time.Time
 	// end is the furthest position that the primary told of, ended when it was
@@ -53,11 +55,16 @@
 	asking chan struct{}
 }
 
+// self returns this process as a holder of groups.
+func (f *Fleet) self() tenure.Party {
+	return tenure.Party{ID: f.c.Self.ID, Address: f.c.Self.PeerAddress}
+}
+
 // group returns the state of a group; f.mu is held.
 func (f *Fleet) group(name string) *group {
 	g := f.groups[name]
 	if g == nil {
-		g = &group{name: name, tenure: tenure.New(f.c.Self.ID)}
+		g = &group{name: name, tenure: tenure.New(f.self())}
 		f.groups[name] = g
 	}
 	return g
@@ -72,7 +79,7 @@
 
 // serves reports whether the host may send new work to the primary now.
 func (g *group) serves(now time.Time) bool {
-	return g.tenure.Holds(now) && g.found && g.replacing.IsZero()
+	return g.tenure.Holds(now) && g.found && g.replacing.IsZero() && !g.regressed
 }
 
 // believed returns the primary as known without being its holder: that of the
@@ -107,6 +114,16 @@
 	t := now()
 	for n := range f.groupNames() {
 		g := f.group(n)
+		if g.tenure.Confirm(t) && !g.confirming {
+			g.confirming = true
+			g.tenure.Handle(tenure.Asking{}, t)
+			f.background(func(x context.Context) {
+				f.confirm(x, g)
+				f.mu.Lock()
+				g.confirming = false
+				f.mu.Unlock()
+			})
+		}
 		if g.busy {
 			continue
 		}
@@ -136,11 +153,11 @@
 func (f *Fleet) duty(g *group, t time.Time) func(context.Context, *group) {
 	r, _, known := g.tenure.Record()
 	switch {
-	case known && r.Holder == f.c.Self.ID:
+	case known && r.Holder.ID == f.c.Self.ID:
 		return f.holderDuty(g, t)
 	case f.releasable(g):
 		return f.release
-	case f.leaving.Load() || f.lease == 0 || known && f.alive(r.Holder):
+	case f.leaving.Load() || f.lease == 0 || known && !f.mayTake(r.Holder.ID):
 		return nil
 	}
 	m, ok := f.believed(g)
@@ -158,12 +175,20 @@
 	return slices.ContainsFunc(f.view.Live(time.Now()), func(h membership.Host) bool { return h.ID == id })
 }
 
+// mayTake reports whether a group may be taken from its holder: the platform has
+// given the holder up or it leaves, or it doesn't answer this host while most
+// others do, so that it is not this host that is cut off; f.mu is held.
+func (f *Fleet) mayTake(holder string) bool {
+	h, ok := f.view.Host(holder)
+	if !ok || h.Leaving {
+		return true
+	}
+	return !f.alive(holder) && !f.isolated() && len(f.liveOthers()) >= len(f.view.Suspects(time.Now()))
+}
+
 // holderDuty returns the work of the holder; f.mu is held.
 func (f *Fleet) holderDuty(g *group, t time.Time) func(context.Context, *group) {
 	switch {
-	case g.tenure.Confirm(t):
-		g.tenure.Handle(tenure.Asking{}, t)
-		return f.confirm
 	case !g.tenure.Holds(t):
 		return nil
 	case !g.found:
@@ -220,12 +245,12 @@
 func (f *Fleet) takeOver(x context.Context, g *group) {
 	f.mu.Lock()
 	r, rev, known := g.tenure.Record()
-	n := g.tenure.Take(func(string) bool { return false })
+	n := g.tenure.Take()
 	f.mu.Unlock()
 	if !known {
 		rev = 0
 	}
-	f.c.Log.Info("group taken over", "group", g.name, "from", r.Holder, "revision", rev, "prior", n.Prior)
+	f.c.Log.Info("group taken over", "group", g.name, "from", r.Holder.ID, "revision", rev, "prior", n.Prior)
 	f.swap(x, g, n, rev)
 }
 
@@ -240,7 +265,8 @@
 		return false
 	}
 	t := now()
-	n, err := f.c.Store.Put(y, store.Write{Key: key(g), Value: v, Conditional: true, Revision: rev})
+	w := store.Write{Key: key(g), Value: v, Conditional: true, Revision: rev}
+	n, err := f.write(y, w)
 	var c *store.ConflictError
 	switch {
 	case err == nil:
@@ -262,11 +288,7 @@
 	y, stop := context.WithTimeout(x, readTimeout)
 	defer stop()
 	t := now()
-	i, err := f.c.Store.Get(y, key(g))
-	if err != nil {
-		t = now()
-		i, err = f.askStore(x, key(g))
-	}
+	i, err := f.read(y, key(g))
 	if err != nil {
 		f.mu.Lock()
 		g.tenure.Handle(tenure.Asking{Failed: true}, now())
@@ -284,21 +306,15 @@
 	f.mu.Lock()
 	l := g.tenure.Waiting(now())
 	f.mu.Unlock()
-	for _, id := range l {
-		f.mu.Lock()
-		h, ok := f.view.Host(id)
-		f.mu.Unlock()
-		if !ok {
-			continue
-		}
+	for _, p := range l {
 		y, stop := context.WithTimeout(x, linkTimeout)
-		err := f.node.Call(y, h, methodPing, nil, nil)
+		err := f.node.Call(y, membership.Host{ID: p.ID, PeerAddress: p.Address}, methodPing, nil, nil)
 		stop()
 		var o *peer.OtherError
 		if errors.As(err, &o) {
-			f.c.Log.Info("earlier holder has ended", "group", g.name, "host", id, "now", o.Host)
+			f.c.Log.Info("earlier holder has ended", "group", g.name, "host", p.ID, "now", o.Host)
 			f.mu.Lock()
-			g.tenure.Handle(tenure.Ended{Host: id}, now())
+			g.tenure.Handle(tenure.Ended{Host: p.ID}, now())
 			f.mu.Unlock()
 		}
 	}
@@ -315,7 +331,7 @@
 		h, ok = f.view.Owner(place(m), time.Now())
 	}
 	_, rev, _ := g.tenure.Record()
-	r := g.tenure.Give(h.ID, now())
+	r := g.tenure.Give(tenure.Party{ID: h.ID, Address: h.PeerAddress}, now())
 	f.mu.Unlock()
 	if !ok || h.ID == f.c.Self.ID {
 		pause(x, backoff(1))
@@ -329,7 +345,7 @@
 // ended; f.mu is held.
 func (f *Fleet) releasable(g *group) bool {
 	r, rev, known := g.tenure.Record()
-	if !known || rev == 0 || !slices.Contains(r.Prior, f.c.Self.ID) {
+	if !known || rev == 0 || !slices.Contains(r.Prior, f.self()) {
 		return false
 	}
 	for _, p := range f.closing {
@@ -351,7 +367,7 @@
 	_, rev, _ := g.tenure.Record()
 	f.mu.Unlock()
 	if ok {
-		f.c.Log.Info("group released", "group", g.name, "holder", r.Holder)
+		f.c.Log.Info("group released", "group", g.name, "holder", r.Holder.ID)
 		f.swap(x, g, r, rev)
 	}
 }
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -118,7 +118,7 @@
 func (f *Fleet) serving(member string) bool {
 	g := f.group(f.members[member].Group)
 	r, _, _ := g.tenure.Record()
-	return r.Holder == f.c.Self.ID && g.primary == member
+	return r.Holder.ID == f.c.Self.ID && g.primary == member
 }
 
 // heldElsewhere reports whether a member is the primary of a group that another
@@ -126,7 +126,7 @@
 func (f *Fleet) heldElsewhere(member string) bool {
 	g := f.group(f.members[member].Group)
 	r, _, _ := g.tenure.Record()
-	return r.Holder != "" && r.Holder != f.c.Self.ID && r.Primary == member
+	return r.Holder.ID != "" && r.Holder.ID != f.c.Self.ID && r.Primary == member
 }
 
 // retire takes a pool out of use; f.mu is held.
@@ -158,7 +158,7 @@
 	for _, g := range f.groups {
 		s, ok := g.history.Last()
 		r, _, _ := g.tenure.Record()
-		if n.Sub(g.read) > readMemory || ok && n.Sub(s.At) < positionInterval || g.asking != nil || r.Holder == f.c.Self.ID && ok && n.Sub(s.At) < positionInterval {
+		if n.Sub(g.read) > readMemory || ok && n.Sub(s.At) < positionInterval || g.asking != nil || r.Holder.ID == f.c.Self.ID && ok && n.Sub(s.At) < positionInterval {
 			continue
 		}
 		f.background(func(x context.Context) { f.askPosition(x, g) })
@@ -190,7 +190,7 @@
 	defer f.mu.Unlock()
 	for _, g := range f.groups {
 		r, _, ok := g.tenure.Record()
-		if ok && r.Holder == f.c.Self.ID || f.releasable(g) {
+		if ok && r.Holder.ID == f.c.Self.ID || f.releasable(g) {
 			return false
 		}
 	}
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -268,7 +268,7 @@
 				f.c.Log.Info("member without status", "group", g.name, "member", a.member.ID, "error", a.err)
 			case a.member.ID == old && a.status.Primary:
 				end = a.status.Received
-			case a.status.Primary && a.status.Term > g.term:
+			case f.leads(g, a):
 				return a, true
 			case a.member.Draining || a.member.ID == old:
 			case best < 0 || l[best].status.Received.Less(a.status.Received) || l[best].status.Received == a.status.Received && f.nearer(a.member, l[best].member):
@@ -285,6 +285,15 @@
 	}
 }
 
+// leads reports whether a member leads already: by a promotion that was asked for
+// earlier, or since the primary has come back under another ID with its log.
+func (f *Fleet) leads(g *group, a answer) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := a.status
+	return s.Primary && (s.Term > g.term || s.Term == g.term && a.member.ID != g.primary && !s.Received.Less(g.end))
+}
+
 // nearer reports whether a stands nearer to this host than b.
 func (f *Fleet) nearer(a, b catalog.Member) bool {
 	return f.distance(a.Region, a.FailureDomain) < f.distance(b.Region, b.FailureDomain)
@@ -301,10 +310,12 @@
 	r.Target = a.member.ID
 	term := max(g.term, r.Term)
 	f.mu.Unlock()
-	if a.status.Primary && a.status.Term > term {
+	if f.leads(g, a) {
 		return f.lead(g, a.member, a.status)
 	}
-	f.swap(x, g, r, rev)
+	if !f.swap(x, g, r, rev) {
+		return false
+	}
 	t := time.Now()
 	for time.Since(t) < leadTime && x.Err() == nil {
 		f.mu.Lock()
@@ -357,7 +368,7 @@
 	for range 3 {
 		f.mu.Lock()
 		r, rev, _ := g.tenure.Record()
-		ok := r.Holder == f.c.Self.ID
+		ok := r.Holder.ID == f.c.Self.ID
 		r.Primary, r.Term, r.Target = g.primary, g.term, ""
 		r.Prior = g.tenure.Waiting(now())
 		f.mu.Unlock()
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -25,6 +25,15 @@
 	holderPause = 20 * time.Millisecond
 	// tries bounds the members that one read is offered to.
 	tries = 6
+	// stallTime is how long a host may answer no call at all until reads are sent
+	// elsewhere; the way to another region and a statement take a fraction of it.
+	stallTime = 350 * time.Millisecond
+	// isolatedRetry is when a caller of a daemon that is cut off should come back,
+	// by way of another one.
+	isolatedRetry = 500 * time.Millisecond
+	// contactTime is how long no other daemon may have answered until this one
+	// takes itself for cut off; each is asked for news several times in it.
+	contactTime = 1200 * time.Millisecond
 	// Assumed round trips to a host by distance.
 	nearTrip   = 500 * time.Microsecond
 	regionTrip = 4 * time.Millisecond
@@ -99,7 +108,12 @@
 		}
 		f.mu.Lock()
 		h, ok := f.holder(r.Group, hint)
+		alone := f.isolated()
 		f.mu.Unlock()
+		if alone && h.ID != f.c.Self.ID {
+			o.Failure = &query.Failure{Reason: query.Overloaded, Text: "this daemon is cut off from the others", RetryAfter: isolatedRetry}
+			return o
+		}
 		if ok {
 			o = f.send(x, h, r, left)
 			if o.Failure == nil || o.Failure.Reason != query.Moved && o.Failure.Reason != query.Unreachable {
@@ -126,10 +140,17 @@
 		return membership.Host{}, false
 	}
 	r, _, ok := g.tenure.Record()
-	if !ok || r.Holder == "" {
+	if !ok || r.Holder.ID == "" {
 		return membership.Host{}, false
 	}
-	return f.view.Host(r.Holder)
+	h, ok := f.view.Host(r.Holder.ID)
+	return h, ok && !f.suspect(h.ID)
+}
+
+// suspect reports whether a host is passed over because it didn't answer; f.mu
+// is held.
+func (f *Fleet) suspect(id string) bool {
+	return slices.ContainsFunc(f.view.Suspects(time.Now()), func(h membership.Host) bool { return h.ID == id }) && !f.alive(id)
 }
 
 // executeRead offers a read to the members in the order of predicted cost.
@@ -272,10 +293,16 @@
 	}
 	y, stop := context.WithTimeout(x, left+callMargin)
 	defer stop()
+	if r.Action == query.DoRead && r.Use != query.Later && !r.Primary {
+		defer f.watchStall(h.ID, stop)()
+	}
 	var o query.Response
 	err := f.node.Call(y, h, methodExecute, &q, &o)
 	o.Owner = h.ID
 	if err == nil {
+		f.mu.Lock()
+		f.answered[h.ID] = time.Now()
+		f.mu.Unlock()
 		return o
 	}
 	o = query.Response{Owner: h.ID}
@@ -297,6 +324,28 @@
 	return o
 }
 
+// watchStall gives a call up if the host answers no call at all for a while, as
+// one that is frozen does. The result ends the watch.
+func (f *Fleet) watchStall(host string, giveUp func()) func() bool {
+	start := time.Now()
+	var t *time.Timer
+	set := make(chan struct{})
+	t = time.AfterFunc(stallTime, func() {
+		<-set
+		f.mu.Lock()
+		a := f.answered[host]
+		f.mu.Unlock()
+		if a.Before(start) {
+			giveUp()
+			return
+		}
+		t.Reset(stallTime)
+		start = a
+	})
+	close(set)
+	return t.Stop
+}
+
 // abandon rolls back a transaction that may have been opened at a host.
 func (f *Fleet) abandon(x context.Context, h membership.Host, r query.Request) {
 	y, stop := context.WithTimeout(x, linkTimeout)
@@ -311,3 +360,26 @@
 func (f *Fleet) liveOthers() []membership.Host {
 	return slices.DeleteFunc(f.view.Live(time.Now()), func(h membership.Host) bool { return h.ID == f.c.Self.ID })
 }
+
+// someLive returns a few other live hosts in random order.
+func (f *Fleet) someLive() []membership.Host {
+	f.mu.Lock()
+	l := f.liveOthers()
+	f.mu.Unlock()
+	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	return l[:min(len(l), askedPeers)]
+}
+
+// isolated reports whether this host is cut off from all others that the
+// platform lists; f.mu is held.
+func (f *Fleet) isolated() bool {
+	if time.Since(f.contact) < contactTime {
+		return false
+	}
+	for _, h := range f.view.Known() {
+		if h.ID != f.c.Self.ID && !h.Leaving && f.view.Listed(h.ID) {
+			return true
+		}
+	}
+	return false
+}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -25,6 +25,7 @@
 	methodPosition = "position"
 	methodExchange = "exchange"
 	methodItem     = "item"
+	methodWrite    = "write"
 	methodPing     = "ping"
 )
 
@@ -96,9 +97,13 @@
 		if err := params(r, &p); err != nil {
 			return nil, err
 		}
-		y, stop := context.WithTimeout(x, readTimeout)
-		defer stop()
-		return f.c.Store.Get(y, p.Key)
+		return f.readFor(x, p.Key)
+	case methodWrite:
+		var w store.Write
+		if err := params(r, &w); err != nil {
+			return nil, err
+		}
+		return f.writeFor(x, w)
 	case methodPing:
 		return struct{}{}, nil
 	default:
@@ -161,10 +166,10 @@
 	for !g.serves(now()) {
 		rec, _, _ := g.tenure.Record()
 		left := r.Remaining - time.Since(t)
-		if rec.Holder != f.c.Self.ID || left <= holderPause {
+		if rec.Holder.ID != f.c.Self.ID || left <= holderPause {
 			f.mu.Unlock()
-			o := query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder}
-			if rec.Holder == f.c.Self.ID {
+			o := query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder.ID}
+			if rec.Holder.ID == f.c.Self.ID {
 				o.Reply = query.Refusal(query.Overloaded, "the primary is being replaced")
 			}
 			return o
@@ -225,10 +230,14 @@
 	for range 2 {
 		f.mu.Lock()
 		p, ok := g.history.Floor(since, own)
+		alone := f.isolated()
 		f.mu.Unlock()
 		if ok {
 			return p, true
 		}
+		if alone {
+			return p, false
+		}
 		f.askPosition(x, g)
 	}
 	f.mu.Lock()
@@ -332,7 +341,7 @@
 }
 
 // exchangeInterval is how often another daemon is asked for news.
-const exchangeInterval = 700 * time.Millisecond
+const exchangeInterval = 300 * time.Millisecond
 
 func (f *Fleet) exchangeWith(x context.Context, h membership.Host) {
 	y, stop := context.WithTimeout(x, linkTimeout)
@@ -350,31 +359,6 @@
 	}
 }
 
-// askStore has another daemon read a key, for the time that the store turns
-// this one away.
-func (f *Fleet) askStore(x context.Context, key string) (store.Item, error) {
-	f.mu.Lock()
-	l := f.liveOthers()
-	f.mu.Unlock()
-	rand.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
-	err := error(&NoPeerError{})
-	for _, h := range l[:min(len(l), 3)] {
-		y, stop := context.WithTimeout(x, linkTimeout)
-		var i store.Item
-		err = f.node.Call(y, h, methodItem, itemParams{Key: key}, &i)
-		stop()
-		if err == nil {
-			return i, nil
-		}
-	}
-	return store.Item{}, Error.Wrap(err)
-}
-
-// NoPeerError reports that no other daemon is known.
-type NoPeerError struct{}
-
-func (*NoPeerError) Error() string { return "no other daemon is known" }
-
 // pool returns the pool of a member, made if need be; f.mu is held.
 func (f *Fleet) pool(m catalog.Member) *pool.Pool {
 	o := f.pools[m.ID]
--- /dev/null
+++ b/freshness/freshness_test.go
@@ -0,0 +1,95 @@
+package freshness_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypick/dragonflypick/freshness"
+	"github.com/dragonflypick/dragonflypick/logpos"
+)
+
+func TestFreshness(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "freshness")
+}
+
+var start = time.Unix(1e9, 0)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func pos(term, offset uint64) logpos.Position { return logpos.Position{Term: term, Offset: offset} }
+
+var _ = Describe("History", func() {
+	It("knows no floor before the first sample, nor after the last", func() {
+		var h freshness.History
+		_, ok := h.Floor(start, logpos.Position{})
+		Expect(ok).To(BeFalse())
+		h.Add(freshness.Sample{Position: pos(1, 5), At: at(time.Second)})
+		_, ok = h.Floor(at(2*time.Second), logpos.Position{})
+		Expect(ok).To(BeFalse())
+	})
+
+	It("takes the oldest sample that is young enough", func() {
+		var h freshness.History
+		for i := range 10 {
+			h.Add(freshness.Sample{Position: pos(1, uint64(i)), At: at(time.Duration(i) * 100 * time.Millisecond)})
+		}
+		p, ok := h.Floor(at(350*time.Millisecond), logpos.Position{})
+		Expect(ok).To(BeTrue())
+		Expect(p).To(Equal(pos(1, 4)))
+		p, _ = h.Floor(at(350*time.Millisecond), pos(1, 7))
+		Expect(p).To(Equal(pos(1, 7)))
+		Expect(h.Held(pos(1, 4))).To(Equal(at(400 * time.Millisecond)))
+		Expect(h.Held(pos(0, 4))).To(BeZero())
+	})
+
+	It("drops positions of an older term, which may be rolled back", func() {
+		var h freshness.History
+		h.Add(freshness.Sample{Position: pos(1, 900), At: at(0)})
+		h.Add(freshness.Sample{Position: pos(2, 850), At: at(time.Second)})
+		h.Add(freshness.Sample{Position: pos(1, 901), At: at(1100 * time.Millisecond)})
+		p, ok := h.Floor(at(0), pos(1, 900))
+		Expect(ok).To(BeTrue())
+		Expect(p).To(Equal(pos(2, 850)))
+	})
+})
+
+var _ = It("never gives a floor below a commit that was acknowledged before", func() {
+	rapid.Check(GinkgoT(), func(t *rapid.T) {
+		var h freshness.History
+		type commit struct {
+			at time.Time
+			p  logpos.Position
+		}
+		var log []commit
+		now := start
+		n := uint64(0)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 2).Draw(t, "do") {
+			case 0:
+				n++
+				log = append(log, commit{at: now, p: pos(1, n)})
+			case 1:
+				// The primary is asked now and answers later with what it has then.
+				sent := now
+				now = now.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "late")) * time.Millisecond)
+				if n > 0 {
+					h.Add(freshness.Sample{Position: pos(1, n), At: sent})
+				}
+			case 2:
+				since := now.Add(-time.Duration(rapid.IntRange(0, 5000).Draw(t, "age")) * time.Millisecond)
+				p, ok := h.Floor(since, logpos.Position{})
+				for _, c := range log {
+					if ok && c.at.Before(since) && p.Less(c.p) {
+						t.Fatalf("floor %v for %v lacks %v of %v", p, since, c.p, c.at)
+					}
+				}
+			}
+		}
+	})
+})
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -89,6 +89,7 @@
 	g.Go(func() error {
 		return platform.ServeReady(y, c.Settings.ReadyListen, func() bool { return !draining.Load() && f.Ready() })
 	})
+	g.Go(func() error { return sendAway(y, c, f, k) })
 	g.Go(func() error { return serveMetrics(y, c.Settings.MetricsListen, f) })
 	g.Go(func() error {
 		select {
@@ -106,6 +107,41 @@
 	return err
 }
 
+// Timing of a daemon that is cut off from the others.
+const (
+	// awayPoll is how often it is looked at.
+	awayPoll = 250 * time.Millisecond
+	// awayTime is how long it is cut off until resting callers are let go, which
+	// come back by way of the balancer; that needs two missed questions, one a
+	// second.
+	awayTime = 2500 * time.Millisecond
+)
+
+// sendAway lets resting callers go while the daemon is cut off.
+func sendAway(x context.Context, c Config, f *fleet.Fleet, k *platform.Callers) error {
+	t := time.NewTicker(awayPoll)
+	defer t.Stop()
+	var since time.Time
+	for {
+		select {
+		case <-x.Done():
+			return nil
+		case <-t.C:
+		}
+		switch {
+		case !f.Isolated():
+			since = time.Time{}
+		case since.IsZero():
+			since = time.Now()
+			c.Log.Warn("cut off from all other daemons", "callers", k.Open())
+		case time.Since(since) > awayTime:
+			c.Log.Info("resting callers let go", "callers", k.Open())
+			k.Dismiss()
+			since = time.Now()
+		}
+	}
+}
+
 // drain hands over what the host holds and lets callers go.
 func drain(x context.Context, c Config, f *fleet.Fleet, k *platform.Callers) {
 	t := time.Now()
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/query"
 )
 
@@ -13,26 +12,26 @@
 const dialTimeout = 1500 * time.Millisecond
 
 // acquire returns a connection, an idle one with fitting values first.
-func (p *Pool) acquire(x context.Context, r *query.Request, deadline time.Time) (*conn, *query.Failure) {
-	w := &waiter{rank: r.Rank, tx: r.Use == query.First, ready: make(chan struct{}, 1)}
+func (p *Pool) acquire(x context.Context, v []query.Value, deadline time.Time) (*conn, *query.Failure) {
+	w := make(chan struct{}, 1)
 	t := time.NewTimer(time.Until(deadline))
 	defer t.Stop()
-	defer p.leave(w)
+	defer p.forget(w)
 	for {
-		c, dial, f := p.take(w, r.Values)
+		c, dial, f := p.take(w, v)
 		switch {
 		case f != nil:
 			return nil, f
 		case c != nil:
 			return c, nil
 		case dial:
-			c, f := p.dial(x, w, deadline)
-			if c != nil || f != nil {
+			if c, f := p.dial(x, deadline); c != nil || f != nil {
 				return c, f
 			}
+			continue
 		}
 		select {
-		case <-w.ready:
+		case <-w:
 		case <-t.C:
 			return nil, &query.Failure{Reason: query.Overloaded, Text: "no connection was free in time"}
 		case <-x.Done():
@@ -42,69 +41,48 @@
 }
 
 // take returns an idle connection, or tells to open one, or neither if the
-// waiter has to wait. An opened one is counted already.
-func (p *Pool) take(w *waiter, v []query.Value) (c *conn, dial bool, f *query.Failure) {
+// waiter has to wait. One to be opened is counted already.
+func (p *Pool) take(w chan struct{}, v []query.Value) (c *conn, dial bool, f *query.Failure) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, false, &query.Failure{Reason: query.Moved, Text: "the member is owned elsewhere"}
 	}
-	if !slices.Contains(p.waiters, w) {
-		p.waiters = append(p.waiters, w)
-	}
-	if p.before(w) || w.tx && p.limit.Open() >= p.limit.Limit(w.rank) {
-		return nil, false, nil
-	}
-	if n := len(p.idle); n > 0 {
-		i := n - 1
-		for j := n - 1; j >= 0; j-- {
-			if p.idle[j].fits(v) {
-				i = j
-				break
+	n := len(p.idle)
+	if n == 0 {
+		if p.open >= p.limit || p.c.Now().Before(p.full) {
+			if !slices.Contains(p.waiters, w) {
+				p.waiters = append(p.waiters, w)
 			}
+			return nil, false, nil
 		}
-		c = p.idle[i]
-		p.idle = slices.Delete(p.idle, i, i+1)
-	} else if p.open >= p.limit.Connections || p.c.Now().Before(p.full) {
-		return nil, false, nil
-	} else {
 		p.open++
+		return nil, true, nil
 	}
-	if w.tx {
-		p.limit.Begin(w.rank)
-	}
-	return c, c == nil, nil
-}
-
-// before reports whether another waiter that could go on goes first.
-func (p *Pool) before(w *waiter) bool {
-	for _, o := range p.waiters {
-		if o == w {
-			continue
-		}
-		if o.tx && p.limit.Open() >= p.limit.Limit(o.rank) {
-			continue
-		}
-		if o.rank < w.rank || o.rank == w.rank && slices.Index(p.waiters, o) < slices.Index(p.waiters, w) {
-			return len(p.idle) == 0
+	i := n - 1
+	for j := n - 1; j >= 0; j-- {
+		if p.idle[j].fits(v) {
+			i = j
+			break
 		}
 	}
-	return false
+	c = p.idle[i]
+	p.idle = slices.Delete(p.idle, i, i+1)
+	return c, false, nil
 }
 
-// leave takes a waiter out and lets the next one look.
-func (p *Pool) leave(w *waiter) {
+// forget takes a waiter out.
+func (p *Pool) forget(w chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.waiters = slices.DeleteFunc(p.waiters, func(o *waiter) bool { return o == w })
-	p.wake()
+	p.waiters = slices.DeleteFunc(p.waiters, func(o chan struct{}) bool { return o == w })
 }
 
-// wake lets all waiters look again; p.mu is held.
+// wake lets the waiters look again; p.mu is held.
 func (p *Pool) wake() {
 	for _, w := range p.waiters {
 		select {
-		case w.ready <- struct{}{}:
+		case w <- struct{}{}:
 		default:
 		}
 	}
@@ -112,7 +90,7 @@
 
 // dial opens a connection that is counted already. Both results are nil if the
 // member has none left and the waiter is to wait.
-func (p *Pool) dial(x context.Context, w *waiter, deadline time.Time) (*conn, *query.Failure) {
+func (p *Pool) dial(x context.Context, deadline time.Time) (*conn, *query.Failure) {
 	if d := time.Now().Add(dialTimeout); d.Before(deadline) {
 		deadline = d
 	}
@@ -120,22 +98,22 @@
 	defer stop()
 	k, err := p.c.Dialer.Dial(y, p.c.Member)
 	if err == nil {
-		p.heardNow(query.Reply{}, time.Time{})
+		p.Heard()
 		return &conn{Conn: k, prepared: map[string]bool{}}, nil
 	}
 	f := failure(err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	if w.tx {
-		p.limit.End(w.rank)
-	}
 	if f.Reason == query.TooManyConnections {
 		p.full = p.c.Now().Add(fullPause)
 		time.AfterFunc(fullPause, p.retry)
-		return nil, nil
+		if !p.closed {
+			return nil, nil
+		}
 	}
 	p.failures++
+	p.wake()
 	return nil, f
 }
 
@@ -206,6 +184,3 @@
 		t.c.Close()
 	}
 }
-
-// Member returns the backend server.
-func (p *Pool) Member() catalog.Member { return p.c.Member }
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 )
@@ -29,34 +28,56 @@
 
 // begin runs a single statement, or the first one of a transaction.
 func (p *Pool) begin(x context.Context, r *query.Request, after logpos.Position, d time.Time, g Guard) query.Reply {
-	c, f := p.acquire(x, r, d)
+	if r.Use != query.First {
+		return p.single(x, r, after, d, g)
+	}
+	n, f := p.transactions.enter(x, r, d, false)
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Idle}
 	}
-	o, broken := p.onConn(x, c, r, after, d, g)
-	if r.Use == query.First {
-		if !broken && o.State == query.Open {
-			p.hold(r, c)
-			return o
-		}
-		p.mu.Lock()
-		p.limit.End(r.Rank)
-		p.mu.Unlock()
-		if !broken && o.State == query.Failed {
-			broken = !p.rollBack(c, "")
-		}
+	o, c := p.outside(x, r, after, d, g)
+	if c != nil && o.State == query.Open {
+		p.hold(r, c, n)
+		return o
+	}
+	p.transactions.leave(n)
+	if c != nil {
+		p.release(c, o.State == query.Failed && !p.rollBack(c, ""))
 	}
-	p.release(c, broken || r.Use == query.Single && o.State != query.Idle)
 	return o
 }
 
-// onConn runs a request on a connection that holds no transaction.
-func (p *Pool) onConn(x context.Context, c *conn, r *query.Request, after logpos.Position, d time.Time, g Guard) (query.Reply, bool) {
-	id, f := p.slot(x, r, d, false)
+// single runs a statement outside of transactions.
+func (p *Pool) single(x context.Context, r *query.Request, after logpos.Position, d time.Time, g Guard) query.Reply {
+	o, c := p.outside(x, r, after, d, g)
+	if c != nil {
+		p.release(c, o.State != query.Idle)
+	}
+	return o
+}
+
+// outside runs a request on a connection that holds no transaction. The
+// connection is nil if it broke, or if there was none.
+func (p *Pool) outside(x context.Context, r *query.Request, after logpos.Position, d time.Time, g Guard) (query.Reply, *conn) {
+	n, f := p.slots.enter(x, r, d, false)
 	if f != nil {
-		return query.Reply{Failure: f, State: query.Idle}, false
+		return query.Reply{Failure: f, State: query.Idle}, nil
+	}
+	defer p.slots.leave(n)
+	c, f := p.acquire(x, r.Values, d)
+	if f != nil {
+		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
-	defer p.free(id)
+	o, broken := p.onConn(c, r, after, d, g)
+	if broken {
+		p.release(c, true)
+		return o, nil
+	}
+	return o, c
+}
+
+// onConn runs a request on a connection and reports whether it broke.
+func (p *Pool) onConn(c *conn, r *query.Request, after logpos.Position, d time.Time, g Guard) (query.Reply, bool) {
 	if f := g(); f != nil {
 		return query.Reply{Failure: f, State: query.Idle}, false
 	}
@@ -90,10 +111,10 @@
 }
 
 // hold keeps a connection for a transaction.
-func (p *Pool) hold(r *query.Request, c *conn) {
+func (p *Pool) hold(r *query.Request, c *conn, place uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.txs[r.Session] = &tx{c: c, rank: r.Rank, used: time.Now()}
+	p.txs[r.Session] = &tx{c: c, place: place, used: time.Now()}
 }
 
 // later runs a further statement of a transaction.
@@ -118,11 +139,11 @@
 }
 
 func (p *Pool) inTx(x context.Context, c *conn, r *query.Request, d time.Time, g Guard) (query.Reply, bool) {
-	id, f := p.slot(x, r, d, true)
+	id, f := p.slots.enter(x, r, d, true)
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
-	defer p.free(id)
+	defer p.slots.leave(id)
 	if f := g(); f != nil {
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
@@ -150,8 +171,8 @@
 	if p.txs[session] == t {
 		delete(p.txs, session)
 	}
-	p.limit.End(t.rank)
 	p.mu.Unlock()
+	p.transactions.leave(t.place)
 	p.release(t.c, broken)
 }
 
@@ -222,7 +243,7 @@
 // if none is idle.
 func (p *Pool) Probe(x context.Context, s query.Step, d time.Duration) (query.Reply, error) {
 	t := time.Now().Add(d)
-	c, f := p.acquire(x, &query.Request{Rank: bundle.Urgent}, t)
+	c, f := p.acquire(x, nil, t)
 	if f != nil {
 		return query.Reply{}, f
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -3,8 +3,6 @@
 package pool
 
 import (
-	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -25,7 +23,7 @@
 const (
 	// spareConnections are left for status checks and for another daemon that
 	// takes the member over.
-	spareConnections = 3
+	spareConnections = 2
 	// fullPause is how long no connection is opened after the member had none
 	// left; it drops dead ones after 3 s.
 	fullPause = 250 * time.Millisecond
@@ -36,6 +34,9 @@
 	// lower ranks go on while urgent work floods.
 	routineShare    = 0.1
 	backgroundShare = 0.1
+	// urgentTransactions are the open transactions that background work leaves
+	// to others, so that urgent ones needn't wait for its pauses.
+	urgentTransactions = 2
 )
 
 // Config holds a pool's settings.
@@ -55,6 +56,12 @@
 // use.
 type Pool struct {
 	c Config
+	// slots lets statements run; transactions lets them open, so that a
+	// connection is left for each slot.
+	slots        *gate
+	transactions *gate
+	// limit bounds the connections.
+	limit int
 
 	mu sync.Mutex
 	// idle holds free connections, last used last; open counts all.
@@ -62,14 +69,8 @@
 	open int
 	// full is until when no connection is opened.
 	full time.Time
-	// limit bounds open connections and counts open transactions.
-	limit admit.Transactions
-	queue *admit.Queue
-	next  uint64
-	// granted holds the requests that wait for a slot.
-	granted map[uint64]chan admit.Action
-	// waiters wait for a connection.
-	waiters []*waiter
+	// waiters are told when it is worth looking for a connection again.
+	waiters []chan struct{}
 	txs     map[string]*tx
 	closed  bool
 	// failures counts connections that could not be opened since the last reply.
@@ -77,19 +78,12 @@
 	heard    time.Time
 }
 
-// waiter is a request that waits for a connection.
-type waiter struct {
-	rank bundle.Rank
-	tx   bool
-	// ready gets a token when it is worth looking again.
-	ready chan struct{}
-}
-
 // tx is an open transaction.
 type tx struct {
-	mu   sync.Mutex
-	c    *conn
-	rank bundle.Rank
+	mu sync.Mutex
+	c  *conn
+	// place is its number at the gate of transactions.
+	place uint64
 	// used is when the last statement ended.
 	used time.Time
 	// ended tells that the connection isn't the transaction's any more.
@@ -98,21 +92,23 @@
 
 // New returns a pool without connections.
 func New(c Config) *Pool {
-	n := max(c.Connections-spareConnections, 1)
-	q := admit.Config{Slots: c.Member.Slots}
-	q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
+	n := max(c.Connections-spareConnections, 2)
+	s := admit.Config{Slots: c.Member.Slots}
+	t := admit.Config{Slots: max(n-c.Member.Slots, 1)}
+	t.Reserve = min(urgentTransactions, t.Slots-1)
+	for _, q := range []*admit.Config{&s, &t} {
+		q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
+	}
 	return &Pool{
-		c: c, queue: admit.New(q), granted: map[uint64]chan admit.Action{}, txs: map[string]*tx{},
-		limit: admit.Transactions{Connections: n, Slots: min(c.Member.Slots, n-1)}, heard: c.Now(),
+		c: c, slots: newGate("slot", s), transactions: newGate("transaction", t), limit: n, txs: map[string]*tx{}, heard: c.Now(),
 	}
 }
 
+// Member returns the backend server.
+func (p *Pool) Member() catalog.Member { return p.c.Member }
+
 // Wait predicts how long a new request waits for a slot.
-func (p *Pool) Wait(r bundle.Rank) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.queue.Wait(r, "", time.Now())
-}
+func (p *Pool) Wait(r bundle.Rank) time.Duration { return p.slots.wait(r) }
 
 // Health returns the number of connections that failed to open since the last
 // reply, and when that was.
@@ -124,9 +120,10 @@
 
 // Busy returns the number of open transactions and running requests.
 func (p *Pool) Busy() int {
+	n := p.slots.running()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return len(p.txs) + p.queue.Running()
+	return len(p.txs) + n
 }
 
 // Connections returns the number of open and of idle connections.
@@ -158,75 +155,3 @@
 	}
 	return o, err
 }
-
-// slot waits for a slot and returns its number, or a refusal.
-func (p *Pool) slot(x context.Context, r *query.Request, deadline time.Time, held bool) (uint64, *query.Failure) {
-	p.mu.Lock()
-	p.next++
-	id := p.next
-	w := make(chan admit.Action, 1)
-	p.granted[id] = w
-	p.act(p.queue.Handle(admit.Arrived{
-		ID: id, Rank: r.Rank, Caller: r.Session, Deadline: deadline, Held: held, Jitter: rand.Float64(),
-	}, time.Now()))
-	p.mu.Unlock()
-	t := time.NewTimer(time.Until(deadline))
-	defer t.Stop()
-	var a admit.Action
-	select {
-	case a = <-w:
-	case <-t.C:
-	case <-x.Done():
-	}
-	if a == nil {
-		if a = p.withdraw(id, w); a == nil {
-			return 0, &query.Failure{Reason: query.Overloaded, Text: string(admit.Expired)}
-		}
-	}
-	switch a := a.(type) {
-	case admit.Start:
-		return id, nil
-	case admit.Refuse:
-		return 0, &query.Failure{Reason: query.Overloaded, Text: string(a.Reason), RetryAfter: a.RetryAfter}
-	default:
-		panic("pool: unknown action")
-	}
-}
-
-// withdraw takes a waiting request back, unless it was decided meanwhile.
-func (p *Pool) withdraw(id uint64, w chan admit.Action) admit.Action {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	select {
-	case a := <-w:
-		return a
-	default:
-	}
-	delete(p.granted, id)
-	p.act(p.queue.Handle(admit.Withdrawn{ID: id}, time.Now()))
-	return nil
-}
-
-// act carries out the queue's actions; p.mu is held.
-func (p *Pool) act(l []admit.Action) {
-	for _, a := range l {
-		var id uint64
-		switch a := a.(type) {
-		case admit.Start:
-			id = a.ID
-		case admit.Refuse:
-			id = a.ID
-		}
-		if w := p.granted[id]; w != nil {
-			delete(p.granted, id)
-			w <- a
-		}
-	}
-}
-
-// free gives a slot back.
-func (p *Pool) free(id uint64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.act(p.queue.Handle(admit.Finished{ID: id}, time.Now()))
-}
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -11,6 +11,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -18,21 +19,31 @@
 const (
 	// Validity is how long a holder goes on without the store; it outlasts the
 	// outages of the store that operators report.
-	Validity = 14 * time.Second
+	Validity = 10 * time.Second
 	// ConfirmInterval is how often a holder asks for its record.
-	ConfirmInterval = 2 * time.Second
+	ConfirmInterval = time.Second
 	// confirmRetry is the pause after a question that failed.
-	confirmRetry = 500 * time.Millisecond
+	confirmRetry = 300 * time.Millisecond
 	// settle covers work that was sent within validity and is still on its way.
 	settle = 1500 * time.Millisecond
 )
 
+// Party is a process that holds or held a group.
+type Party struct {
+	// ID is unique among all processes that ever ran.
+	ID string `json:"id"`
+	// Address is where other daemons reach it.
+	Address string `json:"address"`
+}
+
 // Record is what the store holds of a group.
 type Record struct {
-	// Holder is the host that holds the group.
-	Holder string `json:"holder"`
-	// Prior are earlier holders that may still send work to the primary.
-	Prior []string `json:"prior,omitempty"`
+	// Holder is the process that holds the group.
+	Holder Party `json:"holder"`
+	// Epoch rises whenever the holder changes.
+	Epoch uint64 `json:"epoch"`
+	// Prior are earlier holders that may still send work to the primary, by ID.
+	Prior []Party `json:"prior,omitempty"`
 	// Primary and Term are those of the last promotion that is known.
 	Primary string `json:"primary,omitempty"`
 	Term    uint64 `json:"term,omitempty"`
@@ -53,7 +64,7 @@
 	Asked time.Time
 }
 
-// Ended tells that a host's process has ended or has handed over for good.
+// Ended tells that a host's process has ended.
 type Ended struct{ Host string }
 
 // Finished tells that the host sends no more work of a group that it doesn't
@@ -71,7 +82,7 @@
 // Tenure is one host's knowledge of who holds a group. It is not safe for
 // concurrent use.
 type Tenure struct {
-	self     string
+	self     Party
 	record   Record
 	revision uint64
 	known    bool
@@ -79,13 +90,15 @@
 	until time.Time
 	// prior maps an earlier holder to the end of what it may still send.
 	prior map[string]time.Time
+	// ended holds the processes that are known to have ended.
+	ended map[string]bool
 	// next is when to confirm the record.
 	next time.Time
 }
 
 // New returns the knowledge of the host self, which is none.
-func New(self string) *Tenure {
-	return &Tenure{self: self, prior: map[string]time.Time{}}
+func New(self Party) *Tenure {
+	return &Tenure{self: self, prior: map[string]time.Time{}, ended: map[string]bool{}}
 }
 
 // Handle takes in an event.
@@ -94,9 +107,10 @@
 	case Seen:
 		t.see(x, now)
 	case Ended:
+		t.ended[x.Host] = true
 		delete(t.prior, x.Host)
 	case Finished:
-		if t.record.Holder != t.self {
+		if t.record.Holder.ID != t.self.ID {
 			t.until = time.Time{}
 		}
 	case Asking:
@@ -111,20 +125,22 @@
 	if t.known && x.Revision < t.revision {
 		return
 	}
-	held := t.known && t.record.Holder == t.self
+	held := t.known && t.record.Holder.ID == t.self.ID && t.record.Epoch == x.Record.Epoch
 	t.record, t.revision, t.known = x.Record, x.Revision, true
-	if x.Record.Holder != t.self {
+	if x.Record.Holder.ID != t.self.ID {
 		clear(t.prior)
 		return
 	}
 	for h := range t.prior {
-		if !slices.Contains(x.Record.Prior, h) {
+		if !contains(x.Record.Prior, h) {
 			delete(t.prior, h)
 		}
 	}
 	if !held {
 		for _, h := range x.Record.Prior {
-			t.prior[h] = now.Add(Validity + settle)
+			if !t.ended[h.ID] {
+				t.prior[h.ID] = now.Add(Validity + settle)
+			}
 		}
 	}
 	if u := x.Asked.Add(Validity); !x.Asked.IsZero() && u.After(t.until) {
@@ -137,61 +153,71 @@
 
 // Holds reports whether the host may send primary work now.
 func (t *Tenure) Holds(now time.Time) bool {
-	return t.known && t.record.Holder == t.self && now.Before(t.until)
+	return t.known && t.record.Holder.ID == t.self.ID && now.Before(t.until)
 }
 
 // Finishing reports whether the host may go on with open transactions, also
 // after it has lost or passed on the group.
 func (t *Tenure) Finishing(now time.Time) bool { return now.Before(t.until) }
 
-// MayReplace reports whether no other host can send work to the primary any
-// more, so that the host may replace it.
+// MayReplace reports whether no earlier holder can send work to the primary any
+// more. The host may replace it once a record with the Target has been written
+// on the revision that it knows: if another host has taken the group over
+// meanwhile, that fails, and one that does so later finds the Target.
 func (t *Tenure) MayReplace(now time.Time) bool {
 	return t.Holds(now) && len(t.Waiting(now)) == 0
 }
 
-// Waiting returns the earlier holders that may still send work.
-func (t *Tenure) Waiting(now time.Time) []string {
-	var o []string
-	for h, u := range t.prior {
-		if now.Before(u) {
+// Waiting returns the earlier holders that may still send work, by ID.
+func (t *Tenure) Waiting(now time.Time) []Party {
+	var o []Party
+	for _, h := range t.record.Prior {
+		if now.Before(t.prior[h.ID]) {
 			o = append(o, h)
 		}
 	}
-	slices.Sort(o)
 	return o
 }
 
+func contains(l []Party, id string) bool {
+	return slices.ContainsFunc(l, func(p Party) bool { return p.ID == id })
+}
+
 // Confirm reports whether the record is to be asked for now.
 func (t *Tenure) Confirm(now time.Time) bool {
-	return t.known && t.record.Holder == t.self && !now.Before(t.next)
+	return t.known && t.record.Holder.ID == t.self.ID && !now.Before(t.next)
 }
 
-// Take returns the record by which the host takes the group over. Those in
-// ended can't send work any more.
-func (t *Tenure) Take(ended func(host string) bool) Record {
+// Take returns the record by which the host takes the group over.
+func (t *Tenure) Take() Record {
 	r := t.record
-	p := append(slices.Clone(r.Prior), r.Holder)
-	r.Prior = slices.DeleteFunc(p, func(h string) bool { return h == "" || h == t.self || ended(h) })
-	slices.Sort(r.Prior)
-	r.Prior = slices.Compact(r.Prior)
+	r.Prior = parties(append(slices.Clone(r.Prior), r.Holder), t.self.ID)
 	r.Holder = t.self
+	r.Epoch++
 	return r
 }
 
 // Give returns the record by which the holder passes the group to another host
 // while its own work may go on until it has ended.
-func (t *Tenure) Give(host string, now time.Time) Record {
+func (t *Tenure) Give(to Party, now time.Time) Record {
 	r := t.record
-	r.Prior = append(t.Waiting(now), t.self)
-	r.Holder = host
+	r.Prior = parties(append(t.Waiting(now), t.self), to.ID)
+	r.Holder = to
+	r.Epoch++
 	return r
 }
 
+// parties returns a list in order, without doubles and without one ID.
+func parties(l []Party, without string) []Party {
+	l = slices.DeleteFunc(l, func(p Party) bool { return p.ID == "" || p.ID == without })
+	slices.SortFunc(l, func(a, b Party) int { return strings.Compare(a.ID, b.ID) })
+	return slices.CompactFunc(l, func(a, b Party) bool { return a.ID == b.ID })
+}
+
 // Released returns the record without the host among the earlier holders, and
 // whether it stood there.
 func (t *Tenure) Released() (Record, bool) {
 	r := t.record
-	r.Prior = slices.DeleteFunc(slices.Clone(r.Prior), func(h string) bool { return h == t.self })
+	r.Prior = slices.DeleteFunc(slices.Clone(r.Prior), func(h Party) bool { return h.ID == t.self.ID })
 	return r, len(r.Prior) < len(t.record.Prior)
 }
