--- /dev/null
+++ b/pool/pool_test.go
@@ -0,0 +1,216 @@
+package pool_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/zeebo/errs"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/pool"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+func TestPool(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "pool")
+}
+
+// member is a backend server that notes what it runs.
+type member struct {
+	mu sync.Mutex
+	// open and most count connections, running and peak statements.
+	open, most    int
+	running, peak int
+	limit         int
+	// hold is how long a statement runs; drop breaks the connection instead of
+	// answering it.
+	hold time.Duration
+	drop atomic.Bool
+	// mixed notes a statement that ran with other values than its text names.
+	mixed []string
+}
+
+func (m *member) Dial(context.Context, catalog.Member) (pool.Conn, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.open >= m.limit {
+		return nil, &query.Failure{Reason: query.TooManyConnections}
+	}
+	m.open++
+	m.most = max(m.most, m.open)
+	return &conn{m: m, state: query.Idle, values: map[string]string{}}, nil
+}
+
+// conn is a connection to it.
+type conn struct {
+	m      *member
+	state  query.State
+	values map[string]string
+	closed atomic.Bool
+}
+
+func (c *conn) Close() {
+	if c.closed.CompareAndSwap(false, true) {
+		c.m.mu.Lock()
+		c.m.open--
+		c.m.mu.Unlock()
+	}
+}
+
+func (c *conn) Do(s query.Step, _ time.Time) (query.Reply, error) {
+	switch s := s.(type) {
+	case query.Reset:
+		clear(c.values)
+	case query.SetValue:
+		c.values[s.Value.Name] = s.Value.Text
+	case query.Start:
+		c.state = query.Open
+	case query.End:
+		c.state = query.Idle
+	case query.Run:
+		if err := c.run(s); err != nil {
+			return query.Reply{}, err
+		}
+	}
+	return query.Reply{State: c.state, Signature: "s", Position: logpos.Position{Term: 1, Offset: 1}}, nil
+}
+
+func (c *conn) run(s query.Run) error {
+	c.m.mu.Lock()
+	c.m.running++
+	c.m.peak = max(c.m.peak, c.m.running)
+	if c.values["v"] != s.Text {
+		c.m.mixed = append(c.m.mixed, s.Text+" ran with "+c.values["v"])
+	}
+	c.m.mu.Unlock()
+	time.Sleep(c.m.hold)
+	c.m.mu.Lock()
+	c.m.running--
+	c.m.mu.Unlock()
+	if c.m.drop.Load() {
+		c.Close()
+		return errs.New("connection lost")
+	}
+	return nil
+}
+
+func always() *query.Failure { return nil }
+
+func newPool(m *member, slots, connections int) *pool.Pool {
+	return pool.New(pool.Config{
+		Member: catalog.Member{ID: "m", Slots: slots}, Connections: connections, Dialer: m, Now: time.Now,
+		Observe: func(logpos.Position, time.Time) {}, Log: hclog.NewNullLogger(),
+	})
+}
+
+func request(session, value string, u query.Use, a query.Action) *query.Request {
+	return &query.Request{
+		ID: session, Session: session, Remaining: 5 * time.Second, Use: u, Action: a, Text: value,
+		Values: []query.Value{{Name: "v", Text: value}},
+	}
+}
+
+var _ = Describe("Pool", func() {
+	run := func(p *pool.Pool, r *query.Request) query.Reply {
+		return p.Execute(context.Background(), r, logpos.Position{}, always)
+	}
+
+	It("never mixes values, takes no more than the slots and leaves connections over", func() {
+		m := &member{limit: 10, hold: time.Millisecond}
+		p := newPool(m, 3, 10)
+		var w sync.WaitGroup
+		for i := range 20 {
+			w.Go(func() {
+				s := string(rune('a' + i))
+				for range 10 {
+					Expect(run(p, request(s, s, query.Single, query.DoRead)).Failure).To(BeNil())
+				}
+			})
+		}
+		w.Wait()
+		Expect(m.mixed).To(BeEmpty())
+		Expect(m.peak).To(BeNumerically("<=", 3))
+		Expect(m.most).To(BeNumerically("<=", 8))
+	})
+
+	It("keeps a transaction on its connection and others off it", func() {
+		m := &member{limit: 10}
+		p := newPool(m, 3, 10)
+		Expect(run(p, request("a", "a", query.First, query.DoWrite)).State).To(Equal(query.Open))
+		Expect(p.Holds("a")).To(BeTrue())
+		Expect(run(p, request("b", "b", query.Single, query.DoRead)).State).To(Equal(query.Idle))
+		Expect(run(p, request("a", "a", query.Later, query.DoRead)).State).To(Equal(query.Open))
+		Expect(run(p, request("a", "", query.Later, query.DoCommit)).State).To(Equal(query.Idle))
+		Expect(p.Holds("a")).To(BeFalse())
+		Expect(p.Busy()).To(BeZero())
+		Expect(m.mixed).To(BeEmpty())
+	})
+
+	It("tells what a lost answer means", func() {
+		m := &member{limit: 10}
+		p := newPool(m, 3, 10)
+		Expect(run(p, request("t", "t", query.First, query.DoRead)).State).To(Equal(query.Open))
+		m.drop.Store(true)
+		Expect(run(p, request("w", "w", query.Single, query.DoWrite)).Failure.Reason).To(Equal(query.InDoubt))
+		Expect(run(p, request("r", "r", query.Single, query.DoRead)).Failure.Reason).To(Equal(query.Unreachable))
+		Expect(run(p, request("f", "f", query.First, query.DoWrite)).Failure.Reason).To(Equal(query.Aborted))
+		Expect(run(p, request("t", "t", query.Later, query.DoWrite)).Failure.Reason).To(Equal(query.Aborted))
+		Expect(run(p, request("t", "t", query.Later, query.DoRead)).Failure.Reason).To(Equal(query.Aborted))
+		Expect(p.Busy()).To(BeZero())
+	})
+
+	It("sends nothing that its guard stops", func() {
+		m := &member{limit: 10}
+		p := newPool(m, 3, 10)
+		no := func() *query.Failure { return &query.Failure{Reason: query.Moved} }
+		o := p.Execute(context.Background(), request("a", "a", query.Single, query.DoWrite), logpos.Position{}, no)
+		Expect(o.Failure.Reason).To(Equal(query.Moved))
+		Expect(m.peak).To(BeZero())
+	})
+
+	It("waits for connections that dead daemons still hold", func() {
+		m := &member{limit: 0}
+		p := newPool(m, 3, 10)
+		time.AfterFunc(100*time.Millisecond, func() {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.limit = 1
+		})
+		Expect(run(p, request("a", "a", query.Single, query.DoRead)).Failure).To(BeNil())
+	})
+
+	It("lets an urgent transaction open while background ones rest", func() {
+		m := &member{limit: 12}
+		p := newPool(m, 3, 12)
+		for i := range 5 {
+			r := request(string(rune('a'+i)), "x", query.First, query.DoRead)
+			r.Rank = bundle.Background
+			Expect(run(p, r).Failure).To(BeNil())
+		}
+		b := request("z", "x", query.First, query.DoRead)
+		b.Rank, b.Remaining = bundle.Background, 50*time.Millisecond
+		Expect(run(p, b).Failure.Reason).To(Equal(query.Overloaded))
+		Expect(run(p, request("u", "x", query.First, query.DoRead)).Failure).To(BeNil())
+	})
+
+	It("ends transactions that rest, and all when it is killed", func() {
+		m := &member{limit: 10}
+		p := newPool(m, 3, 10)
+		Expect(run(p, request("a", "a", query.First, query.DoWrite)).State).To(Equal(query.Open))
+		p.EndResting(0)
+		Expect(p.Holds("a")).To(BeFalse())
+		Expect(run(p, request("b", "b", query.First, query.DoWrite)).State).To(Equal(query.Open))
+		p.Kill()
+		Expect(m.open).To(BeZero())
+		Expect(run(p, request("c", "c", query.Single, query.DoRead)).Failure.Reason).To(Equal(query.Moved))
+	})
+})
