A stand-in of the platform on loopback, with checkers; a primary born again empty is found before it serves

standin/site: members with slots, connection limit, terms, lag, births; the store with revisions, leases, watches, lost answers; promotions; clients; checkers for STALE, PINNED, MIXED, TWICE, REFUSED, ONE and UNASKED. Now the position told at the start of a connection is compared before anything is sent.

--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -83,7 +83,7 @@
 func (f *Fleet) ask(x context.Context, m catalog.Member) (query.Status, error) {
 	x, stop := context.WithTimeout(x, statusTime)
 	defer stop()
-	c, err := f.c.Dialer.Dial(x, m)
+	c, _, err := f.c.Dialer.Dial(x, m)
 	if err != nil {
 		return query.Status{}, err
 	}
@@ -170,13 +170,10 @@
 			y, stop := context.WithTimeout(x, probeTime)
 			defer stop()
 			t := now()
-			c, err := f.c.Dialer.Dial(y, m)
+			c, p, err := f.c.Dialer.Dial(y, m)
 			if err == nil {
-				o, err := c.Do(query.Reset{}, time.Now().Add(probeTime))
 				c.Close()
-				if err == nil {
-					f.observe(g, m.ID, o.Position, t)
-				}
+				f.observe(g, m.ID, p, t)
 			}
 			f.heard(g, m, err)
 			return nil
@@ -390,7 +387,7 @@
 			return
 		}
 		y, stop := context.WithTimeout(x, statusTime)
-		c, err := f.c.Dialer.Dial(y, m)
+		c, _, err := f.c.Dialer.Dial(y, m)
 		if err == nil {
 			var o query.Reply
 			o, err = c.Do(query.Demote{Term: term}, time.Now().Add(statusTime))
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -44,7 +44,9 @@
 // Run runs the daemon until the context ends, and then drains it.
 func Run(x context.Context, c Config) error {
 	s := c.Settings
-	runtime.GOMAXPROCS(s.Cores)
+	if s.Cores > 0 {
+		runtime.GOMAXPROCS(s.Cores)
+	}
 	if s.Memory > 0 {
 		debug.SetMemoryLimit(int64(math.Round(float64(s.Memory) * memoryPart)))
 	}
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -96,9 +96,10 @@
 	}
 	y, stop := context.WithDeadline(x, deadline)
 	defer stop()
-	k, err := p.c.Dialer.Dial(y, p.c.Member)
+	t := p.c.Now()
+	k, at, err := p.c.Dialer.Dial(y, p.c.Member)
 	if err == nil {
-		p.Heard()
+		p.heardNow(query.Reply{Position: at}, t)
 		return &conn{Conn: k, prepared: map[string]bool{}}, nil
 	}
 	f := failure(err)
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -6,12 +6,15 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 )
 
 // Dialer opens connections to backend servers.
 type Dialer interface {
-	Dial(x context.Context, m catalog.Member) (Conn, error)
+	// Dial returns a connection with the position that the member told of. A
+	// refusal by the member is a *query.Failure.
+	Dial(x context.Context, m catalog.Member) (Conn, logpos.Position, error)
 }
 
 // Conn is a connection to a backend server. It is not safe for concurrent use.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -39,15 +39,15 @@
 	mixed []string
 }
 
-func (m *member) Dial(context.Context, catalog.Member) (pool.Conn, error) {
+func (m *member) Dial(context.Context, catalog.Member) (pool.Conn, logpos.Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.open >= m.limit {
-		return nil, &query.Failure{Reason: query.TooManyConnections}
+		return nil, logpos.Position{}, &query.Failure{Reason: query.TooManyConnections}
 	}
 	m.open++
 	m.most = max(m.most, m.open)
-	return &conn{m: m, state: query.Idle, values: map[string]string{}}, nil
+	return &conn{m: m, state: query.Idle, values: map[string]string{}}, logpos.Position{}, nil
 }
 
 // conn is a connection to it.
--- /dev/null
+++ b/standin/site/site_test.go
@@ -0,0 +1,203 @@
+package site_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/hosted"
+	"github.com/dragonflypick/dragonflypick/platform"
+	"github.com/dragonflypick/dragonflypick/standin/site"
+)
+
+func TestSite(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "site")
+}
+
+// daemon is a running daemon.
+type daemon struct {
+	s    platform.Settings
+	stop context.CancelFunc
+	done chan error
+}
+
+// fleet runs daemons against a site.
+type fleet struct {
+	at *site.Site
+	mu sync.Mutex
+	l  []*daemon
+}
+
+func freePort() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func newFleet(c site.Config, n int) *fleet {
+	at, err := site.New(c)
+	Expect(err).NotTo(HaveOccurred())
+	f := &fleet{at: at}
+	zones := []string{"west-a", "west-b", "north-a"}
+	for i := range n {
+		f.start(fmt.Sprintf("n%d", i), zones[i%3])
+	}
+	DeferCleanup(func() {
+		for _, d := range f.l {
+			d.stop()
+		}
+		for _, d := range f.l {
+			Eventually(d.done, 10*time.Second).Should(BeClosed())
+		}
+		at.Close()
+	})
+	Eventually(func() int { return len(f.addresses()) }, 10*time.Second, 20*time.Millisecond).Should(Equal(n))
+	return f
+}
+
+func (f *fleet) start(name, zone string) *daemon {
+	d := &daemon{done: make(chan error, 1), s: platform.Settings{
+		Host: name, FailureDomain: zone, Region: site.Zones[zone], Regions: site.Zones,
+		CallerListen: freePort(), ReadyListen: freePort(), PeerListen: freePort(), MetricsListen: freePort(),
+		Store: f.at.StoreAddress, Promotions: f.at.PromotionAddress, Grace: 3 * time.Second,
+	}}
+	x, stop := context.WithCancel(context.Background())
+	d.stop = stop
+	go func() {
+		defer close(d.done)
+		l := hclog.New(&hclog.LoggerOptions{Output: GinkgoWriter, Level: hclog.Info, Name: name})
+		d.done <- hosted.Run(x, hosted.Config{Settings: d.s, Secret: "s", Log: l})
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.l = append(f.l, d)
+	return d
+}
+
+// addresses returns where ready daemons take callers.
+func (f *fleet) addresses() []string {
+	f.mu.Lock()
+	l := slices.Clone(f.l)
+	f.mu.Unlock()
+	var o []string
+	for _, d := range l {
+		r, err := http.Get("http://" + d.s.ReadyListen + "/api/readiness")
+		if err != nil {
+			continue
+		}
+		_ = r.Body.Close()
+		if r.StatusCode == http.StatusOK {
+			o = append(o, d.s.CallerListen)
+		}
+	}
+	return o
+}
+
+// play runs a load and returns how it ended, with the promises checked.
+func (f *fleet) play(seed uint64, d time.Duration) *site.Outcome {
+	var mu sync.Mutex
+	var at time.Time
+	var l []string
+	o := f.at.Load(seed, 12, d, func() []string {
+		mu.Lock()
+		defer mu.Unlock()
+		if time.Since(at) > 200*time.Millisecond {
+			l, at = f.addresses(), time.Now()
+		}
+		return l
+	})
+	f.at.Verify(o)
+	AddReportEntry("outcome", fmt.Sprintf("served %d, refused %d, in doubt %d, cut %d, longest gap %s", o.Served, o.Refused, o.Doubtful, o.Cut, o.Longest))
+	Expect(f.at.Broken()).To(BeEmpty())
+	return o
+}
+
+var size = site.Config{Groups: 2, Lag: 15 * time.Millisecond, Work: time.Millisecond, Promote: 200 * time.Millisecond}
+
+var _ = Describe("daemons on the platform's stand-in", func() {
+	It("serve a calm load", func() {
+		f := newFleet(size, 3)
+		o := f.play(1, 2*time.Second)
+		Expect(o.Served).To(BeNumerically(">", 500))
+		Expect(o.Doubtful + o.Cut).To(BeZero())
+		Expect(o.Refused).To(BeNumerically("<", o.Served/50))
+	})
+
+	It("replace a primary that has crashed", func() {
+		f := newFleet(size, 3)
+		time.AfterFunc(700*time.Millisecond, func() {
+			r := f.at.Crash(0)
+			time.AfterFunc(2500*time.Millisecond, r)
+		})
+		o := f.play(2, 5*time.Second)
+		Expect(o.Longest).To(BeNumerically("<", 5*time.Second))
+		Expect(o.Served).To(BeNumerically(">", 500))
+	})
+
+	It("move the primary off a member that drains, without a doubtful answer", func() {
+		f := newFleet(size, 3)
+		time.AfterFunc(700*time.Millisecond, func() { f.at.Drain(0) })
+		o := f.play(3, 3*time.Second)
+		Expect(o.Doubtful + o.Cut).To(BeZero())
+	})
+
+	It("never use a primary that was born again empty", func() {
+		f := newFleet(size, 3)
+		time.AfterFunc(time.Second, func() { f.at.Empty(0) })
+		f.play(4, 4*time.Second)
+	})
+
+	It("cut nobody when daemons are stopped in turn", func() {
+		f := newFleet(size, 4)
+		time.AfterFunc(500*time.Millisecond, func() {
+			f.l[0].stop()
+			time.AfterFunc(time.Second, f.l[1].stop)
+		})
+		o := f.play(5, 5*time.Second)
+		Expect(o.Doubtful).To(BeZero())
+		Expect(o.Cut).To(BeZero())
+	})
+
+	It("go on while the store is down, loses answers and forgets its history", func() {
+		f := newFleet(size, 3)
+		time.AfterFunc(300*time.Millisecond, func() { f.at.SetStore(true, false) })
+		time.AfterFunc(1800*time.Millisecond, func() { f.at.SetStore(false, true) })
+		time.AfterFunc(2500*time.Millisecond, func() { f.at.SetStore(false, false); f.at.Compact() })
+		o := f.play(6, 4*time.Second)
+		Expect(o.Refused).To(BeNumerically("<", o.Served/20))
+		Expect(o.Longest).To(BeNumerically("<", time.Second))
+	})
+
+	It("serve reads honestly while replicas are far behind", func() {
+		f := newFleet(size, 3)
+		f.at.SetLag(1500 * time.Millisecond)
+		o := f.play(7, 3*time.Second)
+		Expect(o.Served).To(BeNumerically(">", 300))
+	})
+
+	It("serve a database that was just added", func() {
+		f := newFleet(size, 3)
+		f.at.Configure([]string{"added"})
+		Eventually(func() string {
+			c, err := net.Dial("tcp", f.l[0].s.CallerListen)
+			Expect(err).NotTo(HaveOccurred())
+			defer c.Close()
+			_, err = c.Write([]byte("START added who\r\n"))
+			Expect(err).NotTo(HaveOccurred())
+			b := make([]byte, 64)
+			n, _ := c.Read(b)
+			return string(b[:n])
+		}, 2*time.Second, 20*time.Millisecond).Should(HavePrefix("READY I"))
+	})
+})
