--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/tenure"
+)
+
+func TestFleet(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "fleet")
+}
+
+func newTestFleet() *Fleet {
+	f, err := New(Config{
+		Self: membership.Host{ID: "a", FailureDomain: "west-a", Region: "west"}, PeerListen: "127.0.0.1:0", Secret: "s", Log: hclog.NewNullLogger(),
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.stop)
+	return f
+}
+
+var _ = Describe("Fleet", func() {
+	It("stops waiting for a primary when the daemon that asked is gone", func() {
+		f := newTestFleet()
+		g := f.group("g")
+		g.tenure.Handle(tenure.Seen{Record: tenure.Record{Holder: f.self()}, Revision: 1}, now())
+		x, stop := context.WithCancel(context.Background())
+		stop()
+		t := time.Now()
+		o := f.servePrimary(x, &query.Request{Group: "g", Primary: true, Remaining: 10 * time.Second})
+		Expect(o.Failure.Reason).To(Equal(query.Overloaded))
+		Expect(time.Since(t)).To(BeNumerically("<", time.Second))
+	})
+
+	It("takes a group only from a holder that is gone, leaves, or is lost to this host alone", func() {
+		f := newTestFleet()
+		l := []membership.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
+		f.note(membership.Listed{Hosts: l})
+		f.note(membership.Seen{ID: "c"})
+		Expect(f.mayTake("b")).To(BeFalse())
+		f.note(membership.Lost{ID: "b"})
+		Expect(f.mayTake("b")).To(BeTrue())
+		f.note(membership.Lost{ID: "c"})
+		f.note(membership.Lost{ID: "d"})
+		Expect(f.mayTake("b")).To(BeFalse())
+		Expect(f.mayTake("gone")).To(BeTrue())
+		f.contact = time.Now().Add(-2 * contactTime)
+		Expect(f.isolated()).To(BeTrue())
+	})
+
+	It("never lets the configuration go back", func() {
+		f := newTestFleet()
+		f.c.Decoder.Configuration = func(b []byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: uint64(b[0])}, nil }
+		for _, v := range []byte{3, 9, 4} {
+			f.takeConfiguration(store.Item{Value: []byte{v}})
+		}
+		Expect(f.Catalog().Version).To(Equal(uint64(9)))
+	})
+})
+
+var _ = Describe("mirror", func() {
+	item := func(key string, rev uint64) store.Item { return store.Item{Key: key, Revision: rev} }
+
+	It("tells only news, and brings another mirror level", func() {
+		m, n, t := newMirror(), newMirror(), time.Now()
+		Expect(m.apply([]store.Item{item("a", 2), item("b", 3)}, 3, t)).To(HaveLen(2))
+		Expect(m.apply([]store.Item{item("a", 2)}, 3, t)).To(BeEmpty())
+		Expect(m.apply([]store.Item{{Key: "b", Revision: 5, Removed: true}}, 5, t)).To(HaveLen(1))
+		l, rev := m.since(n.at())
+		n.apply(l, rev, t)
+		Expect(n.at()).To(Equal(uint64(5)))
+		Expect(n.items).To(Equal(m.items))
+		l, _ = m.since(5)
+		Expect(l).To(BeEmpty())
+	})
+
+	It("takes keys that a whole reading lacks for removed, but not newer ones", func() {
+		m, t := newMirror(), time.Now()
+		m.apply([]store.Item{item("a", 2), item("b", 9)}, 9, t)
+		o := m.replace([]store.Item{item("c", 4)}, 7, t)
+		Expect(o).To(ConsistOf(item("c", 4), store.Item{Key: "a", Revision: 7, Removed: true}))
+		Expect(m.items["b"].Removed).To(BeFalse())
+	})
+})
+
+var _ = Describe("load", func() {
+	t := time.Now()
+	It("counts what is under way, told queues and lag beyond the accepted age", func() {
+		l := &load{}
+		Expect(l.cost(3, time.Second, t)).To(BeZero())
+		l.under = 3
+		Expect(l.cost(3, time.Second, t)).To(Equal(slotTime))
+		l.queue, l.told = time.Second, t
+		l.lag, l.lagged = 1500*time.Millisecond, t
+		Expect(l.cost(3, time.Second, t)).To(Equal(slotTime + 1500*time.Millisecond))
+		Expect(l.cost(3, -1, t)).To(Equal(slotTime + time.Second))
+		Expect(l.cost(3, time.Second, t.Add(loadMemory))).To(Equal(slotTime))
+	})
+})
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -45,10 +45,8 @@
 	nearBy time.Time
 	// regressed tells that the primary's log has lost entries.
 	regressed bool
-	// probing tells that fresh connections to the primary are being tried;
-	// silent counts those that failed in a row.
-	probing bool
-	silent  int
+	// silent counts the fresh connections to the primary that failed in a row.
+	silent int
 	// read is when a replica was last asked to serve a read.
 	read time.Time
 	// asking tells that the holder is being asked for the log's end.
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -37,8 +37,6 @@
 	leadTime    = 4 * time.Second
 	// leadPoll is how often a member is asked whether it leads.
 	leadPoll = 30 * time.Millisecond
-	// replaceTime is how long a replacement is expected to take at first.
-	replaceTime = 1500 * time.Millisecond
 	// demoteTries and demotePause bound the attempts to reach a replaced primary.
 	demoteTries = 10
 	demotePause = 300 * time.Millisecond
@@ -243,7 +241,9 @@
 	o := f.pools[member]
 	f.mu.Unlock()
 	for t := time.Now(); o != nil && o.Busy() > 0 && time.Since(t) < finishTime; {
-		pause(x, leadPoll)
+		if !pause(x, leadPoll) {
+			return
+		}
 	}
 }
 
@@ -278,7 +278,9 @@
 		if !planned || !l[best].status.Received.Less(end) || time.Since(t) > catchUpTime {
 			return l[best], true
 		}
-		pause(x, leadPoll)
+		if !pause(x, leadPoll) {
+			return answer{}, false
+		}
 	}
 }
 
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -175,7 +175,9 @@
 			return o
 		}
 		f.mu.Unlock()
-		pause(x, holderPause)
+		if !pause(x, holderPause) {
+			return query.Response{Reply: query.Refusal(query.Overloaded, "the daemon that asked is gone")}
+		}
 		f.mu.Lock()
 	}
 	m, ok := f.members[g.primary]
--- a/query/query.go
+++ b/query/query.go
@@ -22,11 +22,12 @@
 // Rollback ends a transaction and drops its writes.
 type Rollback struct{}
 
-// Read and Write run one statement with its text as the caller sent it.
-type (
-	Read  struct{ Text string }
-	Write struct{ Text string }
-)
+// Read runs a statement that changes nothing, with its text as the caller sent
+// it.
+type Read struct{ Text string }
+
+// Write runs a statement that changes data, with its text as the caller sent it.
+type Write struct{ Text string }
 
 // Set changes a value of the session.
 type Set struct{ Value Value }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -56,7 +56,6 @@
 	age               time.Duration
 	// values are those that the client's session was told of.
 	values map[string]string
-	runs   int
 }
 
 // New starts a site.
