--- a/command/serve/hosted.go
+++ b/command/serve/hosted.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"reflect"
 	"syscall"
 
 	"github.com/hashicorp/go-hclog"
@@ -15,6 +16,28 @@
 	"github.com/dragonflypick/dragonflypick/platform"
 )
 
+// reload reads the settings again at each SIGHUP and tells what has changed. All
+// settings hold for the life of a process; those that have changed are in force
+// from its next start.
+func reload(x context.Context, path string, s platform.Settings, l hclog.Logger) error {
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	defer signal.Stop(c)
+	for {
+		select {
+		case <-x.Done():
+			return nil
+		case <-c:
+		}
+		n, err := platform.ReadSettings(path)
+		if err != nil {
+			l.Error("settings not read again", "error", err)
+			continue
+		}
+		l.Info("reload", "changed", !reflect.DeepEqual(n, s))
+	}
+}
+
 // hostedRun runs the daemon with the settings file of the users' platform.
 func hostedRun(x context.Context, o *Options, path string) error {
 	s, err := platform.ReadSettings(path)
@@ -26,12 +49,13 @@
 	}
 	x, stop := signal.NotifyContext(x, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	signal.Ignore(syscall.SIGHUP, syscall.SIGPIPE)
+	signal.Ignore(syscall.SIGPIPE)
 	w := logline.New(o.factory.Streams.Out)
 	l := hclog.New(&hclog.LoggerOptions{Name: "dragonflypick", Level: hclog.LevelFromString(o.Log.Level), JSONFormat: true, Output: w})
 	y, end := context.WithCancel(context.WithoutCancel(x))
 	g, y := errgroup.WithContext(y)
 	g.Go(func() error { return w.Run(y) })
+	g.Go(func() error { return reload(y, path, s, l) })
 	g.Go(func() error {
 		defer end()
 		return hosted.Run(x, hosted.Config{Settings: s, Secret: o.Secret, Log: l})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -88,6 +88,10 @@
 	table   *table
 	// contact is when another daemon last answered.
 	contact time.Time
+	// seen is when each host last answered anything, pinged when a holder was last
+	// asked whether it lives.
+	seen   map[string]time.Time
+	pinged map[string]time.Time
 	// answered is when each host last answered a request.
 	answered map[string]time.Time
 	// lease is that of the own entry.
@@ -105,7 +109,7 @@
 	x, stop := context.WithCancel(context.Background())
 	f := &Fleet{
 		c: c, mirror: newMirror(), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
-		members: map[string]catalog.Member{}, gone: map[string]time.Time{}, groups: map[string]*group{}, contact: time.Now(), answered: map[string]time.Time{},
+		members: map[string]catalog.Member{}, gone: map[string]time.Time{}, groups: map[string]*group{}, contact: time.Now(), answered: map[string]time.Time{}, seen: map[string]time.Time{}, pinged: map[string]time.Time{},
 		pools: map[string]*owned{}, table: newTable(),
 	}
 	var err error
@@ -165,6 +169,7 @@
 	switch e := e.(type) {
 	case membership.Seen:
 		f.contact = time.Now()
+		f.seen[e.ID] = f.contact
 	case membership.Met:
 		if e.Direct {
 			f.contact = time.Now()
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/pool"
+	"github.com/dragonflypick/dragonflypick/tenure"
 )
 
 // Timing of the daemon's own work.
@@ -20,6 +21,9 @@
 	restMargin = 2 * time.Second
 	// restTicks is the number of ticks between two searches for such transactions.
 	restTicks = 20
+	// holderSilence is how long a holder may be silent until it is asked whether it
+	// lives.
+	holderSilence = 400 * time.Millisecond
 	// leavePoll is how often a leaving daemon looks whether it is done.
 	leavePoll = 50 * time.Millisecond
 )
@@ -41,6 +45,38 @@
 		f.tend()
 		f.tendPools()
 		f.followPositions()
+		f.pingHolders()
+	}
+}
+
+// pingHolders asks holders that have been silent whether they live. Only hosts
+// of the primary's failure domain do so, as one of them takes the group over.
+func (f *Fleet) pingHolders() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := time.Now()
+	for _, g := range f.groups {
+		r, _, ok := g.tenure.Record()
+		id := r.Holder.ID
+		if !ok || id == "" || id == f.c.Self.ID || n.Sub(f.seen[id]) < holderSilence || n.Sub(f.pinged[id]) < holderSilence {
+			continue
+		}
+		m, ok := f.believed(g)
+		if !ok || m.FailureDomain != f.c.Self.FailureDomain || f.suspect(id) {
+			continue
+		}
+		f.pinged[id] = n
+		f.background(func(x context.Context) { f.ping(x, r.Holder) })
+	}
+}
+
+// ping asks a process whether it lives.
+func (f *Fleet) ping(x context.Context, p tenure.Party) {
+	y, stop := context.WithTimeout(x, linkTimeout)
+	defer stop()
+	if err := f.node.Call(y, membership.Host{ID: p.ID, PeerAddress: p.Address}, methodPing, nil, nil); err != nil {
+		f.c.Log.Info("holder doesn't answer", "host", p.ID, "error", err)
+		f.note(membership.Lost{ID: p.ID})
 	}
 }
 
