--- a/admit/admit.go
+++ b/admit/admit.go
@@ -68,7 +68,12 @@
 }
 
 // Finished tells that a started request has freed its slot.
-type Finished struct{ ID uint64 }
+type Finished struct {
+	ID uint64
+	// Declined tells that the backend server did no work, so that the time says
+	// nothing of the slot time of others.
+	Declined bool
+}
 
 // Withdrawn tells that a waiting request isn't wanted any more.
 type Withdrawn struct{ ID uint64 }
@@ -157,7 +162,7 @@
 	case Arrived:
 		o = q.arrive(x, now)
 	case Finished:
-		q.finish(x.ID, now)
+		q.finish(x, now)
 	case Withdrawn:
 		q.withdraw(x.ID)
 	case Configured:
--- a/admit/serve.go
+++ b/admit/serve.go
@@ -52,13 +52,17 @@
 	return nil
 }
 
-func (q *Queue) finish(id uint64, now time.Time) {
-	r, ok := q.running[id]
+func (q *Queue) finish(x Finished, now time.Time) {
+	r, ok := q.running[x.ID]
 	if !ok {
 		return
 	}
-	delete(q.running, id)
+	delete(q.running, x.ID)
 	d := now.Sub(r.started)
+	if x.Declined {
+		q.lines[r.Rank].charge(r.Caller, d-r.charged, -1)
+		return
+	}
 	q.cost[r.Rank] += time.Duration(costWeight * float64(min(d, costGrowth*q.cost[r.Rank])-q.cost[r.Rank]))
 	q.load[r.Rank].add(d, now)
 	q.lines[r.Rank].charge(r.Caller, d-r.charged, -1)
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/store"
@@ -96,6 +97,13 @@
 
 var _ = Describe("load", func() {
 	t := time.Now()
+	It("knows for a while that a member lacks a position", func() {
+		l := &load{position: logpos.Position{Term: 1, Offset: 5}, heard: t}
+		Expect(l.lacks(logpos.Position{Term: 1, Offset: 5}, t)).To(BeFalse())
+		Expect(l.lacks(logpos.Position{Term: 1, Offset: 6}, t)).To(BeTrue())
+		Expect(l.lacks(logpos.Position{Term: 2, Offset: 1}, t)).To(BeTrue())
+		Expect(l.lacks(logpos.Position{Term: 1, Offset: 6}, t.Add(positionMemory))).To(BeFalse())
+	})
 	It("counts what is under way, told queues and lag beyond the accepted age", func() {
 		l := &load{}
 		Expect(l.cost(3, time.Second, t)).To(BeZero())
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -374,6 +374,8 @@
 func (f *Fleet) observe(g *group, member string, p logpos.Position, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	l := f.table.of(member)
+	l.position, l.heard = p, now()
 	if member != g.primary || !g.tenure.Holds(now()) {
 		return
 	}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/pool"
 	"github.com/dragonflypick/dragonflypick/tenure"
@@ -137,10 +138,20 @@
 	}
 	f.mu.Unlock()
 	for _, p := range l {
+		f.logLoad(p)
 		f.background(func(context.Context) { p.EndResting(d) })
 	}
 }
 
+// logLoad tells the load of a member that requests wait for.
+func (f *Fleet) logLoad(p *pool.Pool) {
+	l := p.Load()
+	if l.Waiting != [bundle.RankCount]int{} || l.Opening != [bundle.RankCount]int{} {
+		f.c.Log.Info("member loaded", "member", p.Member().ID, "group", p.Member().Group, "running", l.Running, "waiting", l.Waiting, "opening", l.Opening,
+			"connections", l.Open, "idle", l.Idle, "transactions", l.Transactions)
+	}
+}
+
 // restLimit returns how long a transaction may rest at its owner; f.mu is held.
 func (f *Fleet) restLimit() time.Duration {
 	if c := f.Catalog(); c != nil {
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -215,7 +215,17 @@
 	}
 	q := *r
 	q.Remaining -= time.Since(t)
-	o := query.Response{Reply: p.Execute(x, &q, after, func() *query.Failure { return nil }), Member: m.ID}
+	o := query.Response{Member: m.ID}
+	f.mu.Lock()
+	l := f.table.of(m.ID)
+	lacks, at := l.lacks(after, now()), l.position
+	f.mu.Unlock()
+	if lacks {
+		o.Reply = query.Refusal(query.Lagging, "the member lacks "+after.String())
+		o.Position = at
+	} else {
+		o.Reply = p.Execute(x, &q, after, func() *query.Failure { return nil })
+	}
 	o.Queue = p.Wait(r.Rank)
 	if o.Failure != nil && o.Failure.Reason == query.Lagging {
 		f.mu.Lock()
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/dragonflypick/dragonflypick/logpos"
 )
 
 // Timing of what is known of members' load.
@@ -27,6 +29,19 @@
 	lagged time.Time
 	// failed is when the member could not be reached.
 	failed time.Time
+	// position is how far the member's log reached when it was heard at the time
+	// heard, by the clock that goes on in a freeze; its owner notes them.
+	position logpos.Position
+	heard    time.Time
+}
+
+// positionMemory is how long a member is believed to be no further than it told.
+const positionMemory = 150 * time.Millisecond
+
+// lacks reports whether a member is known not to hold a position, so that a read
+// for it needn't wait in its queue. After a while one read is sent to find out.
+func (l *load) lacks(p logpos.Position, now time.Time) bool {
+	return l.position.Less(p) && now.Sub(l.heard) < positionMemory
 }
 
 // table holds the load of members. It is not safe for concurrent use.
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -40,7 +40,7 @@
 		p.hold(r, c, n)
 		return o
 	}
-	p.transactions.leave(n)
+	p.transactions.leave(n, true)
 	if c != nil {
 		p.release(c, o.State == query.Failed && !p.rollBack(c, ""))
 	}
@@ -63,12 +63,13 @@
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
-	defer p.slots.leave(n)
 	c, f := p.acquire(x, r.Values, d)
 	if f != nil {
+		p.slots.leave(n, true)
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
 	o, broken := p.onConn(c, r, after, d, g)
+	p.slots.leave(n, o.Failure != nil && o.Failure.Reason.NotRun())
 	if broken {
 		p.release(c, true)
 		return o, nil
@@ -143,7 +144,7 @@
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
-	defer p.slots.leave(id)
+	defer p.slots.leave(id, false)
 	if f := g(); f != nil {
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
@@ -172,7 +173,7 @@
 		delete(p.txs, session)
 	}
 	p.mu.Unlock()
-	p.transactions.leave(t.place)
+	p.transactions.leave(t.place, false)
 	p.release(t.c, broken)
 }
 
--- a/pool/gate.go
+++ b/pool/gate.go
@@ -35,6 +35,17 @@
 	return g.queue.Wait(r, "", time.Now())
 }
 
+// depth returns the number of requests that wait, by rank.
+func (g *gate) depth() [bundle.RankCount]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var o [bundle.RankCount]int
+	for r := range o {
+		o[r] = g.queue.Depth(bundle.Rank(r))
+	}
+	return o
+}
+
 // running returns the number of requests that were let through.
 func (g *gate) running() int {
 	g.mu.Lock()
@@ -89,11 +100,12 @@
 	return nil
 }
 
-// leave makes room for another request.
-func (g *gate) leave(id uint64) {
+// leave makes room for another request. A declined one took none of the backend
+// server's time.
+func (g *gate) leave(id uint64, declined bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.act(g.queue.Handle(admit.Finished{ID: id}, time.Now()))
+	g.act(g.queue.Handle(admit.Finished{ID: id, Declined: declined}, time.Now()))
 }
 
 // act carries out the queue's actions; g.mu is held.
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -126,11 +126,26 @@
 	return len(p.txs) + n
 }
 
-// Connections returns the number of open and of idle connections.
-func (p *Pool) Connections() (open, idle int) {
+// Load is what a pool holds at a moment.
+type Load struct {
+	// Running counts statements, Waiting and Opening those that wait for a slot
+	// and transactions that wait to open, by rank.
+	Running int
+	Waiting [bundle.RankCount]int
+	Opening [bundle.RankCount]int
+	// Open and Idle count connections, Transactions those that are held.
+	Open         int
+	Idle         int
+	Transactions int
+}
+
+// Load returns what the pool holds.
+func (p *Pool) Load() Load {
+	l := Load{Running: p.slots.running(), Waiting: p.slots.depth(), Opening: p.transactions.depth()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open, len(p.idle)
+	l.Open, l.Idle, l.Transactions = p.open, len(p.idle), len(p.txs)
+	return l
 }
 
 // Heard notes that the member answers.
