--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -94,6 +94,8 @@
 	pinged map[string]time.Time
 	// answered is when each host last answered a request.
 	answered map[string]time.Time
+	// level is when a host that watches the store last brought this one level.
+	level time.Time
 	// lease is that of the own entry.
 	lease uint64
 }
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,15 @@
 const (
 	// readTimeout bounds a call that doesn't wait.
 	readTimeout = 1500 * time.Millisecond
+	// watchGap lies between two watches, so that changes which come together cost
+	// one call.
+	watchGap = 60 * time.Millisecond
+	// watchersPerDomain is the number of hosts of each failure domain that watch
+	// the store; the others ask these for news.
+	watchersPerDomain = 2
+	// relayLimit is how long a host goes on without news of any revision before it
+	// watches the store itself.
+	relayLimit = 3 * time.Second
 	// watchWait is how long a watch waits; a connection that has gone silent
 	// unnoticed costs no more than this.
 	watchWait = 8 * time.Second
@@ -86,7 +96,13 @@
 	return nil
 }
 
+// watch waits for changes, in the store or from a host that watches it.
 func (f *Fleet) watch(x context.Context) error {
+	pause(x, watchGap)
+	if !f.watches() {
+		pause(x, watchGap)
+		return nil
+	}
 	l, r, err := f.c.Store.Watch(x, "", f.mirror.at(), watchWait)
 	if err != nil {
 		return err
@@ -95,6 +111,29 @@
 	return nil
 }
 
+// watches reports whether this host watches the store: it is one of the first of
+// its failure domain, or it has not been brought level by one of these for long.
+func (f *Fleet) watches() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if time.Since(f.level) > relayLimit {
+		return true
+	}
+	return slices.ContainsFunc(f.watchers(), func(h membership.Host) bool { return h.ID == f.c.Self.ID })
+}
+
+// watchers returns the hosts that watch the store for this failure domain; f.mu
+// is held.
+func (f *Fleet) watchers() []membership.Host {
+	var o []membership.Host
+	for _, h := range f.view.Live(time.Now()) {
+		if h.FailureDomain == f.c.Self.FailureDomain && len(o) < watchersPerDomain {
+			o = append(o, h)
+		}
+	}
+	return o
+}
+
 // take acts on news from the store.
 func (f *Fleet) take(l []store.Item) {
 	hosts := false
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -43,7 +43,8 @@
 	// nearBy is since when another host stands nearer to the primary, zero if
 	// none does.
 	nearBy time.Time
-	// regressed tells that the primary's log has lost entries.
+	// regressed tells that the primary isn't to be used: its log has lost entries,
+	// or a promotion has been asked for.
 	regressed bool
 	// silent counts the fresh connections to the primary that failed in a row.
 	silent int
@@ -170,7 +171,7 @@
 
 // alive reports whether a host is live in the view; f.mu is held.
 func (f *Fleet) alive(id string) bool {
-	return slices.ContainsFunc(f.view.Live(time.Now()), func(h membership.Host) bool { return h.ID == id })
+	return f.view.Alive(id, time.Now())
 }
 
 // mayTake reports whether a group may be taken from its holder: the platform has
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -14,7 +14,7 @@
 // Timing of the daemon's own work.
 const (
 	// tickInterval is how often groups and pools are looked after.
-	tickInterval = 50 * time.Millisecond
+	tickInterval = 80 * time.Millisecond
 	// unwantedTime is how long a pool that nobody asks for is kept.
 	unwantedTime = 20 * time.Second
 	// restMargin is added to the time that a transaction may rest before its
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -20,6 +20,8 @@
 	// silenceTime is how long a primary may not answer before fresh connections
 	// are tried.
 	silenceTime = 300 * time.Millisecond
+	// refusedTime is the same for a primary whose connections fail to open.
+	refusedTime = 100 * time.Millisecond
 	// probeTime bounds a fresh connection; probeGap lies between two of them.
 	probeTime = 800 * time.Millisecond
 	probeGap  = 100 * time.Millisecond
@@ -135,7 +137,7 @@
 	why := "removed"
 	switch {
 	case g.regressed:
-		why = "log-lost"
+		why = "unusable"
 	case ok && m.Draining:
 		why = "draining"
 	}
@@ -152,7 +154,7 @@
 	if g.silent >= deadProbes {
 		return func(x context.Context, g *group) { f.replace(x, g, "silent") }
 	}
-	if _, heard := o.Health(); t.Sub(heard) < silenceTime {
+	if failures, heard := o.Health(); t.Sub(heard) < silenceTime && (failures < deadProbes || t.Sub(heard) < refusedTime) {
 		g.silent = 0
 		return nil
 	}
@@ -215,11 +217,22 @@
 	g.replacing = t
 	f.mu.Unlock()
 	f.c.Log.Info("primary to be replaced", "group", g.name, "member", old, "term", g.term, "why", why)
+	var w errgroup.Group
+	var intended, ok bool
+	var n answer
+	w.Go(func() error {
+		intended = f.intend(x, g)
+		return nil
+	})
 	if why == "draining" {
 		f.finish(x, old)
 	}
-	n, ok := f.choose(x, g, old, why == "draining")
-	if ok {
+	n, ok = f.choose(x, g, old, why == "draining")
+	_ = w.Wait()
+	if !ok && intended {
+		f.recordPrimary(x, g)
+	}
+	if ok = ok && intended; ok {
 		f.dropPool(old)
 		ok = f.promote(x, g, n)
 	}
@@ -235,6 +248,19 @@
 	f.background(func(x context.Context) { f.demote(x, g, old) })
 }
 
+// pendingTarget stands in the record while a promotion may be asked for.
+const pendingTarget = "pending"
+
+// intend notes in the record that a promotion may be asked for from now on.
+func (f *Fleet) intend(x context.Context, g *group) bool {
+	f.mu.Lock()
+	r, rev, _ := g.tenure.Record()
+	ok := g.tenure.MayReplace(now())
+	r.Primary, r.Term, r.Target = g.primary, max(g.term, r.Term), pendingTarget
+	f.mu.Unlock()
+	return ok && f.swap(x, g, r, rev)
+}
+
 // finish waits for the open transactions at a member.
 func (f *Fleet) finish(x context.Context, member string) {
 	f.mu.Lock()
@@ -290,7 +316,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := a.status
-	return s.Primary && (s.Term > g.term || s.Term == g.term && a.member.ID != g.primary && !s.Received.Less(g.end))
+	same := s.Term == g.term && a.member.ID != g.primary && !s.Received.Less(g.end) && !g.regressed
+	return s.Primary && (s.Term > g.term || same)
 }
 
 // nearer reports whether a stands nearer to this host than b.
@@ -301,25 +328,24 @@
 // promote makes a member primary and waits until it leads.
 func (f *Fleet) promote(x context.Context, g *group, a answer) bool {
 	f.mu.Lock()
-	r, rev, _ := g.tenure.Record()
-	if !g.tenure.MayReplace(now()) {
+	r, _, _ := g.tenure.Record()
+	if !g.tenure.MayReplace(now()) || r.Target == "" {
 		f.mu.Unlock()
 		return false
 	}
-	r.Target = a.member.ID
 	term := max(g.term, r.Term)
 	f.mu.Unlock()
 	if f.leads(g, a) {
 		return f.lead(g, a.member, a.status)
 	}
-	if !f.swap(x, g, r, rev) {
-		return false
-	}
 	t := time.Now()
 	for time.Since(t) < leadTime && x.Err() == nil {
 		f.mu.Lock()
 		_, token, _ := g.tenure.Record()
 		ok := g.tenure.MayReplace(now())
+		// The promotion may take effect at any time from here on, so that the old
+		// primary isn't used again, whatever the answer.
+		g.regressed = g.regressed || ok
 		f.mu.Unlock()
 		if !ok {
 			return false
@@ -367,7 +393,7 @@
 	for range 3 {
 		f.mu.Lock()
 		r, rev, _ := g.tenure.Record()
-		ok := r.Holder.ID == f.c.Self.ID
+		ok := r.Holder.ID == f.c.Self.ID && !g.regressed
 		r.Primary, r.Term, r.Target = g.primary, g.term, ""
 		r.Prior = g.tenure.Waiting(now())
 		f.mu.Unlock()
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -150,7 +150,7 @@
 // suspect reports whether a host is passed over because it didn't answer; f.mu
 // is held.
 func (f *Fleet) suspect(id string) bool {
-	return slices.ContainsFunc(f.view.Suspects(time.Now()), func(h membership.Host) bool { return h.ID == id }) && !f.alive(id)
+	return f.view.Suspect(id, time.Now())
 }
 
 // executeRead offers a read to the members in the order of predicted cost.
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -338,15 +339,19 @@
 	for pause(x, exchangeInterval/2+rand.N(exchangeInterval)) {
 		f.mu.Lock()
 		l := f.liveOthers()
+		w := slices.DeleteFunc(f.watchers(), func(h membership.Host) bool { return h.ID == f.c.Self.ID })
 		l = append(l, f.view.Suspects(time.Now())...)
 		f.mu.Unlock()
+		if len(w) > 0 {
+			f.exchangeWith(x, w[rand.IntN(len(w))], true)
+		}
 		for _, s := range f.c.Seeds {
 			if len(l) == 0 {
-				f.exchangeWith(x, peer.Seed(s))
+				f.exchangeWith(x, peer.Seed(s), false)
 			}
 		}
 		if len(l) > 0 {
-			f.exchangeWith(x, l[rand.IntN(len(l))])
+			f.exchangeWith(x, l[rand.IntN(len(l))], false)
 		}
 	}
 	return nil
@@ -355,7 +360,8 @@
 // exchangeInterval is how often another daemon is asked for news.
 const exchangeInterval = 300 * time.Millisecond
 
-func (f *Fleet) exchangeWith(x context.Context, h membership.Host) {
+// exchangeWith takes a daemon's news; watcher tells that it watches the store.
+func (f *Fleet) exchangeWith(x context.Context, h membership.Host, watcher bool) {
 	y, stop := context.WithTimeout(x, linkTimeout)
 	defer stop()
 	var o exchangeReply
@@ -363,6 +369,11 @@
 		f.c.Log.Debug("no exchange", "host", h.ID, "error", err)
 		return
 	}
+	if watcher {
+		f.mu.Lock()
+		f.level = time.Now()
+		f.mu.Unlock()
+	}
 	for _, h := range o.Hosts {
 		f.note(membership.Met{Host: h})
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -232,6 +232,17 @@
 	return o
 }
 
+// Alive reports whether a host may own backend servers.
+func (v *View) Alive(id string, now time.Time) bool {
+	h, ok := v.Host(id)
+	return ok && v.live(h, now)
+}
+
+// Suspect reports whether a host is passed over now because a link failed.
+func (v *View) Suspect(id string, now time.Time) bool {
+	return id != v.self.ID && now.Before(v.suspect[id].until)
+}
+
 func (v *View) live(h Host, now time.Time) bool {
 	if h.Leaving || now.Before(v.left[h.ID]) {
 		return false
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -34,6 +34,9 @@
 	// lower ranks go on while urgent work floods.
 	routineShare    = 0.1
 	backgroundShare = 0.1
+	// queuedStatements wait at the member itself, so that no slot there rests while
+	// an answer and the next statement are on their way.
+	queuedStatements = 1
 	// urgentTransactions are the open transactions that background work leaves
 	// to others, so that urgent ones needn't wait for its pauses.
 	urgentTransactions = 2
@@ -93,7 +96,7 @@
 // New returns a pool without connections.
 func New(c Config) *Pool {
 	n := max(c.Connections-spareConnections, 2)
-	s := admit.Config{Slots: c.Member.Slots}
+	s := admit.Config{Slots: c.Member.Slots + queuedStatements}
 	t := admit.Config{Slots: max(n-c.Member.Slots, 1)}
 	t.Reserve = min(urgentTransactions, t.Slots-1)
 	for _, q := range []*admit.Config{&s, &t} {
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -47,7 +47,7 @@
 	// Primary and Term are those of the last promotion that is known.
 	Primary string `json:"primary,omitempty"`
 	Term    uint64 `json:"term,omitempty"`
-	// Target is the member that a promotion may have been asked for.
+	// Target isn't empty while a promotion may have been asked for.
 	Target string `json:"target,omitempty"`
 }
 
