A transaction is named by its attempt; one that was refused or given up before it began is rolled back

Reading found three ways in which an owner could keep a transaction that its entry had given up, under the name of the session, beside a later one of the same session: a first statement refused inside the transaction, an attempt taken back while it waited, and a commit that was refused.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -15,7 +15,12 @@
 )
 
 // Pin tells where an open transaction runs.
-type Pin struct{ Host, Member string }
+type Pin struct {
+	Host   string
+	Member string
+	// Transaction is its name there, unique among all attempts to open one.
+	Transaction string
+}
 
 // Router has requests run.
 type Router interface {
@@ -279,7 +284,7 @@
 	}
 	switch {
 	case o.State == query.Open:
-		s.tx.pin = &Pin{Host: o.Owner, Member: o.Member}
+		s.tx.pin = &Pin{Host: o.Owner, Member: o.Member, Transaction: o.Transaction}
 	default:
 		s.state, s.tx.pin = query.Failed, nil
 		if o.Failure == nil {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -70,6 +70,8 @@
 	metrics *metrics
 	catalog atomic.Pointer[catalog.Catalog]
 	leaving atomic.Bool
+	// attempts counts the attempts to open a transaction.
+	attempts atomic.Uint64
 	// work runs what outlives a call; ctx ends with the daemon.
 	work errgroup.Group
 	ctx  context.Context
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
@@ -80,13 +81,13 @@
 	f.mu.Lock()
 	h, ok := f.view.Host(pin.Host)
 	f.mu.Unlock()
-	r.Member = pin.Member
+	r.Member, r.Transaction = pin.Member, pin.Transaction
 	if !ok {
 		return query.Response{Reply: query.Refusal(query.Aborted, "the transaction's owner is gone")}
 	}
 	o := f.send(x, h, r, r.Remaining)
 	if o.Failure != nil && o.State != query.Open && r.Use == query.Later {
-		a := query.Request{Group: r.Group, Member: r.Member, Session: r.Session, Use: query.Abandon, Remaining: linkTimeout}
+		a := query.Request{Group: r.Group, Member: r.Member, Session: r.Session, Transaction: r.Transaction, Use: query.Abandon, Remaining: linkTimeout}
 		if o.Failure.Reason == query.InDoubt || o.Failure.Reason == query.Aborted {
 			f.background(func(x context.Context) { f.send(x, h, &a, linkTimeout) })
 		}
@@ -286,10 +287,18 @@
 func (f *Fleet) send(x context.Context, h membership.Host, r *query.Request, left time.Duration) query.Response {
 	q := *r
 	q.Remaining = left
+	if r.Use == query.First {
+		q.Transaction = r.Session + "#" + strconv.FormatUint(f.attempts.Add(1), 36)
+	}
+	o := f.sendNamed(x, h, &q, left)
+	o.Owner, o.Transaction = h.ID, q.Transaction
+	return o
+}
+
+// sendNamed has a host run a request whose transaction has its name.
+func (f *Fleet) sendNamed(x context.Context, h membership.Host, r *query.Request, left time.Duration) query.Response {
 	if h.ID == f.c.Self.ID {
-		o := f.serve(x, &q)
-		o.Owner = h.ID
-		return o
+		return f.serve(x, r)
 	}
 	y, stop := context.WithTimeout(x, left+callMargin)
 	defer stop()
@@ -297,15 +306,14 @@
 		defer f.watchStall(h.ID, stop)()
 	}
 	var o query.Response
-	err := f.node.Call(y, h, methodExecute, &q, &o)
-	o.Owner = h.ID
+	err := f.node.Call(y, h, methodExecute, r, &o)
 	if err == nil {
 		f.mu.Lock()
 		f.answered[h.ID] = time.Now()
 		f.mu.Unlock()
 		return o
 	}
-	o = query.Response{Owner: h.ID}
+	o = query.Response{}
 	o.Failure = &query.Failure{Reason: query.Unreachable, Text: err.Error()}
 	var u *peer.UnsentError
 	if errors.As(err, &u) {
@@ -318,7 +326,7 @@
 		o.Failure.Reason = query.Aborted
 	}
 	if r.Use == query.First {
-		a := query.Request{Group: r.Group, Session: r.Session, Use: query.Abandon, Remaining: linkTimeout}
+		a := query.Request{Group: r.Group, Member: r.Member, Session: r.Session, Transaction: r.Transaction, Use: query.Abandon, Remaining: linkTimeout}
 		f.background(func(x context.Context) { f.abandon(x, h, a) })
 	}
 	return o
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -145,7 +145,7 @@
 	g := f.group(r.Group)
 	f.mu.Unlock()
 	for _, p := range l {
-		if !p.Holds(r.Session) {
+		if r.Member != "" && p.Member().ID != r.Member || r.Use == query.Later && !p.Holds(r.Transaction) {
 			continue
 		}
 		guard := func() *query.Failure { return nil }
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -36,13 +36,18 @@
 		return query.Reply{Failure: f, State: query.Idle}
 	}
 	o, c := p.outside(x, r, after, d, g)
-	if c != nil && o.State == query.Open {
-		p.hold(r, c, n)
+	if c != nil && o.State == query.Open && o.Failure == nil && p.hold(r, c, n) {
 		return o
 	}
 	p.transactions.leave(n, true)
 	if c != nil {
-		p.release(c, o.State == query.Failed && !p.rollBack(c, ""))
+		p.release(c, o.State != query.Idle && !p.rollBack(c, ""))
+	}
+	if o.State == query.Open {
+		o.State = query.Failed
+		if o.Failure == nil {
+			o.Failure = &query.Failure{Reason: query.Aborted, Text: "the transaction was given up"}
+		}
 	}
 	return o
 }
@@ -111,17 +116,22 @@
 	return s
 }
 
-// hold keeps a connection for a transaction.
-func (p *Pool) hold(r *query.Request, c *conn, place uint64) {
+// hold keeps a connection for a transaction, unless that was given up before it
+// had begun.
+func (p *Pool) hold(r *query.Request, c *conn, place uint64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.txs[r.Session] = &tx{c: c, place: place, used: time.Now()}
+	if _, ok := p.abandoned[r.Transaction]; ok {
+		return false
+	}
+	p.txs[r.Transaction] = &tx{c: c, place: place, used: time.Now()}
+	return true
 }
 
 // later runs a further statement of a transaction.
 func (p *Pool) later(x context.Context, r *query.Request, d time.Time, g Guard) query.Reply {
 	p.mu.Lock()
-	t := p.txs[r.Session]
+	t := p.txs[r.Transaction]
 	p.mu.Unlock()
 	if t == nil {
 		return query.Refusal(query.Aborted, "the transaction is not open here")
@@ -133,8 +143,8 @@
 	}
 	o, broken := p.inTx(x, t.c, r, d, g)
 	t.used = time.Now()
-	if o.State != query.Open || broken {
-		p.endTx(r.Session, t, o.State == query.Failed && !broken, broken)
+	if o.State != query.Open || broken || r.Action == query.DoCommit {
+		p.endTx(r.Transaction, t, o.State != query.Idle && !broken, broken)
 	}
 	return o
 }
@@ -163,15 +173,13 @@
 }
 
 // endTx gives the connection of a transaction back; t.mu is held.
-func (p *Pool) endTx(session string, t *tx, rollBack, broken bool) {
+func (p *Pool) endTx(name string, t *tx, rollBack, broken bool) {
 	t.ended = true
 	if rollBack {
 		broken = !p.rollBack(t.c, "")
 	}
 	p.mu.Lock()
-	if p.txs[session] == t {
-		delete(p.txs, session)
-	}
+	delete(p.txs, name)
 	p.mu.Unlock()
 	p.transactions.leave(t.place, false)
 	p.release(t.c, broken)
@@ -181,7 +189,10 @@
 // not ask for it.
 func (p *Pool) abandon(r *query.Request) query.Reply {
 	p.mu.Lock()
-	t := p.txs[r.Session]
+	t := p.txs[r.Transaction]
+	if t == nil {
+		p.abandoned[r.Transaction] = time.Now()
+	}
 	p.mu.Unlock()
 	if t == nil {
 		return query.Reply{State: query.Idle}
@@ -189,11 +200,15 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.ended {
-		p.endTx(r.Session, t, true, false)
+		p.endTx(r.Transaction, t, true, false)
 	}
 	return query.Reply{State: query.Idle}
 }
 
+// abandonedTime is how long a transaction that was given up before it had begun is
+// remembered; requests wait for less.
+const abandonedTime = 20 * time.Second
+
 // rollBackTime bounds a rollback, which needs no slot.
 const rollBackTime = time.Second
 
@@ -257,16 +272,22 @@
 	return o, err
 }
 
-// Holds reports whether a session's transaction is open here.
-func (p *Pool) Holds(session string) bool {
+// Holds reports whether a transaction is open here.
+func (p *Pool) Holds(transaction string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.txs[session] != nil
+	return p.txs[transaction] != nil
 }
 
-// EndResting rolls back transactions that have rested for longer than d.
+// EndResting rolls back transactions that have rested for longer than d, and
+// forgets those that were given up long before.
 func (p *Pool) EndResting(d time.Duration) {
 	p.mu.Lock()
+	for n, t := range p.abandoned {
+		if time.Since(t) > abandonedTime {
+			delete(p.abandoned, n)
+		}
+	}
 	var l []string
 	for s, t := range p.txs {
 		if t.mu.TryLock() {
@@ -278,7 +299,7 @@
 	}
 	p.mu.Unlock()
 	for _, s := range l {
-		p.c.Log.Info("resting transaction ended", "member", p.c.Member.ID, "session", s)
-		p.abandon(&query.Request{Session: s})
+		p.c.Log.Info("resting transaction ended", "member", p.c.Member.ID, "transaction", s)
+		p.abandon(&query.Request{Transaction: s})
 	}
 }
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -74,8 +74,11 @@
 	full time.Time
 	// waiters are told when it is worth looking for a connection again.
 	waiters []chan struct{}
-	txs     map[string]*tx
-	closed  bool
+	// txs holds the open transactions, abandoned when those were given up that had
+	// not begun.
+	txs       map[string]*tx
+	abandoned map[string]time.Time
+	closed    bool
 	// failures counts connections that could not be opened since the last reply.
 	failures int
 	heard    time.Time
@@ -103,7 +106,7 @@
 		q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
 	}
 	return &Pool{
-		c: c, slots: newGate("slot", s), transactions: newGate("transaction", t), limit: n, txs: map[string]*tx{}, heard: c.Now(),
+		c: c, slots: newGate("slot", s), transactions: newGate("transaction", t), limit: n, txs: map[string]*tx{}, abandoned: map[string]time.Time{}, heard: c.Now(),
 	}
 }
 
--- a/query/query.go
+++ b/query/query.go
@@ -179,8 +179,11 @@
 	Group  string `json:"g"`
 	Member string `json:"m,omitempty"`
 	// Session is unique among all sessions of all daemons.
-	Session string      `json:"c"`
-	Rank    bundle.Rank `json:"k,omitempty"`
+	Session string `json:"c"`
+	// Transaction names the transaction; it is unique among all attempts to open
+	// one, so that an attempt that was given up is never mistaken for the next.
+	Transaction string      `json:"n,omitempty"`
+	Rank        bundle.Rank `json:"k,omitempty"`
 	// Remaining is how long the answer may still take.
 	Remaining time.Duration `json:"d"`
 	Use       Use           `json:"u,omitempty"`
@@ -209,6 +212,8 @@
 	// daemon that asked.
 	Member string `json:"m,omitempty"`
 	Owner  string `json:"-"`
+	// Transaction is the name of the request's transaction, filled in likewise.
+	Transaction string `json:"-"`
 	// Holder is the host to ask instead, if the reason is Moved.
 	Holder string `json:"h,omitempty"`
 }
--- a/standin/site/client.go
+++ b/standin/site/client.go
@@ -46,6 +46,8 @@
 	b      *bufio.Reader
 	kind   string
 	values map[string]string
+	// inTx tells that a transaction is open.
+	inTx bool
 }
 
 // Load runs clients against daemons' addresses for a time and returns how their
@@ -153,7 +155,7 @@
 func (c *Client) ask(text string, signed bool) (id, code string, state byte, whole bool) {
 	c.n++
 	id = fmt.Sprintf("%s.%d", c.name, c.n)
-	a := &asked{id: id, session: fmt.Sprintf("%s@%p", c.name, c.c), text: text, sent: time.Now(), own: c.kind == "own", values: map[string]string{}}
+	a := &asked{id: id, session: fmt.Sprintf("%s@%p", c.name, c.c), text: text, sent: time.Now(), own: c.kind == "own", inTx: c.inTx, values: map[string]string{}}
 	for n, v := range c.values {
 		a.values[n] = v
 	}
@@ -212,10 +214,16 @@
 
 // transaction writes twice and commits.
 func (c *Client) transaction() {
+	if c.r.IntN(2) == 0 {
+		c.readTransaction()
+		return
+	}
 	if _, code, _, whole := c.ask("BEGIN", false); code != "" || !whole {
 		c.drop()
 		return
 	}
+	c.inTx = true
+	defer func() { c.inTx = false }()
 	var ids []string
 	for range 2 {
 		id, code, state, whole := c.ask(fmt.Sprintf("WRITE k%d y", c.r.IntN(20)), true)
@@ -234,6 +242,33 @@
 	c.keep(state, whole)
 }
 
+// readTransaction reads a few times and ends in one way or another.
+func (c *Client) readTransaction() {
+	if _, code, _, whole := c.ask("BEGIN READ", false); code != "" || !whole {
+		c.drop()
+		return
+	}
+	c.inTx = true
+	defer func() { c.inTx = false }()
+	for range 1 + c.r.IntN(4) {
+		_, code, _, whole := c.ask(fmt.Sprintf("READ k%d", c.r.IntN(20)), true)
+		if code != "" || !whole || c.r.IntN(10) == 0 {
+			c.count(code, whole, nil, false)
+			c.drop()
+			return
+		}
+		time.Sleep(time.Duration(c.r.IntN(10)) * time.Millisecond)
+	}
+	if c.r.IntN(3) == 0 {
+		_, _, state, whole := c.ask("ROLLBACK", false)
+		c.keep(state, whole)
+		return
+	}
+	_, code, state, whole := c.ask("COMMIT", true)
+	c.count(code, whole, nil, false)
+	c.keep(state, whole)
+}
+
 // count notes how an operation ended.
 func (c *Client) count(code string, whole bool, writes []string, write bool) {
 	now := time.Now()
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -54,6 +54,8 @@
 	sent              time.Time
 	own               bool
 	age               time.Duration
+	// inTx tells that the client has a transaction open.
+	inTx bool
 	// values are those that the client's session was told of.
 	values map[string]string
 }
@@ -263,6 +265,12 @@
 		s.note("UNASKED", "%s runs %q", id, text)
 		return nil
 	}
+	if on.state != 'I' && on.owner != a.session {
+		s.note("PINNED", "%s of %s ran in the transaction of %s", id, a.session, on.owner)
+	}
+	if a.inTx && on.state == 'I' {
+		s.note("PINNED", "%s of %s ran outside of its transaction", id, a.session)
+	}
 	if len(a.values) != len(on.values) {
 		s.note("PINNED", "%s ran with %v instead of %v", id, on.values, a.values)
 	}
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -186,6 +186,16 @@
 		Expect(o.Served).To(BeNumerically(">", 300))
 	})
 
+	It("keep transactions apart while far more is asked than can be served", func() {
+		c := size
+		c.Work = 25 * time.Millisecond
+		f := newFleet(c, 4)
+		o := f.at.Load(8, 90, 4*time.Second, f.addresses)
+		f.at.Verify(o)
+		Expect(f.at.Broken()).To(BeEmpty())
+		Expect(o.Served).To(BeNumerically(">", 300))
+	})
+
 	It("serve a database that was just added", func() {
 		f := newFleet(size, 3)
 		f.at.Configure([]string{"added"})
