--- a/standin/site/client.go
+++ b/standin/site/client.go
@@ -37,15 +37,17 @@
 
 // Client is one caller's session.
 type Client struct {
-	s      *Site
-	o      *Outcome
-	r      *rand.Rand
-	name   string
-	n      int
-	c      net.Conn
-	b      *bufio.Reader
-	kind   string
-	values map[string]string
+	s    *Site
+	o    *Outcome
+	r    *rand.Rand
+	name string
+	n    int
+	c    net.Conn
+	b    *bufio.Reader
+	// session names the connection.
+	session string
+	kind    string
+	values  map[string]string
 	// inTx tells that a transaction is open.
 	inTx bool
 }
@@ -112,6 +114,7 @@
 	}
 	c.c, c.b, c.values = k, bufio.NewReader(k), map[string]string{}
 	c.n++
+	c.session = fmt.Sprintf("%s@%d", c.name, c.n)
 	g := c.s.groups[c.r.IntN(len(c.s.groups))]
 	c.kind = []string{"primary", "bounded", "own"}[c.r.IntN(3)]
 	if _, err := fmt.Fprintf(k, "START %s-%s who\r\n", g.name, c.kind); err != nil {
@@ -155,7 +158,7 @@
 func (c *Client) ask(text string, signed bool) (id, code string, state byte, whole bool) {
 	c.n++
 	id = fmt.Sprintf("%s.%d", c.name, c.n)
-	a := &asked{id: id, session: fmt.Sprintf("%s@%p", c.name, c.c), text: text, sent: time.Now(), own: c.kind == "own", inTx: c.inTx, values: map[string]string{}}
+	a := &asked{id: id, session: c.session, text: text, sent: time.Now(), own: c.kind == "own", inTx: c.inTx, values: map[string]string{}}
 	for n, v := range c.values {
 		a.values[n] = v
 	}
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -38,11 +39,22 @@
 	l  []*daemon
 }
 
+// nextPort is tried next. Ports below those that the kernel hands out stay free
+// until their daemon listens.
+var nextPort = 12000 + os.Getpid()%900*20
+
 func freePort() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		a := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if nextPort++; nextPort > 31000 {
+			nextPort = 12000
+		}
+		l, err := net.Listen("tcp", a)
+		if err == nil {
+			_ = l.Close()
+			return a
+		}
+	}
 }
 
 func newFleet(c site.Config, n int) *fleet {
