--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -69,13 +69,18 @@
 		pause(x, backoff(n))
 		for x.Err() == nil && f.mirror.at() > 0 {
 			if err = f.watch(x); err == nil {
+				if n > 0 {
+					f.c.Log.Info("store followed again", "revision", f.mirror.at())
+				}
 				n = 0
-				f.c.Log.Info("store followed again", "revision", f.mirror.at())
 				continue
 			}
 			if errors.As(err, &c) {
 				break
 			}
+			if n == 0 {
+				f.c.Log.Info("store not followed", "error", err, "revision", f.mirror.at())
+			}
 			n++
 			pause(x, backoff(n))
 		}
