--- a/fleet/group.go
+++ b/fleet/group.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"slices"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -12,9 +9,7 @@
 	"github.com/dragonflypick/dragonflypick/freshness"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
-	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/query"
-	"github.com/dragonflypick/dragonflypick/store"
 	"github.com/dragonflypick/dragonflypick/tenure"
 )
 
@@ -197,7 +192,7 @@
 	case len(g.tenure.Waiting(t)) > 0:
 		return f.askPrior
 	}
-	if f.better(g, t) {
+	if f.farther(g, t) {
 		return f.giveAway
 	}
 	return f.watchPrimary(g, t)
@@ -220,9 +215,9 @@
 // it is given the group, so that short suspicions don't move it.
 const betterTime = 2 * time.Second
 
-// better reports whether another host has stood nearer to the primary for a
+// farther reports whether another host has stood nearer to the primary for a
 // while; f.mu is held.
-func (f *Fleet) better(g *group, t time.Time) bool {
+func (f *Fleet) farther(g *group, t time.Time) bool {
 	m, ok := f.members[g.primary]
 	if ok && !m.Draining && m.FailureDomain != f.c.Self.FailureDomain {
 		h, ok := f.view.Owner(place(m), time.Now())
@@ -237,140 +232,6 @@
 	return false
 }
 
-// key returns the store's key of a group.
-func key(g *group) string { return groupPrefix + g.name }
-
-// takeOver makes this host the holder.
-func (f *Fleet) takeOver(x context.Context, g *group) {
-	f.mu.Lock()
-	r, rev, known := g.tenure.Record()
-	n := g.tenure.Take()
-	f.mu.Unlock()
-	if !known {
-		rev = 0
-	}
-	f.c.Log.Info("group taken over", "group", g.name, "from", r.Holder.ID, "revision", rev, "prior", n.Prior)
-	f.swap(x, g, n, rev)
-}
-
-// swap writes a group's record if it still has the revision, and takes in what
-// stands there afterwards.
-func (f *Fleet) swap(x context.Context, g *group, r tenure.Record, rev uint64) bool {
-	y, stop := context.WithTimeout(x, readTimeout)
-	defer stop()
-	v, err := json.Marshal(r)
-	if err != nil {
-		f.c.Log.Error("group record not written", "group", g.name, "error", err)
-		return false
-	}
-	t := now()
-	w := store.Write{Key: key(g), Value: v, Conditional: true, Revision: rev}
-	n, err := f.write(y, w)
-	var c *store.ConflictError
-	switch {
-	case err == nil:
-		f.takeRecord(store.Item{Key: key(g), Value: v, Revision: n}, t)
-		return true
-	case errors.As(err, &c):
-		f.takeRecord(c.Item, t)
-	default:
-		f.c.Log.Warn("group record not written", "group", g.name, "error", err)
-		pause(x, backoff(1))
-		f.confirm(x, g)
-	}
-	return false
-}
-
-// confirm asks the store for the record, or another daemon if the store doesn't
-// answer.
-func (f *Fleet) confirm(x context.Context, g *group) {
-	y, stop := context.WithTimeout(x, readTimeout)
-	defer stop()
-	t := now()
-	i, err := f.read(y, key(g))
-	if err != nil {
-		f.mu.Lock()
-		g.tenure.Handle(tenure.Asking{Failed: true}, now())
-		f.mu.Unlock()
-		f.c.Log.Warn("group record not confirmed", "group", g.name, "error", err)
-		return
-	}
-	if i.Revision > 0 {
-		f.takeRecord(i, t)
-	}
-}
-
-// askPrior finds out whether the earlier holders have ended.
-func (f *Fleet) askPrior(x context.Context, g *group) {
-	f.mu.Lock()
-	l := g.tenure.Waiting(now())
-	f.mu.Unlock()
-	for _, p := range l {
-		y, stop := context.WithTimeout(x, linkTimeout)
-		err := f.node.Call(y, membership.Host{ID: p.ID, PeerAddress: p.Address}, methodPing, nil, nil)
-		stop()
-		var o *peer.OtherError
-		if errors.As(err, &o) {
-			f.c.Log.Info("earlier holder has ended", "group", g.name, "host", p.ID, "now", o.Host)
-			f.mu.Lock()
-			g.tenure.Handle(tenure.Ended{Host: p.ID}, now())
-			f.mu.Unlock()
-		}
-	}
-	pause(x, priorInterval)
-}
-
-// giveAway passes the group to another host, since this one leaves or another
-// one stands nearer to the primary.
-func (f *Fleet) giveAway(x context.Context, g *group) {
-	f.mu.Lock()
-	m, ok := f.believed(g)
-	var h membership.Host
-	if ok {
-		h, ok = f.view.Owner(place(m), time.Now())
-	}
-	_, rev, _ := g.tenure.Record()
-	r := g.tenure.Give(tenure.Party{ID: h.ID, Address: h.PeerAddress}, now())
-	f.mu.Unlock()
-	if !ok || h.ID == f.c.Self.ID {
-		pause(x, backoff(1))
-		return
-	}
-	f.c.Log.Info("group passed on", "group", g.name, "to", h.ID, "revision", rev)
-	f.swap(x, g, r, rev)
-}
-
-// releasable reports whether this host is an earlier holder whose work has
-// ended; f.mu is held.
-func (f *Fleet) releasable(g *group) bool {
-	r, rev, known := g.tenure.Record()
-	if !known || rev == 0 || !slices.Contains(r.Prior, f.self()) {
-		return false
-	}
-	for _, p := range f.closing {
-		if p.Member().Group == g.name && p.Busy() > 0 {
-			return false
-		}
-	}
-	if o := f.pools[g.primary]; o != nil && o.Busy() > 0 {
-		return false
-	}
-	return true
-}
-
-// release tells the new holder that this host sends no more work.
-func (f *Fleet) release(x context.Context, g *group) {
-	f.mu.Lock()
-	g.tenure.Handle(tenure.Finished{}, now())
-	r, ok := g.tenure.Released()
-	_, rev, _ := g.tenure.Record()
-	f.mu.Unlock()
-	if ok {
-		f.c.Log.Info("group released", "group", g.name, "holder", r.Holder.ID)
-		f.swap(x, g, r, rev)
-	}
-}
-
 // observe notes a position that the primary told of.
 func (f *Fleet) observe(g *group, member string, p logpos.Position, sent time.Time) {
 	f.mu.Lock()
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -2,16 +2,12 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
-	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/freshness"
-	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 )
 
@@ -46,60 +42,6 @@
 	priorInterval = 100 * time.Millisecond
 )
 
-// answer is a member's status, or why there is none.
-type answer struct {
-	member catalog.Member
-	status query.Status
-	err    error
-}
-
-// survey asks the members of a group for their status, except for skip.
-func (f *Fleet) survey(x context.Context, g *group, skip string) []answer {
-	f.mu.Lock()
-	var l []answer
-	for _, m := range f.members {
-		if m.Group == g.name && m.ID != skip {
-			l = append(l, answer{member: m})
-		}
-	}
-	f.mu.Unlock()
-	slices.SortFunc(l, func(a, b answer) int { return strings.Compare(a.member.ID, b.member.ID) })
-	var w errgroup.Group
-	var mu sync.Mutex
-	for i := range l {
-		w.Go(func() error {
-			s, err := f.ask(x, l[i].member)
-			mu.Lock()
-			defer mu.Unlock()
-			l[i].status, l[i].err = s, err
-			return nil
-		})
-	}
-	_ = w.Wait()
-	return l
-}
-
-// ask asks a member for its status on a connection of its own.
-func (f *Fleet) ask(x context.Context, m catalog.Member) (query.Status, error) {
-	x, stop := context.WithTimeout(x, statusTime)
-	defer stop()
-	c, _, err := f.c.Dialer.Dial(x, m)
-	if err != nil {
-		return query.Status{}, err
-	}
-	defer c.Close()
-	d, _ := x.Deadline()
-	for {
-		o, err := c.Do(query.AskStatus{}, d)
-		if err != nil {
-			return query.Status{}, err
-		}
-		if o.Failure == nil || o.Failure.Reason != query.Overloaded || !pause(x, leadPoll) {
-			return f.c.Decoder.Status(o)
-		}
-	}
-}
-
 // discover finds the primary after this host has become the holder.
 func (f *Fleet) discover(x context.Context, g *group) {
 	l := f.survey(x, g, "")
@@ -273,43 +215,6 @@
 	}
 }
 
-// choose returns the replica with the most of the log. If the primary still
-// answers, it waits a little for one to hold all of it.
-func (f *Fleet) choose(x context.Context, g *group, old string, planned bool) (answer, bool) {
-	t := time.Now()
-	skip := old
-	if planned {
-		skip = ""
-	}
-	for {
-		l := f.survey(x, g, skip)
-		var end logpos.Position
-		best := -1
-		for i, a := range l {
-			switch {
-			case a.err != nil:
-				f.c.Log.Info("member without status", "group", g.name, "member", a.member.ID, "error", a.err)
-			case a.member.ID == old && a.status.Primary:
-				end = a.status.Received
-			case f.leads(g, a):
-				return a, true
-			case a.member.Draining || a.member.ID == old:
-			case best < 0 || l[best].status.Received.Less(a.status.Received) || l[best].status.Received == a.status.Received && f.nearer(a.member, l[best].member):
-				best = i
-			}
-		}
-		if best < 0 {
-			return answer{}, false
-		}
-		if !planned || !l[best].status.Received.Less(end) || time.Since(t) > catchUpTime {
-			return l[best], true
-		}
-		if !pause(x, leadPoll) {
-			return answer{}, false
-		}
-	}
-}
-
 // leads reports whether a member leads already: by a promotion that was asked for
 // earlier, or since the primary has come back under another ID with its log.
 func (f *Fleet) leads(g *group, a answer) bool {
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -11,7 +11,6 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
-	"github.com/dragonflypick/dragonflypick/freshness"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
@@ -30,19 +29,6 @@
 	methodPing     = "ping"
 )
 
-// Timing of positions.
-const (
-	// positionFresh is how old the end of the log may be that a holder tells
-	// without asking the primary.
-	positionFresh = 100 * time.Millisecond
-	// positionInterval is how often the owner of a replica asks for the end of
-	// the log while the replica is read; readMemory is how long that is.
-	positionInterval = 250 * time.Millisecond
-	readMemory       = 3 * time.Second
-	// positionTimeout bounds the question.
-	positionTimeout = 700 * time.Millisecond
-)
-
 // positionReply tells that a group's log reached Position Age before the reply.
 type positionReply struct {
 	Known    bool            `json:"known"`
@@ -144,8 +130,11 @@
 	}
 	g := f.group(r.Group)
 	f.mu.Unlock()
+	if r.Use == query.Abandon {
+		return f.abandonHere(x, r, l)
+	}
 	for _, p := range l {
-		if r.Member != "" && p.Member().ID != r.Member || r.Use == query.Later && !p.Holds(r.Transaction) {
+		if p.Member().ID != r.Member || !p.Holds(r.Transaction) {
 			continue
 		}
 		guard := func() *query.Failure { return nil }
@@ -159,6 +148,17 @@
 	return query.Response{Reply: query.Refusal(query.Aborted, "the transaction is not open here")}
 }
 
+// abandonHere rolls a transaction back at the members of its group that are owned
+// here, or has it rolled back as soon as it begins.
+func (f *Fleet) abandonHere(x context.Context, r *query.Request, l []*pool.Pool) query.Response {
+	for _, p := range l {
+		if p.Member().Group == r.Group && (r.Member == "" || p.Member().ID == r.Member) {
+			p.Execute(x, r, logpos.Position{}, func() *query.Failure { return nil })
+		}
+	}
+	return query.Response{Reply: query.Reply{State: query.Idle}}
+}
+
 // servePrimary runs a request at the primary, if this host holds the group.
 func (f *Fleet) servePrimary(x context.Context, r *query.Request) query.Response {
 	t := time.Now()
@@ -238,101 +238,6 @@
 	return o
 }
 
-// floor returns the position that a replica must hold for a read.
-func (f *Fleet) floor(x context.Context, g *group, since time.Time, own logpos.Position) (logpos.Position, bool) {
-	for range 2 {
-		f.mu.Lock()
-		p, ok := g.history.Floor(since, own)
-		alone := f.isolated()
-		f.mu.Unlock()
-		if ok {
-			return p, true
-		}
-		if alone {
-			return p, false
-		}
-		f.askPosition(x, g)
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return g.history.Floor(since, own)
-}
-
-// askPosition asks the group's holder for the end of the log; callers at the
-// same time share one question.
-func (f *Fleet) askPosition(x context.Context, g *group) {
-	f.mu.Lock()
-	if w := g.asking; w != nil {
-		f.mu.Unlock()
-		select {
-		case <-w:
-		case <-x.Done():
-		}
-		return
-	}
-	w := make(chan struct{})
-	g.asking = w
-	h, ok := f.holder(g.name, "")
-	f.mu.Unlock()
-	t := now()
-	var p positionReply
-	var err error
-	y, stop := context.WithTimeout(x, positionTimeout)
-	switch {
-	case !ok:
-	case h.ID == f.c.Self.ID:
-		p = f.position(y, g.name)
-	default:
-		err = f.node.Call(y, h, methodPosition, groupParams{Group: g.name}, &p)
-	}
-	stop()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if err == nil && p.Known && h.ID != f.c.Self.ID {
-		g.history.Add(freshness.Sample{Position: p.Position, At: t.Add(-p.Age)})
-	}
-	g.asking = nil
-	close(w)
-	if err != nil {
-		f.c.Log.Debug("end of log not known", "group", g.name, "holder", h.ID, "error", err)
-	}
-}
-
-// position tells the end of the log of a group that this host holds.
-func (f *Fleet) position(x context.Context, name string) positionReply {
-	for range 2 {
-		f.mu.Lock()
-		g := f.group(name)
-		t := now()
-		if !g.serves(t) {
-			f.mu.Unlock()
-			return positionReply{}
-		}
-		s, ok := g.history.Last()
-		m, known := f.members[g.primary]
-		var p *pool.Pool
-		if known {
-			p = f.pool(m)
-		}
-		f.mu.Unlock()
-		if ok && t.Sub(s.At) < positionFresh {
-			return positionReply{Known: true, Position: s.Position, Age: t.Sub(s.At)}
-		}
-		if !known {
-			return positionReply{}
-		}
-		f.refresh(x, p)
-	}
-	return positionReply{}
-}
-
-// refresh has the primary tell its position by a step that needs no slot.
-func (f *Fleet) refresh(x context.Context, p *pool.Pool) {
-	if _, err := p.Probe(x, query.Reset{}, positionTimeout); err != nil {
-		f.c.Log.Debug("primary not asked for its position", "member", p.Member().ID, "error", err)
-	}
-}
-
 // exchange keeps this daemon's mirror level with others', so that one that the
 // store turns away goes on.
 func (f *Fleet) exchange(x context.Context) error {
