--- a/command/serve/hosted.go
+++ b/command/serve/hosted.go
@@ -58,7 +58,7 @@
 	g.Go(func() error { return reload(y, path, s, l) })
 	g.Go(func() error {
 		defer end()
-		return hosted.Run(x, hosted.Config{Settings: s, Secret: o.Secret, Log: l})
+		return hosted.Run(x, hosted.Config{Settings: s, Secret: o.Secret, LogEvery: o.LogEvery, Log: l})
 	})
 	return g.Wait()
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -59,7 +59,10 @@
 	Promoter   Promoter
 	Dialer     pool.Dialer
 	Decoder    Decoder
-	Log        hclog.Logger
+	// LogEvery is N if one in N requests that were done is logged; zero logs none.
+	// Those that were not are always logged.
+	LogEvery uint64
+	Log      hclog.Logger
 }
 
 // Fleet is one daemon. It is safe for concurrent use.
@@ -72,6 +75,8 @@
 	leaving atomic.Bool
 	// attempts counts the attempts to open a transaction.
 	attempts atomic.Uint64
+	// done counts requests that were done.
+	done atomic.Uint64
 	// work runs what outlives a call; ctx ends with the daemon.
 	work errgroup.Group
 	ctx  context.Context
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -43,8 +43,15 @@
 	}
 	f.metrics.requests.WithLabelValues(r.Rank.String(), w).Inc()
 	f.metrics.latency.WithLabelValues(r.Rank.String()).Observe(d.Seconds())
+	if o.Failure == nil && (f.c.LogEvery == 0 || f.done.Add(1)%f.c.LogEvery != 0) {
+		return
+	}
+	l := f.c.Log.With("id", r.ID, "session", r.Session, "group", r.Group, "rank", r.Rank.String(), "use", r.Use, "action", r.Action,
+		"primary", r.Primary, "floor", r.Floor.String(), "max-age-ms", r.MaxAge.Milliseconds(), "member", o.Member, "owner", o.Owner,
+		"position", o.Position.String(), "took-ms", d.Milliseconds(), "queue-ms", o.Queue.Milliseconds())
 	if o.Failure != nil {
-		f.c.Log.Info("request refused", "id", r.ID, "group", r.Group, "rank", r.Rank.String(), "use", r.Use, "action", r.Action,
-			"member", o.Member, "owner", o.Owner, "reason", w, "detail", o.Failure.Text, "took-ms", d.Milliseconds(), "queue-ms", o.Queue.Milliseconds())
+		l.Info("request refused", "reason", w, "detail", o.Failure.Text, "retry-after-ms", o.Failure.RetryAfter.Milliseconds())
+		return
 	}
+	l.Info("request done")
 }
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -38,6 +38,8 @@
 type Config struct {
 	Settings platform.Settings
 	Secret   string
+	// LogEvery is as in fleet.Config.
+	LogEvery uint64
 	Log      hclog.Logger
 }
 
@@ -54,7 +56,7 @@
 	c.Log.Info("start", "host", id, "failure-domain", s.FailureDomain, "region", s.Region, "cores", s.Cores, "memory", s.Memory)
 	f, err := fleet.New(fleet.Config{
 		Self:       membership.Host{ID: id, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Region: s.Region},
-		PeerListen: s.PeerListen, Secret: c.Secret, Seeds: s.Seeds, Log: c.Log,
+		PeerListen: s.PeerListen, Secret: c.Secret, Seeds: s.Seeds, Log: c.Log, LogEvery: c.LogEvery,
 		Store: platform.NewStore(s.Store), Promoter: platform.NewPromoter(s.Promotions),
 		Dialer: platform.MemberDialer{Name: s.Host}, Decoder: decoder(s),
 	})
