--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -34,6 +34,7 @@
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
 	m.down = true
+	m.life++
 	for c := range m.conns {
 		_ = c.Close()
 	}
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -18,6 +18,8 @@
 	term    int
 	log     []*commit
 	down    bool
+	// life counts the member's starts; what ran in an earlier one ended with it.
+	life int
 	// deaf tells that it receives nothing.
 	deaf     bool
 	draining bool
@@ -40,6 +42,8 @@
 	writes   map[string]string
 	attempts []string
 	owner    string
+	// life is that of the member when the connection was opened.
+	life int
 }
 
 func (m *member) serve() {
@@ -50,6 +54,7 @@
 		}
 		m.g.mu.Lock()
 		down, full := m.down, len(m.conns) >= maxConns
+		life := m.life
 		if !down {
 			m.conns[c] = true
 		}
@@ -59,20 +64,20 @@
 			continue
 		}
 		m.site.group.Go(func() error {
-			m.talk(c, full)
+			m.talk(c, full, life)
 			return nil
 		})
 	}
 }
 
-func (m *member) talk(c net.Conn, full bool) {
+func (m *member) talk(c net.Conn, full bool, life int) {
 	defer func() {
 		m.g.mu.Lock()
 		delete(m.conns, c)
 		m.g.mu.Unlock()
 		_ = c.Close()
 	}()
-	s := &session{m: m, c: c, w: bufio.NewWriter(c), values: map[string]string{}, prepared: map[string]string{}, state: 'I'}
+	s := &session{m: m, c: c, w: bufio.NewWriter(c), values: map[string]string{}, prepared: map[string]string{}, state: 'I', life: life}
 	r := bufio.NewReader(c)
 	for {
 		t, err := r.ReadString('\n')
@@ -98,9 +103,9 @@
 		}
 		m.g.mu.Lock()
 		p := m.g.position(m, time.Now())
-		down := m.down
+		ended := m.down || s.life != m.life
 		m.g.mu.Unlock()
-		if down {
+		if ended {
 			return
 		}
 		fmt.Fprintf(s.w, "READY %c %s\r\n", s.state, p)
@@ -195,6 +200,9 @@
 	g := s.m.g
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if s.m.down || s.life != s.m.life {
+		return
+	}
 	s.state = 'I'
 	w, a := s.writes, s.attempts
 	s.writes, s.attempts = nil, nil
@@ -229,6 +237,8 @@
 	<-s.m.slots
 	now := time.Now()
 	switch {
+	case s.m.down || s.life != s.m.life:
+		return
 	case g.position(s.m, now).less(after):
 		s.fail("LAGGING")
 		return
