--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,153 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/entry"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+func TestEntry(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "entry")
+}
+
+// router answers requests as told and notes them.
+type router struct {
+	asked []query.Request
+	pins  []*entry.Pin
+	next  []query.Reply
+}
+
+func (r *router) Execute(_ context.Context, q *query.Request, p *entry.Pin) query.Response {
+	r.asked, r.pins = append(r.asked, *q), append(r.pins, p)
+	o := query.Response{Owner: "h", Member: "m", Transaction: "t1", Reply: query.Reply{State: query.Idle, Signature: "s"}}
+	if q.Use == query.First || q.Use == query.Later && q.Action != query.DoCommit {
+		o.State = query.Open
+	}
+	if len(r.next) > 0 {
+		o.Reply, r.next = r.next[0], r.next[1:]
+	}
+	return o
+}
+
+var _ = Describe("Session", func() {
+	var r *router
+	var k *catalog.Catalog
+	var s *entry.Session
+	x := context.Background()
+	BeforeEach(func() {
+		r = &router{}
+		k = &catalog.Catalog{Version: 1, IdleInTransaction: time.Second, Databases: map[string]catalog.Database{
+			"p": {Name: "p", Group: "g", Consistency: catalog.Primary, Timeout: time.Second},
+			"b": {Name: "b", Group: "g", Consistency: catalog.Bounded, Timeout: time.Second, MaxAge: time.Second},
+			"o": {Name: "o", Group: "g", Consistency: catalog.Own, Timeout: time.Second, MaxAge: time.Second},
+		}}
+	})
+	open := func(d string) {
+		var f *query.Failure
+		s, f = entry.New(entry.Config{Host: "h", Catalog: func() *catalog.Catalog { return k }, Router: r}).Open(d)
+		Expect(f).To(BeNil())
+	}
+	last := func() query.Request { return r.asked[len(r.asked)-1] }
+	do := func(st query.Statement) query.Reply { return s.Handle(x, "id", st) }
+
+	It("isn't opened for a database that the configuration doesn't have", func() {
+		_, f := entry.New(entry.Config{Catalog: func() *catalog.Catalog { return k }}).Open("none")
+		Expect(f.Reason).To(Equal(query.NoDatabase))
+	})
+
+	It("brings its own commits' position with reads, but only where that is asked for", func() {
+		open("o")
+		r.next = []query.Reply{{State: query.Idle, Position: logpos.Position{Term: 2, Offset: 7}}}
+		do(query.Write{Text: "WRITE a b"})
+		Expect(last().Primary).To(BeTrue())
+		do(query.Read{Text: "READ a"})
+		Expect(last().Primary).To(BeFalse())
+		Expect(last().Floor).To(Equal(logpos.Position{Term: 2, Offset: 7}))
+		open("b")
+		do(query.Write{Text: "WRITE a b"})
+		do(query.Read{Text: "READ a"})
+		Expect(last().Floor).To(BeZero())
+	})
+
+	It("keeps a transaction where its first statement ran", func() {
+		open("p")
+		Expect(do(query.Begin{}).State).To(Equal(query.Open))
+		Expect(r.asked).To(BeEmpty())
+		do(query.Read{Text: "READ a"})
+		Expect(last().Use).To(Equal(query.First))
+		do(query.Write{Text: "WRITE a b"})
+		Expect(last().Use).To(Equal(query.Later))
+		Expect(r.pins[1]).To(Equal(&entry.Pin{Host: "h", Member: "m", Transaction: "t1"}))
+		Expect(do(query.Commit{}).State).To(Equal(query.Idle))
+		do(query.Read{Text: "READ a"})
+		Expect(last().Use).To(Equal(query.Single))
+		Expect(r.pins[3]).To(BeNil())
+	})
+
+	It("uses a new configuration from the next transaction on", func() {
+		open("p")
+		do(query.Begin{})
+		k = &catalog.Catalog{Version: 2, Databases: map[string]catalog.Database{"p": {Name: "p", Group: "other"}}}
+		do(query.Read{Text: "READ a"})
+		Expect(last().Group).To(Equal("g"))
+		do(query.Commit{})
+		do(query.Read{Text: "READ a"})
+		Expect(last().Group).To(Equal("other"))
+		k = &catalog.Catalog{Version: 3}
+		Expect(do(query.Read{Text: "READ a"}).Failure.Reason).To(Equal(query.NoDatabase))
+	})
+
+	It("never commits a transaction that has failed", func() {
+		open("p")
+		do(query.Begin{})
+		r.next = []query.Reply{{State: query.Failed, Failure: &query.Failure{Reason: query.Aborted}}}
+		Expect(do(query.Write{Text: "WRITE a b"}).State).To(Equal(query.Failed))
+		Expect(do(query.Read{Text: "READ a"}).Failure.Reason).To(Equal(query.Malformed))
+		n := len(r.asked)
+		o := do(query.Commit{})
+		Expect(o.Failure.Reason).To(Equal(query.Aborted))
+		Expect(o.State).To(Equal(query.Idle))
+		Expect(r.asked).To(HaveLen(n))
+	})
+
+	It("rolls back where the transaction is open when the caller leaves", func() {
+		open("p")
+		do(query.Begin{})
+		do(query.Write{Text: "WRITE a b"})
+		s.Close()
+		Expect(last().Use).To(Equal(query.Abandon))
+		Expect(r.pins[1].Transaction).To(Equal("t1"))
+	})
+
+	It("replays values and shapes, and refuses unknown names", func() {
+		open("p")
+		do(query.Set{Value: query.Value{Name: "a", Text: "1"}})
+		do(query.Set{Value: query.Value{Name: "b", Text: "2"}})
+		do(query.Set{Value: query.Value{Name: "a", Text: "3"}})
+		do(query.Prepare{Name: "s", Shape: query.Shape{Write: true, Text: "q"}})
+		do(query.Execute{Name: "s", Arguments: "x y"})
+		Expect(last().Values).To(Equal([]query.Value{{Name: "a", Text: "3"}, {Name: "b", Text: "2"}}))
+		Expect(last().Shape).To(Equal(&query.Shape{Write: true, Text: "q"}))
+		Expect(last().Action).To(Equal(query.DoWrite))
+		Expect(do(query.Deallocate{Name: "s"}).Failure).To(BeNil())
+		Expect(do(query.Execute{Name: "s"}).Failure.Reason).To(Equal(query.UnknownName))
+		Expect(do(query.Deallocate{Name: "s"}).Failure.Reason).To(Equal(query.UnknownName))
+	})
+
+	DescribeTable("refuses what has no sense in its state", func(st query.Statement) {
+		open("p")
+		Expect(do(st).Failure.Reason).To(Equal(query.Malformed))
+		Expect(s.State()).To(Equal(query.Idle))
+	},
+		Entry("a commit", query.Commit{}), Entry("a rollback", query.Rollback{}), Entry("an unknown text", nil),
+	)
+})
