--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -49,7 +49,7 @@
 	Version   uint64              `json:"version"`
 	Databases map[string]Database `json:"databases"`
 	Groups    map[string]Group    `json:"groups"`
-	// IdleInTransaction is how long a transaction may rest.
+	// IdleInTransaction is how long a transaction may be idle.
 	IdleInTransaction time.Duration `json:"idle-in-transaction"`
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -101,7 +101,7 @@
 // State returns the session's state.
 func (s *Session) State() query.State { return s.state }
 
-// IdleLimit returns how long the open transaction may rest.
+// IdleLimit returns how long the open transaction may be idle.
 func (s *Session) IdleLimit() time.Duration {
 	if c := s.e.c.Catalog(); c != nil {
 		return c.IdleInTransaction
--- a/fleet/choose.go
+++ b/fleet/choose.go
@@ -105,7 +105,7 @@
 // picked is the replica to promote.
 type picked struct {
 	answer
-	// whole tells that it holds all that the primary told of.
+	// whole tells that it holds all that the primary reported.
 	whole bool
 }
 
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -31,7 +31,7 @@
 	confirming bool
 	// replacing is when the replacement of the primary began, zero if none is.
 	replacing time.Time
-	// end is the furthest position that the primary told of, ended when it was
+	// end is the furthest position that the primary reported, ended when it was
 	// heard; a holder notes them.
 	end   logpos.Position
 	ended time.Time
@@ -232,7 +232,7 @@
 	return false
 }
 
-// observe notes a position that the primary told of.
+// observe notes a position that the primary reported.
 func (f *Fleet) observe(g *group, member string, p logpos.Position, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -17,7 +17,7 @@
 	tickInterval = 80 * time.Millisecond
 	// unwantedTime is how long a pool that nobody asks for is kept.
 	unwantedTime = 20 * time.Second
-	// restMargin is added to the time that a transaction may rest before its
+	// restMargin is added to the time that a transaction may be idle before its
 	// owner ends it, as the entry does so first.
 	restMargin = 2 * time.Second
 	// restTicks is the number of ticks between two searches for such transactions.
@@ -152,7 +152,7 @@
 	}
 }
 
-// restLimit returns how long a transaction may rest at its owner; f.mu is held.
+// restLimit returns how long a transaction may be idle at its owner; f.mu is held.
 func (f *Fleet) restLimit() time.Duration {
 	if c := f.Catalog(); c != nil {
 		return c.IdleInTransaction + restMargin
--- a/fleet/table.go
+++ b/fleet/table.go
@@ -8,7 +8,7 @@
 
 // Timing of what is known of members' load.
 const (
-	// loadMemory is how long a told queue or lag is believed.
+	// loadMemory is how long a reported queue or lag is used.
 	loadMemory = 300 * time.Millisecond
 	// unreachableTime is how long a member that could not be reached is passed
 	// over.
@@ -21,7 +21,7 @@
 type load struct {
 	// under counts the own requests under way.
 	under int
-	// queue is the predicted wait that the owner told at the time told.
+	// queue is the predicted wait that the owner reported at the time told.
 	queue time.Duration
 	told  time.Time
 	// lag is how far the member's data were behind at the time lagged.
@@ -29,13 +29,13 @@
 	lagged time.Time
 	// failed is when the member could not be reached.
 	failed time.Time
-	// position is how far the member's log reached when it was heard at the time
+	// position is how far the member's log reached when it was last reported at the time
 	// heard, by the clock that goes on in a freeze; its owner notes them.
 	position logpos.Position
 	heard    time.Time
 }
 
-// positionMemory is how long a member is believed to be no further than it told.
+// positionMemory is how long a member is taken to be no further than it reported.
 const positionMemory = 150 * time.Millisecond
 
 // lacks reports whether a member is known not to hold a position, so that a read
--- a/hosted/hosted.go
+++ b/hosted/hosted.go
@@ -115,13 +115,13 @@
 const (
 	// awayPoll is how often it is looked at.
 	awayPoll = 250 * time.Millisecond
-	// awayTime is how long it is cut off until resting callers are let go, which
+	// awayTime is how long it is cut off until idle callers are closed, which
 	// come back by way of the balancer; that needs two missed questions, one a
 	// second.
 	awayTime = 2500 * time.Millisecond
 )
 
-// sendAway lets resting callers go while the daemon is cut off.
+// sendAway lets idle callers go while the daemon is cut off.
 func sendAway(x context.Context, c Config, f *fleet.Fleet, k *platform.Callers) error {
 	t := time.NewTicker(awayPoll)
 	defer t.Stop()
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -159,7 +159,7 @@
 }
 
 // Close drops idle connections now and others as they become free. New requests
-// are told to go elsewhere; open transactions go on.
+// are told to go elsewhere; open transactions continue.
 func (p *Pool) Close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -12,7 +12,7 @@
 
 // Dialer opens connections to backend servers.
 type Dialer interface {
-	// Dial returns a connection with the position that the member told of. A
+	// Dial returns a connection with the position that the member reported. A
 	// refusal by the member is a *query.Failure.
 	Dial(x context.Context, m catalog.Member) (Conn, logpos.Position, error)
 }
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -284,7 +284,7 @@
 	return p.txs[transaction] != nil
 }
 
-// EndResting rolls back transactions that have rested for longer than d, and
+// EndResting rolls back transactions that have been idle for longer than d, and
 // forgets those that were given up long before.
 func (p *Pool) EndResting(d time.Duration) {
 	p.mu.Lock()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -31,10 +31,10 @@
 	// after a minute.
 	idleTime = 30 * time.Second
 	// routineShare and backgroundShare are least parts of the slots, so that
-	// lower ranks go on while urgent work floods.
+	// lower ranks are served while urgent work floods.
 	routineShare    = 0.1
 	backgroundShare = 0.1
-	// queuedStatements wait at the member itself, so that no slot there rests while
+	// queuedStatements wait at the member itself, so that no slot there is idle while
 	// an answer and the next statement are on their way.
 	queuedStatements = 1
 	// urgentTransactions are the open transactions that background work leaves
@@ -48,7 +48,7 @@
 	// Connections is the greatest number of connections of all daemons.
 	Connections int
 	Dialer      Dialer
-	// Observe is told the position in each reply, and when its step was sent.
+	// Observe receives the position in each reply, and when its step was sent.
 	Observe func(p logpos.Position, sent time.Time)
 	// Now reads the clock that goes on in a freeze.
 	Now func() time.Time
@@ -72,7 +72,7 @@
 	open int
 	// full is until when no connection is opened.
 	full time.Time
-	// waiters are told when it is worth looking for a connection again.
+	// waiters are notified when it is worth looking for a connection again.
 	waiters []chan struct{}
 	// txs holds the open transactions, abandoned when those were given up that had
 	// not begun.
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -156,7 +156,7 @@
 	return t.known && t.record.Holder.ID == t.self.ID && now.Before(t.until)
 }
 
-// Finishing reports whether the host may go on with open transactions, also
+// Finishing reports whether the host may continue open transactions, also
 // after it has lost or passed on the group.
 func (t *Tenure) Finishing(now time.Time) bool { return now.Before(t.until) }
 
@@ -198,7 +198,7 @@
 }
 
 // Give returns the record by which the holder passes the group to another host
-// while its own work may go on until it has ended.
+// while its own work may continue until it has ended.
 func (t *Tenure) Give(to Party, now time.Time) Record {
 	r := t.record
 	r.Prior = parties(append(t.Waiting(now), t.self), to.ID)
