Reads of a link's streams end when the link is closed

A profile of the process that didn't hand back the processor (perf, 505 samples) stands in yamux Stream.Read alone: from the moment a session is marked as shut down until its receive loop has ended, a blocked read loops without blocking. On one processor it holds up the receive loop and the close that wait for it. Ruled out: a loop of our own, the Go scheduler, timers.

Change: the connection under a session gives each open stream a read deadline in the past before it closes, so the reads return.

--- a/peer/peer.go
+++ b/peer/peer.go
@@ -81,7 +81,7 @@
 // link is an open connection to another daemon.
 type link struct {
 	id   string
-	s    *yamux.Session
+	s    *session
 	c    *jsonrpc2.Conn
 	used time.Time
 	// ready is closed when s, c and err are set.
@@ -185,6 +185,10 @@
 	return c
 }
 
+func clientSession(c net.Conn) (*yamux.Session, error) { return yamux.Client(c, config()) }
+
+func serverSession(c net.Conn) (*yamux.Session, error) { return yamux.Server(c, config()) }
+
 // serve handles a link that another daemon has opened.
 func (n *Node) serve(x context.Context, c net.Conn) error {
 	defer func() { _ = c.Close() }()
@@ -193,19 +197,19 @@
 		return err
 	}
 	n.c.Met(h)
-	s, err := yamux.Server(n.counted(c, h.Region), config())
+	s, err := newSession(n.counted(c, h.Region), serverSession)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
 	stop := context.AfterFunc(x, func() { _ = s.Close() })
 	defer stop()
 	g, x := errgroup.WithContext(x)
 	for {
-		t, err := s.AcceptStream()
+		t, err := s.acceptStream()
 		if err != nil {
 			_ = s.Close()
 			_ = g.Wait()
-			return Error.Wrap(err)
+			return err
 		}
 		g.Go(func() error {
 			n.serveStream(x, t)
@@ -254,10 +258,10 @@
 	if err != nil {
 		return nil, err
 	}
-	t, err := l.s.OpenStream()
+	t, err := l.s.openStream()
 	if err != nil {
 		n.drop(l)
-		return nil, Error.Wrap(err)
+		return nil, err
 	}
 	if _, err := t.Write([]byte{useStatement}); err != nil {
 		n.drop(l)
@@ -307,7 +311,7 @@
 	n.drop(l)
 }
 
-func (n *Node) dial(h membership.Host) (*yamux.Session, *jsonrpc2.Conn, error) {
+func (n *Node) dial(h membership.Host) (*session, *jsonrpc2.Conn, error) {
 	c, err := (&net.Dialer{Timeout: dialTimeout}).Dial("tcp", h.PeerAddress)
 	if err != nil {
 		return nil, nil, Error.Wrap(err)
@@ -319,12 +323,12 @@
 		_ = c.Close()
 		return nil, nil, err
 	}
-	s, err := yamux.Client(n.counted(c, h.Region), config())
+	s, err := newSession(n.counted(c, h.Region), clientSession)
 	if err != nil {
 		_ = c.Close()
-		return nil, nil, Error.Wrap(err)
+		return nil, nil, err
 	}
-	t, err := s.OpenStream()
+	t, err := s.openStream()
 	if err == nil {
 		_, err = t.Write([]byte{useControl})
 	}
--- /dev/null
+++ b/peer/session.go
@@ -0,0 +1,97 @@
+package peer
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/yamux"
+	"github.com/zeebo/errs"
+)
+
+// session is a yamux session whose blocked reads end when it shuts down.
+//
+// A read of a yamux stream loops without blocking from the moment that its
+// session shuts down until the session's receive loop has ended. With one
+// processor the loop keeps the receive loop from ending. So each stream gets a
+// read deadline in the past before the connection is closed.
+type session struct {
+	*yamux.Session
+	c *sessionConn
+}
+
+// newSession starts a session over a connection; open is yamux.Client or
+// yamux.Server.
+func newSession(c net.Conn, open func(net.Conn) (*yamux.Session, error)) (*session, error) {
+	t := &sessionConn{Conn: c, streams: map[*sessionStream]bool{}}
+	s, err := open(t)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &session{Session: s, c: t}, nil
+}
+
+// openStream opens a stream.
+func (s *session) openStream() (net.Conn, error) {
+	t, err := s.OpenStream()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return s.c.add(t)
+}
+
+// acceptStream waits for a stream that the other end opens.
+func (s *session) acceptStream() (net.Conn, error) {
+	t, err := s.AcceptStream()
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return s.c.add(t)
+}
+
+// sessionConn is the connection under a session.
+type sessionConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	streams map[*sessionStream]bool
+	// closed tells that streams no longer holds those added.
+	closed bool
+}
+
+func (c *sessionConn) add(t *yamux.Stream) (net.Conn, error) {
+	s := &sessionStream{Stream: t, c: c}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, Error.Wrap(errs.Combine(yamux.ErrSessionShutdown, t.Close()))
+	}
+	c.streams[s] = true
+	return s, nil
+}
+
+// Close ends the reads of all streams, then the connection. yamux calls it
+// right after it has marked the session as shut down.
+func (c *sessionConn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	for s := range c.streams {
+		_ = s.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// sessionStream is a stream that its connection knows of while it is open.
+type sessionStream struct {
+	*yamux.Stream
+	c *sessionConn
+}
+
+// Close implements net.Conn.
+func (s *sessionStream) Close() error {
+	s.c.mu.Lock()
+	delete(s.c.streams, s)
+	s.c.mu.Unlock()
+	return s.Stream.Close()
+}
