One gate drives the queues of both edges

Cause: package owner (PostgreSQL) and package pool (platform) each drove admit.Queue with code of their own: waiting channels, withdrawal, deadlines. They differed at the deadline (one refused with a come-back time, one without) and when a decision and a cancellation came together (one gave the slot back, the other used it).

Change: package gate does it for both, in the better way of each.

--- /dev/null
+++ b/gate/gate_test.go
@@ -0,0 +1,94 @@
+package gate_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/admit"
+	"github.com/dragonflypick/dragonflypick/gate"
+)
+
+var errLeft = errors.New("left")
+
+func arrival(wait time.Duration) admit.Arrived {
+	return admit.Arrived{Caller: "c", Deadline: time.Now().Add(wait)}
+}
+
+func TestOneGoesAtATimeInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		a := gate.New(admit.Config{Slots: 1})
+		var w errgroup.Group
+		running, most := 0, 0
+		for range 5 {
+			w.Go(func() error {
+				k, err := a.Enter(t.Context(), arrival(time.Minute))
+				if err != nil {
+					return err
+				}
+				running++
+				most = max(most, running)
+				time.Sleep(time.Second)
+				running--
+				k.Free()
+				return nil
+			})
+		}
+		g.Expect(w.Wait()).To(gomega.Succeed())
+		g.Expect(most).To(gomega.Equal(1))
+		g.Expect(a.Idle()).To(gomega.BeTrue())
+	})
+}
+
+func TestARequestIsRefusedByItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		a := gate.New(admit.Config{Slots: 1})
+		k, err := a.Enter(t.Context(), arrival(time.Minute))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		begin := time.Now()
+		_, err = a.Enter(t.Context(), arrival(time.Second))
+		var r *gate.RefusedError
+		g.Expect(errors.As(err, &r)).To(gomega.BeTrue())
+		g.Expect(r.RetryAfter).To(gomega.BeNumerically(">", 0))
+		g.Expect(time.Since(begin)).To(gomega.BeNumerically("<=", time.Second+time.Millisecond))
+		k.Decline()
+		g.Expect(a.Idle()).To(gomega.BeTrue())
+	})
+}
+
+func TestAWithdrawnRequestTellsWhy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		a := gate.New(admit.Config{Slots: 1})
+		k, err := a.Enter(t.Context(), arrival(time.Minute))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		x, stop := context.WithCancelCause(t.Context())
+		time.AfterFunc(time.Second, func() { stop(errLeft) })
+		_, err = a.Enter(x, arrival(time.Minute))
+		var v *gate.WithdrawnError
+		g.Expect(errors.As(err, &v)).To(gomega.BeTrue())
+		g.Expect(errors.Is(err, errLeft)).To(gomega.BeTrue())
+		k.Free()
+		g.Expect(a.Idle()).To(gomega.BeTrue())
+	})
+}
+
+func TestNewLimitsLetWaitingRequestsThrough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		a := gate.New(admit.Config{Slots: 1})
+		_, err := a.Enter(t.Context(), arrival(time.Minute))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.AfterFunc(time.Second, func() { a.Configure(admit.Config{Slots: 2}) })
+		_, err = a.Enter(t.Context(), arrival(time.Minute))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(a.Running()).To(gomega.Equal(2))
+	})
+}
--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -11,6 +11,7 @@
 
 	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/statement"
@@ -33,7 +34,7 @@
 	out sync.Mutex
 
 	mu sync.Mutex
-	k  ticket
+	k  gate.Ticket
 	// paused tells that an answer has ended and the next message takes a slot.
 	paused bool
 	// holds tells that the ticket is held.
@@ -161,7 +162,7 @@
 	}
 	if e.holds {
 		e.holds = false
-		e.k.free()
+		e.k.Free()
 	}
 }
 
@@ -234,11 +235,11 @@
 
 // keep holds a ticket for the next answer; it frees the ticket if the exchange
 // has ended.
-func (e *exchange) keep(k ticket) bool {
+func (e *exchange) keep(k gate.Ticket) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.returned {
-		k.free()
+		k.Free()
 		return false
 	}
 	e.k, e.holds = k, true
--- a/owner/leave.go
+++ b/owner/leave.go
@@ -19,7 +19,7 @@
 	defer o.mu.Unlock()
 	o.leaving = true
 	for _, s := range o.servers {
-		s.leave()
+		s.handOver()
 	}
 }
 
@@ -43,16 +43,10 @@
 	}
 }
 
-// leave sends waiting requests elsewhere, and closes connections as they come
+// handOver sends waiting requests elsewhere, and closes connections as they come
 // free.
-func (s *server) leave() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.left {
-		return
-	}
-	s.left = true
-	close(s.gone)
+func (s *server) handOver() {
+	s.leave(Error.Wrap(&MovedError{}))
 	s.pool.Close()
 }
 
@@ -60,7 +54,7 @@
 func (s *server) idle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.waiting) == 0 && len(s.holds) == 0 && s.q.Running() == 0 && s.pool.Used() == 0
+	return len(s.holds) == 0 && s.slots.Idle() && s.pool.Used() == 0
 }
 
 // MovedError reports a request that was not run because its server has gone to
--- a/owner/leave_test.go
+++ b/owner/leave_test.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflypick/dragonflypick/admit"
 	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/gate"
 )
 
 func TestLeave(t *testing.T) {
@@ -28,9 +29,11 @@
 	}
 	depth := func(s *server) func() int {
 		return func() int {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			return len(s.waiting)
+			n := 0
+			for _, d := range s.slots.Depth() {
+				n += d
+			}
+			return n
 		}
 	}
 
@@ -42,21 +45,21 @@
 		errs := make([]error, 6)
 		for i := range errs {
 			g.Go(func() error {
-				var k ticket
+				var k gate.Ticket
 				if k, errs[i] = s.enter(x, arrival(i == 0)); errs[i] == nil {
-					k.free()
+					k.Free()
 				}
 				return nil
 			})
 		}
 		Eventually(depth(s)).Should(Equal(len(errs) - 1))
-		s.leave()
+		s.handOver()
 		Expect(g.Wait()).To(Succeed())
 		Expect(errs[0]).NotTo(HaveOccurred())
 		later, err := s.enter(x, arrival(true))
 		Expect(err).NotTo(HaveOccurred())
-		later.free()
-		runs.free()
+		later.Free()
+		runs.Free()
 		for _, e := range errs[1:] {
 			var v *MovedError
 			Expect(errors.As(e, &v)).To(BeTrue())
@@ -77,6 +80,6 @@
 		b.Groups[0].Members[0].Address = "127.0.0.1:2"
 		o.Configure(b)
 		Expect(o.server(b, &b.Groups[0], &b.Groups[0].Members[0])).NotTo(Equal(s))
-		Expect(s.left).To(BeTrue())
+		Expect(s.gone.Err()).To(HaveOccurred())
 	})
 })
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/failover"
+	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/monitor"
 	"github.com/dragonflypick/dragonflypick/peer"
 )
@@ -90,7 +92,7 @@
 	defer o.mu.Unlock()
 	d := make(map[string][bundle.RankCount]int, len(o.servers))
 	for n, s := range o.servers {
-		d[n] = s.depth()
+		d[n] = s.slots.Depth()
 	}
 	return d
 }
@@ -112,7 +114,7 @@
 	defer stop()
 	for _, s := range l {
 		s.pool.Sweep()
-		s.pool.Warm(x, s.slots())
+		s.warm(x)
 	}
 }
 
@@ -210,12 +212,12 @@
 
 // connection takes a connection for the request that holds k, and counts its
 // transaction in. If there is none, it frees k and returns nil and a verdict.
-func (t *task) connection(x context.Context, k ticket) (*backend.Conn, peer.Verdict) {
+func (t *task) connection(x context.Context, k gate.Ticket) (*backend.Conn, peer.Verdict) {
 	none := peer.Verdict{Outcome: peer.NotRun, Reason: "no-connection", RetryAfter: defaultRetryAfter}
 	r := bundle.Rank(t.h.Rank)
 	counts := t.h.Kind == peer.KindTransaction
 	if counts && !t.srv.beginTransaction(r) {
-		k.free()
+		k.Free()
 		return nil, none
 	}
 	c, err := t.take(x)
@@ -225,7 +227,7 @@
 	if counts {
 		t.srv.endTransaction(r)
 	}
-	k.free()
+	k.Free()
 	if e := context.Cause(x); isReplaced(e) {
 		return nil, t.verdict(e)
 	}
@@ -239,8 +241,9 @@
 }
 
 func notRun(err error) peer.Verdict {
-	if r, ok := asRefused(err); ok {
-		return peer.Verdict{Outcome: peer.NotRun, Reason: r.Reason, RetryAfter: r.RetryAfter}
+	var r *gate.RefusedError
+	if errors.As(err, &r) {
+		return peer.Verdict{Outcome: peer.NotRun, Reason: string(r.Reason), RetryAfter: r.RetryAfter}
 	}
 	return peer.Verdict{Outcome: peer.NotRun, Reason: "failed", RetryAfter: defaultRetryAfter}
 }
@@ -299,15 +302,11 @@
 	for n, s := range o.servers {
 		_, m, ok := b.Member(n)
 		if !ok || m.Address != s.address {
-			s.leave()
+			s.handOver()
 			delete(o.servers, n)
 			continue
 		}
-		s.pool.Resize(poolSize(m))
-		s.mu.Lock()
-		s.handle(admit.Configured{Config: queueConfig(b, m)})
-		s.transactions.Connections, s.transactions.Slots = poolSize(m), m.Slots
-		s.mu.Unlock()
+		s.configure(b, m)
 	}
 }
 
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/admit"
+	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 )
@@ -31,7 +33,7 @@
 	if r.Use != query.First {
 		return p.single(x, r, after, d, g)
 	}
-	n, f := p.transactions.enter(x, r, d, false)
+	n, f := enter(x, p.transactions, r, d, false)
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Idle}
 	}
@@ -39,7 +41,7 @@
 	if c != nil && o.State == query.Open && o.Failure == nil && p.hold(r, c, n) {
 		return o
 	}
-	p.transactions.leave(n, true)
+	n.Decline()
 	if c != nil {
 		p.release(c, o.State != query.Idle && !p.rollBack(c, ""))
 	}
@@ -52,6 +54,20 @@
 	return o
 }
 
+// enter waits at a gate. Held requests don't wait.
+func enter(x context.Context, g *gate.Gate, r *query.Request, d time.Time, held bool) (gate.Ticket, *query.Failure) {
+	k, err := g.Enter(x, admit.Arrived{Rank: r.Rank, Caller: r.Session, Deadline: d, Held: held})
+	var e *gate.RefusedError
+	switch {
+	case err == nil:
+		return k, nil
+	case errors.As(err, &e):
+		return k, &query.Failure{Reason: query.Overloaded, Text: e.Error(), RetryAfter: e.RetryAfter}
+	default:
+		return k, &query.Failure{Reason: query.Overloaded, Text: err.Error()}
+	}
+}
+
 // single runs a statement outside of transactions.
 func (p *Pool) single(x context.Context, r *query.Request, after logpos.Position, d time.Time, g Guard) query.Reply {
 	o, c := p.outside(x, r, after, d, g)
@@ -64,17 +80,21 @@
 // outside runs a request on a connection that holds no transaction. The
 // connection is nil if it broke, or if there was none.
 func (p *Pool) outside(x context.Context, r *query.Request, after logpos.Position, d time.Time, g Guard) (query.Reply, *conn) {
-	n, f := p.slots.enter(x, r, d, false)
+	n, f := enter(x, p.slots, r, d, false)
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
 	c, f := p.acquire(x, r.Values, d)
 	if f != nil {
-		p.slots.leave(n, true)
+		n.Decline()
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
 	o, broken := p.onConn(c, r, after, d, g)
-	p.slots.leave(n, o.Failure != nil && o.Failure.Reason.NotRun())
+	if o.Failure != nil && o.Failure.Reason.NotRun() {
+		n.Decline()
+	} else {
+		n.Free()
+	}
 	if broken {
 		p.release(c, true)
 		return o, nil
@@ -121,7 +141,7 @@
 
 // hold keeps a connection for a transaction, unless that was given up before it
 // had begun.
-func (p *Pool) hold(r *query.Request, c *conn, place uint64) bool {
+func (p *Pool) hold(r *query.Request, c *conn, place gate.Ticket) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if _, ok := p.abandoned[r.Transaction]; ok {
@@ -153,11 +173,11 @@
 }
 
 func (p *Pool) inTx(x context.Context, c *conn, r *query.Request, d time.Time, g Guard) (query.Reply, bool) {
-	id, f := p.slots.enter(x, r, d, true)
+	n, f := enter(x, p.slots, r, d, true)
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
-	defer p.slots.leave(id, false)
+	defer n.Free()
 	if f := g(); f != nil {
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
@@ -184,7 +204,7 @@
 	p.mu.Lock()
 	delete(p.txs, name)
 	p.mu.Unlock()
-	p.transactions.leave(t.place, false)
+	t.place.Free()
 	p.release(t.c, broken)
 }
 
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypick/dragonflypick/admit"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 )
@@ -61,8 +62,8 @@
 	c Config
 	// slots lets statements run; transactions lets them open, so that a
 	// connection is left for each slot.
-	slots        *gate
-	transactions *gate
+	slots        *gate.Gate
+	transactions *gate.Gate
 	// limit bounds the connections.
 	limit int
 
@@ -88,8 +89,8 @@
 type tx struct {
 	mu sync.Mutex
 	c  *conn
-	// place is its number at the gate of transactions.
-	place uint64
+	// place is its place among the transactions.
+	place gate.Ticket
 	// used is when the last statement ended.
 	used time.Time
 	// ended tells that the connection isn't the transaction's any more.
@@ -106,7 +107,7 @@
 		q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
 	}
 	return &Pool{
-		c: c, slots: newGate("slot", s), transactions: newGate("transaction", t), limit: n, txs: map[string]*tx{}, abandoned: map[string]time.Time{}, heard: c.Now(),
+		c: c, slots: gate.New(s), transactions: gate.New(t), limit: n, txs: map[string]*tx{}, abandoned: map[string]time.Time{}, heard: c.Now(),
 	}
 }
 
@@ -114,7 +115,7 @@
 func (p *Pool) Member() catalog.Member { return p.c.Member }
 
 // Wait predicts how long a new request waits for a slot.
-func (p *Pool) Wait(r bundle.Rank) time.Duration { return p.slots.wait(r) }
+func (p *Pool) Wait(r bundle.Rank) time.Duration { return p.slots.Wait(r) }
 
 // Health returns the number of connections that failed to open since the last
 // reply, and when that was.
@@ -126,7 +127,7 @@
 
 // Busy returns the number of open transactions and running requests.
 func (p *Pool) Busy() int {
-	n := p.slots.running()
+	n := p.slots.Running()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.txs) + n
@@ -147,7 +148,7 @@
 
 // Load returns what the pool holds.
 func (p *Pool) Load() Load {
-	l := Load{Running: p.slots.running(), Waiting: p.slots.depth(), Opening: p.transactions.depth()}
+	l := Load{Running: p.slots.Running(), Waiting: p.slots.Depth(), Opening: p.transactions.Depth()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.Open, l.Idle, l.Transactions = p.open, len(p.idle), len(p.txs)
