Who holds a group and what replaces its primary are decided in package succession

Change: package succession holds a group's record, primary, suspicion and replacement; events and a time go in, the holder's next duty comes out. fleet gathers the facts, carries the duty out and reports back.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/succession"
 	"github.com/dragonflypick/dragonflypick/tenure"
 )
 
@@ -35,7 +36,7 @@
 	It("stops waiting for a primary when the daemon that asked is gone", func() {
 		f := newTestFleet()
 		g := f.group("g")
-		g.tenure.Handle(tenure.Seen{Record: tenure.Record{Holder: f.self()}, Revision: 1}, now())
+		g.Handle(succession.Tenure{Event: tenure.Seen{Record: tenure.Record{Holder: f.self()}, Revision: 1}}, now())
 		x, stop := context.WithCancel(context.Background())
 		stop()
 		t := time.Now()
@@ -70,33 +71,6 @@
 	})
 })
 
-var _ = Describe("the replica to promote", func() {
-	far := func(catalog.Member, catalog.Member) bool { return false }
-	at := func(id string, offset uint64, draining bool) answer {
-		return answer{member: catalog.Member{ID: id, Draining: draining}, status: query.Status{Received: logpos.Position{Term: 1, Offset: offset}}}
-	}
-	lost := func(id string) answer { return answer{member: catalog.Member{ID: id}, err: &store.LeaseError{}} }
-	primary := at("p", 9, true)
-	primary.status.Primary = true
-
-	DescribeTable("is", func(l []answer, sync int, want string, whole bool) {
-		p, ok := pick(l, "p", sync, far)
-		Expect(ok).To(Equal(want != ""))
-		Expect(p.member.ID).To(Equal(want))
-		Expect(p.whole).To(Equal(whole))
-	},
-		Entry("the one with the most of the log", []answer{at("a", 5, false), at("b", 7, false)}, 0, "b", true),
-		Entry("one that stays, though another has more", []answer{at("a", 5, false), at("b", 7, true)}, 0, "a", true),
-		Entry("none that leaves", []answer{at("b", 7, true)}, 0, "", false),
-		Entry("the one that answers", []answer{lost("a"), at("b", 7, false)}, 0, "b", true),
-		Entry("none, if a synchronous commit may be on the one that doesn't answer", []answer{lost("a"), at("b", 7, false)}, 1, "", false),
-		Entry("the one that holds the synchronous commits, though it leaves", []answer{at("a", 5, false), at("b", 7, true)}, 1, "b", true),
-		Entry("behind a primary that still answers", []answer{primary, at("a", 5, false)}, 0, "a", false),
-		Entry("level with it", []answer{primary, at("a", 9, false)}, 0, "a", true),
-		Entry("none of none", nil, 0, "", false),
-	)
-})
-
 var _ = Describe("mirror", func() {
 	item := func(key string, rev uint64) store.Item { return store.Item{Key: key, Revision: rev} }
 
--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/succession"
 	"github.com/dragonflypick/dragonflypick/tenure"
 )
 
@@ -235,11 +236,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(strings.TrimPrefix(i.Key, groupPrefix))
-	was, rev, _ := g.tenure.Record()
-	g.tenure.Handle(tenure.Seen{Record: r, Revision: i.Revision, Asked: asked}, now())
+	was, rev, _ := g.Record()
+	g.Handle(succession.Tenure{Event: tenure.Seen{Record: r, Revision: i.Revision, Asked: asked}}, now())
 	if i.Revision > rev {
 		f.c.Log.Info("group record", "group", g.name, "revision", i.Revision, "holder", r.Holder.ID, "was", was.Holder.ID, "prior", r.Prior, "primary", r.Primary, "term", r.Term, "target", r.Target)
-		g.adopt(r)
 	}
 }
 
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -10,39 +10,20 @@
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/succession"
 	"github.com/dragonflypick/dragonflypick/tenure"
 )
 
 // group is what a daemon knows of a database group. Its fields are guarded by
 // the mutex of the Fleet.
 type group struct {
+	*succession.Group
 	name    string
-	tenure  *tenure.Tenure
 	history freshness.History
-	// primary and term are what the holder sends work to, empty until it has
-	// found out; other daemons have them from the record.
-	primary string
-	term    uint64
-	// found tells that the holder has asked the members for the primary.
-	found bool
 	// busy tells that the holder's work on the group is under way, confirming that
 	// its record is being asked for.
 	busy       bool
 	confirming bool
-	// replacing is when the replacement of the primary began, zero if none is.
-	replacing time.Time
-	// end is the furthest position that the primary reported, ended when it was
-	// heard; a holder notes them.
-	end   logpos.Position
-	ended time.Time
-	// nearBy is since when another host stands nearer to the primary, zero if
-	// none does.
-	nearBy time.Time
-	// regressed tells that the primary isn't to be used: its log has lost entries,
-	// or a promotion has been asked for.
-	regressed bool
-	// silent counts the fresh connections to the primary that failed in a row.
-	silent int
 	// read is when a replica was last asked to serve a read.
 	read time.Time
 	// asking tells that the holder is being asked for the log's end.
@@ -58,28 +39,17 @@
 func (f *Fleet) group(name string) *group {
 	g := f.groups[name]
 	if g == nil {
-		g = &group{name: name, tenure: tenure.New(f.self())}
+		g = &group{name: name, Group: succession.New(f.self())}
 		f.groups[name] = g
 	}
 	return g
 }
 
-// adopt takes over what the record says of the primary.
-func (g *group) adopt(r tenure.Record) {
-	if r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
-		g.primary, g.term = r.Primary, r.Term
-	}
-}
-
-// serves reports whether the host may send new work to the primary now.
-func (g *group) serves(now time.Time) bool {
-	return g.tenure.Holds(now) && g.found && g.replacing.IsZero() && !g.regressed
-}
-
 // believed returns the primary as known without being its holder: that of the
 // record, or the only member that calls itself so.
 func (f *Fleet) believed(g *group) (catalog.Member, bool) {
-	if m, ok := f.members[g.primary]; ok {
+	id, _ := g.Primary()
+	if m, ok := f.members[id]; ok {
 		return m, true
 	}
 	for _, m := range f.members {
@@ -108,9 +78,9 @@
 	t := now()
 	for n := range f.groupNames() {
 		g := f.group(n)
-		if g.tenure.Confirm(t) && !g.confirming {
+		if g.Confirm(t) && !g.confirming {
 			g.confirming = true
-			g.tenure.Handle(tenure.Asking{}, t)
+			g.Handle(succession.Tenure{Event: tenure.Asking{}}, t)
 			f.background(func(x context.Context) {
 				f.confirm(x, g)
 				f.mu.Lock()
@@ -145,23 +115,63 @@
 // duty returns the work that a group needs of this host now, or nil; f.mu is
 // held.
 func (f *Fleet) duty(g *group, t time.Time) func(context.Context, *group) {
-	r, _, known := g.tenure.Record()
-	switch {
-	case known && r.Holder.ID == f.c.Self.ID:
-		return f.holderDuty(g, t)
-	case f.releasable(g):
+	switch a := g.Next(f.facts(g), t).(type) {
+	case succession.TakeOver:
+		return f.takeOver
+	case succession.Release:
 		return f.release
-	case f.leaving.Load() || f.lease == 0 || known && !f.mayTake(r.Holder.ID):
+	case succession.Discover:
+		return f.discover
+	case succession.GiveAway:
+		return f.giveAway
+	case succession.AskPrior:
+		return f.askPrior
+	case succession.Probe:
+		return f.probe
+	case succession.Replace:
+		return func(x context.Context, g *group) { f.replace(x, g, a.Why) }
+	default:
 		return nil
 	}
-	m, ok := f.believed(g)
+}
+
+// facts returns what this host knows besides the group's own state; f.mu is held.
+func (f *Fleet) facts(g *group) succession.Facts {
+	o := succession.Facts{Leaving: f.leaving.Load(), Registered: f.lease != 0, Busy: g.Prior() && f.busyWith(g)}
+	if r, _, ok := g.Record(); ok {
+		o.HolderGone = f.mayTake(r.Holder.ID)
+	}
+	if m, ok := f.believed(g); ok {
+		h, ok := f.view.Owner(place(m), time.Now())
+		o.First = ok && h.ID == f.c.Self.ID
+	}
+	id, _ := g.Primary()
+	m, ok := f.members[id]
 	if !ok {
-		return nil
+		return o
 	}
-	if h, ok := f.view.Owner(place(m), time.Now()); ok && h.ID == f.c.Self.ID {
-		return f.takeOver
+	o.Listed, o.Draining = f.gone[id].IsZero(), m.Draining
+	if h, ok := f.view.Owner(place(m), time.Now()); ok && !m.Draining && m.FailureDomain != f.c.Self.FailureDomain {
+		o.Nearer = gap(h, m) < gap(f.c.Self, m)
 	}
-	return nil
+	if p := f.pools[id]; p != nil {
+		n, t := p.Health()
+		o.Contact = &succession.Contact{Failures: n, Heard: t}
+	}
+	return o
+}
+
+// busyWith reports whether work on a group's primary goes on at this host; f.mu is
+// held.
+func (f *Fleet) busyWith(g *group) bool {
+	for _, p := range f.closing {
+		if p.Member().Group == g.name && p.Busy() > 0 {
+			return true
+		}
+	}
+	id, _ := g.Primary()
+	p := f.pools[id]
+	return p != nil && p.Busy() > 0
 }
 
 // alive reports whether a host is live in the view; f.mu is held.
@@ -180,24 +190,6 @@
 	return !f.alive(holder) && !f.isolated() && len(f.liveOthers()) >= len(f.view.Suspects(time.Now()))
 }
 
-// holderDuty returns the work of the holder; f.mu is held.
-func (f *Fleet) holderDuty(g *group, t time.Time) func(context.Context, *group) {
-	switch {
-	case !g.tenure.Holds(t):
-		return nil
-	case !g.found:
-		return f.discover
-	case f.leaving.Load():
-		return f.giveAway
-	case len(g.tenure.Waiting(t)) > 0:
-		return f.askPrior
-	}
-	if f.farther(g, t) {
-		return f.giveAway
-	}
-	return f.watchPrimary(g, t)
-}
-
 // gap returns how far a host stands from a member: in its failure domain, in its
 // region, or further.
 func gap(h membership.Host, m catalog.Member) int {
@@ -211,47 +203,23 @@
 	}
 }
 
-// betterTime is how long another host has to stand nearer to the primary before
-// it is given the group, so that short suspicions don't move it.
-const betterTime = 2 * time.Second
-
-// farther reports whether another host has stood nearer to the primary for a
-// while; f.mu is held.
-func (f *Fleet) farther(g *group, t time.Time) bool {
-	m, ok := f.members[g.primary]
-	if ok && !m.Draining && m.FailureDomain != f.c.Self.FailureDomain {
-		h, ok := f.view.Owner(place(m), time.Now())
-		if ok && gap(h, m) < gap(f.c.Self, m) {
-			if g.nearBy.IsZero() {
-				g.nearBy = t
-			}
-			return t.Sub(g.nearBy) > betterTime
-		}
-	}
-	g.nearBy = time.Time{}
-	return false
-}
-
-// observe notes a position that the primary reported.
+// observe notes a position that a member reported.
 func (f *Fleet) observe(g *group, member string, p logpos.Position, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	t := now()
 	l := f.table.of(member)
-	l.position, l.heard = p, now()
-	if member != g.primary || !g.tenure.Holds(now()) {
-		return
-	}
-	if p.Less(g.end) && sent.After(g.ended) {
-		if !g.regressed {
-			f.c.Log.Warn("primary has lost entries", "group", g.name, "member", member, "position", p.String(), "had", g.end.String())
-		}
-		g.regressed = true
+	l.position, l.heard = p, t
+	if !g.Counts(member, t) {
 		return
 	}
-	if g.end.Less(p) {
-		g.end, g.ended = p, now()
+	was := g.Usable()
+	g.Handle(succession.Observed{Member: member, Position: p, Sent: sent}, t)
+	if g.Usable() {
+		g.history.Add(freshness.Sample{Position: p, At: sent})
+	} else if was {
+		f.c.Log.Warn("primary has lost entries", "group", g.name, "member", member, "position", p.String())
 	}
-	g.history.Add(freshness.Sample{Position: p, At: sent})
 }
 
 // guardPrimary returns what may stop a step to the primary right before it is
@@ -261,9 +229,9 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		t := now()
-		ok := g.serves(t)
+		ok := g.Serves(t)
 		if r.Use == query.Later {
-			ok = g.tenure.Finishing(t)
+			ok = g.Finishing(t)
 		}
 		if !ok {
 			return &query.Failure{Reason: query.Moved, Text: "the primary's holder has changed"}
--- a/fleet/hold.go
+++ b/fleet/hold.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/succession"
 	"github.com/dragonflypick/dragonflypick/tenure"
 )
 
@@ -19,13 +19,10 @@
 // takeOver makes this host the holder.
 func (f *Fleet) takeOver(x context.Context, g *group) {
 	f.mu.Lock()
-	r, rev, known := g.tenure.Record()
-	n := g.tenure.Take()
+	from := g.Holder()
+	n, rev := g.Taken()
 	f.mu.Unlock()
-	if !known {
-		rev = 0
-	}
-	f.c.Log.Info("group taken over", "group", g.name, "from", r.Holder.ID, "revision", rev, "prior", n.Prior)
+	f.c.Log.Info("group taken over", "group", g.name, "from", from.ID, "revision", rev, "prior", n.Prior)
 	f.swap(x, g, n, rev)
 }
 
@@ -66,7 +63,7 @@
 	i, err := f.read(y, key(g))
 	if err != nil {
 		f.mu.Lock()
-		g.tenure.Handle(tenure.Asking{Failed: true}, now())
+		g.Handle(succession.Tenure{Event: tenure.Asking{Failed: true}}, now())
 		f.mu.Unlock()
 		f.c.Log.Warn("group record not confirmed", "group", g.name, "error", err)
 		return
@@ -79,7 +76,7 @@
 // askPrior finds out whether the earlier holders have ended.
 func (f *Fleet) askPrior(x context.Context, g *group) {
 	f.mu.Lock()
-	l := g.tenure.Waiting(now())
+	l := g.Waiting(now())
 	f.mu.Unlock()
 	for _, p := range l {
 		y, stop := context.WithTimeout(x, linkTimeout)
@@ -89,7 +86,7 @@
 		if errors.As(err, &o) {
 			f.c.Log.Info("earlier holder has ended", "group", g.name, "host", p.ID, "now", o.Host)
 			f.mu.Lock()
-			g.tenure.Handle(tenure.Ended{Host: p.ID}, now())
+			g.Handle(succession.Tenure{Event: tenure.Ended{Host: p.ID}}, now())
 			f.mu.Unlock()
 		}
 	}
@@ -105,8 +102,7 @@
 	if ok {
 		h, ok = f.view.Owner(place(m), time.Now())
 	}
-	_, rev, _ := g.tenure.Record()
-	r := g.tenure.Give(tenure.Party{ID: h.ID, Address: h.PeerAddress}, now())
+	r, rev := g.Given(tenure.Party{ID: h.ID, Address: h.PeerAddress}, now())
 	f.mu.Unlock()
 	if !ok || h.ID == f.c.Self.ID {
 		pause(x, backoff(1))
@@ -116,30 +112,10 @@
 	f.swap(x, g, r, rev)
 }
 
-// releasable reports whether this host is an earlier holder whose work has
-// ended; f.mu is held.
-func (f *Fleet) releasable(g *group) bool {
-	r, rev, known := g.tenure.Record()
-	if !known || rev == 0 || !slices.Contains(r.Prior, f.self()) {
-		return false
-	}
-	for _, p := range f.closing {
-		if p.Member().Group == g.name && p.Busy() > 0 {
-			return false
-		}
-	}
-	if o := f.pools[g.primary]; o != nil && o.Busy() > 0 {
-		return false
-	}
-	return true
-}
-
 // release tells the new holder that this host sends no more work.
 func (f *Fleet) release(x context.Context, g *group) {
 	f.mu.Lock()
-	g.tenure.Handle(tenure.Finished{}, now())
-	r, ok := g.tenure.Released()
-	_, rev, _ := g.tenure.Record()
+	r, rev, ok := g.Released(now())
 	f.mu.Unlock()
 	if ok {
 		f.c.Log.Info("group released", "group", g.name, "holder", r.Holder.ID)
--- a/fleet/position.go
+++ b/fleet/position.go
@@ -89,12 +89,13 @@
 		f.mu.Lock()
 		g := f.group(name)
 		t := now()
-		if !g.serves(t) {
+		if !g.Serves(t) {
 			f.mu.Unlock()
 			return positionReply{}
 		}
 		s, ok := g.history.Last()
-		m, known := f.members[g.primary]
+		id, _ := g.Primary()
+		m, known := f.members[id]
 		var p *pool.Pool
 		if known {
 			p = f.pool(m)
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -57,7 +57,7 @@
 	defer f.mu.Unlock()
 	n := time.Now()
 	for _, g := range f.groups {
-		r, _, ok := g.tenure.Record()
+		r, _, ok := g.Record()
 		id := r.Holder.ID
 		if !ok || id == "" || id == f.c.Self.ID || n.Sub(f.seen[id]) < holderSilence || n.Sub(f.pinged[id]) < holderSilence {
 			continue
@@ -164,15 +164,15 @@
 // held.
 func (f *Fleet) serving(member string) bool {
 	g := f.group(f.members[member].Group)
-	r, _, _ := g.tenure.Record()
-	return r.Holder.ID == f.c.Self.ID && g.primary == member
+	id, _ := g.Primary()
+	return g.Holder().ID == f.c.Self.ID && id == member
 }
 
 // heldElsewhere reports whether a member is the primary of a group that another
 // host holds, which needs all its connections; f.mu is held.
 func (f *Fleet) heldElsewhere(member string) bool {
 	g := f.group(f.members[member].Group)
-	r, _, _ := g.tenure.Record()
+	r, _, _ := g.Record()
 	return r.Holder.ID != "" && r.Holder.ID != f.c.Self.ID && r.Primary == member
 }
 
@@ -204,7 +204,7 @@
 	n := now()
 	for _, g := range f.groups {
 		s, ok := g.history.Last()
-		r, _, _ := g.tenure.Record()
+		r, _, _ := g.Record()
 		if n.Sub(g.read) > readMemory || ok && n.Sub(s.At) < positionInterval || g.asking != nil || r.Holder.ID == f.c.Self.ID && ok && n.Sub(s.At) < positionInterval {
 			continue
 		}
@@ -236,8 +236,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range f.groups {
-		r, _, ok := g.tenure.Record()
-		if ok && r.Holder.ID == f.c.Self.ID || f.releasable(g) {
+		r, _, ok := g.Record()
+		if ok && r.Holder.ID == f.c.Self.ID || g.Prior() {
 			return false
 		}
 	}
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -140,7 +140,7 @@
 	if g == nil {
 		return membership.Host{}, false
 	}
-	r, _, ok := g.tenure.Record()
+	r, _, ok := g.Record()
 	if !ok || r.Holder.ID == "" {
 		return membership.Host{}, false
 	}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -164,8 +164,8 @@
 	t := time.Now()
 	f.mu.Lock()
 	g := f.group(r.Group)
-	for !g.serves(now()) {
-		rec, _, _ := g.tenure.Record()
+	for !g.Serves(now()) {
+		rec, _, _ := g.Record()
 		left := r.Remaining - time.Since(t)
 		if rec.Holder.ID != f.c.Self.ID || left <= holderPause {
 			f.mu.Unlock()
@@ -181,7 +181,8 @@
 		}
 		f.mu.Lock()
 	}
-	m, ok := f.members[g.primary]
+	id, _ := g.Primary()
+	m, ok := f.members[id]
 	var p *pool.Pool
 	if ok {
 		p = f.pool(m)
--- /dev/null
+++ b/succession/succession.go
@@ -0,0 +1,283 @@
+// Package succession decides for one database group, at one host, who holds the
+// group, whether its primary is failing, and which member replaces it. It does no
+// I/O and reads no clock; the daemon and the model drive the same code.
+package succession
+
+import (
+	"slices"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/tenure"
+)
+
+// Timing and limits of the watch over a primary.
+const (
+	// silenceTime is how long a primary may not answer before fresh connections
+	// are tried.
+	silenceTime = 300 * time.Millisecond
+	// refusedTime is the same for a primary whose connections fail to open.
+	refusedTime = 100 * time.Millisecond
+	// DeadProbes is the number of fresh connections that fail in a row before a
+	// primary is replaced, so that one lost packet doesn't do it.
+	DeadProbes = 2
+	// betterTime is how long another host has to stand nearer to the primary before
+	// it is given the group, so that short suspicions don't move it.
+	betterTime = 2 * time.Second
+)
+
+// pendingTarget stands in the record while a promotion may be asked for.
+const pendingTarget = "pending"
+
+// Answer is a member's status, or why there is none.
+type Answer struct {
+	Member catalog.Member
+	Status query.Status
+	Err    error
+}
+
+// Event is something that a group learns.
+type Event interface{ event() }
+
+// Tenure is news of the group's record or of its holders.
+type Tenure struct{ Event tenure.Event }
+
+// Observed tells of a position that a member reported to a request sent at Sent.
+type Observed struct {
+	Member   string
+	Position logpos.Position
+	Sent     time.Time
+}
+
+// Surveyed tells what the members answered after Discover.
+type Surveyed struct{ Answers []Answer }
+
+// Probed tells whether a fresh connection to the primary failed.
+type Probed struct{ Failed bool }
+
+// Began tells that the replacement of the primary begins, Stopped that it is
+// over, whatever its outcome.
+type (
+	Began   struct{}
+	Stopped struct{}
+)
+
+// Asked tells that a promotion is being asked for; it may take effect at any time
+// from then on.
+type Asked struct{}
+
+// Led tells that a member leads.
+type Led struct {
+	Member string
+	Status query.Status
+}
+
+func (Tenure) event()   {}
+func (Observed) event() {}
+func (Surveyed) event() {}
+func (Probed) event()   {}
+func (Began) event()    {}
+func (Stopped) event()  {}
+func (Asked) event()    {}
+func (Led) event()      {}
+
+// Group is one host's knowledge of a database group. It is not safe for
+// concurrent use.
+type Group struct {
+	self   tenure.Party
+	tenure *tenure.Tenure
+	// primary and term are what the holder sends work to, empty until it has
+	// found out; other hosts have them from the record.
+	primary string
+	term    uint64
+	// found tells that the holder has asked the members for the primary.
+	found bool
+	// replacing tells that the primary is being replaced.
+	replacing bool
+	// unusable tells that the primary isn't to be used: its log has lost entries,
+	// or a promotion has been asked for.
+	unusable bool
+	// end is the furthest position that the primary reported, ended when it was
+	// heard; a holder notes them.
+	end   logpos.Position
+	ended time.Time
+	// silent counts the fresh connections to the primary that failed in a row.
+	silent int
+	// nearBy is since when another host stands nearer to the primary, zero if none
+	// does.
+	nearBy time.Time
+}
+
+// New returns the knowledge of the host self, which is none.
+func New(self tenure.Party) *Group { return &Group{self: self, tenure: tenure.New(self)} }
+
+// Handle takes in an event.
+func (g *Group) Handle(e Event, now time.Time) {
+	switch e := e.(type) {
+	case Tenure:
+		g.learn(e.Event, now)
+	case Observed:
+		g.observe(e, now)
+	case Surveyed:
+		g.discover(e.Answers)
+	case Probed:
+		g.silent++
+		if !e.Failed {
+			g.silent = 0
+		}
+	case Began:
+		g.replacing = true
+	case Stopped:
+		g.replacing, g.silent = false, 0
+	case Asked:
+		g.unusable = true
+	case Led:
+		g.primary, g.term, g.unusable = e.Member, e.Status.Term, false
+		g.end, g.ended = e.Status.Received, now
+	}
+}
+
+// learn takes in news of the record. Hosts adopt the primary of a newer one.
+func (g *Group) learn(e tenure.Event, now time.Time) {
+	_, rev, _ := g.tenure.Record()
+	g.tenure.Handle(e, now)
+	s, ok := e.(tenure.Seen)
+	if !ok || s.Revision <= rev {
+		return
+	}
+	if r := s.Record; r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
+		g.primary, g.term = r.Primary, r.Term
+	}
+}
+
+// observe compares a position with what the primary reported before.
+func (g *Group) observe(o Observed, now time.Time) {
+	if !g.Counts(o.Member, now) {
+		return
+	}
+	switch {
+	case o.Position.Less(g.end) && o.Sent.After(g.ended):
+		g.unusable = true
+	case g.end.Less(o.Position):
+		g.end, g.ended = o.Position, now
+	}
+}
+
+// discover decides on the primary from what the members say.
+func (g *Group) discover(l []Answer) {
+	r, _, _ := g.tenure.Record()
+	best := -1
+	for i, a := range l {
+		if a.Err == nil && a.Status.Primary && a.Status.Term >= r.Term && (best < 0 || a.Status.Term > l[best].Status.Term) {
+			best = i
+		}
+	}
+	switch {
+	case best >= 0 && (r.Target == "" || l[best].Status.Term > r.Term):
+		g.primary, g.term = l[best].Member.ID, l[best].Status.Term
+	case r.Target == "" && r.Primary != "":
+		g.primary, g.term = r.Primary, r.Term
+	case r.Target != "":
+		// A promotion was asked for and may still take effect, so the old primary
+		// isn't used again.
+		g.unusable = true
+	default:
+		return
+	}
+	g.found, g.silent = true, 0
+}
+
+// Record returns the group's record and its revision, or false if none is known.
+func (g *Group) Record() (tenure.Record, uint64, bool) { return g.tenure.Record() }
+
+// Holder returns the process that holds the group, as far as is known.
+func (g *Group) Holder() tenure.Party {
+	r, _, _ := g.tenure.Record()
+	return r.Holder
+}
+
+// Primary returns the primary and its term, empty if unknown.
+func (g *Group) Primary() (string, uint64) { return g.primary, g.term }
+
+// Serves reports whether the host may send new work to the primary now.
+func (g *Group) Serves(now time.Time) bool {
+	return g.tenure.Holds(now) && g.found && !g.replacing && !g.unusable
+}
+
+// Finishing reports whether the host may continue open transactions.
+func (g *Group) Finishing(now time.Time) bool { return g.tenure.Finishing(now) }
+
+// Usable reports whether nothing speaks against the primary.
+func (g *Group) Usable() bool { return !g.unusable }
+
+// Found reports whether the holder knows the primary.
+func (g *Group) Found() bool { return g.found }
+
+// Counts reports whether a member's position is the end of the group's log.
+func (g *Group) Counts(member string, now time.Time) bool {
+	return member == g.primary && g.tenure.Holds(now)
+}
+
+// Waiting returns the earlier holders that may still send work.
+func (g *Group) Waiting(now time.Time) []tenure.Party { return g.tenure.Waiting(now) }
+
+// Confirm reports whether the record is to be asked for now.
+func (g *Group) Confirm(now time.Time) bool { return g.tenure.Confirm(now) }
+
+// Prior reports whether the host stands among the earlier holders of the record.
+func (g *Group) Prior() bool {
+	r, rev, known := g.tenure.Record()
+	return known && rev > 0 && slices.Contains(r.Prior, g.self)
+}
+
+// Released returns the record without the host among the earlier holders, and
+// whether it stood there; the host must have finished its work.
+func (g *Group) Released(now time.Time) (tenure.Record, uint64, bool) {
+	g.tenure.Handle(tenure.Finished{}, now)
+	r, ok := g.tenure.Released()
+	_, rev, _ := g.tenure.Record()
+	return r, rev, ok
+}
+
+// Taken returns the record by which the host takes the group over, and the
+// revision that it must replace.
+func (g *Group) Taken() (tenure.Record, uint64) {
+	_, rev, known := g.tenure.Record()
+	if !known {
+		rev = 0
+	}
+	return g.tenure.Take(), rev
+}
+
+// Given returns the record by which the holder passes the group on.
+func (g *Group) Given(to tenure.Party, now time.Time) (tenure.Record, uint64) {
+	_, rev, _ := g.tenure.Record()
+	return g.tenure.Give(to, now), rev
+}
+
+// Intent returns the record that announces a promotion, and whether the host may
+// write it.
+func (g *Group) Intent(now time.Time) (tenure.Record, uint64, bool) {
+	r, rev, _ := g.tenure.Record()
+	r.Primary, r.Term, r.Target = g.primary, max(g.term, r.Term), pendingTarget
+	return r, rev, g.tenure.MayReplace(now)
+}
+
+// Promotion returns the fencing token of a promotion and the term that it must
+// exceed, and whether the host may ask for it.
+func (g *Group) Promotion(now time.Time) (token, term uint64, ok bool) {
+	r, rev, _ := g.tenure.Record()
+	return rev, max(g.term, r.Term), g.tenure.MayReplace(now) && r.Target != ""
+}
+
+// Settled returns the record that names the primary, and whether the host may
+// write it.
+func (g *Group) Settled(now time.Time) (tenure.Record, uint64, bool) {
+	r, rev, _ := g.tenure.Record()
+	ok := r.Holder.ID == g.self.ID && !g.unusable
+	r.Primary, r.Term, r.Target = g.primary, g.term, ""
+	r.Prior = g.tenure.Waiting(now)
+	return r, rev, ok
+}
