--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -93,8 +93,6 @@
 	// closing pools still have open transactions.
 	closing []*pool.Pool
 	table   *table
-	// contact is when another daemon last answered.
-	contact time.Time
 	// seen is when each host last answered anything, pinged when a holder was last
 	// asked whether it lives.
 	seen   map[string]time.Time
@@ -118,7 +116,7 @@
 	x, stop := context.WithCancel(context.Background())
 	f := &Fleet{
 		c: c, mirror: newMirror(), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
-		members: map[string]catalog.Member{}, gone: map[string]time.Time{}, groups: map[string]*group{}, contact: time.Now(), answered: map[string]time.Time{}, seen: map[string]time.Time{}, pinged: map[string]time.Time{},
+		members: map[string]catalog.Member{}, gone: map[string]time.Time{}, groups: map[string]*group{}, answered: map[string]time.Time{}, seen: map[string]time.Time{}, pinged: map[string]time.Time{},
 		pools: map[string]*owned{}, table: newTable(),
 	}
 	var err error
@@ -174,15 +172,10 @@
 // note takes in news of a host.
 func (f *Fleet) note(e membership.Event) {
 	f.mu.Lock()
-	c := f.view.Handle(e, time.Now())
-	switch e := e.(type) {
-	case membership.Seen:
-		f.contact = time.Now()
-		f.seen[e.ID] = f.contact
-	case membership.Met:
-		if e.Direct {
-			f.contact = time.Now()
-		}
+	n := time.Now()
+	c := f.view.Handle(e, n)
+	if e, ok := e.(membership.Seen); ok {
+		f.seen[e.ID] = n
 	}
 	f.mu.Unlock()
 	if !c {
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -32,9 +32,6 @@
 	// isolatedRetry is when a caller of a daemon that is cut off should come back,
 	// by way of another one.
 	isolatedRetry = 500 * time.Millisecond
-	// contactTime is how long no other daemon may have answered until this one
-	// takes itself for cut off; each is asked for news several times in it.
-	contactTime = 1200 * time.Millisecond
 	// Assumed round trips to a host by distance.
 	nearTrip   = 500 * time.Microsecond
 	regionTrip = 4 * time.Millisecond
@@ -380,14 +377,4 @@
 
 // isolated reports whether this host is cut off from all others that the
 // platform lists; f.mu is held.
-func (f *Fleet) isolated() bool {
-	if time.Since(f.contact) < contactTime {
-		return false
-	}
-	for _, h := range f.view.Known() {
-		if h.ID != f.c.Self.ID && !h.Leaving && f.view.Listed(h.ID) {
-			return true
-		}
-	}
-	return false
-}
+func (f *Fleet) isolated() bool { return f.view.Isolated(time.Now()) }
--- a/membership/view.go
+++ b/membership/view.go
@@ -25,6 +25,9 @@
 	fresh  time.Time
 	// generation counts the times that owners and rings were dropped.
 	generation uint64
+	// contact is when another daemon last answered or called, or the time of the
+	// first event.
+	contact time.Time
 }
 
 // New returns a view that knows only its own host.
@@ -38,6 +41,9 @@
 // Handle takes in an event and reports whether it changed what is known.
 func (v *View) Handle(e Event, now time.Time) bool {
 	c := false
+	if v.contact.IsZero() {
+		v.contact = now
+	}
 	switch x := e.(type) {
 	case Listed:
 		c = v.list(x.Hosts, now)
@@ -46,6 +52,7 @@
 	case Lost:
 		c = v.lose(x.ID, now)
 	case Seen:
+		v.contact = now
 		c = v.see(x.ID, now)
 	case Left:
 		c = v.leave(x, now)
@@ -99,6 +106,7 @@
 func (v *View) meet(x Met, now time.Time) bool {
 	c := false
 	if x.Direct {
+		v.contact = now
 		c = v.see(x.Host.ID, now)
 	}
 	if _, ok := v.Host(x.Host.ID); ok || now.Before(v.gone[x.Host.ID]) {
