The matrix drives the succession of groups on the platform; four faults found and mended

The model gets a hosted world (store with a record, promotions that take effect later, members that go on as primary until told, daemons with succession, membership, tenure and freshness) on the same clock, network and nodes.

A group isn't given away while its primary is silent.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -57,10 +57,31 @@
 		f.note(membership.Lost{ID: "d"})
 		Expect(f.mayTake("b")).To(BeFalse())
 		Expect(f.mayTake("gone")).To(BeTrue())
-		f.contact = time.Now().Add(-2 * contactTime)
+		f.view.Handle(membership.Seen{ID: "c"}, time.Now().Add(-3*time.Second))
 		Expect(f.isolated()).To(BeTrue())
 	})
 
+	DescribeTable("doesn't believe a primary's answer that came after the holder's time", func(r query.Request, want query.Reason) {
+		f := newTestFleet()
+		g := f.group("g")
+		done := query.Reply{Signature: "m", State: query.Idle}
+		seen := func(asked time.Time) {
+			g.Handle(succession.Tenure{Event: tenure.Seen{Record: tenure.Record{Holder: f.self()}, Revision: 1, Asked: asked}}, now())
+		}
+		seen(now().Add(-2 * tenure.Validity))
+		o := f.believe(g, &r, done)
+		Expect(o.Failure).NotTo(BeNil())
+		Expect(o.Failure.Reason).To(Equal(want))
+		Expect(o.Signature).To(BeEmpty())
+		seen(now())
+		Expect(f.believe(g, &r, done)).To(Equal(done))
+	},
+		Entry("to a read", query.Request{Primary: true}, query.Aborted),
+		Entry("to a write", query.Request{Primary: true, Action: query.DoWrite}, query.InDoubt),
+		Entry("to a commit", query.Request{Use: query.Later, Action: query.DoCommit}, query.InDoubt),
+		Entry("to a write in a transaction", query.Request{Use: query.Later, Action: query.DoWrite}, query.Aborted),
+	)
+
 	It("never lets the configuration go back", func() {
 		f := newTestFleet()
 		f.c.Decoder.Configuration = func(b []byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: uint64(b[0])}, nil }
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -126,6 +126,8 @@
 		return f.giveAway
 	case succession.AskPrior:
 		return f.askPrior
+	case succession.Record:
+		return f.recordPrimary
 	case succession.Probe:
 		return f.probe
 	case succession.Replace:
@@ -179,16 +181,8 @@
 	return f.view.Alive(id, time.Now())
 }
 
-// mayTake reports whether a group may be taken from its holder: the platform has
-// given the holder up or it leaves, or it doesn't answer this host while most
-// others do, so that it is not this host that is cut off; f.mu is held.
-func (f *Fleet) mayTake(holder string) bool {
-	h, ok := f.view.Host(holder)
-	if !ok || h.Leaving {
-		return true
-	}
-	return !f.alive(holder) && !f.isolated() && len(f.liveOthers()) >= len(f.view.Suspects(time.Now()))
-}
+// mayTake reports whether a group may be taken from its holder; f.mu is held.
+func (f *Fleet) mayTake(holder string) bool { return f.view.GivenUp(holder, time.Now()) }
 
 // gap returns how far a host stands from a member: in its failure domain, in its
 // region, or further.
@@ -222,6 +216,26 @@
 	}
 }
 
+// believe returns a primary's reply, or what it means if it came after this host's
+// time: another holder may have had the primary replaced since it was asked.
+func (f *Fleet) believe(g *group, r *query.Request, o query.Reply) query.Reply {
+	f.mu.Lock()
+	ok := g.Finishing(now())
+	f.mu.Unlock()
+	if ok || o.Failure != nil {
+		return o
+	}
+	why := &query.Failure{Reason: query.Aborted, Text: "the answer came after the holder's time"}
+	if r.Action == query.DoCommit || r.Action == query.DoWrite && r.Use == query.Single {
+		why.Reason = query.InDoubt
+	}
+	f.c.Log.Warn("late answer of a primary not believed", "group", g.name, "id", r.ID, "reason", why.Reason)
+	if o.State == query.Open {
+		o.State = query.Failed
+	}
+	return query.Reply{Failure: why, State: o.State}
+}
+
 // guardPrimary returns what may stop a step to the primary right before it is
 // sent.
 func (f *Fleet) guardPrimary(g *group, r *query.Request) func() *query.Failure {
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -43,7 +43,7 @@
 	g.Handle(succession.Surveyed{Answers: l}, now())
 	r, rev, _ := g.Record()
 	id, term := g.Primary()
-	f.c.Log.Info("members asked for the primary", "group", g.name, "found", g.Found(), "member", id, "term", term, "pending", r.Target, "revision", rev)
+	f.c.Log.Info("members asked for the primary", "group", g.name, "found", g.Found(), "usable", g.Usable(), "member", id, "term", term, "pending", r.Target, "revision", rev)
 }
 
 // probe tries fresh connections to a silent primary.
@@ -172,7 +172,7 @@
 	case !ok:
 		return false
 	case leads:
-		return f.lead(g, a.Member, a.Status)
+		return f.lead(g, a, a.Status)
 	}
 	t := time.Now()
 	for time.Since(t) < leadTime && x.Err() == nil {
@@ -193,7 +193,7 @@
 			return false
 		}
 		if s, ok := f.awaitLead(x, a.Member, term); ok {
-			return f.lead(g, a.Member, s)
+			return f.lead(g, a, s)
 		}
 	}
 	return false
@@ -213,11 +213,15 @@
 	return query.Status{}, false
 }
 
-// lead takes a member for the primary.
-func (f *Fleet) lead(g *group, m catalog.Member, s query.Status) bool {
+// lead takes the chosen member for the primary, unless it has lost its log since.
+func (f *Fleet) lead(g *group, a succession.Answer, s query.Status) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	g.Handle(succession.Led{Member: m.ID, Status: s}, now())
+	g.Handle(succession.Led{Member: a.Member.ID, Status: s, Had: a.Status.Received}, now())
+	if !g.Usable() {
+		f.c.Log.Warn("promoted member has lost its log", "group", g.name, "member", a.Member.ID, "position", s.Received.String(), "had", a.Status.Received.String())
+		return false
+	}
 	g.history.Add(freshness.Sample{Position: s.Received, At: now()})
 	return true
 }
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -142,6 +142,9 @@
 			guard = f.guardPrimary(g, r)
 		}
 		o := query.Response{Reply: p.Execute(x, r, logpos.Position{}, guard), Member: p.Member().ID}
+		if !r.ReadOnly {
+			o.Reply = f.believe(g, r, o.Reply)
+		}
 		o.Queue = p.Wait(r.Rank)
 		return o
 	}
@@ -193,7 +196,7 @@
 	}
 	q := *r
 	q.Remaining -= time.Since(t)
-	o := query.Response{Reply: p.Execute(x, &q, logpos.Position{}, f.guardPrimary(g, r)), Member: m.ID}
+	o := query.Response{Reply: f.believe(g, r, p.Execute(x, &q, logpos.Position{}, f.guardPrimary(g, r))), Member: m.ID}
 	o.Queue = p.Wait(r.Rank)
 	return o
 }
--- /dev/null
+++ b/model/hosted.go
@@ -0,0 +1,280 @@
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/tenure"
+)
+
+// HostedStep is a step of the succession of a group whose holder is agreed on
+// through the platform's store.
+type HostedStep string
+
+// The steps, by what the platform sees.
+const (
+	// Calm is a moment at which nothing happens.
+	Calm HostedStep = "calm"
+	// Taken is a new holder in the record, Released an earlier one less.
+	Taken    HostedStep = "taken-over"
+	Released HostedStep = "released"
+	// Intended is the intent to promote in the record.
+	Intended HostedStep = "intended"
+	// Asked is the request to promote, Effective its effect.
+	Asked     HostedStep = "promotion-asked"
+	Effective HostedStep = "promotion-effective"
+	// Recorded is the new primary in the record.
+	Recorded HostedStep = "recorded"
+)
+
+// HostedSteps returns all steps.
+func HostedSteps() []HostedStep {
+	return []HostedStep{Calm, Taken, Released, Intended, Asked, Effective, Recorded}
+}
+
+// Hosted is a database group on the users' platform, which keeps the record of
+// its holder and promotes its members. It is not safe for concurrent use.
+type Hosted struct {
+	*World
+	// Replicas are the members, Hosts the daemons, in order of their making.
+	Replicas []*HostedMember
+	Hosts    []*HostedDaemon
+	// Step is told when a step is reached, with the daemon that takes it; nil if
+	// nobody asks.
+	Step func(HostedStep, *HostedDaemon)
+	// Trace is told of what happens; nil if nobody asks.
+	Trace func(string)
+	// Refused are daemons that the store turns away.
+	Refused map[*HostedDaemon]bool
+	// Done counts acknowledged writes, Shown reads that were answered.
+	Done  int
+	Shown int
+
+	record   tenure.Record
+	revision uint64
+	// leases holds when each host's entry was last renewed.
+	leases map[string]time.Time
+	hosts  map[string]membership.Host
+	// token is the highest fencing token of a promotion.
+	token uint64
+	// effects are the promotions that took effect, oldest first.
+	effects []effect
+	writes  []*hostedWrite
+	names   int
+}
+
+// effect is a promotion that took effect.
+type effect struct {
+	at     time.Time
+	member *HostedMember
+	term   uint64
+}
+
+// Sizes and timing of a hosted world.
+const (
+	hostsPerDomain  = 2
+	hostedSessions  = 6
+	leaseLength     = 10 * time.Second
+	promotionLength = time.Second
+)
+
+// NewHosted makes a world in which nothing has happened yet.
+func NewHosted(c Config) *Hosted {
+	w := &World{
+		Clock: Clock{now: epoch}, Options: c.Options, r: rand.New(rand.NewPCG(c.Seed, c.Seed)),
+		nodes: map[string]*Node{}, cuts: map[[2]string]bool{}, last: map[*Member]uint64{},
+	}
+	h := &Hosted{World: w, Refused: map[*HostedDaemon]bool{}, leases: map[string]time.Time{}, hosts: map[string]membership.Host{}}
+	w.callers = w.node("callers", Place{})
+	w.newPlatform(places[0])
+	for i, p := range places {
+		h.newMember("member-"+strconv.Itoa(i), p)
+	}
+	h.Replicas[0].primary = true
+	for range hostsPerDomain {
+		for _, p := range places {
+			h.Start(p, "")
+		}
+	}
+	for i := range hostedSessions {
+		w.After(time.Duration(i)*hostedPause/hostedSessions, func() { h.act(i) })
+	}
+	return h
+}
+
+// Holder returns the daemon that the record names, or nil.
+func (h *Hosted) Holder() *HostedDaemon { return h.Host(h.record.Holder.ID) }
+
+// Host returns the daemon with the given ID, or nil.
+func (h *Hosted) Host(id string) *HostedDaemon {
+	for _, d := range h.Hosts {
+		if d.host.ID == id {
+			return d
+		}
+	}
+	return nil
+}
+
+// Leader returns the primary of the highest term.
+func (h *Hosted) Leader() *HostedMember {
+	var p *HostedMember
+	for _, m := range h.Replicas {
+		if m.primary && (p == nil || m.term > p.term) {
+			p = m
+		}
+	}
+	return p
+}
+
+func (h *Hosted) trace(s string, a ...any) {
+	if h.Trace != nil {
+		h.Trace(h.Since().String() + " " + fmt.Sprintf(s, a...))
+	}
+}
+
+func (h *Hosted) reachStep(s HostedStep, d *HostedDaemon) {
+	if h.Step != nil {
+		h.Step(s, d)
+	}
+}
+
+// CutOneWay stops messages from a to b.
+func (w *World) CutOneWay(a, b *Node) { w.cuts[[2]string{a.Name, b.Name}] = true }
+
+// Others returns all nodes but one, by name.
+func (w *World) Others(n *Node) []*Node {
+	var o []*Node
+	for _, x := range w.sorted() {
+		if x != n && x != w.callers {
+			o = append(o, x)
+		}
+	}
+	return o
+}
+
+// stored is the answer of the store to a question about the record.
+type storedRecord struct {
+	record   tenure.Record
+	revision uint64
+	// won tells that a write took place.
+	won bool
+}
+
+// ask has the store do something for a daemon.
+func (h *Hosted) ask(d *HostedDaemon, handle func() any, write bool, done func(any, bool)) {
+	if h.Refused[d] {
+		d.after(localDelay, func() { done(nil, false) })
+		return
+	}
+	h.Platform.do(d.Node, handle, write, done)
+}
+
+func (h *Hosted) readRecord() any {
+	return storedRecord{record: h.record, revision: h.revision}
+}
+
+// writeRecord writes the record on a revision.
+func (h *Hosted) writeRecord(d *HostedDaemon, r tenure.Record, rev uint64) storedRecord {
+	if rev != h.revision {
+		return storedRecord{record: h.record, revision: h.revision}
+	}
+	old := h.record
+	h.record = r
+	h.revision++
+	h.trace("record %d by %s: holder %s, prior %v, primary %s/%d, target %q", h.revision, d.Name, r.Holder.ID, r.Prior, r.Primary, r.Term, r.Target)
+	h.spread()
+	h.reached(old, r, d)
+	return storedRecord{record: r, revision: h.revision, won: true}
+}
+
+// reached tells of the step that a new record is.
+func (h *Hosted) reached(old, r tenure.Record, d *HostedDaemon) {
+	switch {
+	case old.Holder.ID != r.Holder.ID:
+		h.reachStep(Taken, d)
+	case len(r.Prior) < len(old.Prior) && r.Target == old.Target:
+		h.reachStep(Released, d)
+	case old.Target == "" && r.Target != "":
+		h.reachStep(Intended, d)
+	case old.Target != "" && r.Target == "":
+		h.reachStep(Recorded, d)
+	}
+}
+
+// spread brings the record to all daemons that watch the store.
+func (h *Hosted) spread() {
+	r, rev := h.record, h.revision
+	for _, d := range h.Hosts {
+		if !h.Refused[d] {
+			h.send(h.Platform.Node, d.Node, &link{}, func() {
+				d.run(d.life, func() { d.see(r, rev, time.Time{}) })
+			})
+		}
+	}
+}
+
+// listed returns the hosts whose entries stand.
+func (h *Hosted) listed() any {
+	var o []membership.Host
+	for _, d := range h.Hosts {
+		if t, ok := h.leases[d.host.ID]; ok && h.now.Sub(t) < leaseLength {
+			o = append(o, h.hosts[d.host.ID])
+		}
+	}
+	return o
+}
+
+// spreadHosts brings the list of hosts to all daemons that watch the store.
+func (h *Hosted) spreadHosts() {
+	l := h.listed().([]membership.Host)
+	for _, d := range h.Hosts {
+		if !h.Refused[d] {
+			h.send(h.Platform.Node, d.Node, &link{}, func() {
+				d.run(d.life, func() { d.view.Handle(membership.Listed{Hosts: l}, h.now) })
+			})
+		}
+	}
+}
+
+// promote has a member made primary for a daemon.
+func (h *Hosted) promote(d *HostedDaemon, m *HostedMember, token uint64) bool {
+	if token < h.token {
+		h.violate("a promotion came with a lower fencing token")
+		return false
+	}
+	h.token = token
+	h.trace("promotion of %s asked by %s with token %d", m.Name, d.Name, token)
+	h.reachStep(Asked, d)
+	if !m.alive {
+		return false
+	}
+	h.After(promotionLength, func() { h.lead(m, d) })
+	return true
+}
+
+// lead makes a member primary.
+func (h *Hosted) lead(m *HostedMember, d *HostedDaemon) {
+	if !m.alive || m.primary && m == h.Leader() {
+		return
+	}
+	for _, o := range h.Replicas {
+		m.term = max(m.term, o.term)
+	}
+	m.term++
+	m.primary, m.following = true, nil
+	m.append("")
+	for _, o := range h.Replicas {
+		if o != m && !o.primary {
+			o.following = m
+		}
+	}
+	h.trace("%s leads term %d", m.Name, m.term)
+	h.effects = append(h.effects, effect{at: h.now, member: m, term: m.term})
+	for _, x := range h.writes {
+		x.lost = x.lost || !x.shown(m.log)
+	}
+	h.reachStep(Effective, d)
+}
--- /dev/null
+++ b/model/hosted_daemon.go
@@ -0,0 +1,379 @@
+package model
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/freshness"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/succession"
+	"github.com/dragonflypick/dragonflypick/tenure"
+)
+
+// Timing of a daemon; the daemon's own driver has the same.
+const (
+	hostedTick      = 80 * time.Millisecond
+	hostedExchange  = 300 * time.Millisecond
+	hostedRenew     = 3 * time.Second
+	hostedList      = time.Second
+	hostedPing      = 400 * time.Millisecond
+	hostedDirect    = 400 * time.Millisecond
+	hostedStatus    = 800 * time.Millisecond
+	hostedWork      = time.Second
+	hostedFollow    = 250 * time.Millisecond
+	hostedBackoff   = 200 * time.Millisecond
+	hostedCatchUp   = 500 * time.Millisecond
+	hostedLeadWait  = 4 * time.Second
+	hostedLeadPoll  = 30 * time.Millisecond
+	hostedDemotion  = 300 * time.Millisecond
+	hostedDemotions = 10
+)
+
+// HostedDaemon is a daemon on the users' platform.
+type HostedDaemon struct {
+	*Node
+	h    *Hosted
+	host membership.Host
+	// core and view are the daemon's decisions, history what it knows of the log's
+	// end.
+	core    *succession.Group
+	view    *membership.View
+	history freshness.History
+	// busy tells that a duty is under way, confirming that the record is asked
+	// for.
+	busy       bool
+	confirming bool
+	registered bool
+	leaving    bool
+	// heard is when the primary last answered this daemon.
+	heard time.Time
+	// failures counts connections to it that failed since.
+	failures int
+	// working counts the writes under way at the primary.
+	working int
+	// compared are the connections to members whose position was compared.
+	compared map[*link]bool
+	// answered is when the holder last answered.
+	answered time.Time
+}
+
+// Start starts a daemon at a place; at the address of an earlier one, if one is
+// named.
+func (h *Hosted) Start(p Place, address string) *HostedDaemon {
+	id := "host-" + strconv.Itoa(h.names)
+	h.names++
+	if address == "" {
+		address = id
+	}
+	d := &HostedDaemon{
+		Node: h.node(id, p), h: h, heard: h.now, answered: h.now, compared: map[*link]bool{},
+		host: membership.Host{ID: id, PeerAddress: address, FailureDomain: p.Domain, Region: p.Region},
+	}
+	d.core, d.view = succession.New(d.party()), membership.New(d.host)
+	h.Hosts = append(h.Hosts, d)
+	for _, f := range []func(){d.tick, d.exchange, d.renew, d.list, d.ping, d.follow} {
+		d.after(time.Duration(h.r.Float64()*float64(hostedTick)), f)
+	}
+	return d
+}
+
+// Replace kills the daemon; another process starts at its address.
+func (d *HostedDaemon) Replace(after time.Duration) {
+	d.Kill()
+	d.h.After(after, func() { d.h.Start(d.Place, d.host.PeerAddress) })
+}
+
+// Leave has the daemon hand over what it holds.
+func (d *HostedDaemon) Leave() {
+	d.leaving = true
+	d.view.Handle(membership.Left{ID: d.Name}, d.h.now)
+	d.host.Leaving = true
+	d.writeEntry()
+}
+
+func (d *HostedDaemon) party() tenure.Party {
+	return tenure.Party{ID: d.host.ID, Address: d.host.PeerAddress}
+}
+
+// see takes in the record; asked is when the store was asked for it, zero for news.
+func (d *HostedDaemon) see(r tenure.Record, rev uint64, asked time.Time) {
+	if d.h.Options.LateValidity && !asked.IsZero() {
+		asked = d.h.now
+	}
+	d.tell(tenure.Seen{Record: r, Revision: rev, Asked: asked})
+}
+
+func (d *HostedDaemon) tell(e tenure.Event) {
+	d.core.Handle(succession.Tenure{Event: e}, d.h.now)
+}
+
+// tick does what the group needs of the daemon.
+func (d *HostedDaemon) tick() {
+	n := d.h.now
+	if d.core.Confirm(n) && !d.confirming {
+		d.confirming = true
+		d.tell(tenure.Asking{})
+		d.confirm(func() { d.confirming = false })
+	}
+	if !d.busy {
+		if a := d.core.Next(d.facts(), n); a != nil {
+			d.busy = true
+			d.perform(a, func() { d.busy = false })
+		}
+	}
+	d.after(hostedTick, d.tick)
+}
+
+// member returns the member with a name.
+func (h *Hosted) member(name string) *HostedMember {
+	for _, m := range h.Replicas {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+// owner returns the host that owns a member in the daemon's view.
+func (d *HostedDaemon) owner(m *HostedMember) (membership.Host, bool) {
+	return d.view.Owner(&bundle.Member{Name: m.Name, Region: m.Place.Region, FailureDomain: m.Place.Domain}, d.h.now)
+}
+
+// believed returns the primary as far as is known.
+func (d *HostedDaemon) believed() *HostedMember {
+	id, _ := d.core.Primary()
+	if m := d.h.member(id); m != nil {
+		return m
+	}
+	return d.h.Replicas[0]
+}
+
+func (d *HostedDaemon) facts() succession.Facts {
+	n := d.h.now
+	f := succession.Facts{Leaving: d.leaving, Registered: d.registered, Busy: d.working > 0}
+	if r, _, ok := d.core.Record(); ok {
+		f.HolderGone = d.view.GivenUp(r.Holder.ID, n)
+	}
+	m := d.believed()
+	h, ok := d.owner(m)
+	f.First = ok && h.ID == d.host.ID
+	f.Nearer = ok && d.Place.Domain != m.Place.Domain && h.FailureDomain == m.Place.Domain
+	f.Listed, f.Draining = true, m.Draining
+	f.Contact = &succession.Contact{Failures: d.failures, Heard: d.heard}
+	return f
+}
+
+// observe notes a position that a member reported.
+func (d *HostedDaemon) observe(m *HostedMember, p logpos.Position, sent time.Time) {
+	if !d.core.Counts(m.Name, d.h.now) {
+		return
+	}
+	if !d.h.Options.NoPositions {
+		d.core.Handle(succession.Observed{Member: m.Name, Position: p, Sent: sent}, d.h.now)
+	}
+	if d.core.Usable() {
+		d.history.Add(freshness.Sample{Position: p, At: sent})
+	}
+}
+
+// exchange asks another daemon for its record.
+func (d *HostedDaemon) exchange() {
+	if o := d.other(); o != nil {
+		d.call(o, "exchange", hostedWork, func(reply func(any)) {
+			r, rev, ok := o.core.Record()
+			if !ok {
+				reply(nil)
+				return
+			}
+			reply(storedRecord{record: r, revision: rev})
+		}, func(v any, _ bool) {
+			if s, ok := v.(storedRecord); ok {
+				d.see(s.record, s.revision, time.Time{})
+			}
+		})
+	}
+	d.after(hostedExchange/2+time.Duration(d.h.r.Float64()*float64(hostedExchange)), d.exchange)
+}
+
+// other returns a random live daemon in the own view.
+func (d *HostedDaemon) other() *HostedDaemon {
+	var l []*HostedDaemon
+	for _, x := range d.view.Live(d.h.now) {
+		if o := d.h.Host(x.ID); o != nil && o != d {
+			l = append(l, o)
+		}
+	}
+	if len(l) == 0 {
+		return nil
+	}
+	return l[d.h.r.IntN(len(l))]
+}
+
+// call makes a call to another daemon and notes whether it answered. Only calls
+// that the daemon answers by itself tell that it doesn't.
+func (d *HostedDaemon) call(o *HostedDaemon, use string, limit time.Duration, handle func(func(any)), done func(any, bool)) {
+	d.h.do(&call{
+		from: d.Node, to: o.Node, use: use, timeout: limit, handle: handle,
+		done: func(v any, ok bool) {
+			if ok {
+				d.view.Handle(membership.Seen{ID: o.host.ID}, d.h.now)
+				if o.host.ID == d.core.Holder().ID {
+					d.answered = d.h.now
+				}
+			} else if use == "ping" || use == "exchange" {
+				d.view.Handle(membership.Lost{ID: o.host.ID}, d.h.now)
+			}
+			done(v, ok)
+		},
+	})
+}
+
+// renew keeps the own entry in the store.
+func (d *HostedDaemon) renew() {
+	d.writeEntry()
+	d.after(hostedRenew, d.renew)
+}
+
+func (d *HostedDaemon) writeEntry() {
+	t := d.h.now
+	d.h.ask(d, func() any {
+		known := d.h.hosts[d.host.ID] == d.host
+		d.h.leases[d.host.ID], d.h.hosts[d.host.ID] = t, d.host
+		if !known {
+			d.h.spreadHosts()
+		}
+		return true
+	}, true, func(_ any, ok bool) { d.registered = d.registered || ok })
+}
+
+// list reads the entries of all hosts.
+func (d *HostedDaemon) list() {
+	d.h.ask(d, d.h.listed, false, func(v any, ok bool) {
+		if l, is := v.([]membership.Host); ok && is {
+			d.view.Handle(membership.Listed{Hosts: l}, d.h.now)
+		}
+	})
+	d.after(hostedList, d.list)
+}
+
+// ping asks a silent holder whether it lives.
+func (d *HostedDaemon) ping() {
+	o := d.h.Host(d.core.Holder().ID)
+	if o != nil && o != d && d.Place.Domain == d.believed().Place.Domain && d.h.now.Sub(d.answered) >= hostedPing {
+		d.call(o, "ping", hostedWork, func(reply func(any)) { reply(true) }, func(any, bool) {})
+	}
+	d.after(hostedPing, d.ping)
+}
+
+// follow asks the holder for the end of the log.
+func (d *HostedDaemon) follow() {
+	d.after(hostedFollow, d.follow)
+	o := d.h.Host(d.core.Holder().ID)
+	switch {
+	case o == nil:
+	case o == d:
+		d.refresh(func(logpos.Position, time.Duration, bool) {})
+	default:
+		t := d.h.now
+		d.call(o, "position", hostedWork, func(reply func(any)) {
+			o.refresh(func(p logpos.Position, age time.Duration, ok bool) {
+				if ok {
+					reply(freshness.Sample{Position: p, At: time.Time{}.Add(age)})
+				} else {
+					reply(nil)
+				}
+			})
+		}, func(v any, _ bool) {
+			if s, ok := v.(freshness.Sample); ok {
+				d.history.Add(freshness.Sample{Position: s.Position, At: t.Add(-s.At.Sub(time.Time{}))})
+			}
+		})
+	}
+}
+
+// refresh has a holder ask its primary for its position.
+func (d *HostedDaemon) refresh(done func(p logpos.Position, age time.Duration, ok bool)) {
+	m := d.believed()
+	if !d.core.Serves(d.h.now) {
+		done(logpos.Position{}, 0, false)
+		return
+	}
+	d.talk(m, "position", hostedWork, func(reply func(any)) { reply(m.position()) }, func(v any, sent time.Time, ok bool) {
+		p, is := v.(logpos.Position)
+		if !ok || !is || !d.core.Serves(d.h.now) {
+			done(logpos.Position{}, 0, false)
+			return
+		}
+		done(p, d.h.now.Sub(sent), true)
+	})
+}
+
+// talk makes a call to a member; the first on a connection compares its position.
+func (d *HostedDaemon) talk(m *HostedMember, use string, limit time.Duration, handle func(func(any)), done func(v any, sent time.Time, ok bool)) {
+	if l := d.links[m.Name+" "+use]; l == nil || !d.compared[l] {
+		sent := d.h.now
+		d.h.do(&call{
+			from: d.Node, to: m.Node, use: use, timeout: hostedStatus,
+			handle: func(reply func(any)) { reply(m.position()) },
+			done: func(v any, ok bool) {
+				d.contact(m, v, sent, ok)
+				if ok {
+					d.compared[d.links[m.Name+" "+use]] = true
+					d.talkOn(m, use, limit, handle, done)
+				} else {
+					done(nil, sent, false)
+				}
+			},
+		})
+		return
+	}
+	d.talkOn(m, use, limit, handle, done)
+}
+
+func (d *HostedDaemon) talkOn(m *HostedMember, use string, limit time.Duration, handle func(func(any)), done func(v any, sent time.Time, ok bool)) {
+	sent := d.h.now
+	if !d.core.Serves(sent) {
+		done(nil, sent, false)
+		return
+	}
+	d.h.do(&call{
+		from: d.Node, to: m.Node, use: use, timeout: limit, handle: handle,
+		done: func(v any, ok bool) {
+			d.contact(m, v, sent, ok)
+			done(v, sent, ok)
+		},
+	})
+}
+
+// contact notes whether a member answered, and the position that it told.
+func (d *HostedDaemon) contact(m *HostedMember, v any, sent time.Time, ok bool) {
+	if m == d.believed() {
+		d.failures++
+		if ok {
+			d.heard, d.failures = d.h.now, 0
+		}
+	}
+	switch v := v.(type) {
+	case logpos.Position:
+		d.observe(m, v, sent)
+	case ran:
+		d.observe(m, v.position, sent)
+	}
+}
+
+// drop breaks all connections to a member.
+func (d *HostedDaemon) drop(m *HostedMember) {
+	for _, use := range []string{"work", "position"} {
+		k := m.Name + " " + use
+		l := d.links[k]
+		if l == nil {
+			continue
+		}
+		for _, c := range append([]*call(nil), l.waiting...) {
+			d.h.lose(c, k)
+		}
+		delete(d.links, k)
+	}
+}
--- a/model/world.go
+++ b/model/world.go
@@ -40,6 +40,18 @@
 	NoReadBack bool
 	// NoFailover keeps daemons from replacing a primary.
 	NoFailover bool
+	// On the users' platform: LateValidity counts a holder's time from the store's
+	// answer instead of the question.
+	LateValidity bool
+	// NoPrior forgets the earlier holders when a group is taken over.
+	NoPrior bool
+	// NoIntent promotes without writing the intent into the record.
+	NoIntent bool
+	// NoPositions doesn't compare what a primary reports with what it reported
+	// before.
+	NoPositions bool
+	// LateAnswers believes a primary's answers after the holder's time.
+	LateAnswers bool
 }
 
 // Config holds what a world is made of.
--- a/succession/duty.go
+++ b/succession/duty.go
@@ -52,6 +52,9 @@
 // AskPrior asks whether the earlier holders have ended.
 type AskPrior struct{}
 
+// Record writes the primary into the record, so that a later holder knows it.
+type Record struct{}
+
 // Probe tries fresh connections to the primary.
 type Probe struct{}
 
@@ -74,6 +77,7 @@
 func (Discover) action() {}
 func (GiveAway) action() {}
 func (AskPrior) action() {}
+func (Record) action()   {}
 func (Probe) action()    {}
 func (Replace) action()  {}
 
@@ -101,19 +105,30 @@
 		return Discover{}
 	case f.Leaving:
 		return GiveAway{}
+	case g.unrecorded():
+		return Record{}
 	case len(g.tenure.Waiting(now)) > 0:
 		return AskPrior{}
-	case g.farther(f, now):
-		return GiveAway{}
 	case g.unusable:
 		return Replace{Why: Unusable}
 	case f.Draining:
 		return Replace{Why: Draining}
 	case !f.Listed:
 		return Replace{Why: Removed}
-	default:
-		return g.watch(f, now)
 	}
+	if a := g.watch(f, now); a != nil {
+		return a
+	}
+	if g.farther(f, now) {
+		return GiveAway{}
+	}
+	return nil
+}
+
+// unrecorded reports whether the record doesn't name the primary.
+func (g *Group) unrecorded() bool {
+	r, _, _ := g.tenure.Record()
+	return !g.unusable && g.primary != "" && (r.Primary != g.primary || r.Term != g.term)
 }
 
 // farther reports whether another host has stood nearer to the primary for a
--- a/succession/succession.go
+++ b/succession/succession.go
@@ -57,12 +57,11 @@
 // Probed tells whether a fresh connection to the primary failed.
 type Probed struct{ Failed bool }
 
-// Began tells that the replacement of the primary begins, Stopped that it is
-// over, whatever its outcome.
-type (
-	Began   struct{}
-	Stopped struct{}
-)
+// Began tells that the replacement of the primary begins.
+type Began struct{}
+
+// Stopped tells that the replacement is over, whatever its outcome.
+type Stopped struct{}
 
 // Asked tells that a promotion is being asked for; it may take effect at any time
 // from then on.
@@ -72,6 +71,9 @@
 type Led struct {
 	Member string
 	Status query.Status
+	// Had is the end of its log when it was chosen. Offsets go on in the next term,
+	// so one that has less now has started again without its log.
+	Had logpos.Position
 }
 
 func (Tenure) event()   {}
@@ -121,7 +123,7 @@
 	case Observed:
 		g.observe(e, now)
 	case Surveyed:
-		g.discover(e.Answers)
+		g.discover(e.Answers, now)
 	case Probed:
 		g.silent++
 		if !e.Failed {
@@ -134,19 +136,24 @@
 	case Asked:
 		g.unusable = true
 	case Led:
-		g.primary, g.term, g.unusable = e.Member, e.Status.Term, false
+		g.primary, g.term = e.Member, e.Status.Term
+		g.unusable = e.Status.Received.Offset < e.Had.Offset
 		g.end, g.ended = e.Status.Received, now
 	}
 }
 
-// learn takes in news of the record. Hosts adopt the primary of a newer one.
+// learn takes in news of the record. Hosts adopt the primary of a newer one; one
+// that holds the group anew asks the members, whatever it knew before.
 func (g *Group) learn(e tenure.Event, now time.Time) {
-	_, rev, _ := g.tenure.Record()
+	old, rev, _ := g.tenure.Record()
 	g.tenure.Handle(e, now)
 	s, ok := e.(tenure.Seen)
 	if !ok || s.Revision <= rev {
 		return
 	}
+	if s.Record.Holder.ID == g.self.ID && s.Record.Epoch != old.Epoch {
+		g.found, g.unusable, g.silent, g.nearBy = false, false, 0, time.Time{}
+	}
 	if r := s.Record; r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
 		g.primary, g.term = r.Primary, r.Term
 	}
@@ -165,8 +172,9 @@
 	}
 }
 
-// discover decides on the primary from what the members say.
-func (g *Group) discover(l []Answer) {
+// leader returns the member that leads the highest term, no lower than that of
+// the record.
+func (g *Group) leader(l []Answer) (Answer, bool) {
 	r, _, _ := g.tenure.Record()
 	best := -1
 	for i, a := range l {
@@ -174,9 +182,26 @@
 			best = i
 		}
 	}
+	if best < 0 {
+		return Answer{}, false
+	}
+	return l[best], true
+}
+
+// discover decides on the primary from what the members say. What any of them
+// holds, the primary must hold from then on: if it reports less, it has started
+// again without its log, or another member was promoted.
+func (g *Group) discover(l []Answer, now time.Time) {
+	for _, a := range l {
+		if a.Err == nil && g.end.Less(a.Status.Received) {
+			g.end, g.ended = a.Status.Received, now
+		}
+	}
+	r, _, _ := g.tenure.Record()
+	best, ok := g.leader(l)
 	switch {
-	case best >= 0 && (r.Target == "" || l[best].Status.Term > r.Term):
-		g.primary, g.term = l[best].Member.ID, l[best].Status.Term
+	case ok && (r.Target == "" || best.Status.Term > r.Term):
+		g.primary, g.term = best.Member.ID, best.Status.Term
 	case r.Target == "" && r.Primary != "":
 		g.primary, g.term = r.Primary, r.Term
 	case r.Target != "":
--- a/succession/succession_test.go
+++ b/succession/succession_test.go
@@ -44,7 +44,7 @@
 // holder returns the group of a holder that has found its primary p.
 func holder() *succession.Group {
 	g := succession.New(tenure.Party{ID: "a"})
-	seen(g, tenure.Record{Holder: tenure.Party{ID: "a"}}, 1)
+	seen(g, tenure.Record{Holder: tenure.Party{ID: "a"}, Primary: "p", Term: 1}, 1)
 	g.Handle(succession.Surveyed{Answers: []succession.Answer{primary("p", 1, 5)}}, start)
 	return g
 }
@@ -65,6 +65,16 @@
 		}
 	},
 		Entry("nothing while the primary answers", func(*succession.Group, *succession.Facts) {}, nil),
+		Entry("to record a primary that the record doesn't name", func(g *succession.Group, _ *succession.Facts) {
+			seen(g, tenure.Record{Holder: tenure.Party{ID: "a"}}, 2)
+		}, succession.Record{}),
+		Entry("to replace a dead primary rather than pass the group on", func(g *succession.Group, f *succession.Facts) {
+			f.Nearer = true
+			g.Next(*f, start.Add(-3*time.Second))
+			for range succession.DeadProbes {
+				g.Handle(succession.Probed{Failed: true}, start)
+			}
+		}, succession.Replace{Why: succession.Silent}),
 		Entry("to try a silent primary", func(_ *succession.Group, f *succession.Facts) { f.Contact.Heard = start.Add(-time.Second) }, succession.Probe{}),
 		Entry("nothing after one refused connection", func(_ *succession.Group, f *succession.Facts) { f.Contact.Failures = 1 }, nil),
 		Entry("to replace one whose fresh connections fail", func(g *succession.Group, _ *succession.Facts) {
@@ -87,10 +97,19 @@
 			g.Handle(succession.Observed{Member: "p", Position: logpos.Position{Term: 1, Offset: 9}, Sent: start}, start.Add(1))
 			g.Handle(succession.Observed{Member: "p", Position: logpos.Position{Term: 1, Offset: 2}, Sent: start}, start.Add(2))
 		}, nil),
+		Entry("to ask the members when it holds the group again, whatever it knew", func(g *succession.Group, _ *succession.Facts) {
+			seen(g, tenure.Record{Holder: tenure.Party{ID: "b"}, Epoch: 1}, 2)
+			seen(g, tenure.Record{Holder: tenure.Party{ID: "a"}, Epoch: 2, Primary: "p", Term: 1, Target: "x"}, 3)
+		}, succession.Discover{}),
+		Entry("to replace a primary that reports less than a replica had", func(g *succession.Group, _ *succession.Facts) {
+			g.Handle(succession.Surveyed{Answers: []succession.Answer{primary("p", 1, 5), at("q", 7, false)}}, start)
+			g.Handle(succession.Observed{Member: "p", Position: logpos.Position{Term: 1, Offset: 1}, Sent: start.Add(1)}, start.Add(2))
+		}, succession.Replace{Why: succession.Unusable}),
 		Entry("to pass the group on when the host leaves", func(_ *succession.Group, f *succession.Facts) { f.Leaving = true }, succession.GiveAway{}),
 		Entry("to ask the earlier holders first", func(g *succession.Group, f *succession.Facts) {
 			seen(g, tenure.Record{Holder: tenure.Party{ID: "b"}, Epoch: 1}, 2)
-			seen(g, tenure.Record{Holder: tenure.Party{ID: "a"}, Epoch: 2, Prior: []tenure.Party{{ID: "b"}}}, 3)
+			seen(g, tenure.Record{Holder: tenure.Party{ID: "a"}, Epoch: 2, Prior: []tenure.Party{{ID: "b"}}, Primary: "p", Term: 1}, 3)
+			g.Handle(succession.Surveyed{Answers: []succession.Answer{primary("p", 1, 5)}}, start)
 			f.Draining = true
 		}, succession.AskPrior{}),
 	)
@@ -155,7 +174,7 @@
 var _ = Describe("the member to promote", func() {
 	DescribeTable("is", func(l []succession.Answer, sync int, planned bool, want string, ready succession.Readiness) {
 		g := holder()
-		a, r := g.Choose(succession.Choice{Answers: l, Old: "p", Sync: sync, Planned: planned, Nearer: func(a, b catalog.Member) bool { return false }})
+		a, r := g.Choose(succession.Choice{Answers: l, Old: "p", Sync: sync, Planned: planned, Nearer: func(catalog.Member, catalog.Member) bool { return false }})
 		Expect(r).To(Equal(ready))
 		Expect(a.Member.ID).To(Equal(want))
 	},
