--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -82,6 +82,17 @@
 		Entry("to a write in a transaction", query.Request{Use: query.Later, Action: query.DoWrite}, query.Aborted),
 	)
 
+	It("asks itself for the end of the log of a group that it holds, also while it is cut off", func() {
+		f := newTestFleet()
+		f.note(membership.Listed{Hosts: []membership.Host{{ID: "a"}, {ID: "b"}}})
+		f.view.Handle(membership.Seen{ID: "b"}, time.Now().Add(-3*time.Second))
+		Expect(f.isolated()).To(BeTrue())
+		g := f.group("g")
+		Expect(f.mayAsk(g)).To(BeFalse())
+		g.Handle(succession.Tenure{Event: tenure.Seen{Record: tenure.Record{Holder: f.self()}, Revision: 1}}, now())
+		Expect(f.mayAsk(g)).To(BeTrue())
+	})
+
 	It("never lets the configuration go back", func() {
 		f := newTestFleet()
 		f.c.Decoder.Configuration = func(b []byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: uint64(b[0])}, nil }
--- a/fleet/position.go
+++ b/fleet/position.go
@@ -28,12 +28,12 @@
 	for range 2 {
 		f.mu.Lock()
 		p, ok := g.history.Floor(since, own)
-		alone := f.isolated()
+		ask := f.mayAsk(g)
 		f.mu.Unlock()
 		if ok {
 			return p, true
 		}
-		if alone {
+		if !ask {
 			return p, false
 		}
 		f.askPosition(x, g)
@@ -43,6 +43,12 @@
 	return g.history.Floor(since, own)
 }
 
+// mayAsk reports whether the group's holder can be asked for the end of the log: a
+// host that is cut off reaches no other one. f.mu is held.
+func (f *Fleet) mayAsk(g *group) bool {
+	return g.Holder().ID == f.c.Self.ID || !f.isolated()
+}
+
 // askPosition asks the group's holder for the end of the log; callers at the
 // same time share one question.
 func (f *Fleet) askPosition(x context.Context, g *group) {
