A daemon that ends stops following the store; calls to the store are hedged

A profile shows follow and watch going round: on a host that others bring level, watch returned without an error also after its context had ended, and follow went on for ever. So such a daemon never ended by itself after SIGTERM and spent its processor until it was killed. Now watch returns the context's error; the spec fails after 1 s without it.

Now the store is given 150 ms, then three daemons are asked at the same time, and the first answer counts. A write that finds its own value has written it.

A refusal during a replacement tells when to come back.

--- a/fleet/follow.go
+++ b/fleet/follow.go
@@ -104,7 +104,9 @@
 
 // watch waits for changes, in the store or from a host that watches it.
 func (f *Fleet) watch(x context.Context) error {
-	pause(x, watchGap)
+	if !pause(x, watchGap) {
+		return Error.Wrap(x.Err())
+	}
 	if !f.watches() {
 		pause(x, watchGap)
 		return nil
--- a/fleet/hold.go
+++ b/fleet/hold.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -37,21 +38,20 @@
 		return false
 	}
 	t := now()
-	w := store.Write{Key: key(g), Value: v, Conditional: true, Revision: rev}
-	n, err := f.write(y, w)
-	var c *store.ConflictError
+	o, err := f.write(y, store.Write{Key: key(g), Value: v, Conditional: true, Revision: rev})
 	switch {
-	case err == nil:
-		f.takeRecord(store.Item{Key: key(g), Value: v, Revision: n}, t)
-		return true
-	case errors.As(err, &c):
-		f.takeRecord(c.Item, t)
-	default:
+	case err != nil:
 		f.c.Log.Warn("group record not written", "group", g.name, "error", err)
 		pause(x, backoff(1))
 		f.confirm(x, g)
+		return false
+	case o.Conflict == nil:
+		f.takeRecord(store.Item{Key: key(g), Value: v, Revision: o.Revision}, t)
+		return true
+	default:
+		f.takeRecord(*o.Conflict, t)
+		return bytes.Equal(o.Conflict.Value, v)
 	}
-	return false
 }
 
 // confirm asks the store for the record, or another daemon if the store doesn't
--- a/fleet/proxy.go
+++ b/fleet/proxy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/store"
 )
 
@@ -12,32 +13,84 @@
 	// askedPeers is the number of daemons that are asked to call the store for
 	// this one.
 	askedPeers = 3
-	// directTime is how long the store is waited for before others are asked too;
-	// it answers in milliseconds.
+	// hedgeTime is how long the store is waited for before others are asked too; it
+	// answers in milliseconds.
+	hedgeTime = 150 * time.Millisecond
+	// directTime bounds a call to the store for another daemon.
 	directTime = 400 * time.Millisecond
 )
 
-// read reads a key. While the store doesn't answer this daemon, others are
-// asked to read it.
-func (f *Fleet) read(x context.Context, key string) (store.Item, error) {
-	y, stop := context.WithTimeout(x, directTime)
-	i, err := f.c.Store.Get(y, key)
-	stop()
-	if err == nil {
-		return i, nil
+// storeReply is the outcome of a call to the store.
+type storeReply struct {
+	// Item is what was read.
+	Item store.Item `json:"item"`
+	// Revision is that of a write.
+	Revision uint64 `json:"revision,omitempty"`
+	// Conflict is what stands there instead, if a write's condition did not hold.
+	Conflict *store.Item `json:"conflict,omitempty"`
+}
+
+// storeCall calls the store in one way.
+type storeCall func(x context.Context) (storeReply, error)
+
+// firstAnswer calls the store. If it hasn't answered this daemon soon, a few others
+// are asked to call it at the same time, and the first answer counts.
+func (f *Fleet) firstAnswer(x context.Context, direct storeCall, other func(membership.Host) storeCall) (storeReply, error) {
+	x, stop := context.WithCancel(x)
+	defer stop()
+	type result struct {
+		reply storeReply
+		err   error
 	}
-	for _, h := range f.someLive() {
-		y, stop := context.WithTimeout(x, linkTimeout)
-		e := f.node.Call(y, h, methodItem, itemParams{Key: key}, &i)
-		stop()
-		if e == nil {
-			return i, nil
-		}
+	c := make(chan result, 1+askedPeers)
+	begin := func(call storeCall) {
+		f.background(func(context.Context) {
+			r, err := call(x)
+			c <- result{r, err}
+		})
 	}
-	if x.Err() != nil {
-		return i, err
+	begin(direct)
+	t := time.NewTimer(hedgeTime)
+	defer t.Stop()
+	var last error
+	for pending, hedged := 1, false; pending > 0; {
+		select {
+		case r := <-c:
+			pending--
+			if r.err == nil {
+				return r.reply, nil
+			}
+			last = r.err
+		case <-t.C:
+		case <-x.Done():
+			return storeReply{}, Error.Wrap(x.Err())
+		}
+		if !hedged {
+			hedged = true
+			for _, h := range f.someLive() {
+				pending++
+				begin(other(h))
+			}
+		}
 	}
-	return f.c.Store.Get(x, key)
+	return storeReply{}, last
+}
+
+// read reads a key.
+func (f *Fleet) read(x context.Context, key string) (store.Item, error) {
+	r, err := f.firstAnswer(x, func(x context.Context) (storeReply, error) {
+		i, err := f.c.Store.Get(x, key)
+		return storeReply{Item: i}, err
+	}, func(h membership.Host) storeCall {
+		return func(x context.Context) (storeReply, error) {
+			y, stop := context.WithTimeout(x, linkTimeout)
+			defer stop()
+			var o storeReply
+			err := f.node.Call(y, h, methodItem, itemParams{Key: key}, &o.Item)
+			return o, err
+		}
+	})
+	return r.Item, err
 }
 
 // readFor reads a key for another daemon.
@@ -47,50 +100,35 @@
 	return f.c.Store.Get(y, key)
 }
 
-// writeReply is the outcome of a conditional write made for another daemon.
-type writeReply struct {
-	Revision uint64 `json:"revision"`
-	// Conflict is what stands there instead, if the condition did not hold.
-	Conflict *store.Item `json:"conflict,omitempty"`
-}
-
-// writeFor makes a conditional write for another daemon.
-func (f *Fleet) writeFor(x context.Context, w store.Write) (writeReply, error) {
-	y, stop := context.WithTimeout(x, directTime)
-	defer stop()
+// put makes a conditional write.
+func (f *Fleet) put(x context.Context, w store.Write) (storeReply, error) {
 	w.Conditional = true
-	n, err := f.c.Store.Put(y, w)
+	n, err := f.c.Store.Put(x, w)
 	var c *store.ConflictError
 	if errors.As(err, &c) {
-		return writeReply{Conflict: &c.Item}, nil
+		return storeReply{Conflict: &c.Item}, nil
 	}
-	return writeReply{Revision: n}, err
+	return storeReply{Revision: n}, err
 }
 
-// write makes a conditional write. While the store doesn't answer this daemon,
-// others are asked to make it; the condition makes a second execution harmless.
-func (f *Fleet) write(x context.Context, w store.Write) (uint64, error) {
+// writeFor makes a conditional write for another daemon.
+func (f *Fleet) writeFor(x context.Context, w store.Write) (storeReply, error) {
 	y, stop := context.WithTimeout(x, directTime)
-	n, err := f.c.Store.Put(y, w)
-	stop()
-	var c *store.ConflictError
-	if err == nil || errors.As(err, &c) {
-		return n, err
-	}
-	for _, h := range f.someLive() {
-		y, stop := context.WithTimeout(x, linkTimeout)
-		var o writeReply
-		e := f.node.Call(y, h, methodWrite, w, &o)
-		stop()
-		if e == nil && o.Conflict != nil {
-			return 0, Error.Wrap(&store.ConflictError{Item: *o.Conflict})
-		}
-		if e == nil {
-			return o.Revision, nil
-		}
-	}
-	if x.Err() != nil {
-		return 0, err
-	}
-	return f.c.Store.Put(x, w)
+	defer stop()
+	return f.put(y, w)
+}
+
+// write makes a conditional write. The condition makes a second execution harmless;
+// it then finds a conflict with its own value.
+func (f *Fleet) write(x context.Context, w store.Write) (storeReply, error) {
+	return f.firstAnswer(x, func(x context.Context) (storeReply, error) { return f.put(x, w) },
+		func(h membership.Host) storeCall {
+			return func(x context.Context) (storeReply, error) {
+				y, stop := context.WithTimeout(x, linkTimeout)
+				defer stop()
+				var o storeReply
+				err := f.node.Call(y, h, methodWrite, w, &o)
+				return o, err
+			}
+		})
 }
--- /dev/null
+++ b/fleet/proxy_test.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/tenure"
+)
+
+// writtenStore tells each writer that its own value stands there already.
+type writtenStore struct {
+	store.Store
+	value []byte
+}
+
+func (s *writtenStore) Put(_ context.Context, w store.Write) (uint64, error) {
+	v := s.value
+	if v == nil {
+		v = w.Value
+	}
+	return 0, &store.ConflictError{Item: store.Item{Key: w.Key, Value: v, Revision: 7}}
+}
+
+func (s *writtenStore) Range(context.Context, string) ([]store.Item, uint64, error) {
+	return nil, 5, nil
+}
+
+var _ = Describe("following the store", func() {
+	It("ends with its context, also on a host that others bring level", func() {
+		f := newTestFleet()
+		f.c.Store = &writtenStore{}
+		f.level = time.Now()
+		f.note(membership.Listed{Hosts: []membership.Host{{ID: "A1", FailureDomain: "west-a"}, {ID: "A2", FailureDomain: "west-a"}, {ID: "a", FailureDomain: "west-a"}}})
+		Expect(f.watches()).To(BeFalse())
+		x, stop := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		f.background(func(context.Context) { ended <- f.follow(x) })
+		time.AfterFunc(50*time.Millisecond, stop)
+		Eventually(ended, time.Second).Should(Receive(BeNil()))
+	})
+})
+
+var _ = Describe("a call to the store", func() {
+	silent := func(x context.Context) (storeReply, error) {
+		<-x.Done()
+		return storeReply{}, x.Err()
+	}
+	fails := func(context.Context) (storeReply, error) { return storeReply{}, &store.LeaseError{} }
+	answers := func(context.Context) (storeReply, error) { return storeReply{Revision: 9}, nil }
+	via := func(first, rest storeCall) func(h membership.Host) storeCall {
+		return func(h membership.Host) storeCall {
+			if h.ID == "b" {
+				return first
+			}
+			return rest
+		}
+	}
+
+	DescribeTable("takes the first answer by any way", func(direct, first, rest storeCall, want uint64) {
+		f := newTestFleet()
+		f.note(membership.Listed{Hosts: []membership.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}}})
+		x, stop := context.WithTimeout(context.Background(), 5*time.Second)
+		defer stop()
+		t := time.Now()
+		o, err := f.firstAnswer(x, direct, via(first, rest))
+		Expect(err == nil).To(Equal(want > 0))
+		Expect(o.Revision).To(Equal(want))
+		Expect(time.Since(t)).To(BeNumerically("<", time.Second))
+	},
+		Entry("from the store", answers, silent, silent, uint64(9)),
+		Entry("from the second daemon, while the store and the first are silent", silent, silent, answers, uint64(9)),
+		Entry("from a daemon, after the store has refused", fails, silent, answers, uint64(9)),
+		Entry("or none", fails, fails, fails, uint64(0)),
+	)
+
+	It("that finds its own record has written it", func() {
+		f := newTestFleet()
+		s := &writtenStore{}
+		f.c.Store = s
+		g := f.group("g")
+		r := tenure.Record{Holder: f.self(), Epoch: 1}
+		Expect(f.swap(context.Background(), g, r, 6)).To(BeTrue())
+		_, rev, _ := g.Record()
+		Expect(rev).To(Equal(uint64(7)))
+		s.value = []byte(`{"holder":{"id":"z","address":""},"epoch":4}`)
+		Expect(f.swap(context.Background(), g, r, 6)).To(BeFalse())
+	})
+})
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -19,6 +19,9 @@
 	probeGap  = 100 * time.Millisecond
 	// statusTime bounds a question to a member.
 	statusTime = 800 * time.Millisecond
+	// replacedRetry is when a caller should come back that was refused during a
+	// replacement: half of what a survey and a promotion take.
+	replacedRetry = (statusTime + promoteTime) / 2
 	// finishTime is how long a planned replacement waits for open transactions.
 	finishTime = 700 * time.Millisecond
 	// catchUpTime is how long it waits for a replica to hold the whole log.
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -174,7 +174,7 @@
 			f.mu.Unlock()
 			o := query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder.ID}
 			if rec.Holder.ID == f.c.Self.ID {
-				o.Reply = query.Refusal(query.Overloaded, "the primary is being replaced")
+				o.Failure = &query.Failure{Reason: query.Overloaded, Text: "the primary is being replaced", RetryAfter: replacedRetry}
 			}
 			return o
 		}
