--- a/model/hosted.go
+++ b/model/hosted.go
@@ -155,7 +155,7 @@
 	return o
 }
 
-// stored is the answer of the store to a question about the record.
+// storedRecord is the answer of the store to a question about the record.
 type storedRecord struct {
 	record   tenure.Record
 	revision uint64
