fleet: end the data race of cancelOnStall

Cause: the timer's function wrote start after Reset, so the next firing could read it first. Change: start is set before Reset. The new spec reports the race under -race with the old order, and none with the new one.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -45,6 +45,19 @@
 		Expect(time.Since(t)).To(BeNumerically("<", time.Second))
 	})
 
+	It("checks a host that keeps answering repeatedly without a data race", func() {
+		f := newTestDaemon()
+		canceled := make(chan struct{})
+		end := f.cancelOnStall("b", func() { close(canceled) })
+		Consistently(func() <-chan struct{} {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.lastExecuteReply["b"] = time.Now()
+			return canceled
+		}, 4*stallTimeout, stallTimeout/20).ShouldNot(BeClosed())
+		end()
+	})
+
 	It("may take over from a holder that is not listed or not reachable, unless most other hosts are not reachable either", func() {
 		f := newTestDaemon()
 		l := []membership.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}}
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -364,8 +364,8 @@
 			cancel()
 			return
 		}
-		t.Reset(stallTimeout)
 		start = a
+		t.Reset(stallTimeout)
 	})
 	close(assigned)
 	return t.Stop
