--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -138,7 +138,7 @@
 	d.node, err = peer.New(peer.Config{
 		Listen: d.config.PeerListen, Secret: d.config.Secret, Self: d.config.Host, Log: d.config.Log.Named("peer"), HandleCall: d.handleCall,
 		HandleStream:    func(x context.Context, s *peer.Stream) { d.owner.Serve(x, s) },
-		OnLinkFailed:    func(id string) { d.handleMembership(membership.LinkFailed{ID: id}) },
+		OnLinkFailed:    func(id string, ended bool) { d.handleMembership(membership.LinkFailed{ID: id, Ended: ended}) },
 		OnAnswer:        func(id string) { d.handleMembership(membership.HostAnswered{ID: id}) },
 		OnHostConnected: func(h membership.Host) { d.handleMembership(membership.HostDiscovered{Host: h, Direct: true}) },
 	})
--- /dev/null
+++ b/fleet/exchange.go
@@ -0,0 +1,234 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/gossip"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/store"
+)
+
+// Timing and limits of exchanges.
+const (
+	// exchangeInterval is the mean delay between two rounds of exchanges.
+	exchangeInterval = 300 * time.Millisecond
+	// upstreamTimeout is how long no upstream may be up to date before a daemon
+	// watches the store itself: three rounds.
+	upstreamTimeout = 3 * exchangeInterval
+	// maxReportedSuspects is the number of suspects that a reply contains.
+	maxReportedSuspects = 8
+	// suspectCheckInterval is how often a host that another daemon suspects is
+	// checked at most.
+	suspectCheckInterval = 2 * time.Second
+)
+
+// exchangeParams requests the items that changed after a revision of the store.
+type exchangeParams struct {
+	Revision uint64 `json:"revision"`
+}
+
+// exchangeReply returns these items with the daemon's own revision.
+type exchangeReply struct {
+	Revision uint64       `json:"revision"`
+	Items    []store.Item `json:"items"`
+	// Complete is set if the items are all items of the store: the daemon doesn't
+	// know all removals since the requested revision any more.
+	Complete bool `json:"complete,omitempty"`
+	// Hosts are live hosts that the platform doesn't list.
+	Hosts []membership.Host `json:"hosts"`
+	// Age is the time since the daemon's copy was known to be current.
+	Age time.Duration `json:"age"`
+	// Stale is set if neither the daemon nor its upstreams reach the store.
+	Stale bool `json:"stale,omitempty"`
+	// Suspects are the IDs of hosts that don't answer the daemon.
+	Suspects []string `json:"suspects,omitempty"`
+}
+
+// upstreamState tells whether a daemon's copy of the store is kept up to date by
+// others, so that it needn't watch the store itself. It is a pure state machine.
+type upstreamState struct {
+	// watching is set while a watch of this daemon is pending, from its first
+	// success until a failure.
+	watching bool
+	// currentAt is when an upstream last reported that it is up to date.
+	currentAt time.Time
+	// next is the index of the upstream that is asked next. It advances when an
+	// upstream fails or isn't up to date.
+	next int
+}
+
+// shouldWatch reports whether the daemon has to watch the store itself.
+func (s *upstreamState) shouldWatch(o gossip.Overlay, now time.Time) bool {
+	return o.Watches || now.Sub(s.currentAt) > upstreamTimeout
+}
+
+// isStale reports whether others can't rely on this daemon for changes.
+func (s *upstreamState) isStale(now time.Time) bool {
+	return !s.watching && now.Sub(s.currentAt) > upstreamTimeout
+}
+
+// observeUpstream records the result of an exchange with an upstream.
+func (s *upstreamState) observeUpstream(current bool, now time.Time) {
+	if current {
+		s.currentAt = now
+	} else {
+		s.next++
+	}
+}
+
+// currentOverlay returns the hosts that this daemon exchanges with; f.mu is held.
+func (f *Daemon) currentOverlay() gossip.Overlay {
+	t := time.Now()
+	if n := f.view.Generation(t); n != f.overlayGeneration {
+		f.overlay, f.overlayGeneration = gossip.NewOverlay(f.config.Self, f.view.Live(t)), n
+	}
+	return f.overlay
+}
+
+// runExchange fetches changes of the store from other daemons until the context
+// ends: from an upstream and from a neighbor in each round, and every other round
+// from a host that is suspected, which may be back.
+func (f *Daemon) runExchange(x context.Context) error {
+	for n := 0; sleep(x, exchangeInterval/2+rand.N(exchangeInterval)); n++ {
+		f.mu.Lock()
+		o := f.currentOverlay()
+		var suspects []membership.Host
+		if n%2 == 0 {
+			suspects = f.view.Suspects(time.Now())
+		}
+		next := f.upstream.next
+		f.mu.Unlock()
+		if len(o.Upstreams) > 0 {
+			f.startExchange(o.Upstreams[next%len(o.Upstreams)], true)
+		}
+		for _, l := range [][]membership.Host{o.Neighbors, suspects} {
+			if len(l) > 0 {
+				f.startExchange(l[rand.IntN(len(l))], false)
+			}
+		}
+		if len(o.Neighbors) == 0 {
+			for _, s := range f.config.Seeds {
+				if s != f.config.Self.PeerAddress {
+					f.startExchange(peer.SeedHost(s), true)
+				}
+			}
+		}
+	}
+	return nil
+}
+
+// startExchange starts an exchange with a host, unless one is under way, so that a
+// silent host doesn't delay the others.
+func (f *Daemon) startExchange(h membership.Host, upstream bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.exchanging[h.ID] {
+		return
+	}
+	f.exchanging[h.ID] = true
+	f.spawn(func(x context.Context) {
+		f.exchangeWith(x, h, upstream)
+		f.mu.Lock()
+		delete(f.exchanging, h.ID)
+		f.mu.Unlock()
+	})
+}
+
+// exchangeWith fetches changes of the store and reports about hosts from a daemon;
+// upstream states that this daemon relies on it for changes.
+func (f *Daemon) exchangeWith(x context.Context, h membership.Host, upstream bool) {
+	y, stop := context.WithTimeout(x, controlTimeout)
+	defer stop()
+	t := now()
+	var o exchangeReply
+	err := f.node.Call(y, h, methodExchange, exchangeParams{Revision: f.cache.currentRevision()}, &o)
+	if upstream {
+		f.mu.Lock()
+		f.upstream.observeUpstream(err == nil && !o.Stale && o.Revision > 0, time.Now())
+		f.mu.Unlock()
+	}
+	if err != nil {
+		f.config.Log.Debug("exchange failed", "host", h.ID, "error", err)
+		return
+	}
+	for _, h := range o.Hosts {
+		f.updateView(membership.HostDiscovered{Host: h})
+	}
+	// The reply was computed after t, so that the copy was current at t minus Age
+	// or later.
+	u := copyUpdate{items: o.Items, revision: o.Revision, currentAt: t.Add(-o.Age)}
+	if o.Complete {
+		f.applyItems(f.cache.replace(u, time.Now()))
+	} else {
+		f.applyItems(f.cache.apply(u, time.Now()))
+	}
+	f.checkReportedSuspects(o.Suspects)
+}
+
+// answerExchange returns what changed after the requested revision.
+func (f *Daemon) answerExchange(p exchangeParams) exchangeReply {
+	u, complete := f.cache.changesSince(p.Revision)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := time.Now()
+	o := exchangeReply{
+		Revision: u.revision, Items: u.items, Complete: complete, Hosts: f.view.UnlistedHosts(n),
+		Age: now().Sub(u.currentAt), Stale: f.upstream.isStale(n),
+	}
+	for _, h := range f.view.Suspects(n) {
+		if f.view.IsSuspect(h.ID, n) && len(o.Suspects) < maxReportedSuspects {
+			o.Suspects = append(o.Suspects, h.ID)
+		}
+	}
+	return o
+}
+
+// checkReportedSuspects checks the live hosts that don't answer another daemon. The
+// report alone isn't believed: the other daemon may be the one that is cut off.
+func (f *Daemon) checkReportedSuspects(l []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := time.Now()
+	for _, id := range l {
+		h, ok := f.view.Host(id)
+		if !ok || id == f.config.Self.ID || !f.isLive(id) || n.Sub(f.lastSeen[id]) < exchangeInterval || n.Sub(f.lastPinged[id]) < suspectCheckInterval {
+			continue
+		}
+		f.lastPinged[id] = n
+		f.spawn(func(x context.Context) { f.pingHost(x, h) })
+	}
+}
+
+// pingHost checks whether a host's process still answers, and marks it as not
+// reachable otherwise.
+func (f *Daemon) pingHost(x context.Context, h membership.Host) {
+	y, stop := context.WithTimeout(x, controlTimeout)
+	defer stop()
+	err := f.node.Call(y, h, methodPing, nil, nil)
+	if err == nil {
+		return
+	}
+	f.config.Log.Info("host does not answer", "host", h.ID, "error", err)
+	f.updateView(membership.LinkFailed{ID: h.ID, Ended: peer.ShowsEnd(err)})
+}
+
+// isWatcher reports whether this host watches the store.
+func (f *Daemon) isWatcher() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.upstream.shouldWatch(f.currentOverlay(), time.Now())
+}
+
+// setWatching records whether this host's watch of the store succeeds.
+func (f *Daemon) setWatching(ok bool) {
+	f.mu.Lock()
+	f.upstream.watching = ok
+	f.mu.Unlock()
+}
+
+// isSeed reports whether other daemons contact this one at their start.
+func (f *Daemon) isSeed() bool { return slices.Contains(f.config.Seeds, f.config.Self.PeerAddress) }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 
 	"github.com/dragonflypick/dragonflypick/boottime"
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/gossip"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/pool"
@@ -115,8 +116,16 @@
 	lastPinged map[string]time.Time
 	// lastExecuteReply is when each host last answered a call of methodExecute.
 	lastExecuteReply map[string]time.Time
-	// syncedAt is when a host that watches the store last answered an exchange.
-	syncedAt time.Time
+	// upstream tells whether this daemon has to watch the store.
+	upstream upstreamState
+	// overlay is a cache of the hosts to exchange with, valid for the view's
+	// generation overlayGeneration.
+	overlay           gossip.Overlay
+	overlayGeneration uint64
+	// exchanging holds the IDs of the hosts with which an exchange is under way.
+	exchanging map[string]bool
+	// hostRecords holds the hosts' records in the store, by key.
+	hostRecords map[string]hostRecord
 	// hostLease is the store's lease of this host's record; zero before the first.
 	hostLease uint64
 }
@@ -133,13 +142,14 @@
 	f := &Daemon{
 		config: c, cache: newStoreCache(), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
 		members: map[string]catalog.Member{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
-		pools: map[string]*ownedPool{}, loads: newLoadTable(),
+		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, hostRecords: map[string]hostRecord{},
+		upstream: upstreamState{currentAt: time.Now()},
 	}
 	var err error
 	f.node, err = peer.New(peer.Config{
 		Listen: c.PeerListen, Secret: c.Secret, Self: c.Self, Log: c.Log.Named("peer"), HandleCall: f.handleCall,
 		HandleStream:    func(_ context.Context, s *peer.Stream) { _ = s.Close() },
-		OnLinkFailed:    func(id string) { f.updateView(membership.LinkFailed{ID: id}) },
+		OnLinkFailed:    func(id string, ended bool) { f.updateView(membership.LinkFailed{ID: id, Ended: ended}) },
 		OnAnswer:        func(id string) { f.updateView(membership.HostAnswered{ID: id}) },
 		OnHostConnected: func(h membership.Host) { f.updateView(membership.HostDiscovered{Host: h, Direct: true}) },
 	})
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -121,24 +121,53 @@
 
 	It("returns only items that are newer than its own, and the changes that another copy lacks", func() {
 		m, n, t := newStoreCache(), newStoreCache(), time.Now()
-		Expect(m.apply([]store.Item{item("a", 2), item("b", 3)}, 3, t)).To(HaveLen(2))
-		Expect(m.apply([]store.Item{item("a", 2)}, 3, t)).To(BeEmpty())
-		Expect(m.apply([]store.Item{{Key: "b", Revision: 5, Removed: true}}, 5, t)).To(HaveLen(1))
-		l, rev := m.changesSince(n.currentRevision())
-		n.apply(l, rev, t)
+		apply := func(m *storeCache, rev uint64, l ...store.Item) []store.Item {
+			return m.apply(copyUpdate{items: l, revision: rev}, t)
+		}
+		Expect(apply(m, 3, item("a", 2), item("b", 3))).To(HaveLen(2))
+		Expect(apply(m, 3, item("a", 2))).To(BeEmpty())
+		Expect(apply(m, 5, store.Item{Key: "b", Revision: 5, Removed: true})).To(HaveLen(1))
+		u, _ := m.changesSince(n.currentRevision())
+		n.apply(u, t)
 		Expect(n.currentRevision()).To(Equal(uint64(5)))
 		Expect(n.items).To(Equal(m.items))
-		l, _ = m.changesSince(5)
-		Expect(l).To(BeEmpty())
+		u, _ = m.changesSince(5)
+		Expect(u.items).To(BeEmpty())
 	})
 
 	It("treats keys missing from a complete listing as removed, except newer ones", func() {
 		m, t := newStoreCache(), time.Now()
-		m.apply([]store.Item{item("a", 2), item("b", 9)}, 9, t)
-		o := m.replace([]store.Item{item("c", 4)}, 7, t)
+		m.apply(copyUpdate{items: []store.Item{item("a", 2), item("b", 9)}, revision: 9}, t)
+		o := m.replace(copyUpdate{items: []store.Item{item("c", 4)}, revision: 7}, t)
 		Expect(o).To(ConsistOf(item("c", 4), store.Item{Key: "a", Revision: 7, Removed: true}))
 		Expect(m.items["b"].Removed).To(BeFalse())
 	})
+
+	It("sends a complete copy to a daemon that has missed removals which are no longer kept", func() {
+		m, n, t := newStoreCache(), newStoreCache(), time.Now()
+		m.apply(copyUpdate{items: []store.Item{item("left", 1), item("stays", 2)}, revision: 2}, t)
+		u, _ := m.changesSince(0)
+		n.apply(u, t)
+		m.apply(copyUpdate{items: []store.Item{{Key: "left", Revision: 3, Removed: true}}, revision: 3}, t)
+		m.apply(copyUpdate{items: []store.Item{item("new", 4)}, revision: 4}, t.Add(2*tombstoneTime))
+		u, complete := m.changesSince(n.currentRevision())
+		Expect(complete).To(BeTrue())
+		n.replace(u, t.Add(2*tombstoneTime))
+		Expect(n.items["left"].Removed).To(BeTrue())
+		Expect(n.items).To(HaveKey("stays"))
+		Expect(n.items).To(HaveKey("new"))
+		_, complete = m.changesSince(4)
+		Expect(complete).To(BeFalse())
+	})
+
+	It("is as current as the most current copy that it has followed", func() {
+		m, t := newStoreCache(), now()
+		m.apply(copyUpdate{revision: 4, currentAt: t}, time.Now())
+		m.apply(copyUpdate{revision: 3, currentAt: t.Add(-time.Second)}, time.Now())
+		m.apply(copyUpdate{revision: 4}, time.Now())
+		_, at := m.item("a")
+		Expect(at).To(Equal(t))
+	})
 })
 
 var _ = Describe("load", func() {
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -24,6 +24,8 @@
 	// record is being read.
 	taskRunning bool
 	confirming  bool
+	// confirmedAt is the time for which the local copy last confirmed the lease.
+	confirmedAt time.Time
 	// lastReplicaRead is when a replica owned here last received a read.
 	lastReplicaRead time.Time
 	// positionRequest is set while the end of the log is being requested from the
@@ -82,6 +84,7 @@
 	t := now()
 	for n := range f.groupNames() {
 		g := f.group(n)
+		f.confirmFromCopy(g, t)
 		if g.ConfirmDue(t) && !g.confirming {
 			g.confirming = true
 			g.Handle(takeover.LeaseEvent{Event: lease.ConfirmAttempt{}}, t)
@@ -107,6 +110,21 @@
 	}
 }
 
+// confirmFromCopy confirms the lease of a group that this host holds from the local
+// copy of the store. The copy contained all changes when it was last current, so
+// that this is as good as a request made then; f.mu is held.
+func (f *Daemon) confirmFromCopy(g *group, t time.Time) {
+	r, rev, ok := g.Record()
+	if !ok || r.Holder.ID != f.config.Self.ID {
+		return
+	}
+	i, at := f.cache.item(recordKey(g))
+	if i.Revision == rev && at.After(g.confirmedAt) {
+		g.confirmedAt = at
+		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: rev, RequestedAt: at}}, t)
+	}
+}
+
 // groupNames returns the groups that have members; f.mu is held.
 func (f *Daemon) groupNames() map[string]bool {
 	o := map[string]bool{}
--- a/fleet/hedge.go
+++ b/fleet/hedge.go
@@ -80,6 +80,7 @@
 // readItem reads an item of the store, directly or through other daemons.
 func (f *Daemon) readItem(x context.Context, key string) (store.Item, error) {
 	r, err := f.hedgedCall(x, func(x context.Context) (storeReply, error) {
+		f.metrics.countStoreCall(purposeGroupRead)
 		i, err := f.config.Store.Get(x, key)
 		return storeReply{Item: i}, err
 	}, func(h membership.Host) storeCall {
@@ -98,6 +99,7 @@
 func (f *Daemon) readForPeer(x context.Context, key string) (store.Item, error) {
 	y, stop := context.WithTimeout(x, relayedCallTimeout)
 	defer stop()
+	f.metrics.countStoreCall(purposeRelayedRead)
 	return f.config.Store.Get(y, key)
 }
 
@@ -117,6 +119,7 @@
 func (f *Daemon) writeForPeer(x context.Context, w store.Write) (storeReply, error) {
 	y, stop := context.WithTimeout(x, relayedCallTimeout)
 	defer stop()
+	f.metrics.countStoreCall(purposeRelayedWrite)
 	return f.putConditional(y, w)
 }
 
@@ -124,7 +127,10 @@
 // condition makes a second execution harmless: it conflicts with the value that
 // the first one wrote.
 func (f *Daemon) writeItem(x context.Context, w store.Write) (storeReply, error) {
-	return f.hedgedCall(x, func(x context.Context) (storeReply, error) { return f.putConditional(x, w) },
+	return f.hedgedCall(x, func(x context.Context) (storeReply, error) {
+		f.metrics.countStoreCall(purposeGroupWrite)
+		return f.putConditional(x, w)
+	},
 		func(h membership.Host) storeCall {
 			return func(x context.Context) (storeReply, error) {
 				y, stop := context.WithTimeout(x, controlTimeout)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -12,8 +12,25 @@
 type metrics struct {
 	requests *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	// storeCalls counts the calls to the store by purpose.
+	storeCalls *prometheus.CounterVec
 }
 
+// Purposes of the calls to the store.
+const (
+	purposeLoad         = "load"
+	purposeWatch        = "watch"
+	purposeHostLease    = "host-lease"
+	purposeHostRecord   = "host-record"
+	purposeHostRenewal  = "host-renewal"
+	purposeGroupRead    = "group-read"
+	purposeGroupWrite   = "group-write"
+	purposeRelayedRead  = "relayed-read"
+	purposeRelayedWrite = "relayed-write"
+)
+
+func (m *metrics) countStoreCall(purpose string) { m.storeCalls.WithLabelValues(purpose).Inc() }
+
 func newMetrics() *metrics {
 	return &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -23,12 +40,15 @@
 			Name: "dragonflypick_request_seconds", Help: "Time from a statement's arrival to its outcome.",
 			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
 		}, []string{"rank"}),
+		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_store_calls_total", Help: "Calls to the platform's store by purpose; host renewals and relayed calls included.",
+		}, []string{"purpose"}),
 	}
 }
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(f.node.Collectors(), f.metrics.requests, f.metrics.latency)
+	return append(f.node.Collectors(), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls)
 }
 
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
-	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/pool"
 )
@@ -51,36 +50,44 @@
 	}
 }
 
-// pingHolders pings holders that have been silent. Only hosts in the primary's
-// failure domain do so, as one of them takes the group over.
+// holderCandidates is the number of hosts that watch a group's holder, so that
+// one of them takes the group over when the holder and another one fail together.
+const holderCandidates = 3
+
+// pingHolders pings the silent holders of the groups that this host would take
+// over, and the hosts that would do so before it.
 func (f *Daemon) pingHolders() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := time.Now()
 	for _, g := range f.groups {
 		r, _, ok := g.Record()
-		id := r.Holder.ID
-		if !ok || id == "" || id == f.config.Self.ID || n.Sub(f.lastSeen[id]) < holderSilence || n.Sub(f.lastPinged[id]) < holderSilence {
+		if !ok || r.Holder.ID == "" || r.Holder.ID == f.config.Self.ID {
 			continue
 		}
 		m, ok := f.assumedPrimary(g)
-		if !ok || m.FailureDomain != f.config.Self.FailureDomain || f.isSuspect(id) {
+		if !ok || m.FailureDomain != f.config.Self.FailureDomain {
+			continue
+		}
+		l := f.view.Successors(viewMember(m), holderCandidates, n)
+		i := slices.IndexFunc(l, func(h membership.Host) bool { return h.ID == f.config.Self.ID })
+		if i < 0 {
 			continue
 		}
-		f.lastPinged[id] = n
-		f.spawn(func(x context.Context) { f.pingHolder(x, r.Holder) })
+		f.pingSilent(membership.Host{ID: r.Holder.ID, PeerAddress: r.Holder.Address}, n)
+		for _, h := range l[:i] {
+			f.pingSilent(h, n)
+		}
 	}
 }
 
-// pingHolder checks whether a holder's process still answers, and marks it as not
-// reachable otherwise.
-func (f *Daemon) pingHolder(x context.Context, p lease.Holder) {
-	y, stop := context.WithTimeout(x, controlTimeout)
-	defer stop()
-	if err := f.node.Call(y, membership.Host{ID: p.ID, PeerAddress: p.Address}, methodPing, nil, nil); err != nil {
-		f.config.Log.Info("holder does not answer", "host", p.ID, "error", err)
-		f.updateView(membership.LinkFailed{ID: p.ID})
+// pingSilent pings a host that has been silent for holderSilence; f.mu is held.
+func (f *Daemon) pingSilent(h membership.Host, n time.Time) {
+	if n.Sub(f.lastSeen[h.ID]) < holderSilence || n.Sub(f.lastPinged[h.ID]) < holderSilence || f.isSuspect(h.ID) {
+		return
 	}
+	f.lastPinged[h.ID] = n
+	f.spawn(func(x context.Context) { f.pingHost(x, h) })
 }
 
 // evictRemovedMembers evicts the members whose record was removed and not written
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -318,11 +318,15 @@
 	}
 	y, stop := context.WithTimeout(x, left+replyMargin)
 	defer stop()
+	// A read may be sent again elsewhere; other work is lost with a link that has
+	// failed unnoticed.
+	call := f.node.CallVerified
 	if r.Action == query.ActionRead && r.Stage != query.Later && !r.Primary {
 		defer f.cancelOnStall(h.ID, stop)()
+		call = f.node.Call
 	}
 	var o query.Response
-	err := f.node.Call(y, h, methodExecute, r, &o)
+	err := call(y, h, methodExecute, r, &o)
 	if err == nil {
 		f.mu.Lock()
 		f.lastExecuteReply[h.ID] = time.Now()
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -4,16 +4,12 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/logpos"
-	"github.com/dragonflypick/dragonflypick/membership"
-	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/pool"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/store"
@@ -42,18 +38,6 @@
 	Group string `json:"group"`
 }
 
-// exchangeParams requests the items that changed after a revision of the store;
-// exchangeReply returns them with the daemon's own revision.
-type exchangeParams struct {
-	Revision uint64 `json:"revision"`
-}
-
-type exchangeReply struct {
-	Revision uint64            `json:"revision"`
-	Items    []store.Item      `json:"items"`
-	Hosts    []membership.Host `json:"hosts"`
-}
-
 // itemParams requests an item of the store.
 type itemParams struct {
 	Key string `json:"key"`
@@ -79,10 +63,7 @@
 		if err := decodeParams(r, &p); err != nil {
 			return nil, err
 		}
-		l, n := f.cache.changesSince(p.Revision)
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		return exchangeReply{Revision: n, Items: l, Hosts: f.view.UnlistedHosts(time.Now())}, nil
+		return f.answerExchange(p), nil
 	case methodItem:
 		var p itemParams
 		if err := decodeParams(r, &p); err != nil {
@@ -250,56 +231,6 @@
 	return o
 }
 
-// runExchange fetches changes of the store from other daemons until the context
-// ends, so that this daemon stays up to date while it can't reach the store.
-func (f *Daemon) runExchange(x context.Context) error {
-	for sleep(x, exchangeInterval/2+rand.N(exchangeInterval)) {
-		f.mu.Lock()
-		l := f.livePeers()
-		w := slices.DeleteFunc(f.watchers(), func(h membership.Host) bool { return h.ID == f.config.Self.ID })
-		l = append(l, f.view.Suspects(time.Now())...)
-		f.mu.Unlock()
-		if len(w) > 0 {
-			f.exchangeWith(x, w[rand.IntN(len(w))], true)
-		}
-		for _, s := range f.config.Seeds {
-			if len(l) == 0 {
-				f.exchangeWith(x, peer.SeedHost(s), false)
-			}
-		}
-		if len(l) > 0 {
-			f.exchangeWith(x, l[rand.IntN(len(l))], false)
-		}
-	}
-	return nil
-}
-
-// exchangeInterval is the mean delay between two rounds of exchanges.
-const exchangeInterval = 300 * time.Millisecond
-
-// exchangeWith fetches changes of the store and unlisted hosts from a daemon;
-// watcher states that the daemon watches the store.
-func (f *Daemon) exchangeWith(x context.Context, h membership.Host, watcher bool) {
-	y, stop := context.WithTimeout(x, controlTimeout)
-	defer stop()
-	var o exchangeReply
-	if err := f.node.Call(y, h, methodExchange, exchangeParams{Revision: f.cache.currentRevision()}, &o); err != nil {
-		f.config.Log.Debug("exchange failed", "host", h.ID, "error", err)
-		return
-	}
-	if watcher {
-		f.mu.Lock()
-		f.syncedAt = time.Now()
-		f.mu.Unlock()
-	}
-	for _, h := range o.Hosts {
-		f.updateView(membership.HostDiscovered{Host: h})
-	}
-	if len(o.Items) > 0 {
-		f.applyItems(f.cache.apply(o.Items, o.Revision, time.Now()))
-	}
-}
-
 // memberPool returns the pool of a member, which is created if need be; f.mu is
 // held.
 func (f *Daemon) memberPool(m catalog.Member) *pool.Pool {
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,8 +36,11 @@
 	It("ends with its context on a host that doesn't watch the store itself", func() {
 		f := newTestDaemon()
 		f.config.Store = &conflictStore{}
-		f.syncedAt = time.Now()
-		f.updateView(membership.ListReceived{Hosts: []membership.Host{{ID: "A1", FailureDomain: "west-a"}, {ID: "A2", FailureDomain: "west-a"}, {ID: "a", FailureDomain: "west-a"}}})
+		var l []membership.Host
+		for i := range 20 {
+			l = append(l, membership.Host{ID: "h" + strconv.Itoa(i), Region: "west", FailureDomain: "west-a"})
+		}
+		f.updateView(membership.ListReceived{Hosts: l})
 		Expect(f.isWatcher()).To(BeFalse())
 		x, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
--- a/fleet/storecache.go
+++ b/fleet/storecache.go
@@ -21,6 +21,11 @@
 	// tombstones holds the time at which each removal of a key was observed.
 	tombstones map[string]time.Time
 	revision   uint64
+	// currentAt is a time at which the copy contained all changes of the store, by
+	// the boot-time clock.
+	currentAt time.Time
+	// prunedRevision is the highest revision of a removal that is no longer kept.
+	prunedRevision uint64
 	// changed is closed and replaced whenever an item changes.
 	changed chan struct{}
 }
@@ -36,13 +41,22 @@
 	return m.revision
 }
 
-// apply applies changes up to a revision and returns the items that are newer
-// than the copy.
-func (m *storeCache) apply(l []store.Item, revision uint64, now time.Time) []store.Item {
+// copyUpdate is what a daemon learns of the store: the items that changed up to a
+// revision, and a time at which that was all.
+type copyUpdate struct {
+	items    []store.Item
+	revision uint64
+	// currentAt is when the revision was current, by the boot-time clock, or
+	// earlier. Zero if that isn't known.
+	currentAt time.Time
+}
+
+// apply applies changes and returns the items that are newer than the copy.
+func (m *storeCache) apply(u copyUpdate, now time.Time) []store.Item {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var o []store.Item
-	for _, i := range l {
+	for _, i := range u.items {
 		if i.Revision <= m.items[i.Key].Revision {
 			continue
 		}
@@ -53,9 +67,14 @@
 		}
 		o = append(o, i)
 	}
-	m.revision = max(m.revision, revision)
+	m.revision = max(m.revision, u.revision)
+	// A copy that has reached the other one's revision is as current.
+	if u.currentAt.After(m.currentAt) {
+		m.currentAt = u.currentAt
+	}
 	for k, t := range m.tombstones {
 		if now.Sub(t) > tombstoneTime {
+			m.prunedRevision = max(m.prunedRevision, m.items[k].Revision)
 			delete(m.tombstones, k)
 			delete(m.items, k)
 		}
@@ -70,35 +89,43 @@
 // replace applies a complete listing of the store, read at the revision or
 // later, and returns the items that are newer than the copy. A key missing from
 // the listing becomes a removal, unless it changed after the revision.
-func (m *storeCache) replace(l []store.Item, revision uint64, now time.Time) []store.Item {
+func (m *storeCache) replace(u copyUpdate, now time.Time) []store.Item {
 	listed := map[string]bool{}
-	for _, i := range l {
+	for _, i := range u.items {
 		listed[i.Key] = true
 	}
 	m.mu.Lock()
 	for k, i := range m.items {
-		if !listed[k] && !i.Removed && i.Revision <= revision {
-			l = append(l, store.Item{Key: k, Revision: revision, Removed: true})
+		if !listed[k] && !i.Removed && i.Revision <= u.revision {
+			u.items = append(u.items, store.Item{Key: k, Revision: u.revision, Removed: true})
 		}
 	}
 	m.mu.Unlock()
-	return m.apply(l, revision, now)
+	return m.apply(u, now)
 }
 
-// changesSince returns the items that changed after a revision, and the current
-// revision.
-func (m *storeCache) changesSince(revision uint64) ([]store.Item, uint64) {
+// changesSince returns the items that changed after a revision. If not all removals
+// since then are known any more, it returns all items and true.
+func (m *storeCache) changesSince(revision uint64) (copyUpdate, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var o []store.Item
+	u := copyUpdate{revision: m.revision, currentAt: m.currentAt}
 	if m.revision <= revision {
-		return nil, m.revision
+		return u, false
 	}
+	complete := revision > 0 && revision < m.prunedRevision
 	for _, i := range m.items {
-		if i.Revision > revision {
-			o = append(o, i)
+		if complete && !i.Removed || !complete && i.Revision > revision {
+			u.items = append(u.items, i)
 		}
 	}
-	slices.SortFunc(o, func(a, b store.Item) int { return cmp.Compare(a.Revision, b.Revision) })
-	return o, m.revision
+	slices.SortFunc(u.items, func(a, b store.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	return u, complete
+}
+
+// item returns an item of the copy, and the time at which the copy was current.
+func (m *storeCache) item(key string) (store.Item, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.items[key], m.currentAt
 }
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -23,23 +22,23 @@
 	// watchDelay is the delay between two watches, so that changes shortly after
 	// one another cost one call.
 	watchDelay = 60 * time.Millisecond
-	// watchersPerDomain is the number of hosts in each failure domain that watch
-	// the store; the others poll these for changes.
-	watchersPerDomain = 2
-	// syncTimeout is how long a host continues without an exchange with a
-	// watching host before it watches the store itself.
-	syncTimeout = 3 * time.Second
 	// watchPollTime is how long the store holds a watch without changes. A
-	// connection that fails silently delays changes by no more than this.
-	watchPollTime = 8 * time.Second
+	// connection that fails silently delays changes by no more than this, and the
+	// copies of all hosts are older than this by at most their exchanges.
+	watchPollTime = 1500 * time.Millisecond
+	// seedCopyTime is how long a starting host waits for a copy of the store from
+	// the seeds before it reads the store.
+	seedCopyTime = 1200 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call,
 	// before jitter.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
 	// hostLeaseTime is how long the record of this host outlives the process.
-	hostLeaseTime = 10 * time.Second
+	// It is longer than the store's usual outages. Hosts that fail are noticed by
+	// those that use them.
+	hostLeaseTime = 20 * time.Second
 	// hostLeaseInterval is how often the lease of that record is renewed.
-	hostLeaseInterval = 3 * time.Second
+	hostLeaseInterval = 6 * time.Second
 	// evictDelay is how long a member is kept after its record was removed: a
 	// record that expired while the store was unavailable is back within two
 	// seconds.
@@ -55,8 +54,12 @@
 // watchStore keeps the local copy of the store up to date until the context
 // ends.
 func (f *Daemon) watchStore(x context.Context) error {
+	f.awaitSeedCopy(x)
 	for n := 0; x.Err() == nil; {
-		err := f.loadStore(x)
+		var err error
+		if f.cache.currentRevision() == 0 || n > 0 {
+			err = f.loadStore(x)
+		}
 		for err == nil {
 			n = 0
 			err = f.watchOnce(x)
@@ -92,15 +95,33 @@
 	return nil
 }
 
+// awaitSeedCopy waits until the exchanges have fetched a copy of the store from a
+// seed, for up to seedCopyTime, so that hosts that start together don't all read
+// the store.
+func (f *Daemon) awaitSeedCopy(x context.Context) {
+	if len(f.config.Seeds) == 0 || f.isSeed() {
+		return
+	}
+	for t := time.Now(); f.cache.currentRevision() == 0 && time.Since(t) < seedCopyTime; {
+		if !sleep(x, watchDelay) {
+			return
+		}
+	}
+}
+
 // loadStore reads all items of the store.
 func (f *Daemon) loadStore(x context.Context) error {
 	y, stop := context.WithTimeout(x, 2*storeTimeout)
 	defer stop()
+	t := now()
+	f.metrics.countStoreCall(purposeLoad)
 	l, r, err := f.config.Store.Range(y, "")
 	if err != nil {
+		f.setWatching(false)
 		return err
 	}
-	f.applyItems(f.cache.replace(l, r, time.Now()))
+	f.applyItems(f.cache.replace(copyUpdate{items: l, revision: r, currentAt: t}, time.Now()))
+	f.setWatching(true)
 	f.config.Log.Info("store read", "revision", r, "items", len(l))
 	return nil
 }
@@ -112,40 +133,21 @@
 		return Error.Wrap(x.Err())
 	}
 	if !f.isWatcher() {
+		f.setWatching(false)
 		sleep(x, watchDelay)
 		return nil
 	}
+	t := now()
+	f.metrics.countStoreCall(purposeWatch)
 	l, r, err := f.config.Store.Watch(x, "", f.cache.currentRevision(), watchPollTime)
+	f.setWatching(err == nil)
 	if err != nil {
 		return err
 	}
-	f.applyItems(f.cache.apply(l, r, time.Now()))
+	f.applyItems(f.cache.apply(copyUpdate{items: l, revision: r, currentAt: t}, time.Now()))
 	return nil
 }
 
-// isWatcher reports whether this host watches the store: it is one of its
-// failure domain's watchers, or has not exchanged with one for syncTimeout.
-func (f *Daemon) isWatcher() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if time.Since(f.syncedAt) > syncTimeout {
-		return true
-	}
-	return slices.ContainsFunc(f.watchers(), func(h membership.Host) bool { return h.ID == f.config.Self.ID })
-}
-
-// watchers returns the hosts that watch the store for this failure domain, the
-// first live ones by ID; f.mu is held.
-func (f *Daemon) watchers() []membership.Host {
-	var o []membership.Host
-	for _, h := range f.view.Live(time.Now()) {
-		if h.FailureDomain == f.config.Self.FailureDomain && len(o) < watchersPerDomain {
-			o = append(o, h)
-		}
-	}
-	return o
-}
-
 // applyItems applies changed items of the store.
 func (f *Daemon) applyItems(l []store.Item) {
 	hosts := false
@@ -158,11 +160,11 @@
 		case strings.HasPrefix(i.Key, groupPrefix):
 			f.applyRecord(i, time.Time{})
 		case strings.HasPrefix(i.Key, hostPrefix):
-			hosts = true
+			hosts = f.applyHostRecord(i) || hosts
 		}
 	}
 	if hosts {
-		f.applyHosts()
+		f.updateHosts()
 	}
 }
 
@@ -216,22 +218,53 @@
 	}
 }
 
-// applyHosts updates the view from the host records in the store.
-func (f *Daemon) applyHosts() {
-	l, _ := f.cache.changesSince(0)
-	var o []membership.Host
-	for _, i := range l {
-		if i.Removed || !strings.HasPrefix(i.Key, hostPrefix) {
-			continue
-		}
-		var h membership.Host
-		if err := json.Unmarshal(i.Value, &h); err != nil {
-			f.config.Log.Warn("invalid host record", "key", i.Key, "error", err)
-			continue
+// hostRecord is a host's record in the store.
+type hostRecord struct {
+	host membership.Host
+	// revision is the record's revision.
+	revision uint64
+}
+
+// applyHostRecord updates a host from its record, and reports whether it changed.
+func (f *Daemon) applyHostRecord(i store.Item) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i.Removed {
+		_, ok := f.hostRecords[i.Key]
+		delete(f.hostRecords, i.Key)
+		return ok
+	}
+	var h membership.Host
+	if err := json.Unmarshal(i.Value, &h); err != nil {
+		f.config.Log.Warn("invalid host record", "key", i.Key, "error", err)
+		return false
+	}
+	f.hostRecords[i.Key] = hostRecord{host: h, revision: i.Revision}
+	return true
+}
+
+// updateHosts updates the view from the hosts' records.
+func (f *Daemon) updateHosts() {
+	f.mu.Lock()
+	l := runningHosts(f.hostRecords)
+	f.mu.Unlock()
+	f.updateView(membership.ListReceived{Hosts: l})
+}
+
+// runningHosts returns the hosts with a record. Of several records with the same
+// address only the newest counts: the processes of the older ones have ended.
+func runningHosts(l map[string]hostRecord) []membership.Host {
+	newest := map[string]hostRecord{}
+	for _, r := range l {
+		if r.revision > newest[r.host.PeerAddress].revision {
+			newest[r.host.PeerAddress] = r
 		}
-		o = append(o, h)
 	}
-	f.updateView(membership.ListReceived{Hosts: o})
+	var o []membership.Host
+	for _, r := range newest {
+		o = append(o, r.host)
+	}
+	return o
 }
 
 // applyRecord updates a group from its record. requested is when the record was
@@ -278,6 +311,7 @@
 func (f *Daemon) registerHost(x context.Context) error {
 	x, stop := context.WithTimeout(x, storeTimeout)
 	defer stop()
+	f.metrics.countStoreCall(purposeHostLease)
 	l, err := f.config.Store.GrantLease(x, hostLeaseTime)
 	if err != nil {
 		return err
@@ -299,6 +333,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	f.metrics.countStoreCall(purposeHostRecord)
 	_, err = f.config.Store.Put(x, store.Write{Key: hostPrefix + h.ID, Value: v, LeaseID: l})
 	return err
 }
@@ -311,6 +346,7 @@
 	f.mu.Lock()
 	l := f.hostLease
 	f.mu.Unlock()
+	f.metrics.countStoreCall(purposeHostRenewal)
 	err := f.config.Store.RenewLease(x, l)
 	var e *store.LeaseEndedError
 	if err != nil && !errors.As(err, &e) {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -24,8 +24,10 @@
 	// last confirmed it. It is longer than the outages of the store that
 	// operators report.
 	Validity = 10 * time.Second
-	// ConfirmInterval is how often a holder requests its record from the store.
-	ConfirmInterval = time.Second
+	// ConfirmInterval is the age at which a holder renews the confirmation of its
+	// lease by a request to the store, unless it was renewed otherwise. Validity
+	// minus ConfirmInterval is the outage of the store that a holder survives.
+	ConfirmInterval = 3 * time.Second
 	// confirmRetryDelay is the delay before the next such request after a
 	// failed one.
 	confirmRetryDelay = 300 * time.Millisecond
@@ -161,6 +163,9 @@
 	if u := x.RequestedAt.Add(Validity); !x.RequestedAt.IsZero() && u.After(s.validUntil) {
 		s.validUntil = u
 	}
+	if u := x.RequestedAt.Add(ConfirmInterval); u.After(s.confirmAt) {
+		s.confirmAt = u
+	}
 }
 
 // Record returns the latest observed record and its revision, or false if none
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -58,7 +58,13 @@
 }
 
 // LinkFailed reports that a link to a host has failed.
-type LinkFailed struct{ ID string }
+type LinkFailed struct {
+	ID string
+	// Ended is set if the host's machine showed that the daemon is gone: it
+	// refused the connection, or another daemon answered there. Otherwise the
+	// host was silent, and the fault may lie with the network or this host.
+	Ended bool
+}
 
 // HostAnswered reports that a host has answered.
 type HostAnswered struct{ ID string }
--- a/membership/owner.go
+++ b/membership/owner.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,6 +32,30 @@
 	return h, ok
 }
 
+// Successors returns the hosts that would own a backend server one after the
+// other as each of them failed, up to n of them, the owner first.
+func (v *View) Successors(m *bundle.Member, n int, now time.Time) []Host {
+	v.refresh(now)
+	k := serverKey{region: m.Region, domain: m.FailureDomain, name: m.Name}
+	if l, ok := v.successors[k]; ok && (len(l) >= n) {
+		return l[:n]
+	}
+	var o []Host
+	if r, ok := v.lookupHostSet(m); ok {
+		ids := make([]string, 0, len(r.hosts))
+		for id := range r.hosts {
+			ids = append(ids, id)
+		}
+		for len(o) < n && len(ids) > 0 {
+			id := rendezvous.New(ids, xxhash.Sum64String).Lookup(m.Name)
+			o = append(o, r.hosts[id])
+			ids = slices.DeleteFunc(ids, func(x string) bool { return x == id })
+		}
+	}
+	v.successors[k] = o
+	return o
+}
+
 // Generation returns a number that increases whenever an owner may have changed.
 func (v *View) Generation(now time.Time) uint64 {
 	v.refresh(now)
@@ -46,7 +71,7 @@
 
 // invalidate drops the cached owners and host sets.
 func (v *View) invalidate() {
-	v.owners, v.hostSets = map[serverKey]Host{}, nil
+	v.owners, v.successors, v.hostSets = map[serverKey]Host{}, map[serverKey][]Host{}, nil
 	v.generation++
 }
 
@@ -99,10 +124,19 @@
 // lookupOwner determines the owner of a backend server without the cache of
 // owners.
 func (v *View) lookupOwner(m *bundle.Member) (Host, bool) {
+	r, ok := v.lookupHostSet(m)
+	if !ok {
+		return Host{}, false
+	}
+	return r.hosts[r.hash.Lookup(m.Name)], true
+}
+
+// lookupHostSet returns the nearest hosts to a backend server that are live.
+func (v *View) lookupHostSet(m *bundle.Member) (*hostSet, bool) {
 	for _, k := range []hostSetKey{{m.Region, m.FailureDomain}, {m.Region, ""}, {}} {
 		if r, ok := v.hostSets[k]; ok {
-			return r.hosts[r.hash.Lookup(m.Name)], true
+			return r, true
 		}
 	}
-	return Host{}, false
+	return nil, false
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -22,13 +22,17 @@
 	// notice or its eviction expires.
 	drainNotices map[string]time.Time
 	evicted      map[string]time.Time
-	// owners and hostSets are a cache that is valid until an event changes the
-	// view, or until validUntil. hostSets is nil before it is computed.
+	// owners, successors and hostSets are a cache that is valid until an event
+	// changes the view, or until validUntil. hostSets is nil before it is
+	// computed.
 	owners     map[serverKey]Host
+	successors map[serverKey][]Host
 	hostSets   map[hostSetKey]*hostSet
 	validUntil time.Time
 	// generation counts the invalidations of the cache.
 	generation uint64
+	// evidence holds, by host ID, what this daemon last observed of each host.
+	evidence map[string]evidence
 	// lastContact is when another daemon last answered or called, or the time
 	// of the first event.
 	lastContact time.Time
@@ -38,7 +42,7 @@
 func New(self Host) *View {
 	return &View{
 		self: self, listed: map[string]Host{}, unlisted: map[string]unlistedHost{}, suspects: map[string]suspicion{},
-		drainNotices: map[string]time.Time{}, evicted: map[string]time.Time{}, owners: map[serverKey]Host{},
+		drainNotices: map[string]time.Time{}, evicted: map[string]time.Time{}, owners: map[serverKey]Host{}, evidence: map[string]evidence{},
 	}
 }
 
@@ -54,9 +58,11 @@
 	case HostDiscovered:
 		c = v.addUnlisted(x, now)
 	case LinkFailed:
+		v.observeFailure(x, now)
 		c = v.markSuspect(x.ID, now)
 	case HostAnswered:
 		v.lastContact = now
+		v.evidence[x.ID] = evidence{answeredAt: now}
 		c = v.markReachable(x.ID, now)
 	case DrainAnnounced:
 		c = v.addDrainNotice(x, now)
@@ -102,6 +108,11 @@
 			}
 		}
 	}
+	for id, e := range v.evidence {
+		if now.Sub(e.latest()) > DelistedTime {
+			delete(v.evidence, id)
+		}
+	}
 	for id, s := range v.suspects {
 		if _, ok := v.Host(id); !ok && now.After(s.expiresAt) {
 			delete(v.suspects, id)
@@ -113,6 +124,7 @@
 	c := false
 	if x.Direct {
 		v.lastContact = now
+		v.evidence[x.Host.ID] = evidence{answeredAt: now}
 		c = v.markReachable(x.Host.ID, now)
 	}
 	if _, ok := v.Host(x.Host.ID); ok || now.Before(v.evicted[x.Host.ID]) {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,10 +6,12 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -29,13 +31,11 @@
 const (
 	// dialTimeout bounds opening the TCP connection of a link.
 	dialTimeout = 500 * time.Millisecond
-	// keepAliveInterval is the interval between keep-alive pings on a link.
-	keepAliveInterval = 500 * time.Millisecond
-	// writeTimeout bounds a write and the answer to a keep-alive ping; a link that
-	// takes longer is closed.
+	// writeTimeout bounds a write and the answer to a ping; a link that takes
+	// longer is closed.
 	writeTimeout = time.Second
 	// idleTimeout is the time after which an unused link is closed.
-	idleTimeout = 2 * time.Minute
+	idleTimeout = 20 * time.Second
 )
 
 // The first byte of a stream is its type.
@@ -57,8 +57,10 @@
 	HandleStream func(context.Context, *Stream)
 	// HandleCall answers a control call.
 	HandleCall func(context.Context, *jsonrpc2.Request) (any, error)
-	// OnLinkFailed is called with the ID of a host whose link failed.
-	OnLinkFailed func(id string)
+	// OnLinkFailed is called with the ID of a host whose link failed. The second
+	// argument is set if the host's machine showed that its daemon has ended: it
+	// refused the connection, or another daemon answered.
+	OnLinkFailed func(id string, ended bool)
 	// OnAnswer is called with the ID of a host that answered.
 	OnAnswer func(id string)
 	// OnHostConnected is called with a host that opened a link to this one.
@@ -75,8 +77,11 @@
 	// regionBytes counts the bytes sent to each other region.
 	regionBytes *prometheus.CounterVec
 
-	mu    sync.Mutex
-	links map[string]*link
+	mu sync.Mutex
+	// links holds the links that this daemon opened, by the other host's ID;
+	// accepted holds those that other daemons opened.
+	links    map[string]*link
+	accepted map[*session]bool
 	// closed is set when Run stops; links that open later are closed at once.
 	closed bool
 }
@@ -102,7 +107,7 @@
 		return nil, Error.Wrap(err)
 	}
 	g, x := errgroup.WithContext(context.Background())
-	return &Node{config: c, listener: l, tasks: g, ctx: x, regionBytes: newRegionBytes(), links: map[string]*link{}}, nil
+	return &Node{config: c, listener: l, tasks: g, ctx: x, regionBytes: newRegionBytes(), links: map[string]*link{}, accepted: map[*session]bool{}}, nil
 }
 
 // Address returns the address that the node listens on.
@@ -124,7 +129,7 @@
 	defer stop()
 	g, x := errgroup.WithContext(x)
 	g.Go(func() error { return n.acceptLinks(x, g) })
-	g.Go(func() error { return n.closeIdleLinks(x) })
+	g.Go(func() error { return n.checkLinks(x) })
 	err := g.Wait()
 	if x.Err() != nil {
 		return nil
@@ -147,27 +152,6 @@
 	}
 }
 
-// closeIdleLinks closes links that carried nothing for idleTimeout.
-func (n *Node) closeIdleLinks(x context.Context) error {
-	t := time.NewTicker(idleTimeout / 4)
-	defer t.Stop()
-	for {
-		select {
-		case <-x.Done():
-			return nil
-		case <-t.C:
-		}
-		n.mu.Lock()
-		for id, l := range n.links {
-			if l.session != nil && l.session.NumStreams() <= 1 && time.Since(l.lastUsed) > idleTimeout {
-				_ = l.session.Close()
-				delete(n.links, id)
-			}
-		}
-		n.mu.Unlock()
-	}
-}
-
 func (n *Node) closeLinks() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -181,7 +165,8 @@
 
 func yamuxConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
-	c.KeepAliveInterval = keepAliveInterval
+	// Node.checkLinks pings the links that are in use instead.
+	c.EnableKeepAlive = false
 	c.ConnectionWriteTimeout = writeTimeout
 	c.StreamOpenTimeout = 2 * writeTimeout
 	c.LogOutput = io.Discard
@@ -204,6 +189,14 @@
 	if err != nil {
 		return err
 	}
+	n.mu.Lock()
+	n.accepted[s] = true
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.accepted, s)
+		n.mu.Unlock()
+	}()
 	stop := context.AfterFunc(x, func() { _ = s.Close() })
 	defer stop()
 	g, x := errgroup.WithContext(x)
@@ -215,13 +208,13 @@
 			return err
 		}
 		g.Go(func() error {
-			n.serveStream(x, t)
+			n.serveStream(x, s, t)
 			return nil
 		})
 	}
 }
 
-func (n *Node) serveStream(x context.Context, t net.Conn) {
+func (n *Node) serveStream(x context.Context, s *session, t net.Conn) {
 	var b [1]byte
 	if _, err := io.ReadFull(t, b[:]); err != nil {
 		_ = t.Close()
@@ -232,6 +225,8 @@
 		n.config.HandleStream(x, NewStream(t))
 	case streamControl:
 		h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(x context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+			s.use.calls.Add(1)
+			defer s.use.calls.Add(-1)
 			return n.config.HandleCall(x, r)
 		}))
 		c := jsonrpc2.NewConn(x, jsonrpc2.NewPlainObjectStream(t), h, n.logger())
@@ -248,19 +243,35 @@
 	if err != nil {
 		return Error.Wrap(&UnsentError{Err: err})
 	}
-	if err := l.control.Call(x, method, params, result); err != nil {
+	return n.callOn(x, l, method, params, result)
+}
+
+// callOn makes a control call on a link.
+func (n *Node) callOn(x context.Context, l *link, method string, params, result any) error {
+	u := &l.session.use
+	u.calls.Add(1)
+	err := l.control.Call(x, method, params, result)
+	if x.Err() != nil {
+		u.unanswered.Store(true)
+	}
+	u.calls.Add(-1)
+	if err != nil {
 		return Error.Wrap(err)
 	}
-	n.config.OnAnswer(h.ID)
+	n.config.OnAnswer(l.id)
 	return nil
 }
 
-// OpenStream opens a statement stream to a host.
+// OpenStream opens a statement stream to a host, on a link that was checked if it
+// has been silent.
 func (n *Node) OpenStream(x context.Context, h membership.Host) (*Stream, error) {
 	l, err := n.linkTo(x, h)
 	if err != nil {
 		return nil, err
 	}
+	if err := n.verify(x, l); err != nil {
+		return nil, err
+	}
 	t, err := l.session.openStream()
 	if err != nil {
 		n.dropLink(l)
@@ -345,6 +356,14 @@
 	return s, jsonrpc2.NewConn(n.ctx, jsonrpc2.NewPlainObjectStream(t), d, n.logger()), nil
 }
 
+// ShowsEnd reports whether the failure of a call shows that the daemon has ended:
+// its machine refused the connection, or another daemon answered. A running daemon
+// always listens.
+func ShowsEnd(err error) bool {
+	var o *WrongHostError
+	return errors.As(err, &o) || errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // SeedHost returns a host of which only the address is known.
 func SeedHost(address string) membership.Host {
 	return membership.Host{ID: seedPrefix + address, PeerAddress: address}
@@ -382,6 +401,6 @@
 		_ = l.session.Close()
 	}
 	if registered {
-		n.config.OnLinkFailed(l.id)
+		n.config.OnLinkFailed(l.id, ShowsEnd(l.err))
 	}
 }
--- a/peer/session.go
+++ b/peer/session.go
@@ -18,19 +18,30 @@
 type session struct {
 	*yamux.Session
 	conn *sessionConn
+	use  linkUse
+
+	mu sync.Mutex
+	// check is the running check of the link, or nil.
+	check *linkCheck
 }
 
 // newSession starts a session over a connection; open is yamux.Client or
 // yamux.Server.
 func newSession(c net.Conn, open func(net.Conn) (*yamux.Session, error)) (*session, error) {
-	t := &sessionConn{Conn: c, streams: map[*sessionStream]bool{}}
-	s, err := open(t)
+	s := &session{}
+	s.use.markReceived()
+	s.conn = &sessionConn{Conn: c, use: &s.use, streams: map[*sessionStream]bool{}}
+	y, err := open(s.conn)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return &session{Session: s, conn: t}, nil
+	s.Session = y
+	return s, nil
 }
 
+// activity returns the activity of the session's link.
+func (s *session) activity() linkActivity { return s.use.activity(s.NumStreams()) }
+
 // openStream opens a stream.
 func (s *session) openStream() (net.Conn, error) {
 	t, err := s.OpenStream()
@@ -52,6 +63,7 @@
 // sessionConn is the connection under a session.
 type sessionConn struct {
 	net.Conn
+	use *linkUse
 
 	mu      sync.Mutex
 	streams map[*sessionStream]bool
@@ -70,6 +82,15 @@
 	return s, nil
 }
 
+// Read implements net.Conn.
+func (c *sessionConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.use.markReceived()
+	}
+	return n, err
+}
+
 // Close ends the reads of all streams, then the connection. yamux calls it
 // right after it has marked the session as shut down.
 func (c *sessionConn) Close() error {
