--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -16,6 +16,9 @@
 const (
 	// exchangeInterval is the mean delay between two rounds of exchanges.
 	exchangeInterval = 300 * time.Millisecond
+	// firstExchangeInterval is the same for a host that has no copy of the store
+	// yet.
+	firstExchangeInterval = 60 * time.Millisecond
 	// upstreamTimeout is how long no upstream may be up to date before a daemon
 	// watches the store itself: three rounds.
 	upstreamTimeout = 3 * exchangeInterval
@@ -93,7 +96,7 @@
 // ends: from an upstream and from a neighbor in each round, and every other round
 // from a host that is suspected, which may be back.
 func (f *Daemon) runExchange(x context.Context) error {
-	for n := 0; sleep(x, exchangeInterval/2+rand.N(exchangeInterval)); n++ {
+	for n := 0; sleep(x, f.exchangeDelay()); n++ {
 		f.mu.Lock()
 		o := f.currentOverlay()
 		var suspects []membership.Host
@@ -110,17 +113,32 @@
 				f.startExchange(l[rand.IntN(len(l))], false)
 			}
 		}
-		if len(o.Neighbors) == 0 {
-			for _, s := range f.config.Seeds {
-				if s != f.config.Self.PeerAddress {
-					f.startExchange(peer.SeedHost(s), true)
-				}
-			}
+		if s, ok := f.randomSeed(); ok && len(o.Neighbors) == 0 {
+			f.startExchange(peer.SeedHost(s), true)
 		}
 	}
 	return nil
 }
 
+// exchangeDelay returns the delay before the next round. A host without a copy of
+// the store can't serve, so that it asks more often.
+func (f *Daemon) exchangeDelay() time.Duration {
+	d := exchangeInterval
+	if f.cache.currentRevision() == 0 {
+		d = firstExchangeInterval
+	}
+	return d/2 + rand.N(d)
+}
+
+// randomSeed returns the address of a seed other than this host.
+func (f *Daemon) randomSeed() (string, bool) {
+	l := slices.DeleteFunc(slices.Clone(f.config.Seeds), func(s string) bool { return s == f.config.Self.PeerAddress })
+	if len(l) == 0 {
+		return "", false
+	}
+	return l[rand.IntN(len(l))], true
+}
+
 // startExchange starts an exchange with a host, unless one is under way, so that a
 // silent host doesn't delay the others.
 func (f *Daemon) startExchange(h membership.Host, upstream bool) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -6,8 +6,9 @@
 package gossip
 
 import (
+	"cmp"
 	"math"
-	"sort"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,13 +70,7 @@
 // result depends only on the live hosts, and adding or removing one host
 // changes few neighbors.
 func Neighbors(self membership.Host, live []membership.Host) []membership.Host {
-	l := make([]membership.Host, 0, len(live))
-	for _, h := range live {
-		if h.ID != self.ID {
-			l = append(l, h)
-		}
-	}
-	sort.Slice(l, func(i, j int) bool { return rendezvousScore(self.ID, l[i].ID) > rendezvousScore(self.ID, l[j].ID) })
+	l := sortedByScore(self.ID, live, self.ID)
 	var o []membership.Host
 	taken := map[string]bool{}
 	take := func(n int, in func(membership.Host) bool) {
@@ -104,6 +99,27 @@
 // renewal in a fleet of n hosts.
 func SessionTTL(n int) time.Duration { return renewalsPerTTL * RenewInterval(n) }
 
+// sortedByScore returns the hosts except the given one, the highest rendezvous
+// score first.
+func sortedByScore(key string, hosts []membership.Host, except string) []membership.Host {
+	type scored struct {
+		score uint64
+		host  membership.Host
+	}
+	l := make([]scored, 0, len(hosts))
+	for _, h := range hosts {
+		if h.ID != except {
+			l = append(l, scored{rendezvousScore(key, h.ID), h})
+		}
+	}
+	slices.SortFunc(l, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	o := make([]membership.Host, len(l))
+	for i, s := range l {
+		o[i] = s.host
+	}
+	return o
+}
+
 func domainKey(h membership.Host) string { return h.Region + "/" + h.FailureDomain }
 
 func rendezvousScore(key, id string) uint64 { return xxhash.Sum64String(key + "\x00" + id) }
--- a/gossip/overlay.go
+++ b/gossip/overlay.go
@@ -65,15 +65,13 @@
 // of its region by their rank in their failure domain, then by score. Both contain
 // the daemon itself, also if it isn't live.
 func rankedHosts(self membership.Host, live []membership.Host) (domain, region []membership.Host) {
-	scores := map[string]uint64{self.ID: rendezvousScore("watch", self.ID)}
-	region = append(region, self)
+	l := []membership.Host{self}
 	for _, h := range live {
 		if h.ID != self.ID && h.Region == self.Region {
-			scores[h.ID] = rendezvousScore("watch", h.ID)
-			region = append(region, h)
+			l = append(l, h)
 		}
 	}
-	sort.Slice(region, func(i, j int) bool { return scores[region[i].ID] > scores[region[j].ID] })
+	region = sortedByScore("watch", l, "")
 	ranks, sizes := map[string]int{}, map[string]int{}
 	for _, h := range region {
 		ranks[h.ID] = sizes[h.FailureDomain]
