contain: a panic or a failed accept ends only the work in which it occurs

Cause: no connection, call or task recovered from a panic, so that one malformed message or nil ended the daemon and every transaction in it; and an error of Accept, for example with no free file descriptor, ended the server and with it the daemon.

Change: package contain. A panic in a caller's connection, a peer's link, stream or call, a member's statement, a store item or a task ends that work: a request has the outcome of a lost reply (in doubt if it may have run), a call returns an error, a member's connection is closed, the marks of running tasks are cleared. The stack is logged once and a metric counts it. If the daemon's state is still locked afterwards, the daemon ends on purpose. Accept is retried with a growing delay.

Seen: with recover taken out, the specs of contain, peer and fleet end their test binaries by a panic; with it they pass under -race.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -19,6 +19,7 @@
 
 	"github.com/dragonflypick/dragonflypick/budget"
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/peer"
 )
@@ -144,16 +145,16 @@
 }
 
 func (s *Server) acceptConns(x context.Context, g *errgroup.Group) error {
-	for {
-		c, err := s.listener.Accept()
-		if err != nil {
-			return Error.Wrap(err)
-		}
+	return contain.Accept(x, s.listener, s.config.Log, func(c net.Conn) {
 		g.Go(func() error {
-			s.serveConn(x, c)
+			// The panic is logged; the caller sees the connection end.
+			_ = contain.Run(s.config.Log, "caller connection", func() error {
+				s.serveConn(x, c)
+				return nil
+			})
 			return nil
 		})
-	}
+	})
 }
 
 func (s *Server) serveConn(x context.Context, c net.Conn) {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/caller"
 	"github.com/dragonflypick/dragonflypick/consul"
+	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/gossip"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/owner"
@@ -159,7 +160,7 @@
 	}
 	d.adminServer, err = admin.New(admin.Config{
 		Listen: d.config.AdminListen, Status: d.Status, Ready: d.Ready,
-		Collectors: slices.Concat(d.owner.Collectors(), d.node.Collectors(), d.routingMetrics.collectors()),
+		Collectors: slices.Concat(d.owner.Collectors(), d.node.Collectors(), contain.Collectors(), d.routingMetrics.collectors()),
 	})
 	return err
 }
--- /dev/null
+++ b/fleet/contain_test.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/contain"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
+)
+
+var _ = Describe("a panic", func() {
+	It("in one item of the store leaves the others in force", func() {
+		f := newTestDaemon()
+		f.config.Decoder = Decoder{ConfigurationKey: "configuration", MemberPrefix: "members/",
+			Configuration: func([]byte) (*catalog.Catalog, error) { panic("malformed") },
+			Member: func(string, []byte) (catalog.Member, error) {
+				return catalog.Member{ID: "m", Group: "g"}, nil
+			}}
+		f.applyItems([]store.Item{{Key: "configuration", Revision: 1}, {Key: "members/m", Revision: 2}})
+		Expect(f.Catalog()).To(BeNil())
+		Expect(f.members).To(HaveKey("m"))
+	})
+
+	It("in a task of a group doesn't end the group's tasks", func() {
+		f := newTestDaemon()
+		g := f.group("g")
+		g.taskRunning = true
+		f.spawn(func(context.Context) {
+			defer f.endTask(&g.taskRunning)
+			panic("task")
+		})
+		Eventually(func() bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return g.taskRunning
+		}).Should(BeFalse())
+	})
+
+	DescribeTable("in a request has the outcome of a lost reply", func(r query.Request, want query.Reason) {
+		f := newTestDaemon()
+		f.view = nil
+		o := f.Execute(context.Background(), &r, nil)
+		Expect(o.Failure).NotTo(BeNil())
+		Expect(o.Failure.Reason).To(Equal(want))
+	},
+		Entry("write", query.Request{Primary: true, Action: query.ActionWrite, Remaining: time.Second}, query.InDoubt),
+		Entry("commit", query.Request{Primary: true, Action: query.ActionCommit, Stage: query.Later, Remaining: time.Second}, query.InDoubt),
+		Entry("statement of a transaction", query.Request{Primary: true, Stage: query.Later, Remaining: time.Second}, query.Aborted),
+		Entry("read", query.Request{Primary: true, Remaining: time.Second}, query.Overloaded),
+	)
+
+	It("that leaves the daemon's state locked ends the daemon", func() {
+		f := newTestDaemon()
+		Expect(f.contain("test", func() {
+			f.mu.Lock()
+			panic("locked")
+		})).To(BeFalse())
+		var err error
+		Expect(f.failed).To(Receive(&err))
+		Expect(contain.IsPanic(err)).To(BeTrue())
+	})
+})
+
+// FuzzCall checks that no call of another daemon panics.
+func FuzzCall(f *testing.F) {
+	d, err := New(Config{
+		Self: membership.Host{ID: "a", FailureDomain: "west-a", Region: "west"}, PeerListen: "127.0.0.1:0", Secret: "s",
+		Store: &conflictStore{}, Log: hclog.NewNullLogger(),
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(d.stop)
+	for _, p := range []string{"null", "{}", "[]", `"x"`, `{"group":"g"}`, `{"Group":"g","Stage":2,"Action":1,"Primary":true,"Remaining":1}`, `{"revision":18446744073709551615}`, `{"key":""}`, `{"Template":{"Text":""},"Stage":3}`} {
+		for _, m := range []string{methodExecute, methodPosition, methodExchange, methodWrite, methodPing, "other"} {
+			f.Add(m, []byte(p))
+		}
+	}
+	f.Fuzz(func(t *testing.T, method string, params []byte) {
+		// The store of this test has no single reads.
+		if method == methodItem || !json.Valid(params) {
+			return
+		}
+		x, stop := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer stop()
+		p := json.RawMessage(params)
+		if _, err := d.handleCall(x, &jsonrpc2.Request{Method: method, Params: &p}); contain.IsPanic(err) {
+			t.Fatal(err)
+		}
+	})
+}
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -149,10 +149,12 @@
 	}
 	f.exchanging[h.ID] = true
 	f.spawn(func(x context.Context) {
+		defer func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			delete(f.exchanging, h.ID)
+		}()
 		f.exchangeWith(x, h, upstream)
-		f.mu.Lock()
-		delete(f.exchanging, h.ID)
-		f.mu.Unlock()
 	})
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,6 +20,7 @@
 
 	"github.com/dragonflypick/dragonflypick/boottime"
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/gossip"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
@@ -97,6 +98,8 @@
 	tasks errgroup.Group
 	ctx   context.Context
 	stop  context.CancelFunc
+	// failed receives the failure that ends the daemon.
+	failed chan error
 
 	mu   sync.Mutex
 	view *membership.View
@@ -140,7 +143,7 @@
 func New(c Config) (*Daemon, error) {
 	x, stop := context.WithCancel(context.Background())
 	f := &Daemon{
-		config: c, cache: newStoreCache(), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
+		config: c, cache: newStoreCache(), failed: make(chan error, 1), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
 		members: map[string]catalog.Member{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 		upstream: upstreamState{currentAt: time.Now()},
@@ -169,6 +172,14 @@
 	g.Go(func() error { return f.maintainHostRecord(x) })
 	g.Go(func() error { return f.runExchange(x) })
 	g.Go(func() error { return f.reconcile(x) })
+	g.Go(func() error {
+		select {
+		case err := <-f.failed:
+			return err
+		case <-x.Done():
+			return nil
+		}
+	})
 	err := g.Wait()
 	f.stop()
 	_ = f.tasks.Wait()
@@ -222,11 +233,40 @@
 // with the daemon.
 func (f *Daemon) spawn(w func(x context.Context)) {
 	f.tasks.Go(func() error {
-		w(f.ctx)
+		f.contain("task", func() { w(f.ctx) })
+		return nil
+	})
+}
+
+// contain runs a function and reports whether it returned; a panic is logged. If the
+// daemon's state is still locked afterwards, the daemon ends.
+func (f *Daemon) contain(work string, w func()) bool {
+	err := contain.Run(f.config.Log, work, func() error {
+		w()
 		return nil
 	})
+	if err == nil {
+		return true
+	}
+	for t := time.Now(); !f.mu.TryLock(); {
+		if time.Since(t) > lockTimeout {
+			f.config.Log.Error("daemon ends: its state is locked after a panic", "work", work)
+			select {
+			case f.failed <- err:
+			default:
+			}
+			return false
+		}
+		sleep(f.ctx, time.Millisecond)
+	}
+	f.mu.Unlock()
+	return false
 }
 
+// lockTimeout is how long the daemon's state may be locked after a panic before the
+// daemon ends. Critical sections take microseconds.
+const lockTimeout = 2 * time.Second
+
 // sleep waits for d and returns true, or returns false if the context ends
 // first.
 func sleep(x context.Context, d time.Duration) bool {
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -89,10 +89,8 @@
 			g.confirming = true
 			g.Handle(takeover.LeaseEvent{Event: lease.ConfirmAttempt{}}, t)
 			f.spawn(func(x context.Context) {
+				defer f.endTask(&g.confirming)
 				f.confirmRecord(x, g)
-				f.mu.Lock()
-				g.confirming = false
-				f.mu.Unlock()
 			})
 		}
 		if g.taskRunning {
@@ -101,15 +99,20 @@
 		if w := f.nextTask(g, t); w != nil {
 			g.taskRunning = true
 			f.spawn(func(x context.Context) {
+				defer f.endTask(&g.taskRunning)
 				w(x, g)
-				f.mu.Lock()
-				g.taskRunning = false
-				f.mu.Unlock()
 			})
 		}
 	}
 }
 
+// endTask clears the mark of a running task, also after a panic.
+func (f *Daemon) endTask(running *bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	*running = false
+}
+
 // confirmFromCopy confirms the lease of a group that this host holds from the local
 // copy of the store. The copy contained all changes when it was last current, so
 // that this is as good as a request made then; f.mu is held.
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/query"
 )
 
@@ -48,7 +49,7 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(f.node.Collectors(), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls)
+	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls)
 }
 
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -53,18 +53,38 @@
 func (f *Daemon) Execute(x context.Context, r *query.Request, pin *entry.Pin) query.Response {
 	t := time.Now()
 	var o query.Response
+	if !f.contain("request", func() { o = f.route(x, r, pin, t) }) {
+		o = query.Response{Reply: query.Reply{Failure: lostFailure(r, "the request ended in a panic")}}
+	}
+	if o.Failure != nil && (o.Failure.Reason == query.Moved || o.Failure.Reason == query.Unreachable) {
+		o.Failure.Reason = f.finalReason(r)
+	}
+	f.recordOutcome(r, &o, t)
+	return o
+}
+
+// route sends a request to where it can run.
+func (f *Daemon) route(x context.Context, r *query.Request, pin *entry.Pin, t time.Time) query.Response {
 	switch {
 	case pin != nil:
-		o = f.executePinned(x, r, pin)
+		return f.executePinned(x, r, pin)
 	case r.Primary:
-		o = f.executePrimary(x, r, t)
+		return f.executePrimary(x, r, t)
 	default:
-		o = f.executeRead(x, r, t)
+		return f.executeRead(x, r, t)
 	}
-	if o.Failure != nil && (o.Failure.Reason == query.Moved || o.Failure.Reason == query.Unreachable) {
-		o.Failure.Reason = f.finalReason(r)
+}
+
+// lostFailure returns the failure of a request that was sent and whose reply is
+// lost.
+func lostFailure(r *query.Request, text string) *query.Failure {
+	o := &query.Failure{Reason: query.Unreachable, Text: text}
+	switch {
+	case r.Action == query.ActionCommit, r.Stage == query.Single && r.Action == query.ActionWrite:
+		o.Reason = query.InDoubt
+	case r.Stage == query.Later, r.Stage == query.First:
+		o.Reason = query.Aborted
 	}
-	f.recordOutcome(r, &o, t)
 	return o
 }
 
@@ -334,17 +354,12 @@
 		return o
 	}
 	o = query.Response{}
-	o.Failure = &query.Failure{Reason: query.Unreachable, Text: err.Error()}
 	var u *peer.UnsentError
 	if errors.As(err, &u) {
+		o.Failure = &query.Failure{Reason: query.Unreachable, Text: err.Error()}
 		return o
 	}
-	switch {
-	case r.Action == query.ActionCommit, r.Stage == query.Single && r.Action == query.ActionWrite:
-		o.Failure.Reason = query.InDoubt
-	case r.Stage == query.Later, r.Stage == query.First:
-		o.Failure.Reason = query.Aborted
-	}
+	o.Failure = lostFailure(r, err.Error())
 	if r.Stage == query.First {
 		a := query.Request{Group: r.Group, Member: r.Member, Session: r.Session, Transaction: r.Transaction, Stage: query.Abandon, Remaining: controlTimeout}
 		f.spawn(func(x context.Context) { f.abandonTransaction(x, h, a) })
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -152,22 +152,29 @@
 func (f *Daemon) applyItems(l []store.Item) {
 	hosts := false
 	for _, i := range l {
-		switch {
-		case i.Key == f.config.Decoder.ConfigurationKey:
-			f.applyConfiguration(i)
-		case strings.HasPrefix(i.Key, f.config.Decoder.MemberPrefix):
-			f.applyMember(i)
-		case strings.HasPrefix(i.Key, groupPrefix):
-			f.applyRecord(i, time.Time{})
-		case strings.HasPrefix(i.Key, hostPrefix):
-			hosts = f.applyHostRecord(i) || hosts
-		}
+		f.contain("store item", func() { hosts = f.applyItem(i) || hosts })
 	}
 	if hosts {
 		f.updateHosts()
 	}
 }
 
+// applyItem applies a changed item of the store, and reports whether it changed a
+// host.
+func (f *Daemon) applyItem(i store.Item) bool {
+	switch {
+	case i.Key == f.config.Decoder.ConfigurationKey:
+		f.applyConfiguration(i)
+	case strings.HasPrefix(i.Key, f.config.Decoder.MemberPrefix):
+		f.applyMember(i)
+	case strings.HasPrefix(i.Key, groupPrefix):
+		f.applyRecord(i, time.Time{})
+	case strings.HasPrefix(i.Key, hostPrefix):
+		return f.applyHostRecord(i)
+	}
+	return false
+}
+
 // applyConfiguration puts a configuration in force if its version is newer.
 func (f *Daemon) applyConfiguration(i store.Item) {
 	if i.Removed {
--- a/peer/linkcheck_test.go
+++ b/peer/linkcheck_test.go
@@ -37,8 +37,11 @@
 			HandleStream: func(_ context.Context, s *Stream) { _ = s.Close() },
 			HandleCall: func(_ context.Context, r *jsonrpc2.Request) (any, error) {
 				p.handled.Add(1)
-				if r.Method == "slow" {
+				switch r.Method {
+				case "slow":
 					<-p.hold
+				case "panic":
+					panic("malformed")
 				}
 				return struct{}{}, nil
 			},
@@ -153,3 +156,16 @@
 	g.Eventually(verified, 3*time.Second).Should(gomega.Succeed())
 	g.Expect(p.handled.Load()).To(gomega.Equal(was + 1))
 }
+
+// TestPanicInCall checks that a panic in the handler of a call ends only the call:
+// the caller learns that its outcome is unknown, and the link continues.
+func TestPanicInCall(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := newPair(t)
+	err := p.call("panic", time.Second)
+	g.Expect(err).To(gomega.HaveOccurred())
+	var u *UnsentError
+	g.Expect(errors.As(err, &u)).To(gomega.BeFalse())
+	g.Expect(p.call("fast", time.Second)).To(gomega.Succeed())
+	g.Expect(p.failed.Load()).To(gomega.BeZero())
+}
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -21,6 +21,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/membership"
 )
 
@@ -138,18 +139,15 @@
 }
 
 func (n *Node) acceptLinks(x context.Context, g *errgroup.Group) error {
-	for {
-		c, err := n.listener.Accept()
-		if err != nil {
-			return Error.Wrap(err)
-		}
+	return contain.Accept(x, n.listener, n.config.Log, func(c net.Conn) {
 		g.Go(func() error {
-			if err := n.serveLink(x, c); err != nil && x.Err() == nil {
+			err := contain.Run(n.config.Log, "peer link", func() error { return n.serveLink(x, c) })
+			if err != nil && x.Err() == nil {
 				n.config.Log.Debug("incoming link closed", "from", c.RemoteAddr().String(), "error", err)
 			}
 			return nil
 		})
-	}
+	})
 }
 
 func (n *Node) closeLinks() {
@@ -208,7 +206,12 @@
 			return err
 		}
 		g.Go(func() error {
-			n.serveStream(x, s, t)
+			// The panic is logged; the other daemon sees the stream end.
+			_ = contain.Run(n.config.Log, "peer stream", func() error {
+				n.serveStream(x, s, t)
+				return nil
+			})
+			_ = t.Close()
 			return nil
 		})
 	}
@@ -227,7 +230,13 @@
 		h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(x context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 			s.use.calls.Add(1)
 			defer s.use.calls.Add(-1)
-			return n.config.HandleCall(x, r)
+			var o any
+			err := contain.Run(n.config.Log, "peer call", func() error {
+				var err error
+				o, err = n.config.HandleCall(x, r)
+				return err
+			})
+			return o, err
 		}))
 		c := jsonrpc2.NewConn(x, jsonrpc2.NewPlainObjectStream(t), h, n.logger())
 		<-c.DisconnectNotify()
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflypick/dragonflypick/admission"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
@@ -178,7 +179,13 @@
 // runStep runs a step on a connection and records the member's reply.
 func (p *Pool) runStep(c *conn, s query.Step, deadline time.Time) (query.Reply, error) {
 	t := p.config.Now()
-	o, err := c.RunStep(s, deadline)
+	var o query.Reply
+	// After a panic the connection is closed as after any other failure of it.
+	err := contain.Run(p.config.Log, "member statement", func() error {
+		var err error
+		o, err = c.RunStep(s, deadline)
+		return err
+	})
 	if err == nil {
 		p.recordReply(o, t)
 	}
