fleet, membership: read the store again after compaction; work by duty, weighted owners

Also, each host ran through every group, member and position request on each tick of 80 ms, and each read through all members. Now a host keeps the groups that it holds, held or would take over, and members are found by group.

Owners are chosen by weighted rendezvous hashing of our own, since the library knows neither weights nor the order of succession: the weight is the host's processor share from its settings.

--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -19,13 +17,12 @@
 func (f *Daemon) pollStatus(x context.Context, g *group, skip string) []takeover.MemberStatus {
 	f.mu.Lock()
 	var l []takeover.MemberStatus
-	for _, m := range f.members {
-		if m.Group == g.name && m.ID != skip {
+	for _, m := range f.groupMembers[g.name] {
+		if m.ID != skip {
 			l = append(l, takeover.MemberStatus{Member: m})
 		}
 	}
 	f.mu.Unlock()
-	slices.SortFunc(l, func(a, b takeover.MemberStatus) int { return strings.Compare(a.Member.ID, b.Member.ID) })
 	var w errgroup.Group
 	var mu sync.Mutex
 	for i := range l {
--- a/fleet/contain_test.go
+++ b/fleet/contain_test.go
@@ -36,7 +36,7 @@
 		g := f.group("g")
 		g.taskRunning = true
 		f.spawn(func(context.Context) {
-			defer f.endTask(&g.taskRunning)
+			defer f.endTask(g, &g.taskRunning)
 			panic("task")
 		})
 		Eventually(func() bool {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -105,10 +105,17 @@
 	view *membership.View
 	// members holds the members in use, by ID. evictAt is when a member whose
 	// record was removed is evicted.
-	members map[string]catalog.Member
-	evictAt map[string]time.Time
-	groups  map[string]*group
-	pools   map[string]*ownedPool
+	// groupMembers holds them by group, sorted by ID.
+	members      map[string]catalog.Member
+	groupMembers map[string][]catalog.Member
+	evictAt      map[string]time.Time
+	groups       map[string]*group
+	// duties is a cache of the groups that this host may have to act for.
+	duties duties
+	// replicaReads holds the groups whose replicas have served reads at this host
+	// within replicaReadWindow.
+	replicaReads map[*group]bool
+	pools        map[string]*ownedPool
 	// closingPools accept no new requests; they are kept until their running
 	// requests and open transactions have ended.
 	closingPools []*pool.Pool
@@ -144,7 +151,7 @@
 	x, stop := context.WithCancel(context.Background())
 	f := &Daemon{
 		config: c, cache: newStoreCache(), failed: make(chan error, 1), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
-		members: map[string]catalog.Member{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
+		members: map[string]catalog.Member{}, groupMembers: map[string][]catalog.Member{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 		upstream: upstreamState{currentAt: time.Now()},
 	}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -24,6 +24,8 @@
 	// record is being read.
 	taskRunning bool
 	confirming  bool
+	// dutyPrimary is the primary for which the daemon's duties were computed.
+	dutyPrimary string
 	// confirmedAt is the time for which the local copy last confirmed the lease.
 	confirmedAt time.Time
 	// lastReplicaRead is when a replica owned here last received a read.
@@ -45,28 +47,28 @@
 	if g == nil {
 		g = &group{name: name, Group: takeover.New(f.selfHolder())}
 		f.groups[name] = g
+		f.duties.stale = true
 	}
 	return g
 }
 
 // assumedPrimary returns the member that is probably the primary, also on hosts
 // that don't hold the group: the one known from discovery or the group's
-// record, else a member whose own record says so, else any member of the group.
+// record, else a member whose own record says so, else the group's first member.
 // f.mu is held.
 func (f *Daemon) assumedPrimary(g *group) (catalog.Member, bool) {
 	id, _ := g.Primary()
 	if m, ok := f.members[id]; ok {
 		return m, true
 	}
-	for _, m := range f.members {
-		if m.Group == g.name && m.Primary {
+	l := f.groupMembers[g.name]
+	for _, m := range l {
+		if m.Primary {
 			return m, true
 		}
 	}
-	for _, m := range f.members {
-		if m.Group == g.name {
-			return m, true
-		}
+	if len(l) > 0 {
+		return l[0], true
 	}
 	return catalog.Member{}, false
 }
@@ -82,14 +84,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := now()
-	for n := range f.groupNames() {
-		g := f.group(n)
+	for _, g := range f.currentDuties() {
 		f.confirmFromCopy(g, t)
 		if g.ConfirmDue(t) && !g.confirming {
 			g.confirming = true
 			g.Handle(takeover.LeaseEvent{Event: lease.ConfirmAttempt{}}, t)
 			f.spawn(func(x context.Context) {
-				defer f.endTask(&g.confirming)
+				defer f.endTask(g, &g.confirming)
 				f.confirmRecord(x, g)
 			})
 		}
@@ -99,7 +100,7 @@
 		if w := f.nextTask(g, t); w != nil {
 			g.taskRunning = true
 			f.spawn(func(x context.Context) {
-				defer f.endTask(&g.taskRunning)
+				defer f.endTask(g, &g.taskRunning)
 				w(x, g)
 			})
 		}
@@ -107,10 +108,13 @@
 }
 
 // endTask clears the mark of a running task, also after a panic.
-func (f *Daemon) endTask(running *bool) {
+func (f *Daemon) endTask(g *group, running *bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	*running = false
+	if id, _ := g.Primary(); id != g.dutyPrimary {
+		g.dutyPrimary, f.duties.stale = id, true
+	}
 }
 
 // confirmFromCopy confirms the lease of a group that this host holds from the local
@@ -128,15 +132,6 @@
 	}
 }
 
-// groupNames returns the groups that have members; f.mu is held.
-func (f *Daemon) groupNames() map[string]bool {
-	o := map[string]bool{}
-	for _, m := range f.members {
-		o[m.Group] = true
-	}
-	return o
-}
-
 // nextTask returns the task that this host has to run for a group now, or nil;
 // f.mu is held.
 func (f *Daemon) nextTask(g *group, t time.Time) func(context.Context, *group) {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -50,32 +50,27 @@
 	}
 }
 
-// holderCandidates is the number of hosts that watch a group's holder, so that
-// one of them takes the group over when the holder and another one fail together.
-const holderCandidates = 3
-
 // pingHolders pings the silent holders of the groups that this host would take
 // over, and the hosts that would do so before it.
 func (f *Daemon) pingHolders() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := time.Now()
-	for _, g := range f.groups {
+	for _, g := range f.currentDuties() {
 		r, _, ok := g.Record()
 		if !ok || r.Holder.ID == "" || r.Holder.ID == f.config.Self.ID {
 			continue
 		}
 		m, ok := f.assumedPrimary(g)
-		if !ok || m.FailureDomain != f.config.Self.FailureDomain {
+		if !ok {
 			continue
 		}
-		l := f.view.Successors(viewMember(m), holderCandidates, n)
-		i := slices.IndexFunc(l, func(h membership.Host) bool { return h.ID == f.config.Self.ID })
+		i := f.successorRank(m, n)
 		if i < 0 {
 			continue
 		}
 		f.pingSilent(membership.Host{ID: r.Holder.ID, PeerAddress: r.Holder.Address}, n)
-		for _, h := range l[:i] {
+		for _, h := range f.view.Successors(viewMember(m), holderCandidates, n)[:i] {
 			f.pingSilent(h, n)
 		}
 	}
@@ -100,7 +95,7 @@
 		if n.After(t) {
 			f.config.Log.Info("member evicted", "member", id)
 			delete(f.evictAt, id)
-			delete(f.members, id)
+			f.removeMember(id)
 		}
 	}
 }
@@ -217,10 +212,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := now()
-	for _, g := range f.groups {
+	for g := range f.replicaReads {
 		s, ok := g.history.Last()
 		r, _, _ := g.Record()
-		if n.Sub(g.lastReplicaRead) > replicaReadWindow || ok && n.Sub(s.At) < positionInterval || g.positionRequest != nil || r.Holder.ID == f.config.Self.ID && ok && n.Sub(s.At) < positionInterval {
+		if n.Sub(g.lastReplicaRead) > replicaReadWindow {
+			delete(f.replicaReads, g)
+			continue
+		}
+		if ok && n.Sub(s.At) < positionInterval || g.positionRequest != nil || r.Holder.ID == f.config.Self.ID && ok && n.Sub(s.At) < positionInterval {
 			continue
 		}
 		f.spawn(func(x context.Context) { f.requestPosition(x, g) })
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -240,8 +240,8 @@
 	n := time.Now()
 	g := f.group(r.Group)
 	var best readTarget
-	for _, m := range f.members {
-		if m.Group != r.Group || m.Draining || tried[m.ID] > 0 {
+	for _, m := range f.groupMembers[r.Group] {
+		if m.Draining || tried[m.ID] > 0 {
 			continue
 		}
 		p, known := f.assumedPrimary(g)
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -195,7 +195,7 @@
 	t, n := time.Now(), now()
 	f.mu.Lock()
 	g := f.group(r.Group)
-	g.lastReplicaRead = n
+	g.lastReplicaRead, f.replicaReads[g] = n, true
 	m, ok := f.members[r.Member]
 	if !ok || m.Group != r.Group || m.Draining || f.draining.Load() {
 		f.mu.Unlock()
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -50,6 +51,40 @@
 	})
 })
 
+// compactedStore has discarded the history before its last change.
+type compactedStore struct {
+	store.Store
+	revision atomic.Uint64
+}
+
+func (s *compactedStore) Range(context.Context, string) ([]store.Item, uint64, error) {
+	r := s.revision.Load()
+	return []store.Item{{Key: "k", Revision: r}}, r, nil
+}
+
+func (s *compactedStore) Watch(x context.Context, _ string, after uint64, _ time.Duration) ([]store.Item, uint64, error) {
+	if after < s.revision.Load() {
+		return nil, 0, &store.CompactedError{After: after}
+	}
+	sleep(x, 10*time.Millisecond)
+	return nil, after, nil
+}
+
+var _ = Describe("a store that has discarded its history", func() {
+	It("is read again as a whole", func() {
+		f := newTestDaemon()
+		s := &compactedStore{}
+		s.revision.Store(3)
+		f.config.Store, f.config.Decoder = s, Decoder{ConfigurationKey: "configuration", MemberPrefix: "members/"}
+		x, stop := context.WithCancel(context.Background())
+		defer stop()
+		f.spawn(func(context.Context) { _ = f.watchStore(x) })
+		Eventually(f.cache.currentRevision, time.Second).Should(BeEquivalentTo(3))
+		s.revision.Store(9)
+		Eventually(f.cache.currentRevision, time.Second).Should(BeEquivalentTo(9))
+	})
+})
+
 var _ = Describe("a call to the store", func() {
 	silent := func(x context.Context) (storeReply, error) {
 		<-x.Done()
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -55,42 +55,35 @@
 // ends.
 func (f *Daemon) watchStore(x context.Context) error {
 	f.awaitSeedCopy(x)
+	reload := false
 	for n := 0; x.Err() == nil; {
+		reload = reload && f.isWatcher() || f.cache.currentRevision() == 0
 		var err error
-		if f.cache.currentRevision() == 0 || n > 0 {
+		if reload {
 			err = f.loadStore(x)
-		}
-		for err == nil {
-			n = 0
+		} else {
 			err = f.watchOnce(x)
 		}
+		if err == nil {
+			if n > 0 {
+				f.config.Log.Info("store updates resumed", "revision", f.cache.currentRevision())
+			}
+			n, reload = 0, false
+			continue
+		}
 		if x.Err() != nil {
 			break
 		}
+		if n == 0 {
+			f.config.Log.Info("store updates interrupted", "error", err, "revision", f.cache.currentRevision())
+		}
+		n++
 		var c *store.CompactedError
-		f.config.Log.Info("store updates interrupted", "error", err, "revision", f.cache.currentRevision(), "failures", n)
-		if errors.As(err, &c) {
+		if errors.As(err, &c) && !reload {
+			reload = true
 			continue
 		}
-		n++
 		sleep(x, backoff(n))
-		for x.Err() == nil && f.cache.currentRevision() > 0 {
-			if err = f.watchOnce(x); err == nil {
-				if n > 0 {
-					f.config.Log.Info("store updates resumed", "revision", f.cache.currentRevision())
-				}
-				n = 0
-				continue
-			}
-			if errors.As(err, &c) {
-				break
-			}
-			if n == 0 {
-				f.config.Log.Info("store updates interrupted", "error", err, "revision", f.cache.currentRevision())
-			}
-			n++
-			sleep(x, backoff(n))
-		}
 	}
 	return nil
 }
@@ -220,7 +213,7 @@
 	}
 	delete(f.evictAt, id)
 	if old != m {
-		f.members[id] = m
+		f.setMember(m)
 		f.config.Log.Info("member updated", "member", id, "group", m.Group, "failure-domain", m.FailureDomain, "draining", m.Draining, "primary", m.Primary, "born", m.StartMillis)
 	}
 }
@@ -289,6 +282,7 @@
 	g := f.group(strings.TrimPrefix(i.Key, groupPrefix))
 	was, rev, _ := g.Record()
 	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: i.Revision, RequestedAt: requested}}, now())
+	f.duties.stale = f.duties.stale || i.Revision > rev
 	if i.Revision > rev {
 		f.config.Log.Info("group record updated", "group", g.name, "revision", i.Revision, "holder", r.Holder.ID, "was", was.Holder.ID, "prior", r.PreviousHolders, "primary", r.Primary, "term", r.Term, "target", r.Target)
 	}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -38,6 +38,9 @@
 	// FailureDomain and Region are the location of the host.
 	FailureDomain string `json:"failure-domain"`
 	Region        string `json:"region"`
+	// Weight is the host's share of the backend servers of its failure domain
+	// relative to other hosts, its processor capacity for example; zero means 1.
+	Weight float64 `json:"weight,omitempty"`
 	// Draining is set while the host drains.
 	Draining bool `json:"leaving,omitempty"`
 }
--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -182,3 +183,45 @@
 		Expect(v.Live(start.Add(11 * time.Second))).To(HaveLen(3))
 	})
 })
+
+var _ = Describe("ownership", func() {
+	It("follows the hosts' weights, and moves only the servers of a host that leaves", func() {
+		var l []membership.Host
+		for i := range 12 {
+			h := membership.Host{ID: "w" + strconv.Itoa(i), Region: "r", FailureDomain: "d"}
+			if i < 2 {
+				h.Weight = 4
+			}
+			l = append(l, h)
+		}
+		t := time.Unix(1000, 0)
+		owners := func(l []membership.Host) map[string]string {
+			v := membership.New(l[0])
+			v.Handle(membership.ListReceived{Hosts: l}, t)
+			o := map[string]string{}
+			for i := range 9000 {
+				m := bundle.Member{Name: "s" + strconv.Itoa(i), Region: "r", FailureDomain: "d"}
+				h, ok := v.Owner(&m, t)
+				Expect(ok).To(BeTrue())
+				o[m.Name] = h.ID
+			}
+			return o
+		}
+		before, count := owners(l), map[string]int{}
+		for _, h := range before {
+			count[h]++
+		}
+		for i, h := range l {
+			want := 500.0
+			if i < 2 {
+				want = 2000
+			}
+			Expect(count[h.ID]).To(BeNumerically("~", want, want/5), h.ID)
+		}
+		for s, h := range owners(l[:11]) {
+			if before[s] != "w11" {
+				Expect(h).To(Equal(before[s]))
+			}
+		}
+	})
+})
--- a/membership/owner.go
+++ b/membership/owner.go
@@ -1,24 +1,13 @@
 package membership
 
 import (
-	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-	"github.com/dgryski/go-rendezvous"
-
 	"github.com/dragonflypick/dragonflypick/bundle"
 )
 
-// hostSet is a set of live hosts over which backend servers are distributed by
-// rendezvous hashing.
-type hostSet struct {
-	hash  *rendezvous.Rendezvous
-	hosts map[string]Host
-}
-
 // Owner returns the host that owns a backend server, or false if no host is
-// live. The owner is selected by rendezvous hashing among the live hosts in the
+// live. The owner is selected by weighted rendezvous hashing among the live hosts in the
 // server's failure domain; if there are none, among those in its region; and if
 // there are none either, among all live hosts.
 func (v *View) Owner(m *bundle.Member, now time.Time) (Host, bool) {
@@ -42,15 +31,7 @@
 	}
 	var o []Host
 	if r, ok := v.lookupHostSet(m); ok {
-		ids := make([]string, 0, len(r.hosts))
-		for id := range r.hosts {
-			ids = append(ids, id)
-		}
-		for len(o) < n && len(ids) > 0 {
-			id := rendezvous.New(ids, xxhash.Sum64String).Lookup(m.Name)
-			o = append(o, r.hosts[id])
-			ids = slices.DeleteFunc(ids, func(x string) bool { return x == id })
-		}
+		o = r.firstN(m.Name, n)
 	}
 	v.successors[k] = o
 	return o
@@ -84,19 +65,14 @@
 	v.invalidate()
 	v.validUntil = v.nextExpiry(now)
 	v.hostSets = map[hostSetKey]*hostSet{}
-	ids := map[hostSetKey][]string{}
 	for _, h := range v.Live(now) {
 		for _, k := range []hostSetKey{{h.Region, h.FailureDomain}, {h.Region, ""}, {}} {
 			if v.hostSets[k] == nil {
-				v.hostSets[k] = &hostSet{hosts: map[string]Host{}}
+				v.hostSets[k] = &hostSet{}
 			}
-			v.hostSets[k].hosts[h.ID] = h
-			ids[k] = append(ids[k], h.ID)
+			v.hostSets[k].add(h)
 		}
 	}
-	for k, r := range v.hostSets {
-		r.hash = rendezvous.New(ids[k], xxhash.Sum64String)
-	}
 }
 
 // nextExpiry returns when the next correction to the list expires, or now plus
@@ -128,7 +104,7 @@
 	if !ok {
 		return Host{}, false
 	}
-	return r.hosts[r.hash.Lookup(m.Name)], true
+	return r.first(m.Name), true
 }
 
 // lookupHostSet returns the nearest hosts to a backend server that are live.
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -59,7 +59,7 @@
 	id := s.Host + "." + uuid.NewString()[:8]
 	c.Log.Info("daemon starting", "host", id, "failure-domain", s.FailureDomain, "region", s.Region, "cores", s.Cores, "memory", s.MemoryBytes)
 	f, err := fleet.New(fleet.Config{
-		Self:       membership.Host{ID: id, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Region: s.Region},
+		Self:       membership.Host{ID: id, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Region: s.Region, Weight: float64(s.Cores) * s.CPUShare},
 		PeerListen: s.PeerListen, Secret: c.Secret, Seeds: s.Seeds, Log: c.Log, LogEvery: c.LogEvery,
 		Store: platform.NewStoreClient(s.StoreAddress), Promoter: platform.NewPromotionClient(s.PromotionAddress),
 		Dialer: platform.MemberDialer{Name: s.Host}, Decoder: newDecoder(s),
