fleet, membership: a host that reaches no holder isn't ready; primaries only by their holder

Meanwhile a host that suspected a primary's holder opened a pool of its own to that primary and closed it at the next tick, again and again.

Change: a host is cut off if every group's holder is silent and may not be taken over from; it is then not ready and closes idle callers' connections, as an isolated host did. A primary whose holder isn't reachable is no target for reads of other hosts. A failed ping doesn't count again for a host whose link has just failed. Host records last 12 s, about as long as a group's lease.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -218,11 +218,26 @@
 		if !ok || id == f.config.Self.ID || !f.isLive(id) || n.Sub(f.lastSeen[id]) < exchangeInterval || n.Sub(f.lastPinged[id]) < suspectCheckInterval {
 			continue
 		}
-		f.lastPinged[id] = n
-		f.spawn(func(x context.Context) { f.pingHost(x, h) })
+		f.startPing(h, n)
 	}
 }
 
+// startPing pings a host, unless that is under way already; f.mu is held.
+func (f *Daemon) startPing(h membership.Host, n time.Time) {
+	if f.pinging[h.ID] {
+		return
+	}
+	f.pinging[h.ID], f.lastPinged[h.ID] = true, n
+	f.spawn(func(x context.Context) {
+		defer func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			delete(f.pinging, h.ID)
+		}()
+		f.pingHost(x, h)
+	})
+}
+
 // pingHost checks whether a host's process still answers, and marks it as not
 // reachable otherwise.
 func (f *Daemon) pingHost(x context.Context, h membership.Host) {
@@ -232,8 +247,14 @@
 	if err == nil {
 		return
 	}
-	f.config.Log.Info("host does not answer", "host", h.ID, "error", err)
-	f.updateView(membership.LinkFailed{ID: h.ID, Ended: peer.ShowsEnd(err)})
+	f.mu.Lock()
+	known := f.isSuspect(h.ID)
+	f.mu.Unlock()
+	f.config.Log.Info("host does not answer", "host", h.ID, "error", err, "known", known)
+	// A failed link has been reported already.
+	if !known {
+		f.updateView(membership.LinkFailed{ID: h.ID, Ended: peer.ShowsEnd(err)})
+	}
 }
 
 // isWatcher reports whether this host watches the store.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -132,8 +132,10 @@
 	// generation overlayGeneration.
 	overlay           gossip.Overlay
 	overlayGeneration uint64
-	// exchanging holds the IDs of the hosts with which an exchange is under way.
+	// exchanging and pinging hold the IDs of the hosts with which an exchange is
+	// under way, and that are being pinged.
 	exchanging map[string]bool
+	pinging    map[string]bool
 	// hostRecords holds the hosts' records in the store, by key.
 	hostRecords map[string]hostRecord
 	// hostLease is the store's lease of this host's record; zero before the first.
@@ -152,7 +154,7 @@
 	f := &Daemon{
 		config: c, cache: newStoreCache(), failed: make(chan error, 1), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
 		members: map[string]catalog.Member{}, groupMembers: map[string][]catalog.Member{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
-		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, hostRecords: map[string]hostRecord{},
+		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 		upstream: upstreamState{currentAt: time.Now()},
 	}
 	var err error
@@ -204,14 +206,34 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.members) > 0 && !f.isolated()
+	return len(f.members) > 0 && !f.cutOff()
 }
 
-// Isolated reports whether this daemon is cut off from all others.
-func (f *Daemon) Isolated() bool {
+// CutOff reports whether this daemon can't serve because it is cut off from all
+// other daemons, or from the holders of all groups.
+func (f *Daemon) CutOff() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.isolated()
+	return f.cutOff()
+}
+
+// cutOff is CutOff; f.mu is held.
+func (f *Daemon) cutOff() bool {
+	if f.isolated() {
+		return true
+	}
+	n, any := time.Now(), false
+	for name := range f.groupMembers {
+		r, _, ok := f.group(name).Record()
+		if !ok || r.Holder.ID == "" {
+			continue
+		}
+		any = true
+		if !f.view.CutOff(r.Holder.ID, n) {
+			return false
+		}
+	}
+	return any
 }
 
 // updateView applies an event to the view of the hosts and logs a change.
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -74,6 +74,52 @@
 		Expect(f.isolated()).To(BeTrue())
 	})
 
+	It("is not ready while it reaches only a few hosts and no group's holder", func() {
+		f := newTestDaemon()
+		l := []membership.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}
+		f.updateView(membership.ListReceived{Hosts: l})
+		f.mu.Lock()
+		f.setMember(catalog.Member{ID: "m", Group: "g"})
+		f.setMember(catalog.Member{ID: "n", Group: "h"})
+		f.mu.Unlock()
+		f.catalog.Store(&catalog.Catalog{})
+		hold := func(group, holder string, rev uint64) {
+			f.applyRecord(store.Item{Key: groupPrefix + group, Value: []byte(`{"holder":{"id":"` + holder + `"}}`), Revision: rev}, time.Time{})
+		}
+		hold("g", "c", 1)
+		hold("h", "d", 2)
+		f.updateView(membership.HostAnswered{ID: "b"})
+		Expect(f.Ready()).To(BeTrue())
+		for _, id := range []string{"c", "e"} {
+			f.updateView(membership.LinkFailed{ID: id})
+		}
+		Expect(f.Ready()).To(BeTrue(), "the holder of h may still be reached")
+		f.updateView(membership.LinkFailed{ID: "d"})
+		f.updateView(membership.HostAnswered{ID: "b"})
+		Expect(f.Ready()).To(BeFalse())
+		hold("h", "a", 3)
+		Expect(f.Ready()).To(BeTrue(), "this host holds h")
+		hold("h", "d", 4)
+		f.updateView(membership.LinkFailed{ID: "d", Ended: true})
+		Expect(f.CutOff()).To(BeFalse(), "the groups of a host that has ended can be taken over")
+	})
+
+	It("doesn't use a primary that another host holds, also while that can't be reached", func() {
+		f := newTestDaemon()
+		f.updateView(membership.ListReceived{Hosts: []membership.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}}})
+		f.mu.Lock()
+		f.setMember(catalog.Member{ID: "m", Group: "g", Primary: true})
+		f.mu.Unlock()
+		f.applyRecord(store.Item{Key: groupPrefix + "g", Value: []byte(`{"holder":{"id":"b"},"primary":"m"}`), Revision: 1}, time.Time{})
+		r := &query.Request{Group: "g", MaxAge: time.Second}
+		c, ok := f.cheapestTarget(r, nil)
+		Expect(ok).To(BeTrue())
+		Expect(c.host.ID).To(Equal("b"))
+		f.updateView(membership.LinkFailed{ID: "b"})
+		_, ok = f.cheapestTarget(r, nil)
+		Expect(ok).To(BeFalse())
+	})
+
 	DescribeTable("discards a primary's reply that arrives after the end of the group's lease", func(r query.Request, want query.Reason) {
 		f := newTestDaemon()
 		g := f.group("g")
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -81,8 +81,7 @@
 	if n.Sub(f.lastSeen[h.ID]) < holderSilence || n.Sub(f.lastPinged[h.ID]) < holderSilence || f.isSuspect(h.ID) {
 		return
 	}
-	f.lastPinged[h.ID] = n
-	f.spawn(func(x context.Context) { f.pingHost(x, h) })
+	f.startPing(h, n)
 }
 
 // evictRemovedMembers evicts the members whose record was removed and not written
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -263,13 +263,17 @@
 	return best, best.member.ID != ""
 }
 
-// ownerOf returns the host that owns a member: the group's holder for a primary
-// if that is live; f.mu is held.
+// ownerOf returns the host that owns a member, for a primary the group's holder. A
+// primary whose holder can't be reached has no owner until it is taken over: no
+// other host may use it. f.mu is held.
 func (f *Daemon) ownerOf(m catalog.Member, primary bool) (membership.Host, bool) {
 	if primary {
 		if h, ok := f.holderHost(m.Group, ""); ok && f.isLive(h.ID) {
 			return h, true
 		}
+		if r, _, ok := f.group(m.Group).Record(); ok && r.Holder.ID != "" && r.Holder.ID != f.config.Self.ID {
+			return membership.Host{}, false
+		}
 	}
 	return f.view.Owner(viewMember(m), time.Now())
 }
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -34,11 +34,12 @@
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
 	// hostLeaseTime is how long the record of this host outlives the process.
-	// It is longer than the store's usual outages. Hosts that fail are noticed by
-	// those that use them.
-	hostLeaseTime = 20 * time.Second
+	// It is longer than the store's usual outages, and about as long as a group's
+	// lease: the groups of a host that reaches neither the store nor the others
+	// are then free.
+	hostLeaseTime = 12 * time.Second
 	// hostLeaseInterval is how often the lease of that record is renewed.
-	hostLeaseInterval = 6 * time.Second
+	hostLeaseInterval = 4 * time.Second
 	// evictDelay is how long a member is kept after its record was removed: a
 	// record that expired while the store was unavailable is back within two
 	// seconds.
--- a/membership/isolation.go
+++ b/membership/isolation.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// CutOff reports whether this host can't reach a host whose leases it may not take
+// over either, since it may itself be the one that has lost its connections.
+func (v *View) CutOff(id string, now time.Time) bool {
+	_, suspect := v.suspects[id]
+	return id != v.self.ID && suspect && !v.TakeoverAllowed(id, now)
+}
+
 // TakeoverAllowed reports whether the leases of a host may be taken over. They
 // may if the host drains, isn't in the view, or has ended.
 //
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -116,20 +116,20 @@
 	return err
 }
 
-// Timing of a daemon that is isolated from all others.
+// Timing of a daemon that is cut off from the others.
 const (
-	// isolationCheckInterval is how often the daemon checks whether it is
-	// isolated.
+	// isolationCheckInterval is how often the daemon checks whether it is cut
+	// off.
 	isolationCheckInterval = 250 * time.Millisecond
-	// isolationTimeout is how long the daemon is isolated before it closes
+	// isolationTimeout is how long the daemon is cut off before it closes
 	// callers' idle connections, and the interval at which it repeats this
-	// while isolated. The callers reconnect through the load balancer, which
+	// while cut off. The callers reconnect through the load balancer, which
 	// removes this daemon after two failed readiness checks, one per second.
 	isolationTimeout = 2500 * time.Millisecond
 )
 
-// closeIdleWhileIsolated closes callers' idle connections while the daemon is
-// isolated from all others.
+// closeIdleWhileIsolated closes callers' idle connections while the daemon is cut
+// off from the others.
 func closeIdleWhileIsolated(x context.Context, c Config, f *fleet.Daemon, k *platform.CallerServer) error {
 	t := time.NewTicker(isolationCheckInterval)
 	defer t.Stop()
@@ -141,11 +141,11 @@
 		case <-t.C:
 		}
 		switch {
-		case !f.Isolated():
+		case !f.CutOff():
 			since = time.Time{}
 		case since.IsZero():
 			since = time.Now()
-			c.Log.Warn("isolated from all other daemons", "callers", k.ConnectionCount())
+			c.Log.Warn("cut off from the other daemons", "callers", k.ConnectionCount())
 		case time.Since(since) > isolationTimeout:
 			c.Log.Info("closing idle caller connections", "callers", k.ConnectionCount())
 			k.CloseIdle()
