fleet: a starting host declines the copy of a daemon that has lost the store

Cause: a starting host takes its copy of the store from a seed, also from one that has been cut off from the store and may still list members that have left. Change: without a copy of its own it declines a stale one until it has tried to read the store in vain. The new spec fails on the code before.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -175,6 +175,10 @@
 		f.config.Log.Debug("exchange failed", "host", h.ID, "error", err)
 		return
 	}
+	if o.Stale && f.cache.currentRevision() == 0 && !f.staleCopyAllowed.Load() {
+		f.config.Log.Info("copy of the store declined", "host", h.ID, "revision", o.Revision, "age-ms", o.Age.Milliseconds())
+		return
+	}
 	for _, h := range o.Hosts {
 		f.updateView(membership.HostDiscovered{Host: h})
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -88,6 +88,9 @@
 	metrics  *metrics
 	catalog  atomic.Pointer[catalog.Catalog]
 	draining atomic.Bool
+	// staleCopyAllowed is set once the store couldn't be read. Before that, a daemon
+	// without a copy doesn't take one that may name members which have left since.
+	staleCopyAllowed atomic.Bool
 	// attempts counts the attempts to open a transaction; each gets its own name
 	// from it.
 	attempts atomic.Uint64
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -13,6 +13,7 @@
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/store"
 	"github.com/dragonflypick/dragonflypick/takeover"
@@ -120,6 +121,21 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	It("starts with the copy of a daemon that has lost the store only if the store can't be read", func() {
+		f, p := newTestDaemon(), newTestDaemon()
+		f.config.Store = &conflictStore{}
+		p.cache.apply(copyUpdate{items: []store.Item{{Key: groupPrefix + "left", Revision: 4}}, revision: 4}, time.Now())
+		x, stop := context.WithCancel(context.Background())
+		defer stop()
+		p.spawn(func(context.Context) { _ = p.node.Run(x) })
+		p.upstream.currentAt = time.Time{}
+		f.exchangeWith(x, peer.SeedHost(p.node.Address()), true)
+		Expect(f.cache.currentRevision()).To(BeZero())
+		f.staleCopyAllowed.Store(true)
+		f.exchangeWith(x, peer.SeedHost(p.node.Address()), true)
+		Expect(f.cache.currentRevision()).To(BeEquivalentTo(4))
+	})
+
 	DescribeTable("discards a primary's reply that arrives after the end of the group's lease", func(r query.Request, want query.Reason) {
 		f := newTestDaemon()
 		g := f.group("g")
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -112,6 +112,7 @@
 	l, r, err := f.config.Store.Range(y, "")
 	if err != nil {
 		f.setWatching(false)
+		f.staleCopyAllowed.Store(true)
 		return err
 	}
 	f.applyItems(f.cache.replace(copyUpdate{items: l, revision: r, currentAt: t}, time.Now()))
