--- a/matrix/fault.go
+++ b/matrix/fault.go
@@ -94,6 +94,7 @@
 		r.promoteConcurrently(p)
 	case DomainCut:
 		w.CutDomain(p.Location.FailureDomain)
+		r.addOutsideCaller(p.Location.FailureDomain)
 	case HostDraining:
 		if o != nil {
 			o.Drain()
@@ -127,6 +128,18 @@
 	r.pushBundlesConcurrently()
 }
 
+// addOutsideCaller adds a caller at a daemon outside of a failure domain that is
+// cut off. Without it all callers may by chance be at daemons inside, which can't
+// serve, and the gap in service would tell nothing about the others.
+func (r *run) addOutsideCaller(domain string) {
+	for _, d := range r.world.Daemons {
+		if d.Alive() && d.Location.FailureDomain != domain {
+			r.world.AddSession(d)
+			return
+		}
+	}
+}
+
 // cutPrimary cuts the primary off from its peers and from all daemons outside
 // its failure domain.
 func (r *run) cutPrimary(p *model.Member) {
--- a/model/session.go
+++ b/model/session.go
@@ -50,6 +50,8 @@
 	token string
 	// lastWrite is the last acknowledged write.
 	lastWrite Statement
+	// fixed keeps the session at its entry while that lives.
+	fixed bool
 	// Paused keeps the session from starting new requests.
 	Paused bool
 	busy   bool
@@ -63,6 +65,13 @@
 	s.scheduleNextRequest()
 }
 
+// AddSession adds a caller that stays connected to a daemon.
+func (w *World) AddSession(d *Daemon) {
+	w.newSession()
+	s := w.Sessions[len(w.Sessions)-1]
+	s.entry, s.fixed = d, true
+}
+
 // Busy reports whether the session waits for an answer.
 func (s *Session) Busy() bool { return s.busy }
 
@@ -93,7 +102,7 @@
 // connectToEntry switches to a random entry if the current one is gone or with
 // the probability entrySwitchProbability; it reports whether there is an entry.
 func (s *Session) connectToEntry() bool {
-	if s.entry != nil && s.entry.alive && !s.entry.draining && s.world.random.Float64() >= entrySwitchProbability {
+	if s.entry != nil && s.entry.alive && !s.entry.draining && (s.fixed || s.world.random.Float64() >= entrySwitchProbability) {
 		return true
 	}
 	var l []*Daemon
