standin/measure: the loss at commit is certain by construction

Cause of 'loses no order on a majority …' failing beside load: the primary was killed one second after replication had stopped, by the clock, and on a busy machine no order was acknowledged in between. Change: at commit the primary is killed once more writes than there are sessions were committed since, some of which must have been acknowledged. The check is unchanged.

--- a/standin/measure/writes.go
+++ b/standin/measure/writes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/standin/cluster"
@@ -14,11 +15,18 @@
 	"github.com/dragonflypick/dragonflypick/standin/load"
 )
 
-// Times and load of the measurement. In a run with a cut, replication stops at
-// cutAt and the primary is killed at killAt, from the start of the load.
+// Times and load of the measurement. In a run with a cut, replication stops cutAt
+// after the start of the load. With a majority the primary is killed killDelay
+// later. At commit it is killed once more writes than there are sessions were
+// committed after replication stopped: each session sends a write only after the
+// answer to the one before, so that some of these writes are acknowledged for sure.
 const (
-	cutAt              = 1 * time.Second
-	killAt             = 2 * time.Second
+	cutAt     = 1 * time.Second
+	killDelay = 1 * time.Second
+	// pullTime is how long a pull of the log that was under way when replication
+	// stopped may take to end.
+	pullTime           = 100 * time.Millisecond
+	commitPollInterval = 5 * time.Millisecond
 	cutDuration        = 4 * time.Second
 	cutOrdersPerSecond = 200
 	busyDuration       = 3 * time.Second
@@ -137,20 +145,13 @@
 	defer s.Stop()
 	g := s.Config.Groups[0]
 	p := s.Primary(g)
-	replication := func(stop bool) {
-		for _, m := range s.Members {
-			if m != p {
-				m.SetFault(database.Fault{StopReplication: stop})
-			}
-		}
-	}
-	b := time.AfterFunc(cutAt, func() { replication(true) })
-	defer b.Stop()
-	e := time.AfterFunc(killAt, func() {
-		p.Kill()
-		replication(false)
+	y, stop := context.WithCancel(x)
+	defer stop()
+	var w errgroup.Group
+	w.Go(func() error {
+		cutAndKill(y, s.Members, p, majority)
+		return nil
 	})
-	defer e.Stop()
 	l := load.Config{
 		User: cluster.CallerName, Password: cluster.CallerPassword, Group: g, Seed: seed,
 		Sessions: loadSessions, Duration: cutDuration, Rates: [bundle.RankCount]float64{cutOrdersPerSecond},
@@ -159,6 +160,8 @@
 		l.Addresses = append(l.Addresses, d.CallerAddress())
 	}
 	r, err := load.Run(x, l)
+	stop()
+	_ = w.Wait()
 	if err != nil {
 		return CutRun{}, err
 	}
@@ -169,6 +172,36 @@
 	}, nil
 }
 
+// cutAndKill stops replication, kills the primary p and lets the replicas go on, or
+// returns when the context ends.
+func cutAndKill(x context.Context, members []*cluster.Member, p *cluster.Member, majority bool) {
+	replication := func(stop bool) {
+		for _, m := range members {
+			if m != p {
+				m.SetFault(database.Fault{StopReplication: stop})
+			}
+		}
+	}
+	if !sleep(x, cutAt) {
+		return
+	}
+	replication(true)
+	if !sleep(x, pullTime) {
+		return
+	}
+	start := p.Status().Position.Offset
+	if majority && !sleep(x, killDelay) {
+		return
+	}
+	for !majority && p.Status().Position.Offset <= start+loadSessions {
+		if !sleep(x, commitPollInterval) {
+			return
+		}
+	}
+	p.Kill()
+	replication(false)
+}
+
 // Print writes the report as text.
 func (r *WriteAcknowledgmentReport) Print(o io.Writer) {
 	var l []Latency
@@ -192,3 +225,15 @@
 	printLatencies(o, l)
 	printTable(o, t)
 }
+
+// sleep waits for d and returns true, or returns false if the context ends first.
+func sleep(x context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-x.Done():
+		return false
+	}
+}
