--- a/bundle/schema_test.go
+++ b/bundle/schema_test.go
@@ -115,8 +115,9 @@
 		Expect(publishedSchema().faults("$", v)).To(BeEmpty())
 	},
 		Entry("loopback", "../examples/loopback.yaml"),
-		Entry("lankaglow", "../command/bundle/initial/lankaglow.yaml"),
-		Entry("muckspread", "../command/bundle/initial/muckspread.yaml"),
+		Entry("small", "../command/bundle/initial/small.yaml"),
+		Entry("medium", "../command/bundle/initial/medium.yaml"),
+		Entry("large", "../command/bundle/initial/large.yaml"),
 	)
 
 	It("rejects a value out of range and an unknown key", func() {
--- a/command/bundle/bundle_test.go
+++ b/command/bundle/bundle_test.go
@@ -39,8 +39,8 @@
 		Expect(os.WriteFile(file(n), []byte(text), 0o600)).To(Succeed())
 		return file(n)
 	}
-	initial := func(user string) string {
-		Expect(run("init", "--for", user)).To(Equal(command.ExitOK))
+	initial := func(size string) string {
+		Expect(run("init", "--size", size)).To(Equal(command.ExitOK))
 		return out.String()
 	}
 
@@ -50,6 +50,7 @@
 		Expect(run(args...)).To(Equal(want))
 		Expect(errs.String()).To(ContainSubstring(message))
 	},
+		Entry("init with an unknown size", command.ExitUsage, "size", "init", "--size", "huge"),
 		Entry("init for an unknown user", command.ExitUsage, "--for must be", "init", "--for", "nobody"),
 		Entry("check without a file", command.ExitUsage, "specify a bundle file", "check"),
 		Entry("check a missing file", command.ExitError, "no such file", "check", "nosuch.yaml"),
@@ -58,8 +59,20 @@
 		Entry("push without keys", command.ExitUsage, "required", "push", "x.json"),
 	)
 
+	DescribeTable("init writes an example that check accepts", func(want string, args ...string) {
+		Expect(run(append([]string{"init"}, args...)...)).To(Equal(command.ExitOK))
+		text := out.String()
+		Expect(text).To(ContainSubstring(want))
+		Expect(run("check", write("b.yaml", text))).To(Equal(command.ExitOK), out.String())
+	},
+		Entry("small without a flag", "one database group"),
+		Entry("medium", "two regions", "--size", "medium"),
+		Entry("large", "more slots", "--size", "large"),
+		Entry("by a former name", "two regions", "--for", "lankaglow"),
+	)
+
 	DescribeTable("check reports the file, line and path of an error", func(from, to, want string) {
-		p := write("b.yaml", strings.Replace(initial("lankaglow"), from, to, 1))
+		p := write("b.yaml", strings.Replace(initial("medium"), from, to, 1))
 		Expect(run("check", p)).To(Equal(command.ExitRefused))
 		Expect(out.String()).To(HavePrefix(p + ":"))
 		Expect(out.String()).To(ContainSubstring(want))
@@ -93,7 +106,7 @@
 			Expect(run("sign", "--author", file("anna.key"), "--approver", file("ops.key"), "--out", file("b.json"), p)).To(Equal(command.ExitOK))
 			return run(append(append([]string{"push"}, trust...), file("b.json"))...)
 		}
-		first := initial("muckspread")
+		first := initial("large")
 		Expect(push(write("1.yaml", first))).To(Equal(command.ExitOK))
 		Expect(run(append([]string{"show"}, trust...)...)).To(Equal(command.ExitOK))
 		Expect(out.String()).To(ContainSubstring("signed by anna and ops"))
--- a/command/bundle/initial/initial.go
+++ b/command/bundle/initial/initial.go
@@ -13,12 +13,17 @@
 // fileMode is the file mode of a bundle file.
 const fileMode = 0o644
 
-//go:embed lankaglow.yaml muckspread.yaml
+//go:embed small.yaml medium.yaml large.yaml
 var examples embed.FS
 
+// sizeByUser maps the values of the former flag --for to sizes.
+var sizeByUser = map[string]string{"lankaglow": "medium", "muckspread": "large"}
+
 // Options are the flags of the command.
 type Options struct {
-	For string `long:"for" required:"true" description:"User whose system sizes the example has: lankaglow or muckspread"`
+	Size string `long:"size" choice:"small" choice:"medium" choice:"large" default:"small" description:"Size of the system that the example describes"`
+	// For is the former name of Size; it is still accepted.
+	For string `long:"for" hidden:"true" description:"Former name of --size"`
 	Out string `long:"out" short:"o" description:"File to write; it must not exist (default: standard output)"`
 
 	factory *factory.Factory
@@ -32,14 +37,18 @@
 	}
 	return &command.Command{
 		Name: "init", Short: "Write a commented example bundle", Options: o,
-		Long:    "Write a commented example bundle with the system sizes of one of the users. Edit it, then run \"bundle check\".",
-		Example: "dragonflypick bundle init --for lankaglow --out bundle.yaml",
+		Long:    "Write a commented example bundle. Edit it, then run \"bundle check\".",
+		Example: "dragonflypick bundle init --out bundle.yaml",
 		Run: func(x context.Context, a []string) error {
 			if len(a) > 0 {
 				return &command.FlagError{Reason: "init takes no arguments"}
 			}
-			if o.For != "lankaglow" && o.For != "muckspread" {
-				return &command.FlagError{Reason: "--for must be lankaglow or muckspread"}
+			if o.For != "" {
+				s, ok := sizeByUser[o.For]
+				if !ok {
+					return &command.FlagError{Reason: "--for must be lankaglow or muckspread; better use --size"}
+				}
+				o.Size = s
 			}
 			return runF(x, o)
 		},
@@ -47,7 +56,7 @@
 }
 
 func initRun(_ context.Context, o *Options) error {
-	t, err := examples.ReadFile(o.For + ".yaml")
+	t, err := examples.ReadFile(o.Size + ".yaml")
 	if err != nil {
 		return err
 	}
