--- a/command/bundle/bundle_test.go
+++ b/command/bundle/bundle_test.go
@@ -50,7 +50,7 @@
 		Expect(run(args...)).To(Equal(want))
 		Expect(errs.String()).To(ContainSubstring(message))
 	},
-		Entry("init with an unknown size", command.ExitUsage, "size", "init", "--size", "huge"),
+		Entry("init with an unknown size", command.ExitUsage, "--size must be", "init", "--size", "huge"),
 		Entry("init for an unknown user", command.ExitUsage, "--for must be", "init", "--for", "nobody"),
 		Entry("check without a file", command.ExitUsage, "specify a bundle file", "check"),
 		Entry("check a missing file", command.ExitError, "no such file", "check", "nosuch.yaml"),
--- a/command/bundle/initial/initial.go
+++ b/command/bundle/initial/initial.go
@@ -5,6 +5,7 @@
 	"context"
 	"embed"
 	"os"
+	"slices"
 
 	"github.com/dragonflypick/dragonflypick/command"
 	"github.com/dragonflypick/dragonflypick/command/factory"
@@ -16,12 +17,15 @@
 //go:embed small.yaml medium.yaml large.yaml
 var examples embed.FS
 
+// sizes are the values of --size, each with an example of that name.
+var sizes = []string{"small", "medium", "large"}
+
 // sizeByUser maps the values of the former flag --for to sizes.
 var sizeByUser = map[string]string{"lankaglow": "medium", "muckspread": "large"}
 
 // Options are the flags of the command.
 type Options struct {
-	Size string `long:"size" choice:"small" choice:"medium" choice:"large" default:"small" description:"Size of the system that the example describes"`
+	Size string `long:"size" default:"small" description:"Size of the system that the example describes: small, medium or large"`
 	// For is the former name of Size; it is still accepted.
 	For string `long:"for" hidden:"true" description:"Former name of --size"`
 	Out string `long:"out" short:"o" description:"File to write; it must not exist (default: standard output)"`
@@ -50,6 +54,9 @@
 				}
 				o.Size = s
 			}
+			if !slices.Contains(sizes, o.Size) {
+				return &command.FlagError{Reason: "--size must be small, medium or large"}
+			}
 			return runF(x, o)
 		},
 	}
--- a/fleet/contain_test.go
+++ b/fleet/contain_test.go
@@ -21,11 +21,13 @@
 var _ = Describe("a panic", func() {
 	It("in one item of the store leaves the others in force", func() {
 		f := newTestDaemon()
-		f.config.Decoder = Decoder{ConfigurationKey: "configuration", MemberPrefix: "members/",
+		f.config.Decoder = Decoder{
+			ConfigurationKey: "configuration", MemberPrefix: "members/",
 			Configuration: func([]byte) (*catalog.Catalog, error) { panic("malformed") },
 			Member: func(string, []byte) (catalog.Member, error) {
 				return catalog.Member{ID: "m", Group: "g"}, nil
-			}}
+			},
+		}
 		f.applyItems([]store.Item{{Key: "configuration", Revision: 1}, {Key: "members/m", Revision: 2}})
 		Expect(f.Catalog()).To(BeNil())
 		Expect(f.members).To(HaveKey("m"))
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -225,18 +225,18 @@
 	if f.isolated() {
 		return true
 	}
-	n, any := time.Now(), false
+	n, held := time.Now(), false
 	for name := range f.groupMembers {
 		r, _, ok := f.group(name).Record()
 		if !ok || r.Holder.ID == "" {
 			continue
 		}
-		any = true
+		held = true
 		if !f.view.CutOff(r.Holder.ID, n) {
 			return false
 		}
 	}
-	return any
+	return held
 }
 
 // updateView applies an event to the view of the hosts and logs a change.
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -6,12 +6,9 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -334,63 +331,6 @@
 	n.dropLink(l)
 }
 
-func (n *Node) dial(h membership.Host) (*session, *jsonrpc2.Conn, error) {
-	c, err := (&net.Dialer{Timeout: dialTimeout}).Dial("tcp", h.PeerAddress)
-	if err != nil {
-		return nil, nil, Error.Wrap(err)
-	}
-	n.mu.Lock()
-	self := n.config.Self
-	n.mu.Unlock()
-	if err := sendHello(c, n.config.Secret, self, expectedID(h)); err != nil {
-		_ = c.Close()
-		return nil, nil, err
-	}
-	s, err := newSession(n.countBytes(c, h.Region), clientSession)
-	if err != nil {
-		_ = c.Close()
-		return nil, nil, err
-	}
-	t, err := s.openStream()
-	if err == nil {
-		_, err = t.Write([]byte{streamControl})
-	}
-	if err != nil {
-		_ = s.Close()
-		return nil, nil, Error.Wrap(err)
-	}
-	d := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
-	})
-	return s, jsonrpc2.NewConn(n.ctx, jsonrpc2.NewPlainObjectStream(t), d, n.logger()), nil
-}
-
-// ShowsEnd reports whether the failure of a call shows that the daemon has ended:
-// its machine refused the connection, or another daemon answered. A running daemon
-// always listens.
-func ShowsEnd(err error) bool {
-	var o *WrongHostError
-	return errors.As(err, &o) || errors.Is(err, syscall.ECONNREFUSED)
-}
-
-// SeedHost returns a host of which only the address is known.
-func SeedHost(address string) membership.Host {
-	return membership.Host{ID: seedPrefix + address, PeerAddress: address}
-}
-
-// seedPrefix is the prefix of the ID of a host of which only the address is
-// known.
-const seedPrefix = "seed:"
-
-// expectedID returns the ID that the daemon at the host's address must have, or
-// "" for any.
-func expectedID(h membership.Host) string {
-	if strings.HasPrefix(h.ID, seedPrefix) {
-		return ""
-	}
-	return h.ID
-}
-
 // logger returns the option that logs the messages of a JSON-RPC connection at
 // debug level.
 func (n *Node) logger() jsonrpc2.ConnOpt {
