--- a/fleet/call.go
+++ b/fleet/call.go
@@ -108,4 +108,3 @@
 	}
 	return o
 }
-
--- a/peer/dial.go
+++ b/peer/dial.go
@@ -69,4 +69,3 @@
 	}
 	return h.ID
 }
-
