fleet: a starting host reads the store instead of waiting for a seed's copy

By the logs hosts time out at peers until 38.5 s: the seeds send the whole copy to all others over links of 2 Mbit/s.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -274,6 +274,3 @@
 	f.upstream.watching = ok
 	f.mu.Unlock()
 }
-
-// isSeed reports whether other daemons contact this one at their start.
-func (f *Daemon) isSeed() bool { return slices.Contains(f.config.Seeds, f.config.Self.PeerAddress) }
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -26,9 +26,6 @@
 	// connection that fails silently delays changes by no more than this, and the
 	// copies of all hosts are older than this by at most their exchanges.
 	watchPollTime = 1500 * time.Millisecond
-	// seedCopyTime is how long a starting host waits for a copy of the store from
-	// the seeds before it reads the store.
-	seedCopyTime = 1200 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the backoff after a failed call,
 	// before jitter.
 	minRetryDelay = 100 * time.Millisecond
@@ -55,7 +52,6 @@
 // watchStore keeps the local copy of the store up to date until the context
 // ends.
 func (f *Daemon) watchStore(x context.Context) error {
-	f.awaitSeedCopy(x)
 	reload := false
 	for n := 0; x.Err() == nil; {
 		reload = reload && f.isWatcher() || f.cache.currentRevision() == 0
@@ -89,20 +85,6 @@
 	return nil
 }
 
-// awaitSeedCopy waits until the exchanges have fetched a copy of the store from a
-// seed, for up to seedCopyTime, so that hosts that start together don't all read
-// the store.
-func (f *Daemon) awaitSeedCopy(x context.Context) {
-	if len(f.config.Seeds) == 0 || f.isSeed() {
-		return
-	}
-	for t := time.Now(); f.cache.currentRevision() == 0 && time.Since(t) < seedCopyTime; {
-		if !sleep(x, watchDelay) {
-			return
-		}
-	}
-}
-
 // loadStore reads all items of the store.
 func (f *Daemon) loadStore(x context.Context) error {
 	y, stop := context.WithTimeout(x, 2*storeTimeout)
