--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -98,7 +98,7 @@
 	g.Go(func() error {
 		return platform.ServeReadiness(y, c.Settings.ReadinessListen, func() bool { return !draining.Load() && f.Ready() })
 	})
-	g.Go(func() error { return closeIdleWhileIsolated(y, c, f, k) })
+	g.Go(func() error { return closeIdleWhileCutOff(y, c, f, k) })
 	g.Go(func() error { return serveMetrics(y, c.Settings.MetricsListen, f) })
 	g.Go(func() error {
 		select {
@@ -118,20 +118,20 @@
 
 // Timing of a daemon that is cut off from the others.
 const (
-	// isolationCheckInterval is how often the daemon checks whether it is cut
+	// cutOffCheckInterval is how often the daemon checks whether it is cut
 	// off.
-	isolationCheckInterval = 250 * time.Millisecond
-	// isolationTimeout is how long the daemon is cut off before it closes
+	cutOffCheckInterval = 250 * time.Millisecond
+	// cutOffTimeout is how long the daemon is cut off before it closes
 	// callers' idle connections, and the interval at which it repeats this
 	// while cut off. The callers reconnect through the load balancer, which
 	// removes this daemon after two failed readiness checks, one per second.
-	isolationTimeout = 2500 * time.Millisecond
+	cutOffTimeout = 2500 * time.Millisecond
 )
 
-// closeIdleWhileIsolated closes callers' idle connections while the daemon is cut
+// closeIdleWhileCutOff closes callers' idle connections while the daemon is cut
 // off from the others.
-func closeIdleWhileIsolated(x context.Context, c Config, f *fleet.Daemon, k *platform.CallerServer) error {
-	t := time.NewTicker(isolationCheckInterval)
+func closeIdleWhileCutOff(x context.Context, c Config, f *fleet.Daemon, k *platform.CallerServer) error {
+	t := time.NewTicker(cutOffCheckInterval)
 	defer t.Stop()
 	var since time.Time
 	for {
@@ -146,7 +146,7 @@
 		case since.IsZero():
 			since = time.Now()
 			c.Log.Warn("cut off from the other daemons", "callers", k.ConnectionCount())
-		case time.Since(since) > isolationTimeout:
+		case time.Since(since) > cutOffTimeout:
 			c.Log.Info("closing idle caller connections", "callers", k.ConnectionCount())
 			k.CloseIdle()
 			since = time.Now()
