--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -184,12 +184,7 @@
 	}
 	// The reply was computed after t, so that the copy was current at t minus Age
 	// or later.
-	u := copyUpdate{items: o.Items, revision: o.Revision, currentAt: t.Add(-o.Age)}
-	if o.Complete {
-		f.applyItems(f.cache.replace(u, time.Now()))
-	} else {
-		f.applyItems(f.cache.apply(u, time.Now()))
-	}
+	f.applyUpdate(copyUpdate{items: o.Items, revision: o.Revision, currentAt: t.Add(-o.Age), complete: o.Complete, source: h.ID})
 	f.checkReportedSuspects(o.Suspects)
 }
 
@@ -261,11 +256,17 @@
 	}
 }
 
-// isWatcher reports whether this host watches the store.
+// isWatcher reports whether this host watches the store, and logs a change.
 func (f *Daemon) isWatcher() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.upstream.shouldWatch(f.currentOverlay(), time.Now())
+	o := f.currentOverlay()
+	w := f.upstream.shouldWatch(o, time.Now())
+	if w != f.watcher {
+		f.watcher = w
+		f.config.Log.Info("store watcher changed", "watches", w, "designated", o.Watches, "copy-age-ms", f.copyAgeMillis())
+	}
+	return w
 }
 
 // setWatching records whether this host's watch of the store succeeds.
--- a/fleet/exchange_test.go
+++ b/fleet/exchange_test.go
@@ -44,7 +44,7 @@
 		t := now()
 		r := lease.Record{Holder: f.selfHolder()}
 		item := store.Item{Key: recordKey(g), Value: []byte(`{"holder":{"id":"a","address":""}}`), Revision: 7}
-		f.applyItems(f.cache.apply(copyUpdate{items: []store.Item{item}, revision: 7}, time.Now()))
+		f.applyUpdate(copyUpdate{items: []store.Item{item}, revision: 7})
 		f.confirmFromCopy(g, t)
 		Expect(g.MaySendWork(t)).To(BeFalse())
 		f.cache.apply(copyUpdate{revision: 7, currentAt: t.Add(-time.Second)}, time.Now())
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -131,6 +131,8 @@
 	lastExecuteReply map[string]time.Time
 	// upstream tells whether this daemon has to watch the store.
 	upstream upstreamState
+	// watcher is the last result of isWatcher.
+	watcher bool
 	// overlay is a cache of the hosts to exchange with, valid for the view's
 	// generation overlayGeneration.
 	overlay           gossip.Overlay
@@ -154,8 +156,9 @@
 // New returns a daemon whose listening socket for other daemons is open.
 func New(c Config) (*Daemon, error) {
 	x, stop := context.WithCancel(context.Background())
+	m := newStoreCache()
 	f := &Daemon{
-		config: c, cache: newStoreCache(), failed: make(chan error, 1), metrics: newMetrics(), ctx: x, stop: stop, view: membership.New(c.Self),
+		config: c, cache: m, failed: make(chan error, 1), metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
 		members: map[string]catalog.Member{}, groupMembers: map[string][]catalog.Member{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 		upstream: upstreamState{currentAt: time.Now()},
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -171,7 +171,7 @@
 		f := newTestDaemon()
 		f.config.Decoder.Configuration = func(b []byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: uint64(b[0])}, nil }
 		for _, v := range []byte{3, 9, 4} {
-			f.applyConfiguration(store.Item{Value: []byte{v}})
+			f.applyConfiguration(store.Item{Value: []byte{v}}, sourceStore)
 		}
 		Expect(f.Catalog().Version).To(Equal(uint64(9)))
 	})
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -15,6 +15,10 @@
 	latency  *prometheus.HistogramVec
 	// storeCalls counts the calls to the store by purpose.
 	storeCalls *prometheus.CounterVec
+	// configurationVersion is the version of the configuration in force.
+	configurationVersion prometheus.Gauge
+	// copyAge is the time since the local copy of the store was known to be current.
+	copyAge prometheus.GaugeFunc
 }
 
 // Purposes of the calls to the store.
@@ -32,7 +36,7 @@
 
 func (m *metrics) countStoreCall(purpose string) { m.storeCalls.WithLabelValues(purpose).Inc() }
 
-func newMetrics() *metrics {
+func newMetrics(c *storeCache) *metrics {
 	return &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_requests_total", Help: "Statements by rank and outcome.",
@@ -44,12 +48,23 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_store_calls_total", Help: "Calls to the platform's store by purpose; host renewals and relayed calls included.",
 		}, []string{"purpose"}),
+		configurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "dragonflypick_configuration_version", Help: "Version of the configuration in force; 0 before the first.",
+		}),
+		copyAge: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "dragonflypick_store_copy_age_seconds", Help: "Time since the local copy of the store was known to contain all changes; -1 if it never was.",
+		}, func() float64 {
+			if d, ok := c.age(now()); ok {
+				return d.Seconds()
+			}
+			return -1
+		}),
 	}
 }
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls)
+	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.copyAge)
 }
 
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
--- a/fleet/storecache.go
+++ b/fleet/storecache.go
@@ -49,8 +49,15 @@
 	// currentAt is when the revision was current, by the boot-time clock, or
 	// earlier. Zero if that isn't known.
 	currentAt time.Time
+	// complete is set if the items are all items of the store.
+	complete bool
+	// source is where the update comes from: sourceStore or a daemon's ID.
+	source string
 }
 
+// sourceStore is the source of the updates that the store itself returned.
+const sourceStore = "store"
+
 // apply applies changes and returns the items that are newer than the copy.
 func (m *storeCache) apply(u copyUpdate, now time.Time) []store.Item {
 	m.mu.Lock()
@@ -123,6 +130,14 @@
 	return u, complete
 }
 
+// age returns the time since the copy was known to contain all changes of the store,
+// or false if it never was.
+func (m *storeCache) age(now time.Time) (time.Duration, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return now.Sub(m.currentAt), !m.currentAt.IsZero()
+}
+
 // item returns an item of the copy, and the time at which the copy was current.
 func (m *storeCache) item(key string) (store.Item, time.Time) {
 	m.mu.Lock()
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -56,6 +56,7 @@
 	for n := 0; x.Err() == nil; {
 		reload = reload && f.isWatcher() || f.cache.currentRevision() == 0
 		var err error
+		started := time.Now()
 		if reload {
 			err = f.loadStore(x)
 		} else {
@@ -63,7 +64,7 @@
 		}
 		if err == nil {
 			if n > 0 {
-				f.config.Log.Info("store updates resumed", "revision", f.cache.currentRevision())
+				f.config.Log.Info("store updates resumed", "revision", f.cache.currentRevision(), "failures", n, "copy-age-ms", f.copyAgeMillis())
 			}
 			n, reload = 0, false
 			continue
@@ -72,7 +73,7 @@
 			break
 		}
 		if n == 0 {
-			f.config.Log.Info("store updates interrupted", "error", err, "revision", f.cache.currentRevision())
+			f.config.Log.Info("store updates interrupted", "error", err, "revision", f.cache.currentRevision(), "pending-ms", time.Since(started).Milliseconds(), "copy-age-ms", f.copyAgeMillis())
 		}
 		n++
 		var c *store.CompactedError
@@ -85,6 +86,16 @@
 	return nil
 }
 
+// copyAgeMillis returns the age of the local copy of the store in milliseconds, or -1
+// if it was never known to be current.
+func (f *Daemon) copyAgeMillis() int64 {
+	d, ok := f.cache.age(now())
+	if !ok {
+		return -1
+	}
+	return d.Milliseconds()
+}
+
 // loadStore reads all items of the store.
 func (f *Daemon) loadStore(x context.Context) error {
 	y, stop := context.WithTimeout(x, 2*storeTimeout)
@@ -97,7 +108,7 @@
 		f.staleCopyAllowed.Store(true)
 		return err
 	}
-	f.applyItems(f.cache.replace(copyUpdate{items: l, revision: r, currentAt: t}, time.Now()))
+	f.applyUpdate(copyUpdate{items: l, revision: r, currentAt: t, complete: true, source: sourceStore})
 	f.setWatching(true)
 	f.config.Log.Info("store read", "revision", r, "items", len(l))
 	return nil
@@ -121,15 +132,27 @@
 	if err != nil {
 		return err
 	}
-	f.applyItems(f.cache.apply(copyUpdate{items: l, revision: r, currentAt: t}, time.Now()))
+	f.applyUpdate(copyUpdate{items: l, revision: r, currentAt: t, source: sourceStore})
 	return nil
 }
 
+// applyUpdate updates the local copy of the store and applies the items that were new
+// to it.
+func (f *Daemon) applyUpdate(u copyUpdate) {
+	l := []store.Item(nil)
+	if u.complete {
+		l = f.cache.replace(u, time.Now())
+	} else {
+		l = f.cache.apply(u, time.Now())
+	}
+	f.applyItems(l, u.source)
+}
+
 // applyItems applies changed items of the store.
-func (f *Daemon) applyItems(l []store.Item) {
+func (f *Daemon) applyItems(l []store.Item, source string) {
 	hosts := false
 	for _, i := range l {
-		f.contain("store item", func() { hosts = f.applyItem(i) || hosts })
+		f.contain("store item", func() { hosts = f.applyItem(i, source) || hosts })
 	}
 	if hosts {
 		f.updateHosts()
@@ -138,10 +161,10 @@
 
 // applyItem applies a changed item of the store, and reports whether it changed a
 // host.
-func (f *Daemon) applyItem(i store.Item) bool {
+func (f *Daemon) applyItem(i store.Item, source string) bool {
 	switch {
 	case i.Key == f.config.Decoder.ConfigurationKey:
-		f.applyConfiguration(i)
+		f.applyConfiguration(i, source)
 	case strings.HasPrefix(i.Key, f.config.Decoder.MemberPrefix):
 		f.applyMember(i)
 	case strings.HasPrefix(i.Key, groupPrefix):
@@ -153,7 +176,7 @@
 }
 
 // applyConfiguration puts a configuration in force if its version is newer.
-func (f *Daemon) applyConfiguration(i store.Item) {
+func (f *Daemon) applyConfiguration(i store.Item, source string) {
 	if i.Removed {
 		return
 	}
@@ -169,7 +192,8 @@
 		return
 	}
 	f.catalog.Store(k)
-	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups))
+	f.metrics.configurationVersion.Set(float64(k.Version))
+	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "revision", i.Revision, "from", source, "copy-age-ms", f.copyAgeMillis())
 }
 
 // applyMember updates a member from its record. A removed member is kept for
