--- a/fleet/contain_test.go
+++ b/fleet/contain_test.go
@@ -28,7 +28,7 @@
 				return catalog.Member{ID: "m", Group: "g"}, nil
 			},
 		}
-		f.applyItems([]store.Item{{Key: "configuration", Revision: 1}, {Key: "members/m", Revision: 2}}, sourceStore)
+		f.applyItems([]store.Item{{Key: "configuration", Revision: 1}, {Key: "members/m", Revision: 2}}, fromStore)
 		Expect(f.Catalog()).To(BeNil())
 		Expect(f.members).To(HaveKey("m"))
 	})
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -10,18 +10,11 @@
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 )
 
 // Timing and limits of exchanges.
 const (
-	// exchangeInterval is the mean delay between two rounds of exchanges.
-	exchangeInterval = 300 * time.Millisecond
-	// firstExchangeInterval is the same for a host that has no copy of the store
-	// yet.
-	firstExchangeInterval = 60 * time.Millisecond
-	// upstreamTimeout is how long no upstream may be up to date before a daemon
-	// watches the store itself: three rounds.
-	upstreamTimeout = 3 * exchangeInterval
 	// maxReportedSuspects is the number of suspects that a reply contains.
 	maxReportedSuspects = 8
 	// suspectCheckInterval is how often a host that another daemon suspects is
@@ -51,38 +44,6 @@
 	Suspects []string `json:"suspects,omitempty"`
 }
 
-// upstreamState tells whether a daemon's copy of the store is kept up to date by
-// others, so that it needn't watch the store itself. It is a pure state machine.
-type upstreamState struct {
-	// watching is set while a watch of this daemon is pending, from its first
-	// success until a failure.
-	watching bool
-	// currentAt is when an upstream last reported that it is up to date.
-	currentAt time.Time
-	// next is the index of the upstream that is asked next. It advances when an
-	// upstream fails or isn't up to date.
-	next int
-}
-
-// shouldWatch reports whether the daemon has to watch the store itself.
-func (s *upstreamState) shouldWatch(o gossip.Overlay, now time.Time) bool {
-	return o.Watches || now.Sub(s.currentAt) > upstreamTimeout
-}
-
-// isStale reports whether others can't rely on this daemon for changes.
-func (s *upstreamState) isStale(now time.Time) bool {
-	return !s.watching && now.Sub(s.currentAt) > upstreamTimeout
-}
-
-// observeUpstream records the result of an exchange with an upstream.
-func (s *upstreamState) observeUpstream(current bool, now time.Time) {
-	if current {
-		s.currentAt = now
-	} else {
-		s.next++
-	}
-}
-
 // currentOverlay returns the hosts that this daemon exchanges with; f.mu is held.
 func (f *Daemon) currentOverlay() gossip.Overlay {
 	t := time.Now()
@@ -96,17 +57,17 @@
 // ends: from an upstream and from a neighbor in each round, and every other round
 // from a host that is suspected, which may be back.
 func (f *Daemon) runExchange(x context.Context) error {
-	for n := 0; sleep(x, f.exchangeDelay()); n++ {
+	for n := 0; sleep(x, storecopy.ExchangeDelay(f.copy.Revision() > 0, nil)); n++ {
 		f.mu.Lock()
 		o := f.currentOverlay()
 		var suspects []membership.Host
 		if n%2 == 0 {
 			suspects = f.view.Suspects(time.Now())
 		}
-		next := f.upstream.next
+		u, ok := f.source.Upstream(o)
 		f.mu.Unlock()
-		if len(o.Upstreams) > 0 {
-			f.startExchange(o.Upstreams[next%len(o.Upstreams)], true)
+		if ok {
+			f.startExchange(u, true)
 		}
 		for _, l := range [][]membership.Host{o.Neighbors, suspects} {
 			if len(l) > 0 {
@@ -120,16 +81,6 @@
 	return nil
 }
 
-// exchangeDelay returns the delay before the next round. A host without a copy of
-// the store can't serve, so that it asks more often.
-func (f *Daemon) exchangeDelay() time.Duration {
-	d := exchangeInterval
-	if f.cache.currentRevision() == 0 {
-		d = firstExchangeInterval
-	}
-	return d/2 + rand.N(d)
-}
-
 // randomSeed returns the address of a seed other than this host.
 func (f *Daemon) randomSeed() (string, bool) {
 	l := slices.DeleteFunc(slices.Clone(f.config.Seeds), func(s string) bool { return s == f.config.Self.PeerAddress })
@@ -165,17 +116,17 @@
 	defer stop()
 	t := now()
 	var o exchangeReply
-	err := f.node.Call(y, h, methodExchange, exchangeParams{Revision: f.cache.currentRevision()}, &o)
+	err := f.node.Call(y, h, methodExchange, exchangeParams{Revision: f.copy.Revision()}, &o)
 	if upstream {
 		f.mu.Lock()
-		f.upstream.observeUpstream(err == nil && !o.Stale && o.Revision > 0, time.Now())
+		f.source.UpstreamAsked(err == nil && !o.Stale && o.Revision > 0, time.Now())
 		f.mu.Unlock()
 	}
 	if err != nil {
 		f.config.Log.Debug("exchange failed", "host", h.ID, "error", err)
 		return
 	}
-	if o.Stale && f.cache.currentRevision() == 0 && !f.staleCopyAllowed.Load() {
+	if o.Stale && f.copy.Revision() == 0 && !f.staleCopyAllowed.Load() {
 		f.config.Log.Info("copy of the store declined", "host", h.ID, "revision", o.Revision, "age-ms", o.Age.Milliseconds())
 		return
 	}
@@ -184,19 +135,19 @@
 	}
 	// The reply was computed after t, so that the copy was current at t minus Age
 	// or later.
-	f.applyUpdate(copyUpdate{items: o.Items, revision: o.Revision, currentAt: t.Add(-o.Age), complete: o.Complete, source: h.ID})
+	f.applyUpdate(storecopy.Update{Items: o.Items, Revision: o.Revision, CurrentAt: t.Add(-o.Age), Complete: o.Complete}, h.ID)
 	f.checkReportedSuspects(o.Suspects)
 }
 
 // answerExchange returns what changed after the requested revision.
 func (f *Daemon) answerExchange(p exchangeParams) exchangeReply {
-	u, complete := f.cache.changesSince(p.Revision)
+	u := f.copy.ChangesSince(p.Revision)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := time.Now()
+	n, age := time.Now(), now().Sub(u.CurrentAt)
 	o := exchangeReply{
-		Revision: u.revision, Items: u.items, Complete: complete, Hosts: f.view.UnlistedHosts(n),
-		Age: now().Sub(u.currentAt), Stale: f.upstream.isStale(n),
+		Revision: u.Revision, Items: u.Items, Complete: u.Complete, Hosts: f.view.UnlistedHosts(n),
+		Age: age, Stale: f.source.IsStale(f.currentOverlay(), age, n),
 	}
 	for _, h := range f.view.Suspects(n) {
 		if f.view.IsSuspect(h.ID, n) && len(o.Suspects) < maxReportedSuspects {
@@ -214,7 +165,7 @@
 	n := time.Now()
 	for _, id := range l {
 		h, ok := f.view.Host(id)
-		if !ok || id == f.config.Self.ID || !f.isLive(id) || n.Sub(f.lastSeen[id]) < exchangeInterval || n.Sub(f.lastPinged[id]) < suspectCheckInterval {
+		if !ok || id == f.config.Self.ID || !f.isLive(id) || n.Sub(f.lastSeen[id]) < storecopy.ExchangeInterval || n.Sub(f.lastPinged[id]) < suspectCheckInterval {
 			continue
 		}
 		f.startPing(h, n)
@@ -261,7 +212,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o := f.currentOverlay()
-	w := f.upstream.shouldWatch(o, time.Now())
+	age, _ := f.copy.Age(now())
+	w := f.source.ShouldWatch(o, age, time.Now())
 	if w != f.watcher {
 		f.watcher = w
 		f.config.Log.Info("store watcher changed", "watches", w, "designated", o.Watches, "copy-age-ms", f.copyAgeMillis())
@@ -272,6 +224,6 @@
 // setWatching records whether this host's watch of the store succeeds.
 func (f *Daemon) setWatching(ok bool) {
 	f.mu.Lock()
-	f.upstream.watching = ok
+	f.source.WatchEnded(ok)
 	f.mu.Unlock()
 }
--- a/fleet/exchange_test.go
+++ b/fleet/exchange_test.go
@@ -6,29 +6,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/dragonflypick/dragonflypick/gossip"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 )
 
 var _ = Describe("exchange", func() {
-	It("lets a host watch the store once none of its upstreams is up to date", func() {
-		t := time.Now()
-		s := upstreamState{currentAt: t}
-		o := gossip.Overlay{Upstreams: []membership.Host{{ID: "a"}, {ID: "b"}}}
-		Expect(s.shouldWatch(o, t.Add(upstreamTimeout))).To(BeFalse())
-		Expect(s.shouldWatch(gossip.Overlay{Watches: true}, t)).To(BeTrue())
-		s.observeUpstream(false, t.Add(time.Second))
-		Expect(s.next).To(Equal(1))
-		Expect(s.shouldWatch(o, t.Add(time.Second))).To(BeTrue())
-		Expect(s.isStale(t.Add(time.Second))).To(BeTrue())
-		s.watching = true
-		Expect(s.isStale(t.Add(time.Second))).To(BeFalse())
-		s.observeUpstream(true, t.Add(time.Second))
-		Expect(s.shouldWatch(o, t.Add(time.Second))).To(BeFalse())
-	})
-
 	It("counts only the newest record of an address", func() {
 		host := func(id, address string) membership.Host { return membership.Host{ID: id, PeerAddress: address} }
 		l := runningHosts(map[string]hostRecord{
@@ -44,10 +28,10 @@
 		t := now()
 		r := lease.Record{Holder: f.selfHolder()}
 		item := store.Item{Key: recordKey(g), Value: []byte(`{"holder":{"id":"a","address":""}}`), Revision: 7}
-		f.applyUpdate(copyUpdate{items: []store.Item{item}, revision: 7})
+		f.applyUpdate(storecopy.Update{Items: []store.Item{item}, Revision: 7}, fromStore)
 		f.confirmFromCopy(g, t)
 		Expect(g.MaySendWork(t)).To(BeFalse())
-		f.cache.apply(copyUpdate{revision: 7, currentAt: t.Add(-time.Second)}, time.Now())
+		f.copy.Apply(storecopy.Update{Revision: 7, CurrentAt: t.Add(-time.Second)}, time.Now())
 		f.confirmFromCopy(g, t)
 		Expect(g.ConfirmDue(t)).To(BeFalse())
 		Expect(g.ConfirmDue(t.Add(lease.ConfirmInterval - time.Second))).To(BeTrue())
@@ -57,7 +41,7 @@
 		By("not once another record is known")
 		r.Epoch, r.Holder.ID = 2, "b"
 		f.applyRecord(store.Item{Key: recordKey(g), Value: []byte(`{"holder":{"id":"b"},"epoch":2}`), Revision: 8}, time.Time{})
-		f.cache.apply(copyUpdate{revision: 7, currentAt: t}, time.Now())
+		f.copy.Apply(storecopy.Update{Revision: 7, CurrentAt: t}, time.Now())
 		f.confirmFromCopy(g, t)
 		Expect(g.confirmedAt).To(Equal(at))
 	})
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"github.com/dragonflypick/dragonflypick/pool"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 )
 
 // Error is the class of all failures of this package.
@@ -84,7 +85,7 @@
 type Daemon struct {
 	config   Config
 	node     *peer.Node
-	cache    *storeCache
+	copy     *storecopy.Copy
 	metrics  *metrics
 	catalog  atomic.Pointer[catalog.Catalog]
 	draining atomic.Bool
@@ -129,8 +130,8 @@
 	lastPinged map[string]time.Time
 	// lastExecuteReply is when each host last answered a call of methodExecute.
 	lastExecuteReply map[string]time.Time
-	// upstream tells whether this daemon has to watch the store.
-	upstream upstreamState
+	// source tells whether this daemon has to watch the store.
+	source *storecopy.Source
 	// watcher is the last result of isWatcher.
 	watcher bool
 	// overlay is a cache of the hosts to exchange with, valid for the view's
@@ -156,12 +157,12 @@
 // New returns a daemon whose listening socket for other daemons is open.
 func New(c Config) (*Daemon, error) {
 	x, stop := context.WithCancel(context.Background())
-	m := newStoreCache()
+	m := storecopy.New()
 	f := &Daemon{
-		config: c, cache: m, failed: make(chan error, 1), metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
+		config: c, copy: m, failed: make(chan error, 1), metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
 		members: map[string]catalog.Member{}, groupMembers: map[string][]catalog.Member{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
-		upstream: upstreamState{currentAt: time.Now()},
+		source: storecopy.NewSource(time.Now()),
 	}
 	var err error
 	f.node, err = peer.New(peer.Config{
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -121,17 +122,17 @@
 	It("starts with the copy of a daemon that has lost the store only if the store can't be read", func() {
 		f, p := newTestDaemon(), newTestDaemon()
 		f.config.Store = &conflictStore{}
-		p.cache.apply(copyUpdate{items: []store.Item{{Key: groupPrefix + "left", Revision: 4}}, revision: 4}, time.Now())
+		p.copy.Apply(storecopy.Update{Items: []store.Item{{Key: groupPrefix + "left", Revision: 4}}, Revision: 4}, time.Now())
 		x, stop := context.WithCancel(context.Background())
 		defer stop()
 		p.spawn(func(context.Context) { _ = p.node.Run(x) })
-		p.upstream.currentAt = time.Time{}
+		p.source = storecopy.NewSource(time.Time{})
 		f.exchangeWith(x, peer.SeedHost(p.node.Address()), true)
-		Expect(f.cache.currentRevision()).To(BeZero())
+		Expect(f.copy.Revision()).To(BeZero())
 		f.staleCopyAllowed.Store(true)
 		Eventually(func() uint64 {
 			f.exchangeWith(x, peer.SeedHost(p.node.Address()), true)
-			return f.cache.currentRevision()
+			return f.copy.Revision()
 		}, 10*time.Second).Should(BeEquivalentTo(4))
 	})
 
@@ -171,66 +172,12 @@
 		f := newTestDaemon()
 		f.config.Decoder.Configuration = func(b []byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: uint64(b[0])}, nil }
 		for _, v := range []byte{3, 9, 4} {
-			f.applyConfiguration(store.Item{Value: []byte{v}}, sourceStore)
+			f.applyConfiguration(store.Item{Value: []byte{v}}, fromStore)
 		}
 		Expect(f.Catalog().Version).To(Equal(uint64(9)))
 	})
 })
 
-var _ = Describe("store cache", func() {
-	item := func(key string, rev uint64) store.Item { return store.Item{Key: key, Revision: rev} }
-
-	It("returns only items that are newer than its own, and the changes that another copy lacks", func() {
-		m, n, t := newStoreCache(), newStoreCache(), time.Now()
-		apply := func(m *storeCache, rev uint64, l ...store.Item) []store.Item {
-			return m.apply(copyUpdate{items: l, revision: rev}, t)
-		}
-		Expect(apply(m, 3, item("a", 2), item("b", 3))).To(HaveLen(2))
-		Expect(apply(m, 3, item("a", 2))).To(BeEmpty())
-		Expect(apply(m, 5, store.Item{Key: "b", Revision: 5, Removed: true})).To(HaveLen(1))
-		u, _ := m.changesSince(n.currentRevision())
-		n.apply(u, t)
-		Expect(n.currentRevision()).To(Equal(uint64(5)))
-		Expect(n.items).To(Equal(m.items))
-		u, _ = m.changesSince(5)
-		Expect(u.items).To(BeEmpty())
-	})
-
-	It("treats keys missing from a complete listing as removed, except newer ones", func() {
-		m, t := newStoreCache(), time.Now()
-		m.apply(copyUpdate{items: []store.Item{item("a", 2), item("b", 9)}, revision: 9}, t)
-		o := m.replace(copyUpdate{items: []store.Item{item("c", 4)}, revision: 7}, t)
-		Expect(o).To(ConsistOf(item("c", 4), store.Item{Key: "a", Revision: 7, Removed: true}))
-		Expect(m.items["b"].Removed).To(BeFalse())
-	})
-
-	It("sends a complete copy to a daemon that has missed removals which are no longer kept", func() {
-		m, n, t := newStoreCache(), newStoreCache(), time.Now()
-		m.apply(copyUpdate{items: []store.Item{item("left", 1), item("stays", 2)}, revision: 2}, t)
-		u, _ := m.changesSince(0)
-		n.apply(u, t)
-		m.apply(copyUpdate{items: []store.Item{{Key: "left", Revision: 3, Removed: true}}, revision: 3}, t)
-		m.apply(copyUpdate{items: []store.Item{item("new", 4)}, revision: 4}, t.Add(2*tombstoneTime))
-		u, complete := m.changesSince(n.currentRevision())
-		Expect(complete).To(BeTrue())
-		n.replace(u, t.Add(2*tombstoneTime))
-		Expect(n.items["left"].Removed).To(BeTrue())
-		Expect(n.items).To(HaveKey("stays"))
-		Expect(n.items).To(HaveKey("new"))
-		_, complete = m.changesSince(4)
-		Expect(complete).To(BeFalse())
-	})
-
-	It("is as current as the most current copy that it has followed", func() {
-		m, t := newStoreCache(), now()
-		m.apply(copyUpdate{revision: 4, currentAt: t}, time.Now())
-		m.apply(copyUpdate{revision: 3, currentAt: t.Add(-time.Second)}, time.Now())
-		m.apply(copyUpdate{revision: 4}, time.Now())
-		_, at := m.item("a")
-		Expect(at).To(Equal(t))
-	})
-})
-
 var _ = Describe("load", func() {
 	t := time.Now()
 	It("assumes for positionMaxAge that a member lacks positions beyond the reported one", func() {
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -125,7 +125,7 @@
 	if !ok || r.Holder.ID != f.config.Self.ID {
 		return
 	}
-	i, at := f.cache.item(recordKey(g))
+	i, at := f.copy.Item(recordKey(g))
 	if i.Revision == rev && at.After(g.confirmedAt) {
 		g.confirmedAt = at
 		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: rev, RequestedAt: at}}, t)
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -11,6 +11,7 @@
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -43,7 +44,7 @@
 	switch {
 	case err != nil:
 		f.config.Log.Warn("group record write failed", "group", g.name, "error", err)
-		sleep(x, backoff(1))
+		sleep(x, storecopy.Backoff(1, nil))
 		f.confirmRecord(x, g)
 		return false
 	case o.Conflict == nil:
@@ -107,7 +108,7 @@
 	r, rev := g.TransferRecord(lease.Holder{ID: h.ID, Address: h.PeerAddress}, now())
 	f.mu.Unlock()
 	if !ok || h.ID == f.config.Self.ID {
-		sleep(x, backoff(1))
+		sleep(x, storecopy.Backoff(1, nil))
 		return
 	}
 	f.config.Log.Info("group lease transfer requested", "group", g.name, "to", h.ID, "revision", rev)
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 )
 
 // metrics counts requests by outcome and measures their latency.
@@ -36,7 +37,7 @@
 
 func (m *metrics) countStoreCall(purpose string) { m.storeCalls.WithLabelValues(purpose).Inc() }
 
-func newMetrics(c *storeCache) *metrics {
+func newMetrics(c *storecopy.Copy) *metrics {
 	return &metrics{
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_requests_total", Help: "Statements by rank and outcome.",
@@ -54,7 +55,7 @@
 		copyAge: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "dragonflypick_store_copy_age_seconds", Help: "Time since the local copy of the store was known to contain all changes; -1 if it never was.",
 		}, func() float64 {
-			if d, ok := c.age(now()); ok {
+			if d, ok := c.Age(now()); ok {
 				return d.Seconds()
 			}
 			return -1
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/staleness"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -140,7 +141,7 @@
 	_, term = g.Primary()
 	f.mu.Unlock()
 	if !ok {
-		sleep(x, backoff(1))
+		sleep(x, storecopy.Backoff(1, nil))
 		return
 	}
 	f.config.Log.Info("primary replaced", "group", g.name, "member", n.Member.ID, "term", term, "was", old, "took-ms", now().Sub(t).Milliseconds())
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -79,9 +79,9 @@
 		x, stop := context.WithCancel(context.Background())
 		defer stop()
 		f.spawn(func(context.Context) { _ = f.watchStore(x) })
-		Eventually(f.cache.currentRevision, 5*time.Second).Should(BeEquivalentTo(3))
+		Eventually(f.copy.Revision, 5*time.Second).Should(BeEquivalentTo(3))
 		s.revision.Store(9)
-		Eventually(f.cache.currentRevision, 5*time.Second).Should(BeEquivalentTo(9))
+		Eventually(f.copy.Revision, 5*time.Second).Should(BeEquivalentTo(9))
 	})
 })
 
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -12,6 +11,7 @@
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -19,17 +19,6 @@
 const (
 	// storeTimeout bounds a call other than a watch.
 	storeTimeout = 1500 * time.Millisecond
-	// watchDelay is the delay between two watches, so that changes shortly after
-	// one another cost one call.
-	watchDelay = 60 * time.Millisecond
-	// watchPollTime is how long the store holds a watch without changes. A
-	// connection that fails silently delays changes by no more than this, and the
-	// copies of all hosts are older than this by at most their exchanges.
-	watchPollTime = 1500 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the backoff after a failed call,
-	// before jitter.
-	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = time.Second
 	// hostLeaseTime is how long the record of this host outlives the process.
 	// It is longer than the store's usual outages, and about as long as a group's
 	// lease: the groups of a host that reaches neither the store nor the others
@@ -43,18 +32,12 @@
 	evictDelay = 2500 * time.Millisecond
 )
 
-// backoff returns the delay after the given number of failures, with jitter.
-func backoff(n int) time.Duration {
-	d := min(minRetryDelay<<min(n, 10), maxRetryDelay)
-	return d/2 + rand.N(d)
-}
-
 // watchStore keeps the local copy of the store up to date until the context
 // ends.
 func (f *Daemon) watchStore(x context.Context) error {
 	reload := false
 	for n := 0; x.Err() == nil; {
-		reload = reload && f.isWatcher() || f.cache.currentRevision() == 0
+		reload = reload && f.isWatcher() || f.copy.Revision() == 0
 		var err error
 		started := time.Now()
 		if reload {
@@ -64,7 +47,7 @@
 		}
 		if err == nil {
 			if n > 0 {
-				f.config.Log.Info("store updates resumed", "revision", f.cache.currentRevision(), "failures", n, "copy-age-ms", f.copyAgeMillis())
+				f.config.Log.Info("store updates resumed", "revision", f.copy.Revision(), "failures", n, "copy-age-ms", f.copyAgeMillis())
 			}
 			n, reload = 0, false
 			continue
@@ -73,7 +56,7 @@
 			break
 		}
 		if n == 0 {
-			f.config.Log.Info("store updates interrupted", "error", err, "revision", f.cache.currentRevision(), "pending-ms", time.Since(started).Milliseconds(), "copy-age-ms", f.copyAgeMillis())
+			f.config.Log.Info("store updates interrupted", "error", err, "revision", f.copy.Revision(), "pending-ms", time.Since(started).Milliseconds(), "copy-age-ms", f.copyAgeMillis())
 		}
 		n++
 		var c *store.CompactedError
@@ -81,7 +64,7 @@
 			reload = true
 			continue
 		}
-		sleep(x, backoff(n))
+		sleep(x, storecopy.Backoff(n, nil))
 	}
 	return nil
 }
@@ -89,7 +72,7 @@
 // copyAgeMillis returns the age of the local copy of the store in milliseconds, or -1
 // if it was never known to be current.
 func (f *Daemon) copyAgeMillis() int64 {
-	d, ok := f.cache.age(now())
+	d, ok := f.copy.Age(now())
 	if !ok {
 		return -1
 	}
@@ -108,7 +91,7 @@
 		f.staleCopyAllowed.Store(true)
 		return err
 	}
-	f.applyUpdate(copyUpdate{items: l, revision: r, currentAt: t, complete: true, source: sourceStore})
+	f.applyUpdate(storecopy.Update{Items: l, Revision: r, CurrentAt: t, Complete: true}, fromStore)
 	f.setWatching(true)
 	f.config.Log.Info("store read", "revision", r, "items", len(l))
 	return nil
@@ -117,42 +100,41 @@
 // watchOnce waits for the next changes of the store and applies them. On a host
 // that doesn't watch the store it only waits: exchanges fetch the changes there.
 func (f *Daemon) watchOnce(x context.Context) error {
-	if !sleep(x, watchDelay) {
+	if !sleep(x, storecopy.WatchDelay) {
 		return Error.Wrap(x.Err())
 	}
 	if !f.isWatcher() {
 		f.setWatching(false)
-		sleep(x, watchDelay)
+		sleep(x, storecopy.WatchDelay)
 		return nil
 	}
 	t := now()
 	f.metrics.countStoreCall(purposeWatch)
-	l, r, err := f.config.Store.Watch(x, "", f.cache.currentRevision(), watchPollTime)
+	y, stop := context.WithTimeout(x, storecopy.WatchTimeout)
+	defer stop()
+	l, r, err := f.config.Store.Watch(y, "", f.copy.Revision(), storecopy.WatchPollTime)
 	f.setWatching(err == nil)
 	if err != nil {
 		return err
 	}
-	f.applyUpdate(copyUpdate{items: l, revision: r, currentAt: t, source: sourceStore})
+	f.applyUpdate(storecopy.Update{Items: l, Revision: r, CurrentAt: t}, fromStore)
 	return nil
 }
 
+// fromStore is where an update comes from that the store itself returned, in logs.
+const fromStore = "store"
+
 // applyUpdate updates the local copy of the store and applies the items that were new
-// to it.
-func (f *Daemon) applyUpdate(u copyUpdate) {
-	l := []store.Item(nil)
-	if u.complete {
-		l = f.cache.replace(u, time.Now())
-	} else {
-		l = f.cache.apply(u, time.Now())
-	}
-	f.applyItems(l, u.source)
+// to it. from is fromStore or the ID of the daemon that sent the update.
+func (f *Daemon) applyUpdate(u storecopy.Update, from string) {
+	f.applyItems(f.copy.Apply(u, time.Now()), from)
 }
 
 // applyItems applies changed items of the store.
-func (f *Daemon) applyItems(l []store.Item, source string) {
+func (f *Daemon) applyItems(l []store.Item, from string) {
 	hosts := false
 	for _, i := range l {
-		f.contain("store item", func() { hosts = f.applyItem(i, source) || hosts })
+		f.contain("store item", func() { hosts = f.applyItem(i, from) || hosts })
 	}
 	if hosts {
 		f.updateHosts()
@@ -161,10 +143,10 @@
 
 // applyItem applies a changed item of the store, and reports whether it changed a
 // host.
-func (f *Daemon) applyItem(i store.Item, source string) bool {
+func (f *Daemon) applyItem(i store.Item, from string) bool {
 	switch {
 	case i.Key == f.config.Decoder.ConfigurationKey:
-		f.applyConfiguration(i, source)
+		f.applyConfiguration(i, from)
 	case strings.HasPrefix(i.Key, f.config.Decoder.MemberPrefix):
 		f.applyMember(i)
 	case strings.HasPrefix(i.Key, groupPrefix):
@@ -176,7 +158,7 @@
 }
 
 // applyConfiguration puts a configuration in force if its version is newer.
-func (f *Daemon) applyConfiguration(i store.Item, source string) {
+func (f *Daemon) applyConfiguration(i store.Item, from string) {
 	if i.Removed {
 		return
 	}
@@ -193,7 +175,7 @@
 	}
 	f.catalog.Store(k)
 	f.metrics.configurationVersion.Set(float64(k.Version))
-	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "revision", i.Revision, "from", source, "copy-age-ms", f.copyAgeMillis())
+	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "revision", i.Revision, "from", from, "copy-age-ms", f.copyAgeMillis())
 }
 
 // applyMember updates a member from its record. A removed member is kept for
@@ -310,7 +292,7 @@
 		}
 		f.config.Log.Info("host registration failed", "error", err)
 		n++
-		sleep(x, backoff(n))
+		sleep(x, storecopy.Backoff(n, nil))
 	}
 	return nil
 }
--- /dev/null
+++ b/storecopy/copy.go
@@ -0,0 +1,150 @@
+// Package storecopy keeps a daemon's local copy of the platform's store, and decides
+// from where the daemon learns of changes. It does no I/O and reads no clock.
+//
+// Package gossip chooses the daemons that it learns them from.
+package storecopy
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/store"
+)
+
+// TombstoneTime is how long the removal of a key is kept so that it reaches
+// other daemons.
+const TombstoneTime = time.Minute
+
+// Copy is the local copy of the store's items as of a revision. It is safe for
+// concurrent use.
+type Copy struct {
+	mu    sync.Mutex
+	items map[string]store.Item
+	// tombstones holds the time at which each removal of a key was observed.
+	tombstones map[string]time.Time
+	revision   uint64
+	// currentAt is a time at which the copy contained all changes of the store, by
+	// the boot-time clock.
+	currentAt time.Time
+	// prunedRevision is the highest revision of a removal that is no longer kept.
+	prunedRevision uint64
+}
+
+// New returns an empty copy.
+func New() *Copy {
+	return &Copy{items: map[string]store.Item{}, tombstones: map[string]time.Time{}}
+}
+
+// Revision returns the store's revision that the copy reflects; zero before the
+// first update.
+func (c *Copy) Revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
+// Age returns the time since the copy was known to contain all changes of the store,
+// or false if it never was.
+func (c *Copy) Age(now time.Time) (time.Duration, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Sub(c.currentAt), !c.currentAt.IsZero()
+}
+
+// Update is what a daemon learns of the store: the items that changed up to a
+// revision, and a time at which that was all.
+type Update struct {
+	Items    []store.Item
+	Revision uint64
+	// CurrentAt is when the revision was current, by the boot-time clock, or
+	// earlier. Zero if that isn't known.
+	CurrentAt time.Time
+	// Complete is set if the items are all items of the store, read at the revision
+	// or later.
+	Complete bool
+}
+
+// Apply applies an update and returns the items that are newer than the copy. A key
+// missing from a complete update becomes a removal, unless it changed after the
+// update's revision.
+func (c *Copy) Apply(u Update, now time.Time) []store.Item {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if u.Complete {
+		u.Items = append(slices.Clone(u.Items), c.missing(u)...)
+	}
+	var o []store.Item
+	for _, i := range u.Items {
+		if i.Revision <= c.items[i.Key].Revision {
+			continue
+		}
+		c.items[i.Key] = i
+		delete(c.tombstones, i.Key)
+		if i.Removed {
+			c.tombstones[i.Key] = now
+		}
+		o = append(o, i)
+	}
+	c.revision = max(c.revision, u.Revision)
+	// A copy that has reached the other one's revision is as current.
+	if u.CurrentAt.After(c.currentAt) {
+		c.currentAt = u.CurrentAt
+	}
+	c.prune(now)
+	return o
+}
+
+// missing returns the removals of the keys that a complete update doesn't contain;
+// c.mu is held.
+func (c *Copy) missing(u Update) []store.Item {
+	listed := map[string]bool{}
+	for _, i := range u.Items {
+		listed[i.Key] = true
+	}
+	var o []store.Item
+	for k, i := range c.items {
+		if !listed[k] && !i.Removed && i.Revision <= u.Revision {
+			o = append(o, store.Item{Key: k, Revision: u.Revision, Removed: true})
+		}
+	}
+	return o
+}
+
+// prune forgets old removals; c.mu is held.
+func (c *Copy) prune(now time.Time) {
+	for k, t := range c.tombstones {
+		if now.Sub(t) > TombstoneTime {
+			c.prunedRevision = max(c.prunedRevision, c.items[k].Revision)
+			delete(c.tombstones, k)
+			delete(c.items, k)
+		}
+	}
+}
+
+// ChangesSince returns the items that changed after a revision. The update is
+// complete if not all removals since then are known any more.
+func (c *Copy) ChangesSince(revision uint64) Update {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	u := Update{Revision: c.revision, CurrentAt: c.currentAt}
+	if c.revision <= revision {
+		return u
+	}
+	u.Complete = revision > 0 && revision < c.prunedRevision
+	for _, i := range c.items {
+		if u.Complete && !i.Removed || !u.Complete && i.Revision > revision {
+			u.Items = append(u.Items, i)
+		}
+	}
+	slices.SortFunc(u.Items, func(a, b store.Item) int { return cmp.Compare(a.Revision, b.Revision) })
+	return u
+}
+
+// Item returns an item of the copy, and the time at which the copy was current.
+func (c *Copy) Item(key string) (store.Item, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.items[key], c.currentAt
+}
