Failing tests: a pending watch is taken for proof that the store is reached

- standin/cluster, PostgreSQL edge: a bundle pushed after the watchers' connections went silent isn't in force after 11 s; watches last 35 s there.

--- a/standin/cluster/bundle_test.go
+++ b/standin/cluster/bundle_test.go
@@ -128,6 +128,20 @@
 		awaitVersion()
 	})
 
+	It("puts a bundle in force within 11 s although the connections with pending watches have gone silent", func() {
+		f := cluster.DefaultConfig()
+		f.Daemons, f.RelayPlatform = 4, true
+		var err error
+		c, err = cluster.Start(x, f)
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(c.Stop)
+		// The watches of daemons that have a bundle start after 2 s.
+		time.Sleep(4 * time.Second)
+		c.PlatformRelay.Silence()
+		pushNextVersion(nil)
+		Eventually(versions, "11s").Should(HaveEach(c.Bundle.Version))
+	})
+
 	It("keeps a daemon registered when answers to its registration are lost", func() {
 		start(1, 0)
 		for lost := 1; lost <= 2; lost++ {
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -20,6 +20,7 @@
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/standin/database"
 	"github.com/dragonflypick/dragonflypick/standin/kv"
+	"github.com/dragonflypick/dragonflypick/standin/relay"
 )
 
 // Error is the class of all errors of this package.
@@ -73,6 +74,8 @@
 	// AcknowledgeAtCommit acknowledges writes at commit, without waiting for a
 	// majority; for measurements only.
 	AcknowledgeAtCommit bool
+	// RelayPlatform puts a relay between the daemons and the platform.
+	RelayPlatform bool
 }
 
 // DefaultConfig returns the settings of the demo.
@@ -102,16 +105,19 @@
 
 // Cluster is a running system of platform, members and daemons.
 type Cluster struct {
-	Config      Config
-	Platform    *kv.Server
-	Members     []*Member
-	Daemons     []*Daemon
-	Bundle      *bundle.Bundle
-	authorKey   *bundle.Key
-	approverKey *bundle.Key
-	ctx         context.Context
-	stop        context.CancelFunc
-	tasks       *errgroup.Group
+	Config   Config
+	Platform *kv.Server
+	// PlatformRelay forwards the daemons' connections to the platform; nil without
+	// Config.RelayPlatform.
+	PlatformRelay *relay.Relay
+	Members       []*Member
+	Daemons       []*Daemon
+	Bundle        *bundle.Bundle
+	authorKey     *bundle.Key
+	approverKey   *bundle.Key
+	ctx           context.Context
+	stop          context.CancelFunc
+	tasks         *errgroup.Group
 }
 
 // Start runs a cluster and returns when it is ready.
@@ -139,6 +145,12 @@
 		return err
 	}
 	c.tasks.Go(func() error { return c.Platform.Run(c.ctx) })
+	if c.Config.RelayPlatform {
+		c.PlatformRelay, err = relay.Start(relay.Config{Listen: "127.0.0.1:0", Target: c.Platform.Address()})
+		if err != nil {
+			return err
+		}
+	}
 	for _, n := range c.Config.Groups {
 		if err := c.startGroup(n); err != nil {
 			return err
@@ -253,7 +265,7 @@
 	id := "daemon-" + strconv.Itoa(len(c.Daemons)+1)
 	d, err := daemon.New(daemon.Config{
 		Host:         membership.Host{ID: id, Region: c.Config.Region, FailureDomain: c.failureDomain(i)},
-		CallerListen: l, PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", PlatformAddress: c.Platform.Address(),
+		CallerListen: l, PeerListen: "127.0.0.1:0", AdminListen: "127.0.0.1:0", PlatformAddress: c.platformAddress(),
 		Trust: c.trust(), Secret: peerSecret, BackendUser: "dragonflypick", BackendPassword: backendPassword,
 		DrainTimeout: drainTimeout, Log: c.Config.Log.Named(id), Seeds: c.seedAddresses(),
 		AcknowledgeAtCommit: c.Config.AcknowledgeAtCommit,
@@ -271,6 +283,14 @@
 	return r, nil
 }
 
+// platformAddress returns where the daemons reach the platform.
+func (c *Cluster) platformAddress() string {
+	if c.PlatformRelay != nil {
+		return c.PlatformRelay.Address()
+	}
+	return c.Platform.Address()
+}
+
 // seedAddresses returns the peer addresses of the first maxSeeds daemons.
 func (c *Cluster) seedAddresses() []string {
 	var o []string
@@ -361,6 +381,9 @@
 	for _, d := range c.Daemons {
 		<-d.done
 	}
+	if c.PlatformRelay != nil {
+		c.PlatformRelay.Stop()
+	}
 	c.stop()
 	_ = c.tasks.Wait()
 }
