storecopy: a host watches the store once its copy is too old, not once a watch has failed

Cause: whether changes arrive was concluded from calls being under way. A host whose watch was pending counted as up to date until the watch's own time-out; the hosts below it relied on that, waited a further 0.9 s each, and were taken for up to date meanwhile by the hosts below them.

Change: every copy has an age already, the time since it was proved to contain all changes. A host now watches by itself when the age of its copy exceeds what its level of the overlay allows (1.8 s, and 0.5 s a level), asks another upstream when that one's copy is too old, and reports the age instead of the flag 'stale'. The flags 'watching' and 'currentAt' are gone. Watches are held for 0.7 s instead of 1.5 s, so that the age says enough.

New specs: after an outage without answers all hosts have a change within 5 s; calm fleets of 9 to 1,000 hosts call the store from their four watchers only.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -38,8 +38,6 @@
 	Hosts []membership.Host `json:"hosts"`
 	// Age is the time since the daemon's copy was known to be current.
 	Age time.Duration `json:"age"`
-	// Stale is set if neither the daemon nor its upstreams reach the store.
-	Stale bool `json:"stale,omitempty"`
 	// Suspects are the IDs of hosts that don't answer the daemon.
 	Suspects []string `json:"suspects,omitempty"`
 }
@@ -118,15 +116,13 @@
 	var o exchangeReply
 	err := f.node.Call(y, h, methodExchange, exchangeParams{Revision: f.copy.Revision()}, &o)
 	if upstream {
-		f.mu.Lock()
-		f.source.UpstreamAsked(err == nil && !o.Stale && o.Revision > 0, time.Now())
-		f.mu.Unlock()
+		f.observeUpstream(o, err)
 	}
 	if err != nil {
 		f.config.Log.Debug("exchange failed", "host", h.ID, "error", err)
 		return
 	}
-	if o.Stale && f.copy.Revision() == 0 && !f.staleCopyAllowed.Load() {
+	if !storecopy.IsCurrent(o.Age) && f.copy.Revision() == 0 && !f.staleCopyAllowed.Load() {
 		f.config.Log.Info("copy of the store declined", "host", h.ID, "revision", o.Revision, "age-ms", o.Age.Milliseconds())
 		return
 	}
@@ -139,15 +135,26 @@
 	f.checkReportedSuspects(o.Suspects)
 }
 
+// observeUpstream records the result of an exchange with an upstream.
+func (f *Daemon) observeUpstream(o exchangeReply, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil {
+		f.source.UpstreamFailed()
+		return
+	}
+	f.source.UpstreamAnswered(f.currentOverlay(), o.Age)
+}
+
 // answerExchange returns what changed after the requested revision.
 func (f *Daemon) answerExchange(p exchangeParams) exchangeReply {
 	u := f.copy.ChangesSince(p.Revision)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n, age := time.Now(), now().Sub(u.CurrentAt)
+	n := time.Now()
 	o := exchangeReply{
 		Revision: u.Revision, Items: u.Items, Complete: u.Complete, Hosts: f.view.UnlistedHosts(n),
-		Age: age, Stale: f.source.IsStale(f.currentOverlay(), age, n),
+		Age: now().Sub(u.CurrentAt),
 	}
 	for _, h := range f.view.Suspects(n) {
 		if f.view.IsSuspect(h.ID, n) && len(o.Suspects) < maxReportedSuspects {
@@ -212,18 +219,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	o := f.currentOverlay()
-	age, _ := f.copy.Age(now())
-	w := f.source.ShouldWatch(o, age, time.Now())
+	age, ok := f.copy.Age(now())
+	w := !ok || f.source.ShouldWatch(o, age)
 	if w != f.watcher {
 		f.watcher = w
 		f.config.Log.Info("store watcher changed", "watches", w, "designated", o.Watches, "copy-age-ms", f.copyAgeMillis())
 	}
 	return w
 }
-
-// setWatching records whether this host's watch of the store succeeds.
-func (f *Daemon) setWatching(ok bool) {
-	f.mu.Lock()
-	f.source.WatchEnded(ok)
-	f.mu.Unlock()
-}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -131,7 +131,7 @@
 	// lastExecuteReply is when each host last answered a call of methodExecute.
 	lastExecuteReply map[string]time.Time
 	// source tells whether this daemon has to watch the store.
-	source *storecopy.Source
+	source storecopy.Source
 	// watcher is the last result of isWatcher.
 	watcher bool
 	// overlay is a cache of the hosts to exchange with, valid for the view's
@@ -162,7 +162,6 @@
 		config: c, copy: m, failed: make(chan error, 1), metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
 		members: map[string]catalog.Member{}, groupMembers: map[string][]catalog.Member{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
-		source: storecopy.NewSource(time.Now()),
 	}
 	var err error
 	f.node, err = peer.New(peer.Config{
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -126,7 +126,6 @@
 		x, stop := context.WithCancel(context.Background())
 		defer stop()
 		p.spawn(func(context.Context) { _ = p.node.Run(x) })
-		p.source = storecopy.NewSource(time.Time{})
 		f.exchangeWith(x, peer.SeedHost(p.node.Address()), true)
 		Expect(f.copy.Revision()).To(BeZero())
 		f.staleCopyAllowed.Store(true)
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 )
 
 // conflictStore refuses every write with a conflict: the key already holds the
@@ -42,6 +43,7 @@
 			l = append(l, membership.Host{ID: "h" + strconv.Itoa(i), Region: "west", FailureDomain: "west-a"})
 		}
 		f.updateView(membership.ListReceived{Hosts: l})
+		f.copy.Apply(storecopy.Update{Revision: 1, CurrentAt: now()}, time.Now())
 		Expect(f.isWatcher()).To(BeFalse())
 		x, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -87,12 +87,10 @@
 	f.metrics.countStoreCall(purposeLoad)
 	l, r, err := f.config.Store.Range(y, "")
 	if err != nil {
-		f.setWatching(false)
 		f.staleCopyAllowed.Store(true)
 		return err
 	}
 	f.applyUpdate(storecopy.Update{Items: l, Revision: r, CurrentAt: t, Complete: true}, fromStore)
-	f.setWatching(true)
 	f.config.Log.Info("store read", "revision", r, "items", len(l))
 	return nil
 }
@@ -104,7 +102,6 @@
 		return Error.Wrap(x.Err())
 	}
 	if !f.isWatcher() {
-		f.setWatching(false)
 		sleep(x, storecopy.WatchDelay)
 		return nil
 	}
@@ -113,7 +110,6 @@
 	y, stop := context.WithTimeout(x, storecopy.WatchTimeout)
 	defer stop()
 	l, r, err := f.config.Store.Watch(y, "", f.copy.Revision(), storecopy.WatchPollTime)
-	f.setWatching(err == nil)
 	if err != nil {
 		return err
 	}
--- a/gossip/overlay.go
+++ b/gossip/overlay.go
@@ -27,6 +27,9 @@
 type Overlay struct {
 	// Watches is set if the daemon watches the store for its region.
 	Watches bool
+	// Level is the number of hosts that a change passes before it reaches the
+	// daemon, if the upstreams work; zero if Watches is set.
+	Level int
 	// Upstreams are the hosts from which the daemon fetches changes; empty if
 	// Watches is set, or if the daemon is alone.
 	Upstreams []membership.Host
@@ -52,8 +55,10 @@
 		rank++
 	}
 	above := watchers
+	o.Level = 1
 	for start, size := 0, upstreamCount; rank >= start+size; start, size = start+size, size*levelFanout {
 		above = domain[start : start+size]
+		o.Level++
 	}
 	for i := range min(len(above), upstreamCount) {
 		o.Upstreams = append(o.Upstreams, above[(rank+i)%len(above)])
--- a/storecopy/simulation_test.go
+++ b/storecopy/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -48,8 +49,9 @@
 	hosts  map[string]*simulatedHost
 	list   []membership.Host
 	// changes holds the times of the store's changes; the revision after the i-th
-	// is i+1.
+	// is i+1. waiting are the watches that the store holds.
 	changes []time.Time
+	waiting []*pendingWatch
 	// silent tells whether the store's answers to a host are lost now.
 	silent func(h membership.Host, t time.Time) bool
 	// watches counts the watches that were sent.
@@ -60,7 +62,7 @@
 type simulatedHost struct {
 	host      membership.Host
 	overlay   gossip.Overlay
-	source    *storecopy.Source
+	source    storecopy.Source
 	revision  int
 	currentAt time.Time
 	// learnedAt holds when the host learned of each change.
@@ -78,7 +80,7 @@
 		w.list = append(w.list, membership.Host{ID: "h" + strconv.Itoa(i), FailureDomain: "d" + strconv.Itoa(d), Region: "r" + strconv.Itoa(d*2/domains)})
 	}
 	for _, h := range w.list {
-		k := &simulatedHost{host: h, overlay: gossip.NewOverlay(h, w.list), source: storecopy.NewSource(w.now), currentAt: w.now, learnedAt: map[int]time.Time{}}
+		k := &simulatedHost{host: h, overlay: gossip.NewOverlay(h, w.list), currentAt: w.now, learnedAt: map[int]time.Time{}}
 		w.hosts[h.ID] = k
 		w.after(w.below(storecopy.WatchDelay), func() { w.watch(k) })
 		w.after(w.below(storecopy.ExchangeInterval), func() { w.exchange(k) })
@@ -103,16 +105,16 @@
 	w.now = end
 }
 
-// change changes the store now.
-func (w *simulation) change() { w.changes = append(w.changes, w.now) }
-
-// revisionAt returns the store's revision at a time that has passed.
-func (w *simulation) revisionAt(t time.Time) int {
-	n := 0
-	for n < len(w.changes) && !w.changes[n].After(t) {
-		n++
+// change changes the store now and answers the watches that it holds.
+func (w *simulation) change() {
+	w.changes = append(w.changes, w.now)
+	for _, p := range slices.Clone(w.waiting) {
+		if w.silent(p.host.host, w.now) {
+			p.answered = true
+			continue
+		}
+		w.answerWatch(p)
 	}
-	return n
 }
 
 func (w *simulation) age(h *simulatedHost) time.Duration { return w.now.Sub(h.currentAt) }
@@ -127,25 +129,33 @@
 	}
 }
 
+// pendingWatch is a call that the store holds.
+type pendingWatch struct {
+	host  *simulatedHost
+	after int
+	sent  time.Time
+	// ended is set once the host has the answer or has given the call up.
+	ended bool
+	// answered is set once the store has sent the answer.
+	answered bool
+}
+
 // watch is the loop that watches the store, or waits while others do.
 func (w *simulation) watch(h *simulatedHost) {
 	w.after(storecopy.WatchDelay, func() {
-		if !h.source.ShouldWatch(h.overlay, w.age(h), w.now) {
-			h.source.WatchEnded(false)
+		if !h.source.ShouldWatch(h.overlay, w.age(h)) {
 			h.failures = 0
 			w.after(storecopy.WatchDelay, func() { w.watch(h) })
 			return
 		}
 		w.watches++
-		sent := w.now
-		ended := false
-		w.after(remoteDelay+storeLatency, func() { w.holdWatch(h, h.revision, sent, w.now.Add(storecopy.WatchPollTime), &ended) })
+		p := &pendingWatch{host: h, after: h.revision, sent: w.now}
+		w.after(remoteDelay+storeLatency, func() { w.holdWatch(p) })
 		w.after(storecopy.WatchTimeout, func() {
-			if ended {
+			if p.ended {
 				return
 			}
-			ended = true
-			h.source.WatchEnded(false)
+			p.ended = true
 			h.failures++
 			w.after(storecopy.Backoff(h.failures, w.random), func() { w.watch(h) })
 		})
@@ -154,24 +164,35 @@
 
 // holdWatch is the store's part: it answers when there is a change, or at the end of
 // the poll time.
-func (w *simulation) holdWatch(h *simulatedHost, after int, sent, end time.Time, ended *bool) {
-	if w.silent(h.host, w.now) {
+func (w *simulation) holdWatch(p *pendingWatch) {
+	if w.silent(p.host.host, w.now) {
 		return
 	}
-	if r := w.revisionAt(w.now); r > after || !w.now.Before(end) {
-		w.after(remoteDelay, func() {
-			if *ended || w.silent(h.host, w.now) {
-				return
-			}
-			*ended = true
-			w.apply(h, r, sent)
-			h.source.WatchEnded(true)
-			h.failures = 0
-			w.watch(h)
-		})
+	if len(w.changes) > p.after {
+		w.answerWatch(p)
 		return
 	}
-	w.after(5*time.Millisecond, func() { w.holdWatch(h, after, sent, end, ended) })
+	w.waiting = append(w.waiting, p)
+	w.after(storecopy.WatchPollTime, func() { w.answerWatch(p) })
+}
+
+// answerWatch sends the answer to a watch, unless it was sent before.
+func (w *simulation) answerWatch(p *pendingWatch) {
+	if p.answered {
+		return
+	}
+	p.answered = true
+	w.waiting = slices.DeleteFunc(w.waiting, func(o *pendingWatch) bool { return o == p })
+	r := len(w.changes)
+	w.after(remoteDelay, func() {
+		if p.ended || w.silent(p.host.host, w.now) {
+			return
+		}
+		p.ended = true
+		w.apply(p.host, r, p.sent)
+		p.host.failures = 0
+		w.watch(p.host)
+	})
 }
 
 // exchange is the loop that fetches changes from an upstream and a neighbor.
@@ -193,10 +214,10 @@
 	}
 	sent := w.now
 	w.after(d, func() {
-		revision, age, stale := p.revision, w.age(p), p.source.IsStale(p.overlay, w.age(p), w.now)
+		revision, age := p.revision, w.age(p)
 		w.after(d, func() {
 			if upstream {
-				h.source.UpstreamAsked(!stale, w.now)
+				h.source.UpstreamAnswered(h.overlay, age)
 			}
 			w.apply(h, revision, sent.Add(-age))
 		})
--- a/storecopy/source.go
+++ b/storecopy/source.go
@@ -13,12 +13,20 @@
 	// WatchDelay is the delay between two watches, so that changes shortly after
 	// one another cost one call.
 	WatchDelay = 60 * time.Millisecond
-	// WatchPollTime is how long the store holds a watch without changes. A
-	// connection that fails silently delays changes by no more than this, and the
-	// copies of all hosts are older than this by at most their exchanges.
-	WatchPollTime = 1500 * time.Millisecond
+	// WatchPollTime is how long the store holds a watch without changes.
+	WatchPollTime = 700 * time.Millisecond
 	// WatchTimeout bounds a watch.
 	WatchTimeout = WatchPollTime + 700*time.Millisecond
+	// maxWatcherAge is the age up to which the copy of a watcher counts as kept up
+	// to date. While nothing changes, a watch proves after WatchPollTime what was
+	// current when it was sent, and the next one ends WatchPollTime later; the rest
+	// is for the delay between them and two round trips.
+	maxWatcherAge = 2*WatchPollTime + 400*time.Millisecond
+	// maxLevelAge is the age that each level of the overlay adds: the longest delay
+	// between two exchanges and a round trip.
+	maxLevelAge = 500 * time.Millisecond
+	// maxLevel is the level of the lowest hosts in a fleet of 5,000.
+	maxLevel = 4
 	// ExchangeInterval is the mean delay between two rounds of exchanges.
 	ExchangeInterval = 300 * time.Millisecond
 	// firstExchangeInterval is the same for a host that has no copy of the store
@@ -28,9 +36,6 @@
 	// before jitter.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = time.Second
-	// upstreamTimeout is how long no upstream may be up to date before a daemon
-	// watches the store itself: three rounds.
-	upstreamTimeout = 3 * ExchangeInterval
 )
 
 // Backoff returns the delay after the given number of failed calls in a row, with
@@ -58,36 +63,30 @@
 	return time.Duration(r.Int64N(int64(d)))
 }
 
+// maxAge returns the age up to which the copy of a host at a level of the overlay
+// counts as kept up to date.
+func maxAge(level int) time.Duration { return maxWatcherAge + time.Duration(level)*maxLevelAge }
+
+// IsCurrent reports whether a copy of the given age is kept up to date, at whatever
+// level its host is.
+func IsCurrent(age time.Duration) bool { return age <= maxAge(maxLevel) }
+
 // Source decides whether a daemon's copy of the store is kept up to date by others,
-// or whether it has to watch the store itself. It is not safe for concurrent use.
+// or whether it has to watch the store itself. It goes by the age of the copies alone:
+// a call that is pending or an upstream that answers doesn't show that changes arrive.
+// It is not safe for concurrent use.
 type Source struct {
-	// watching is set while a watch of this daemon is pending, from its first
-	// success until a failure.
-	watching bool
-	// currentAt is when an upstream last reported that it is up to date.
-	currentAt time.Time
 	// next is the index of the upstream that is asked next. It advances when an
-	// upstream fails or isn't up to date.
+	// upstream fails or its copy isn't kept up to date.
 	next int
 }
 
-// NewSource returns the source of a daemon that starts now.
-func NewSource(now time.Time) *Source { return &Source{currentAt: now} }
-
 // ShouldWatch reports whether the daemon has to watch the store itself. age is that
 // of its copy.
-func (s *Source) ShouldWatch(o gossip.Overlay, _ time.Duration, now time.Time) bool {
-	return o.Watches || now.Sub(s.currentAt) > upstreamTimeout
+func (s *Source) ShouldWatch(o gossip.Overlay, age time.Duration) bool {
+	return o.Watches || age > maxAge(o.Level)
 }
 
-// IsStale reports whether others can't rely on this daemon for changes.
-func (s *Source) IsStale(_ gossip.Overlay, _ time.Duration, now time.Time) bool {
-	return !s.watching && now.Sub(s.currentAt) > upstreamTimeout
-}
-
-// WatchEnded records whether this daemon's last watch succeeded.
-func (s *Source) WatchEnded(ok bool) { s.watching = ok }
-
 // Upstream returns the host to fetch changes from next, or false if there is none.
 func (s *Source) Upstream(o gossip.Overlay) (membership.Host, bool) {
 	if len(o.Upstreams) == 0 {
@@ -96,12 +95,12 @@
 	return o.Upstreams[s.next%len(o.Upstreams)], true
 }
 
-// UpstreamAsked records an exchange with an upstream. usable is set if it answered
-// and isn't stale.
-func (s *Source) UpstreamAsked(usable bool, now time.Time) {
-	if usable {
-		s.currentAt = now
-	} else {
+// UpstreamAnswered records an exchange with an upstream whose copy has the given age.
+func (s *Source) UpstreamAnswered(o gossip.Overlay, age time.Duration) {
+	if age > maxAge(o.Level-1) {
 		s.next++
 	}
 }
+
+// UpstreamFailed records an exchange with an upstream that didn't answer.
+func (s *Source) UpstreamFailed() { s.next++ }
--- a/storecopy/source_test.go
+++ b/storecopy/source_test.go
@@ -20,21 +20,27 @@
 }
 
 var _ = Describe("source", func() {
-	It("lets a host watch the store once none of its upstreams is up to date", func() {
-		t := time.Now()
-		s := storecopy.NewSource(t)
-		o := gossip.Overlay{Upstreams: []membership.Host{{ID: "a"}, {ID: "b"}}}
-		Expect(s.ShouldWatch(o, 0, t.Add(3*storecopy.ExchangeInterval))).To(BeFalse())
-		Expect(s.ShouldWatch(gossip.Overlay{Watches: true}, 0, t)).To(BeTrue())
-		s.UpstreamAsked(false, t.Add(time.Second))
-		u, _ := s.Upstream(o)
-		Expect(u.ID).To(Equal("b"))
-		Expect(s.ShouldWatch(o, time.Second, t.Add(time.Second))).To(BeTrue())
-		Expect(s.IsStale(o, time.Second, t.Add(time.Second))).To(BeTrue())
-		s.WatchEnded(true)
-		Expect(s.IsStale(o, 0, t.Add(time.Second))).To(BeFalse())
-		s.UpstreamAsked(true, t.Add(time.Second))
-		Expect(s.ShouldWatch(o, 0, t.Add(time.Second))).To(BeFalse())
+	It("lets a host watch the store once its copy is too old, whatever is pending", func() {
+		s := storecopy.Source{}
+		o := gossip.Overlay{Upstreams: []membership.Host{{ID: "a"}, {ID: "b"}}, Level: 1}
+		Expect(s.ShouldWatch(o, 2300*time.Millisecond)).To(BeFalse())
+		Expect(s.ShouldWatch(o, 2300*time.Millisecond+1)).To(BeTrue())
+		Expect(s.ShouldWatch(gossip.Overlay{Watches: true}, 0)).To(BeTrue())
+	})
+
+	It("asks another upstream once one fails or has a copy that is too old", func() {
+		s := storecopy.Source{}
+		o := gossip.Overlay{Upstreams: []membership.Host{{ID: "a"}, {ID: "b"}}, Level: 1}
+		next := func() string {
+			u, _ := s.Upstream(o)
+			return u.ID
+		}
+		s.UpstreamAnswered(o, 1800*time.Millisecond)
+		Expect(next()).To(Equal("a"))
+		s.UpstreamAnswered(o, 1800*time.Millisecond+1)
+		Expect(next()).To(Equal("b"))
+		s.UpstreamFailed()
+		Expect(next()).To(Equal("a"))
 	})
 })
 
@@ -68,4 +74,37 @@
 		Entry("86 hosts", 86, 6, 6*time.Second, uint64(40)),
 		Entry("195 hosts", 195, 6, 8*time.Second, uint64(10)),
 	)
+
+	DescribeTable("reaches all hosts within 5 s of the end of an outage in which no call was answered", func(n, domains int, seeds uint64) {
+		for seed := range seeds {
+			w := newSimulation(seed, n, domains)
+			start := 3*time.Second + w.below(2*time.Second)
+			end := start + time.Second + w.below(9*time.Second)
+			w.silent = func(_ membership.Host, t time.Time) bool {
+				d := t.Sub(time.Unix(1000, 0))
+				return d >= start && d < end
+			}
+			w.run(end)
+			w.change()
+			w.run(end + 5*time.Second)
+			for _, h := range w.hosts {
+				Expect(h.revision).To(Equal(1), fmt.Sprintf("seed %d: host %s", seed, h.host.ID))
+			}
+		}
+	},
+		Entry("9 hosts", 9, 3, uint64(500)), Entry("18 hosts", 18, 6, uint64(200)), Entry("195 hosts", 195, 6, uint64(5)),
+	)
+
+	DescribeTable("costs no calls to the store but those of the watchers of each region", func(n, domains int) {
+		for seed := range uint64(3) {
+			w := newSimulation(seed, n, domains)
+			w.run(5 * time.Second)
+			w.change()
+			w.run(20 * time.Second)
+			// Each of the four watchers waits at least WatchPollTime unless there is a change.
+			Expect(w.watches).To(BeNumerically("<=", 4*(20*time.Second/storecopy.WatchPollTime+2)))
+		}
+	},
+		Entry("9 hosts", 9, 3), Entry("18 hosts", 18, 6), Entry("195 hosts", 195, 6), Entry("1000 hosts", 1000, 6),
+	)
 })
