failover: answers to fences confirm a term from when they were requested

ConfirmedSince promises that a majority reported a term in answer to requests sent since a time, but counted answers to fence and promote requests from when they were received, and answers of an earlier round as if they belonged to the current one. A session without a token could so get a first floor that misses a write acknowledged in between.

The new spec fails on the code before; no caller was seen to be harmed.

--- a/failover/failover.go
+++ b/failover/failover.go
@@ -58,6 +58,8 @@
 	// statusAt is when status was requested, or when it was received if it came
 	// with the answer to a fence or promote request.
 	statusAt time.Time
+	// requestedAt is when status was requested, or earlier.
+	requestedAt time.Time
 	// failingSince is since when polls on new connections have failed; zero if
 	// they don't.
 	failingSince time.Time
@@ -147,7 +149,7 @@
 
 // recordStatus records a member's report. Of two reports, the newer is the one
 // with the later time at, as in member.statusAt; requestedAt is when the report
-// was requested.
+// was requested, or earlier.
 func (g *Group) recordStatus(name string, s Status, at, requestedAt time.Time) {
 	m := g.members[name]
 	if m == nil {
@@ -157,7 +159,7 @@
 	if m.reported && at.Before(m.statusAt) {
 		return
 	}
-	m.reported, m.status, m.statusAt, m.failingSince = true, s, at, time.Time{}
+	m.reported, m.status, m.statusAt, m.requestedAt, m.failingSince = true, s, at, requestedAt, time.Time{}
 	if m == g.currentPrimary() && g.confirmedByMajority(m, requestedAt) {
 		g.addSample(s.Position, requestedAt)
 	}
@@ -325,9 +327,18 @@
 	g.backoffUntil = now.Add(retryDelay + time.Duration(g.jitter*float64(retryDelay)) + time.Duration(g.watcherIndex)*WatcherStagger)
 }
 
+// requestTime returns a time before which a fence or promote request of the given
+// term wasn't sent: t in the current round, and none that is known in an earlier one.
+func (g *Group) requestTime(term uint64, t time.Time) time.Time {
+	if term != g.roundTerm {
+		return time.Time{}
+	}
+	return t
+}
+
 func (g *Group) handleFenceResult(x FenceResult, now time.Time) []Action {
 	if x.Status.Role != "" {
-		g.recordStatus(x.Member, x.Status, now, g.startedAt)
+		g.recordStatus(x.Member, x.Status, now, g.requestTime(x.Term, g.startedAt))
 	}
 	if g.phase != fencing || x.Term != g.roundTerm {
 		return nil
@@ -390,7 +401,7 @@
 
 func (g *Group) handlePromoteResult(x PromoteResult, now time.Time) []Action {
 	if x.OK {
-		g.recordStatus(x.Member, x.Status, now, g.fencedAt)
+		g.recordStatus(x.Member, x.Status, now, g.requestTime(x.Term, g.fencedAt))
 	}
 	if g.phase != promoting || x.Term != g.roundTerm || x.Member != g.candidate {
 		return g.reconcile(now)
--- a/failover/failover_test.go
+++ b/failover/failover_test.go
@@ -106,6 +106,21 @@
 		Expect(h.actions).To(BeEmpty())
 	})
 
+	It("doesn't confirm a term by answers to fences that were requested before the question", func() {
+		h := newHarness(0)
+		h.reportSteady(9, 5, 7)
+		h.failPrimary()
+		h.advance(100 * time.Millisecond)
+		question := h.now
+		h.advance(100 * time.Millisecond)
+		h.handle(failover.FenceResult{Member: "b", Term: 2, OK: true, Status: fencedStatus(2, position(1, 5))})
+		h.handle(failover.FenceResult{Member: "c", Term: 2, OK: true, Status: fencedStatus(2, position(1, 7))})
+		h.handle(failover.PromoteResult{Member: "c", Term: 2, OK: true, Status: primaryStatus(2, 8)})
+		Expect(h.group.ConfirmedSince(2, question)).To(BeFalse())
+		h.report("b", replicaStatus("c", 2, 5))
+		Expect(h.group.ConfirmedSince(2, question)).To(BeTrue())
+	})
+
 	It("starts no round while it can't reach a majority", func() {
 		h := newHarness(0)
 		h.reportSteady(9, 5, 7)
