daemon, gossip: a pending query doesn't show that the platform is reached

The watchers of a failure domain counted themselves as having heard of the platform whenever they were to watch it, whether or not it answered.

Queries are held for 4 s and time out after 5.5 s (35 s before).

--- a/consul/client.go
+++ b/consul/client.go
@@ -27,8 +27,8 @@
 	// callTimeout bounds every call except blocking queries.
 	callTimeout = 3 * time.Second
 	// blockingQueryMargin is added to the wait time of a blocking query to get its
-	// timeout.
-	blockingQueryMargin = 5 * time.Second
+	// timeout. The service adds up to a sixteenth of the wait time itself.
+	blockingQueryMargin = 1500 * time.Millisecond
 	// maxResponseBytes bounds the size of a response.
 	maxResponseBytes = 64 << 20
 )
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -101,7 +101,10 @@
 	hostView     *membership.View
 	hostList     *gossip.HostList
 	// watcherSeen is when some daemon was last known to watch the platform.
-	watcherSeen        time.Time
+	watcherSeen time.Time
+	// platformHeard is when the newest query was sent that the platform is known to
+	// have answered, to whichever daemon.
+	platformHeard      time.Time
 	groupWatches       map[string]*groupWatch
 	controlConnections map[string]*backend.Control
 
@@ -117,7 +120,7 @@
 	d := &Daemon{
 		config: c, platform: consul.New(consul.Config{Address: c.PlatformAddress}),
 		groupWatches: map[string]*groupWatch{}, controlConnections: map[string]*backend.Control{},
-		hostList: gossip.NewHostList(), watcherSeen: time.Now(), notifyPending: make(chan struct{}, 1),
+		hostList: gossip.NewHostList(), watcherSeen: time.Now(), platformHeard: time.Now(), notifyPending: make(chan struct{}, 1),
 		tasks: &errgroup.Group{}, ctx: context.Background(),
 	}
 	d.owner = owner.New(owner.Config{
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -41,6 +41,9 @@
 	// WatcherSilence is the time in nanoseconds since some daemon was last
 	// known to watch the platform.
 	WatcherSilence time.Duration `json:"silence"`
+	// PlatformSilence is the time in nanoseconds since the newest query was sent that
+	// the platform is known to have answered, to whichever daemon.
+	PlatformSilence time.Duration `json:"platform-silence"`
 	// UnlistedHosts are live hosts that the platform doesn't list.
 	UnlistedHosts []membership.Host `json:"hosts,omitempty"`
 	// DrainNotices maps the IDs of draining hosts to the remaining validity of
@@ -66,7 +69,7 @@
 	d.mu.Lock()
 	now := time.Now()
 	v := versionResult{
-		BundleVersion: o.BundleVersion, BundleDigest: o.BundleDigest, HostListVersion: o.HostListVersion, WatcherSilence: now.Sub(d.watcherSeen),
+		BundleVersion: o.BundleVersion, BundleDigest: o.BundleDigest, HostListVersion: o.HostListVersion, WatcherSilence: now.Sub(d.watcherSeen), PlatformSilence: now.Sub(d.platformHeard),
 		UnlistedHosts: d.hostView.UnlistedHosts(now), DrainNotices: d.hostView.DrainNotices(now),
 	}
 	d.mu.Unlock()
@@ -129,11 +132,7 @@
 		d.config.Log.Debug("version exchange failed", "host", h.ID, "error", err)
 		return
 	}
-	d.mu.Lock()
-	if t := time.Now().Add(-v.WatcherSilence); t.After(d.watcherSeen) {
-		d.watcherSeen = t
-	}
-	d.mu.Unlock()
+	d.observeSilence(v)
 	for _, k := range v.UnlistedHosts {
 		d.handleMembership(membership.HostDiscovered{Host: k})
 	}
@@ -146,6 +145,20 @@
 	d.fetchNewer(x, h, v.BundleVersion, v.HostListVersion)
 }
 
+// observeSilence records how recently another daemon has heard of a watcher and of
+// the platform.
+func (d *Daemon) observeSilence(v versionResult) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := time.Now()
+	if t := now.Add(-v.WatcherSilence); t.After(d.watcherSeen) {
+		d.watcherSeen = t
+	}
+	if t := now.Add(-v.PlatformSilence); t.After(d.platformHeard) {
+		d.platformHeard = t
+	}
+}
+
 // fetchNewer fetches from a peer the bundle and the host list that are newer
 // there, unless another fetch is running.
 func (d *Daemon) fetchNewer(x context.Context, h membership.Host, bundleVersion uint64, listVersion gossip.ListVersion) {
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -26,9 +26,13 @@
 	var b backoff
 	var i uint64
 	for x.Err() == nil {
+		t := time.Now()
 		r, err := d.platform.List(x, consul.HostPrefix, i, blockingQueryWait)
+		if x.Err() != nil {
+			break
+		}
+		d.observeQuery("hosts", t, err, &b)
 		if err != nil {
-			d.config.Log.Debug("host list read failed", "error", err)
 			b.wait(x, maxRetryDelay)
 			continue
 		}
--- a/daemon/platformwatch.go
+++ b/daemon/platformwatch.go
@@ -14,8 +14,9 @@
 
 // Timing of calls to the platform and to peers.
 const (
-	// blockingQueryWait is how long a blocking query waits for a change.
-	blockingQueryWait = 30 * time.Second
+	// blockingQueryWait is how long a blocking query waits for a change. A watch on a
+	// connection that has gone silent delays a change by this and the query's margin.
+	blockingQueryWait = 4 * time.Second
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call.
 	minRetryDelay = 200 * time.Millisecond
 	maxRetryDelay = 10 * time.Second
@@ -38,6 +39,9 @@
 
 func (b *backoff) reset() { b.delay = 0 }
 
+// failing reports whether there was a failure since the last reset.
+func (b *backoff) failing() bool { return b.delay > 0 }
+
 // wait sleeps for at most limit; half of the delay is random.
 func (b *backoff) wait(x context.Context, limit time.Duration) {
 	b.delay = min(max(2*b.delay, minRetryDelay), limit)
@@ -100,7 +104,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	w := gossip.ShouldWatch(d.config.Host, d.hostView.Live(now), now.Sub(d.watcherSeen))
+	w := gossip.ShouldWatch(d.config.Host, d.hostView.Live(now), gossip.Silence{Watcher: now.Sub(d.watcherSeen), Platform: now.Sub(d.platformHeard)})
 	if w {
 		d.watcherSeen = now
 	}
@@ -112,9 +116,13 @@
 	var b backoff
 	var i uint64
 	for x.Err() == nil {
+		t := time.Now()
 		r, err := d.platform.Get(x, consul.BundleKey, i, blockingQueryWait)
+		if x.Err() != nil {
+			break
+		}
+		d.observeQuery("bundle", t, err, &b)
 		if err != nil {
-			d.config.Log.Debug("bundle read failed", "error", err)
 			b.wait(x, maxRetryDelay)
 			continue
 		}
@@ -130,6 +138,24 @@
 	return nil
 }
 
+// observeQuery records the result of a query that was sent at t, and logs the first
+// failure after a success and the first success after failures.
+func (d *Daemon) observeQuery(what string, t time.Time, err error, b *backoff) {
+	d.mu.Lock()
+	silence := time.Since(d.platformHeard)
+	if err == nil && t.After(d.platformHeard) {
+		d.platformHeard = t
+	}
+	d.mu.Unlock()
+	l := d.config.Log.With("query", what, "pending-ms", time.Since(t).Milliseconds(), "silence-ms", silence.Milliseconds())
+	switch {
+	case err != nil && !b.failing():
+		l.Info("platform queries interrupted", "error", err)
+	case err == nil && b.failing():
+		l.Info("platform queries resumed")
+	}
+}
+
 // applyBundle puts a bundle in force if its signatures are valid and it is
 // newer than the one in force.
 func (d *Daemon) applyBundle(x context.Context, envelope []byte, from string) {
--- a/gossip/gossip.go
+++ b/gossip/gossip.go
@@ -44,17 +44,34 @@
 	// watch. Their number then doubles every watcherDoublingTime.
 	WatcherTimeout      = 15 * time.Second
 	watcherDoublingTime = 5 * time.Second
+	// PlatformTimeout is how long the platform may answer no daemon before more
+	// daemons watch, in the same way up to MaxPlatformWatchers a failure domain: the
+	// watchers may be the ones that are cut off from it. It is longer than a query
+	// and the exchanges that spread its time.
+	PlatformTimeout     = 12 * time.Second
+	MaxPlatformWatchers = 8 * WatchersPerDomain
 )
 
+// Silence tells how long a daemon hasn't heard of the platform.
+type Silence struct {
+	// Watcher is the time since any watcher was last observed.
+	Watcher time.Duration
+	// Platform is the time since the platform last answered a query of any daemon,
+	// counted from when the query was sent. A query that is pending shows nothing.
+	Platform time.Duration
+}
+
 // ShouldWatch reports whether a daemon should watch the platform. The watchers
 // are the live hosts of a failure domain with the highest rendezvous scores.
-// The silence is the time since any watcher was last observed: with a long
-// silence more daemons watch, since all hosts with the highest scores may have
-// failed unnoticed.
-func ShouldWatch(self membership.Host, live []membership.Host, silence time.Duration) bool {
+// With a long silence more daemons watch, since all hosts with the highest scores
+// may have failed unnoticed or lost the platform.
+func ShouldWatch(self membership.Host, live []membership.Host, silence Silence) bool {
 	n := WatchersPerDomain
-	if silence > WatcherTimeout {
-		n <<= min(1+(silence-WatcherTimeout)/watcherDoublingTime, 16)
+	if silence.Platform > PlatformTimeout {
+		n = min(n<<min(1+(silence.Platform-PlatformTimeout)/watcherDoublingTime, 16), MaxPlatformWatchers)
+	}
+	if silence.Watcher > WatcherTimeout {
+		n = max(n, WatchersPerDomain<<min(1+(silence.Watcher-WatcherTimeout)/watcherDoublingTime, 16))
 	}
 	s := rendezvousScore("watch", self.ID)
 	for _, h := range live {
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -43,7 +43,7 @@
 		l := fleet(n, domains)
 		w := map[string]int{}
 		for _, h := range l {
-			if gossip.ShouldWatch(h, l, 0) {
+			if gossip.ShouldWatch(h, l, gossip.Silence{}) {
 				w[h.FailureDomain]++
 			}
 		}
@@ -59,7 +59,7 @@
 		for s := gossip.WatcherTimeout; s < 2*time.Minute; s += 5 * time.Second {
 			k := 0
 			for _, h := range l {
-				if gossip.ShouldWatch(h, l, s) {
+				if gossip.ShouldWatch(h, l, gossip.Silence{Watcher: s}) {
 					k++
 				}
 			}
@@ -69,6 +69,22 @@
 		Expect(before).To(Equal(200))
 	})
 
+	It("increase in number up to a limit while the platform answers none of them", func() {
+		l := fleet(200, 2)
+		count := func(s time.Duration) int {
+			k := 0
+			for _, h := range l {
+				if gossip.ShouldWatch(h, l, gossip.Silence{Platform: s}) {
+					k++
+				}
+			}
+			return k
+		}
+		Expect(count(gossip.PlatformTimeout)).To(Equal(2 * gossip.WatchersPerDomain))
+		Expect(count(gossip.PlatformTimeout + time.Second)).To(Equal(4 * gossip.WatchersPerDomain))
+		Expect(count(time.Hour)).To(Equal(2 * gossip.MaxPlatformWatchers))
+	})
+
 	It("and other hosts renew their registration less often in a larger fleet, so that the call rate grows more slowly than the fleet", func() {
 		rate := func(n int) float64 { return float64(n) / gossip.RenewInterval(n).Minutes() }
 		Expect(rate(5000) / rate(50)).To(BeNumerically("<", 11))
--- a/gossip/simulation_test.go
+++ b/gossip/simulation_test.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		l := n.view.Live(w.now)
-		if gossip.ShouldWatch(n.host, l, w.now.Sub(n.watcherObservedAt)) {
+		if gossip.ShouldWatch(n.host, l, gossip.Silence{Watcher: w.now.Sub(n.watcherObservedAt)}) {
 			n.watcherObservedAt = w.now
 			if !w.platformDown && w.isolatedDomain != n.host.FailureDomain {
 				n.version = max(n.version, w.version)
@@ -168,7 +168,7 @@
 		w := newSimulation(6, 150)
 		w.step()
 		for _, n := range w.nodes {
-			n.killed = gossip.ShouldWatch(n.host, w.list, 0)
+			n.killed = gossip.ShouldWatch(n.host, w.list, gossip.Silence{})
 		}
 		w.version++
 		for range 40 {
