fleet: a host's lease is renewed soon after a renewal without an answer

A live host's record, which lasts 12 s, lapsed after two unanswered renewals, 4 s apart and 1.5 s long: also 2 s after the end of an outage of 6 s. The others then counted the host as gone. Renewals that fail are now repeated with the backoff of the other calls. The new spec fails on the code before (one renewal in 6.5 s).

--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -133,3 +133,33 @@
 		Expect(f.compareAndSwap(context.Background(), g, r, 6)).To(BeFalse())
 	})
 })
+
+// silentLeaseStore doesn't answer the first renewal of a lease.
+type silentLeaseStore struct {
+	store.Store
+	renewals atomic.Int64
+}
+
+func (s *silentLeaseStore) GrantLease(context.Context, time.Duration) (uint64, error) { return 1, nil }
+
+func (s *silentLeaseStore) Put(context.Context, store.Write) (uint64, error) { return 1, nil }
+
+func (s *silentLeaseStore) RenewLease(x context.Context, _ uint64) error {
+	if s.renewals.Add(1) == 1 {
+		<-x.Done()
+		return x.Err()
+	}
+	return nil
+}
+
+var _ = Describe("the lease of a host's record", func() {
+	It("is renewed soon after a renewal without an answer, so that a live host isn't taken for gone", func() {
+		f := newTestDaemon()
+		s := &silentLeaseStore{}
+		f.config.Store = s
+		x, stop := context.WithCancel(context.Background())
+		defer stop()
+		f.spawn(func(context.Context) { _ = f.maintainHostRecord(x) })
+		Eventually(s.renewals.Load, hostLeaseInterval+storeTimeout+time.Second).Should(BeEquivalentTo(2))
+	})
+})
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -279,9 +279,9 @@
 func (f *Daemon) maintainHostRecord(x context.Context) error {
 	for n := 0; x.Err() == nil; {
 		err := f.registerHost(x)
-		for err == nil && sleep(x, hostLeaseInterval) {
+		if err == nil {
 			n = 0
-			err = f.renewHostLease(x)
+			err = f.keepHostLease(x)
 		}
 		if x.Err() != nil {
 			break
@@ -293,6 +293,31 @@
 	return nil
 }
 
+// keepHostLease renews the lease until it has ended or the context ends. A renewal
+// that wasn't answered is repeated soon: the lease outlasts few of them.
+func (f *Daemon) keepHostLease(x context.Context) error {
+	for n := 0; ; {
+		d := hostLeaseInterval
+		if n > 0 {
+			d = storecopy.Backoff(n, nil)
+		}
+		if !sleep(x, d) {
+			return Error.Wrap(x.Err())
+		}
+		err := f.renewHostLease(x)
+		var e *store.LeaseEndedError
+		switch {
+		case errors.As(err, &e):
+			return err
+		case err == nil:
+			n = 0
+		default:
+			n++
+			f.config.Log.Debug("host lease renewal failed", "error", err, "failures", n)
+		}
+	}
+}
+
 // registerHost obtains a new lease from the store and writes the record of this
 // host under it.
 func (f *Daemon) registerHost(x context.Context) error {
@@ -325,8 +350,8 @@
 	return err
 }
 
-// renewHostLease renews the lease. It returns an error only if the lease has
-// ended: a delayed or missing answer doesn't mean that.
+// renewHostLease renews the lease. Only *store.LeaseEndedError means that it has
+// ended: a delayed or missing answer doesn't.
 func (f *Daemon) renewHostLease(x context.Context) error {
 	x, stop := context.WithTimeout(x, storeTimeout)
 	defer stop()
@@ -334,11 +359,5 @@
 	l := f.hostLease
 	f.mu.Unlock()
 	f.metrics.countStoreCall(purposeHostRenewal)
-	err := f.config.Store.RenewLease(x, l)
-	var e *store.LeaseEndedError
-	if err != nil && !errors.As(err, &e) {
-		f.config.Log.Debug("host lease renewal failed", "error", err)
-		return nil
-	}
-	return err
+	return f.config.Store.RenewLease(x, l)
 }
