membership: what a view forgets doesn't depend on when it is asked

Expired corrections are now removed before an event is handled. The new spec fails on the code before.

--- a/membership/membership_test.go
+++ b/membership/membership_test.go
@@ -225,3 +225,14 @@
 		}
 	})
 })
+
+var _ = Describe("a host that was never listed", func() {
+	It("is forgotten once its time has passed, also if nobody asked for the hosts meanwhile", func() {
+		v := newView(hosts(3))
+		v.Handle(membership.HostDiscovered{Host: host(9)}, start)
+		after := start.Add(membership.NeverListedTime + time.Second)
+		v.Handle(membership.HostAnswered{ID: host(9).ID}, after)
+		_, ok := v.Host(host(9).ID)
+		Expect(ok).To(BeFalse())
+	})
+})
--- a/membership/owner.go
+++ b/membership/owner.go
@@ -53,6 +53,7 @@
 // invalidate drops the cached owners and host sets.
 func (v *View) invalidate() {
 	v.owners, v.successors, v.hostSets = map[serverKey]Host{}, map[serverKey][]Host{}, nil
+	v.validUntil = time.Time{}
 	v.generation++
 }
 
--- a/membership/view.go
+++ b/membership/view.go
@@ -52,6 +52,11 @@
 	if v.lastContact.IsZero() {
 		v.lastContact = now
 	}
+	// Otherwise it would depend on the queries since then whether an expired
+	// correction is still there to be extended.
+	if !now.Before(v.validUntil) {
+		v.removeExpired(now)
+	}
 	switch x := e.(type) {
 	case ListReceived:
 		c = v.replaceList(x.Hosts, now)
