assignment: a group whose primary registers last is found; what follows from what is known in one place

Cause: a host's duties, the groups that it may have to act for, were kept until a flag said that they were stale, and the flag was set by hand in five places; not when a member was added. The group's replicas registered first, its primary 0.07 s later, and nobody looked at the group again until an unrelated record changed.

Members, the groups' states and the duties now belong to a table of their own, which is pure. All changes pass through it and count as a version; what follows from them is kept for that version and the view's generation. A group's state reaches it through the one method that handles the group's events. The overlay is kept in the same way.

Evidence: the new spec of fleet ('a group whose primary registers last') fails on the code before.

Safety net: groups that have a primary and no holder for a second are counted by a gauge, logged by the hosts that would take them over, and the duties are computed again. The PostgreSQL edge derives its groups from the bundle and the view's generation already (daemon.reconcileWatches).

--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -17,7 +17,7 @@
 func (f *Daemon) pollStatus(x context.Context, g *group, skip string) []takeover.MemberStatus {
 	f.mu.Lock()
 	var l []takeover.MemberStatus
-	for _, m := range f.groupMembers[g.name] {
+	for _, m := range f.table.GroupMembers(g.name) {
 		if m.ID != skip {
 			l = append(l, takeover.MemberStatus{Member: m})
 		}
--- a/fleet/contain_test.go
+++ b/fleet/contain_test.go
@@ -30,7 +30,8 @@
 		}
 		f.applyItems([]store.Item{{Key: "configuration", Revision: 1}, {Key: "members/m", Revision: 2}}, fromStore)
 		Expect(f.Catalog()).To(BeNil())
-		Expect(f.members).To(HaveKey("m"))
+		_, ok := f.table.Member("m")
+		Expect(ok).To(BeTrue())
 	})
 
 	It("in a task of a group doesn't end the group's tasks", func() {
@@ -38,7 +39,7 @@
 		g := f.group("g")
 		g.taskRunning = true
 		f.spawn(func(context.Context) {
-			defer f.endTask(g, &g.taskRunning)
+			defer f.endTask(&g.taskRunning)
 			panic("task")
 		})
 		Eventually(func() bool {
--- a/fleet/duties_test.go
+++ b/fleet/duties_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"fmt"
 	"strconv"
 	"testing"
@@ -10,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
@@ -36,11 +38,11 @@
 		name := "g" + strconv.Itoa(i)
 		for j := range 3 {
 			d := (i + j) % 6
-			f.setMember(catalog.Member{ID: fmt.Sprintf("m%d-%d", i, j), Group: name, FailureDomain: "d" + strconv.Itoa(d), Region: "r" + strconv.Itoa(d%2), Slots: 4, Primary: j == 0})
+			f.table.SetMember(catalog.Member{ID: fmt.Sprintf("m%d-%d", i, j), Group: name, FailureDomain: "d" + strconv.Itoa(d), Region: "r" + strconv.Itoa(d%2), Slots: 4, Primary: j == 0})
 		}
 		g := f.group(name)
-		m, _ := f.assumedPrimary(g)
-		h, _ := f.view.Owner(viewMember(m), time.Now())
+		m, _ := f.table.AssumedPrimary(g.name)
+		h, _ := f.view.Owner(assignment.ViewMember(m), time.Now())
 		r := lease.Record{Holder: lease.Holder{ID: h.ID, Address: h.PeerAddress}, Primary: m.ID, Epoch: 1}
 		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: uint64(i) + 1}}, now())
 	}
@@ -80,7 +82,7 @@
 		f.mu.Lock()
 		var other *group
 		for _, g := range f.groups {
-			if r, _, _ := g.Record(); r.Holder.ID != "h0" && !f.hasDuty(g, time.Now()) {
+			if r, _, _ := g.Record(); r.Holder.ID != "h0" && !f.table.HasDuty(g.name, time.Now()) {
 				other = g
 			}
 		}
@@ -97,13 +99,37 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		Expect(f.currentDuties()).To(HaveLen(120))
-		for _, m := range f.groupMembers["g0"] {
-			f.removeMember(m.ID)
+		for _, m := range f.table.GroupMembers("g0") {
+			f.table.RemoveMember(m.ID)
 		}
 		Expect(f.currentDuties()).To(HaveLen(119))
 	})
 })
 
+var _ = Describe("a group whose primary registers last", func() {
+	It("becomes a duty of the primary's owner although its replicas were known before", func() {
+		f, err := newFleetMember(hclog.NewNullLogger())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(f.stop)
+		f.config.Decoder = Decoder{ConfigurationKey: "configuration", MemberPrefix: "members/", Member: func(_ string, v []byte) (catalog.Member, error) {
+			var m catalog.Member
+			return m, json.Unmarshal(v, &m)
+		}}
+		f.updateView(membership.ListReceived{Hosts: []membership.Host{f.config.Self, {ID: "h1", FailureDomain: "d1", Region: "r1"}, {ID: "h2", FailureDomain: "d2", Region: "r0"}}})
+		register := func(revision uint64, m catalog.Member) []*group {
+			v, err := json.Marshal(m)
+			Expect(err).NotTo(HaveOccurred())
+			f.applyItems([]store.Item{{Key: "members/" + m.ID, Value: v, Revision: revision}}, fromStore)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return f.currentDuties()
+		}
+		Expect(register(1, catalog.Member{ID: "a", Group: "g", FailureDomain: "d1", Region: "r1"})).To(BeEmpty())
+		Expect(register(2, catalog.Member{ID: "b", Group: "g", FailureDomain: "d2", Region: "r0"})).To(BeEmpty())
+		Expect(register(3, catalog.Member{ID: "c", Group: "g", FailureDomain: "d0", Region: "r0", Primary: true})).To(HaveLen(1))
+	})
+})
+
 // BenchmarkTick measures the periodic work of a daemon that holds one group, in the
 // deployments named by their hosts and groups.
 func BenchmarkTick(b *testing.B) {
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -44,11 +44,7 @@
 
 // currentOverlay returns the hosts that this daemon exchanges with; f.mu is held.
 func (f *Daemon) currentOverlay() gossip.Overlay {
-	t := time.Now()
-	if n := f.view.Generation(t); n != f.overlayGeneration {
-		f.overlay, f.overlayGeneration = gossip.NewOverlay(f.config.Self, f.view.Live(t)), n
-	}
-	return f.overlay
+	return f.overlay.Overlay(f.config.Self, f.view, time.Now())
 }
 
 // runExchange fetches changes of the store from other daemons until the context
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/boottime"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/contain"
@@ -107,15 +108,13 @@
 
 	mu   sync.Mutex
 	view *membership.View
-	// members holds the members in use, by ID. evictAt is when a member whose
-	// record was removed is evicted.
-	// groupMembers holds them by group, sorted by ID.
-	members      map[string]catalog.Member
-	groupMembers map[string][]catalog.Member
-	evictAt      map[string]time.Time
-	groups       map[string]*group
-	// duties is a cache of the groups that this host may have to act for.
-	duties duties
+	// table holds the members in use, and the groups that this host may have to act
+	// for. evictAt is when a member whose record was removed is evicted.
+	table   *assignment.Table
+	evictAt map[string]time.Time
+	groups  map[string]*group
+	// unheldLogged is when a group without a holder was last logged.
+	unheldLogged map[string]time.Time
 	// replicaReads holds the groups whose replicas have served reads at this host
 	// within replicaReadWindow.
 	replicaReads map[*group]bool
@@ -134,10 +133,7 @@
 	source storecopy.Source
 	// watcher is the last result of isWatcher.
 	watcher bool
-	// overlay is a cache of the hosts to exchange with, valid for the view's
-	// generation overlayGeneration.
-	overlay           gossip.Overlay
-	overlayGeneration uint64
+	overlay gossip.OverlayCache
 	// exchanging and pinging hold the IDs of the hosts with which an exchange is
 	// under way, and that are being pinged.
 	exchanging map[string]bool
@@ -160,9 +156,10 @@
 	m := storecopy.New()
 	f := &Daemon{
 		config: c, copy: m, failed: make(chan error, 1), metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
-		members: map[string]catalog.Member{}, groupMembers: map[string][]catalog.Member{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
+		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 	}
+	f.table = assignment.New(c.Self.ID, f.view)
 	var err error
 	f.node, err = peer.New(peer.Config{
 		Listen: c.PeerListen, Secret: c.Secret, Self: c.Self, Log: c.Log.Named("peer"), HandleCall: f.handleCall,
@@ -212,7 +209,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.members) > 0 && !f.cutOff()
+	return f.table.MemberCount() > 0 && !f.cutOff()
 }
 
 // CutOff reports whether this daemon can't serve because it is cut off from all
@@ -229,7 +226,7 @@
 		return true
 	}
 	n, held := time.Now(), false
-	for name := range f.groupMembers {
+	for _, name := range f.table.Groups() {
 		r, _, ok := f.group(name).Record()
 		if !ok || r.Holder.ID == "" {
 			continue
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -78,8 +78,8 @@
 		l := []membership.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}
 		f.updateView(membership.ListReceived{Hosts: l})
 		f.mu.Lock()
-		f.setMember(catalog.Member{ID: "m", Group: "g"})
-		f.setMember(catalog.Member{ID: "n", Group: "h"})
+		f.table.SetMember(catalog.Member{ID: "m", Group: "g"})
+		f.table.SetMember(catalog.Member{ID: "n", Group: "h"})
 		f.mu.Unlock()
 		f.catalog.Store(&catalog.Catalog{})
 		hold := func(group, holder string, rev uint64) {
@@ -107,7 +107,7 @@
 		f := newTestDaemon()
 		f.updateView(membership.ListReceived{Hosts: []membership.Host{{ID: "a"}, {ID: "b"}, {ID: "c"}}})
 		f.mu.Lock()
-		f.setMember(catalog.Member{ID: "m", Group: "g", Primary: true})
+		f.table.SetMember(catalog.Member{ID: "m", Group: "g", Primary: true})
 		f.mu.Unlock()
 		f.applyRecord(store.Item{Key: groupPrefix + "g", Value: []byte(`{"holder":{"id":"b"},"primary":"m"}`), Revision: 1}, time.Time{})
 		r := &query.Request{Group: "g", MaxAge: time.Second}
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
@@ -18,14 +18,14 @@
 // the daemon's mutex.
 type group struct {
 	*takeover.Group
-	name    string
+	name string
+	// table learns of each change of the group's state.
+	table   *assignment.Table
 	history staleness.History
 	// taskRunning is set while a task of the group runs, confirming while its
 	// record is being read.
 	taskRunning bool
 	confirming  bool
-	// dutyPrimary is the primary for which the daemon's duties were computed.
-	dutyPrimary string
 	// confirmedAt is the time for which the local copy last confirmed the lease.
 	confirmedAt time.Time
 	// lastReplicaRead is when a replica owned here last received a read.
@@ -45,37 +45,18 @@
 func (f *Daemon) group(name string) *group {
 	g := f.groups[name]
 	if g == nil {
-		g = &group{name: name, Group: takeover.New(f.selfHolder())}
+		g = &group{name: name, Group: takeover.New(f.selfHolder()), table: f.table}
 		f.groups[name] = g
-		f.duties.stale = true
 	}
 	return g
 }
 
-// assumedPrimary returns the member that is probably the primary, also on hosts
-// that don't hold the group: the one known from discovery or the group's
-// record, else a member whose own record says so, else the group's first member.
-// f.mu is held.
-func (f *Daemon) assumedPrimary(g *group) (catalog.Member, bool) {
-	id, _ := g.Primary()
-	if m, ok := f.members[id]; ok {
-		return m, true
-	}
-	l := f.groupMembers[g.name]
-	for _, m := range l {
-		if m.Primary {
-			return m, true
-		}
-	}
-	if len(l) > 0 {
-		return l[0], true
-	}
-	return catalog.Member{}, false
-}
-
-// viewMember returns a member in the form that membership.View.Owner takes.
-func viewMember(m catalog.Member) *bundle.Member {
-	return &bundle.Member{Name: m.ID, Region: m.Region, FailureDomain: m.FailureDomain}
+// Handle processes an event; f.mu is held.
+func (g *group) Handle(e takeover.Event, now time.Time) {
+	g.Group.Handle(e, now)
+	s := assignment.GroupState{Holder: g.Holder().ID, PreviousHolder: g.IsPreviousHolder()}
+	s.Primary, _ = g.Primary()
+	g.table.SetGroup(g.name, s)
 }
 
 // startGroupTasks starts the next task of every group that has none running, and
@@ -90,7 +71,7 @@
 			g.confirming = true
 			g.Handle(takeover.LeaseEvent{Event: lease.ConfirmAttempt{}}, t)
 			f.spawn(func(x context.Context) {
-				defer f.endTask(g, &g.confirming)
+				defer f.endTask(&g.confirming)
 				f.confirmRecord(x, g)
 			})
 		}
@@ -100,7 +81,7 @@
 		if w := f.nextTask(g, t); w != nil {
 			g.taskRunning = true
 			f.spawn(func(x context.Context) {
-				defer f.endTask(g, &g.taskRunning)
+				defer f.endTask(&g.taskRunning)
 				w(x, g)
 			})
 		}
@@ -108,13 +89,10 @@
 }
 
 // endTask clears the mark of a running task, also after a panic.
-func (f *Daemon) endTask(g *group, running *bool) {
+func (f *Daemon) endTask(running *bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	*running = false
-	if id, _ := g.Primary(); id != g.dutyPrimary {
-		g.dutyPrimary, f.duties.stale = id, true
-	}
 }
 
 // confirmFromCopy confirms the lease of a group that this host holds from the local
@@ -164,17 +142,17 @@
 	if r, _, ok := g.Record(); ok {
 		o.TakeoverAllowed = f.mayTakeOver(r.Holder.ID)
 	}
-	if m, ok := f.assumedPrimary(g); ok {
-		h, ok := f.view.Owner(viewMember(m), time.Now())
+	if m, ok := f.table.AssumedPrimary(g.name); ok {
+		h, ok := f.view.Owner(assignment.ViewMember(m), time.Now())
 		o.PreferredHolder = ok && h.ID == f.config.Self.ID
 	}
 	id, _ := g.Primary()
-	m, ok := f.members[id]
+	m, ok := f.table.Member(id)
 	if !ok {
 		return o
 	}
 	o.PrimaryListed, o.PrimaryDraining = f.evictAt[id].IsZero(), m.Draining
-	if h, ok := f.view.Owner(viewMember(m), time.Now()); ok && !m.Draining && m.FailureDomain != f.config.Self.FailureDomain {
+	if h, ok := f.view.Owner(assignment.ViewMember(m), time.Now()); ok && !m.Draining && m.FailureDomain != f.config.Self.FailureDomain {
 		o.NearerHostExists = topologyDistance(h, m) < topologyDistance(f.config.Self, m)
 	}
 	if p := f.pools[id]; p != nil {
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
@@ -100,10 +101,10 @@
 // primary, because this one is draining or the other one is nearer to the primary.
 func (f *Daemon) transferGroupLease(x context.Context, g *group) {
 	f.mu.Lock()
-	m, ok := f.assumedPrimary(g)
+	m, ok := f.table.AssumedPrimary(g.name)
 	var h membership.Host
 	if ok {
-		h, ok = f.view.Owner(viewMember(m), time.Now())
+		h, ok = f.view.Owner(assignment.ViewMember(m), time.Now())
 	}
 	r, rev := g.TransferRecord(lease.Holder{ID: h.ID, Address: h.PeerAddress}, now())
 	f.mu.Unlock()
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -18,6 +18,8 @@
 	storeCalls *prometheus.CounterVec
 	// configurationVersion is the version of the configuration in force.
 	configurationVersion prometheus.Gauge
+	// unheldGroups is the number of groups that have a primary and no holder.
+	unheldGroups prometheus.Gauge
 	// copyAge is the time since the local copy of the store was known to be current.
 	copyAge prometheus.GaugeFunc
 }
@@ -52,6 +54,9 @@
 		configurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "dragonflypick_configuration_version", Help: "Version of the configuration in force; 0 before the first.",
 		}),
+		unheldGroups: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "dragonflypick_groups_without_holder", Help: "Groups that have had a primary and no holder for a second.",
+		}),
 		copyAge: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "dragonflypick_store_copy_age_seconds", Help: "Time since the local copy of the store was known to contain all changes; -1 if it never was.",
 		}, func() float64 {
@@ -65,7 +70,7 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.copyAge)
+	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.unheldGroups, f.metrics.copyAge)
 }
 
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
--- a/fleet/position.go
+++ b/fleet/position.go
@@ -103,7 +103,7 @@
 		}
 		s, ok := g.history.Last()
 		id, _ := g.Primary()
-		m, known := f.members[id]
+		m, known := f.table.Member(id)
 		var p *pool.Pool
 		if known {
 			p = f.memberPool(m)
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -20,7 +20,7 @@
 	// owner ends it, so that the entry ends it first.
 	idleMargin = 2 * time.Second
 	// idleCheckTicks is the number of ticks between two checks for idle
-	// transactions.
+	// transactions, and for groups without a holder.
 	idleCheckTicks = 20
 	// holderSilence is how long a holder may be silent before it is pinged.
 	holderSilence = 400 * time.Millisecond
@@ -41,6 +41,7 @@
 		}
 		if n%idleCheckTicks == 0 {
 			f.endIdleTransactions()
+			f.reportUnheldGroups()
 		}
 		f.evictRemovedMembers()
 		f.startGroupTasks()
@@ -61,16 +62,12 @@
 		if !ok || r.Holder.ID == "" || r.Holder.ID == f.config.Self.ID {
 			continue
 		}
-		m, ok := f.assumedPrimary(g)
-		if !ok {
-			continue
-		}
-		i := f.successorRank(m, n)
+		i := f.table.Rank(g.name, n)
 		if i < 0 {
 			continue
 		}
 		f.pingSilent(membership.Host{ID: r.Holder.ID, PeerAddress: r.Holder.Address}, n)
-		for _, h := range f.view.Successors(viewMember(m), holderCandidates, n)[:i] {
+		for _, h := range f.table.Successors(g.name, n)[:i] {
 			f.pingSilent(h, n)
 		}
 	}
@@ -94,7 +91,7 @@
 		if n.After(t) {
 			f.config.Log.Info("member evicted", "member", id)
 			delete(f.evictAt, id)
-			f.removeMember(id)
+			f.table.RemoveMember(id)
 		}
 	}
 }
@@ -107,7 +104,7 @@
 	n := time.Now()
 	for id, o := range f.pools {
 		o.CloseIdle()
-		m, ok := f.members[id]
+		m, ok := f.table.Member(id)
 		c := o.Member()
 		switch {
 		case !ok || m.Address != c.Address:
@@ -170,7 +167,11 @@
 // holdsPrimary reports whether a member is the primary of a group that this
 // host holds; f.mu is held.
 func (f *Daemon) holdsPrimary(member string) bool {
-	g := f.group(f.members[member].Group)
+	m, ok := f.table.Member(member)
+	if !ok {
+		return false
+	}
+	g := f.group(m.Group)
 	id, _ := g.Primary()
 	return g.Holder().ID == f.config.Self.ID && id == member
 }
@@ -178,8 +179,11 @@
 // primaryHeldElsewhere reports whether a member is the primary of a group that
 // another host holds, which needs all the member's connections; f.mu is held.
 func (f *Daemon) primaryHeldElsewhere(member string) bool {
-	g := f.group(f.members[member].Group)
-	r, _, _ := g.Record()
+	m, ok := f.table.Member(member)
+	if !ok {
+		return false
+	}
+	r, _, _ := f.group(m.Group).Record()
 	return r.Holder.ID != "" && r.Holder.ID != f.config.Self.ID && r.Primary == member
 }
 
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -62,7 +62,7 @@
 func (f *Daemon) probePrimary(x context.Context, g *group) {
 	f.mu.Lock()
 	id, _ := g.Primary()
-	m, ok := f.members[id]
+	m, ok := f.table.Member(id)
 	f.mu.Unlock()
 	if !ok {
 		return
@@ -260,7 +260,7 @@
 func (f *Daemon) demoteMember(x context.Context, g *group, old string) {
 	for range maxDemoteAttempts {
 		f.mu.Lock()
-		m, ok := f.members[old]
+		m, ok := f.table.Member(old)
 		id, term := g.Primary()
 		ok = ok && id != old
 		f.mu.Unlock()
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/entry"
 	"github.com/dragonflypick/dragonflypick/membership"
@@ -224,11 +225,11 @@
 	n := time.Now()
 	g := f.group(r.Group)
 	var best readTarget
-	for _, m := range f.groupMembers[r.Group] {
+	for _, m := range f.table.GroupMembers(r.Group) {
 		if m.Draining || tried[m.ID] > 0 {
 			continue
 		}
-		p, known := f.assumedPrimary(g)
+		p, known := f.table.AssumedPrimary(g.name)
 		primary := known && p.ID == m.ID
 		h, ok := f.ownerOf(m, primary)
 		if !ok {
@@ -259,7 +260,7 @@
 			return membership.Host{}, false
 		}
 	}
-	return f.view.Owner(viewMember(m), time.Now())
+	return f.view.Owner(assignment.ViewMember(m), time.Now())
 }
 
 // assumedRTT returns the assumed round trip to a location.
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -174,7 +174,7 @@
 		f.mu.Lock()
 	}
 	id, _ := g.Primary()
-	m, ok := f.members[id]
+	m, ok := f.table.Member(id)
 	var p *pool.Pool
 	if ok {
 		p = f.memberPool(m)
@@ -196,7 +196,7 @@
 	f.mu.Lock()
 	g := f.group(r.Group)
 	g.lastReplicaRead, f.replicaReads[g] = n, true
-	m, ok := f.members[r.Member]
+	m, ok := f.table.Member(r.Member)
 	if !ok || m.Group != r.Group || m.Draining || f.draining.Load() {
 		f.mu.Unlock()
 		return query.Response{Reply: query.Refusal(query.Moved, "the member is not served here")}
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -185,7 +185,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	old, known := f.members[id]
+	old, known := f.table.Member(id)
 	switch {
 	case err != nil:
 		f.config.Log.Warn("invalid member record", "member", id, "error", err)
@@ -199,7 +199,7 @@
 	}
 	delete(f.evictAt, id)
 	if old != m {
-		f.setMember(m)
+		f.table.SetMember(m)
 		f.config.Log.Info("member updated", "member", id, "group", m.Group, "failure-domain", m.FailureDomain, "draining", m.Draining, "primary", m.Primary, "born", m.StartMillis)
 	}
 }
@@ -268,7 +268,6 @@
 	g := f.group(strings.TrimPrefix(i.Key, groupPrefix))
 	was, rev, _ := g.Record()
 	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: i.Revision, RequestedAt: requested}}, now())
-	f.duties.stale = f.duties.stale || i.Revision > rev
 	if i.Revision > rev {
 		f.config.Log.Info("group record updated", "group", g.name, "revision", i.Revision, "holder", r.Holder.ID, "was", was.Holder.ID, "prior", r.PreviousHolders, "primary", r.Primary, "term", r.Term, "target", r.Target)
 	}
--- a/gossip/overlay.go
+++ b/gossip/overlay.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/dragonflypick/dragonflypick/membership"
 )
@@ -66,6 +67,23 @@
 	return o
 }
 
+// OverlayCache keeps a daemon's overlay until its view of the hosts changes. It is not
+// safe for concurrent use.
+type OverlayCache struct {
+	overlay Overlay
+	// generation is the generation of the view for which overlay was computed; zero
+	// before that.
+	generation uint64
+}
+
+// Overlay returns the overlay of the daemon on the host self.
+func (c *OverlayCache) Overlay(self membership.Host, v *membership.View, now time.Time) Overlay {
+	if n := v.Generation(now); n != c.generation {
+		c.overlay, c.generation = NewOverlay(self, v.Live(now)), n
+	}
+	return c.overlay
+}
+
 // rankedHosts returns the hosts of the daemon's failure domain by score, and those
 // of its region by their rank in their failure domain, then by score. Both contain
 // the daemon itself, also if it isn't live.
--- a/storecopy/simulation_test.go
+++ b/storecopy/simulation_test.go
@@ -17,8 +17,6 @@
 	regionDelay  = time.Millisecond
 	remoteDelay  = 30 * time.Millisecond
 	storeLatency = 4 * time.Millisecond
-	// exchangeTimeout bounds an exchange between two hosts.
-	exchangeTimeout = time.Second
 )
 
 // event is a function that runs at a time.
