--- a/fleet/contain_test.go
+++ b/fleet/contain_test.go
@@ -24,11 +24,11 @@
 		f.config.Decoder = Decoder{
 			ConfigurationKey: "configuration", MemberPrefix: "members/",
 			Configuration: func([]byte) (*catalog.Catalog, error) { panic("malformed") },
-			Member: func(string, []byte) (catalog.Member, error) {
-				return catalog.Member{ID: "m", Group: "g"}, nil
+			Member: func(string, []byte) (catalog.Member, uint64, error) {
+				return catalog.Member{ID: "m", Group: "g"}, 1, nil
 			},
 		}
-		f.applyItems([]store.Item{{Key: "configuration", Revision: 1}, {Key: "members/m", Revision: 2}}, fromStore)
+		f.applyItems([]store.Item{{Key: "configuration", Position: at(1)}, {Key: "members/m", Position: at(2)}}, fromStore)
 		Expect(f.Catalog()).To(BeNil())
 		_, ok := f.table.Member("m")
 		Expect(ok).To(BeTrue())
--- a/fleet/duties_test.go
+++ b/fleet/duties_test.go
@@ -44,7 +44,7 @@
 		m, _ := f.table.AssumedPrimary(g.name)
 		h, _ := f.view.Owner(assignment.ViewMember(m), time.Now())
 		r := lease.Record{Holder: lease.Holder{ID: h.ID, Address: h.PeerAddress}, Primary: m.ID, Epoch: 1}
-		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: uint64(i) + 1}}, now())
+		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Position: at(uint64(i) + 1)}}, now())
 	}
 }
 
@@ -65,7 +65,7 @@
 		Expect(len(l)).To(BeNumerically("~", 6, 5))
 		held := 0
 		for _, g := range f.groups {
-			r, _, _ := g.Record()
+			r, _ := g.Record()
 			if r.Holder.ID == "h0" {
 				held++
 				Expect(l).To(ContainElement(g))
@@ -82,13 +82,13 @@
 		f.mu.Lock()
 		var other *group
 		for _, g := range f.groups {
-			if r, _, _ := g.Record(); r.Holder.ID != "h0" && !f.table.HasDuty(g.name, time.Now()) {
+			if r, _ := g.Record(); r.Holder.ID != "h0" && !f.table.HasDuty(g.name, time.Now()) {
 				other = g
 			}
 		}
 		Expect(f.currentDuties()).NotTo(ContainElement(other))
 		f.mu.Unlock()
-		f.applyRecord(store.Item{Key: recordKey(other), Value: []byte(`{"holder":{"id":"h0"},"epoch":2}`), Revision: 1000}, time.Time{})
+		f.applyRecord(store.Item{Key: recordKey(other), Value: []byte(`{"holder":{"id":"h0"},"epoch":2}`), Position: at(1000)}, time.Time{})
 		f.mu.Lock()
 		Expect(f.currentDuties()).To(ContainElement(other))
 		f.mu.Unlock()
@@ -111,15 +111,16 @@
 		f, err := newFleetMember(hclog.NewNullLogger())
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(f.stop)
-		f.config.Decoder = Decoder{ConfigurationKey: "configuration", MemberPrefix: "members/", Member: func(_ string, v []byte) (catalog.Member, error) {
+		f.config.Decoder = Decoder{ConfigurationKey: "configuration", MemberPrefix: "members/", Member: func(_ string, v []byte) (catalog.Member, uint64, error) {
 			var m catalog.Member
-			return m, json.Unmarshal(v, &m)
+			err := json.Unmarshal(v, &m)
+			return m, 1, err
 		}}
 		f.updateView(membership.ListReceived{Hosts: []membership.Host{f.config.Self, {ID: "h1", FailureDomain: "d1", Region: "r1"}, {ID: "h2", FailureDomain: "d2", Region: "r0"}}})
 		register := func(revision uint64, m catalog.Member) []*group {
 			v, err := json.Marshal(m)
 			Expect(err).NotTo(HaveOccurred())
-			f.applyItems([]store.Item{{Key: "members/" + m.ID, Value: v, Revision: revision}}, fromStore)
+			f.applyItems([]store.Item{{Key: "members/" + m.ID, Value: v, Position: at(revision)}}, fromStore)
 			f.mu.Lock()
 			defer f.mu.Unlock()
 			return f.currentDuties()
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/gossip"
+	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/store"
@@ -22,18 +23,33 @@
 	suspectCheckInterval = 2 * time.Second
 )
 
-// exchangeParams requests the items that changed after a revision of the store.
+// exchangeParams requests the items that changed after a position of the store.
 type exchangeParams struct {
-	Revision uint64 `json:"revision"`
+	store.Position
+	// ConfigurationVersion is the version in force at the asker.
+	ConfigurationVersion uint64 `json:"configuration-version,omitempty"`
 }
 
-// exchangeReply returns these items with the daemon's own revision.
+// exchangeReply returns these items with the position of the daemon's own copy.
 type exchangeReply struct {
-	Revision uint64       `json:"revision"`
-	Items    []store.Item `json:"items"`
-	// Complete is set if the items are all items of the store: the daemon doesn't
-	// know all removals since the requested revision any more.
+	store.Position
+	Items []store.Item `json:"items"`
+	// Complete is set if the items are all items of the store: the copy is of a later
+	// era, or the daemon doesn't know all removals since the requested position any
+	// more.
 	Complete bool `json:"complete,omitempty"`
+	// StoreEra is the highest era of the store that the daemon has heard of, if EraAge
+	// isn't zero: the time since some daemon first heard of it.
+	StoreEra uint64        `json:"store-era,omitempty"`
+	EraAge   time.Duration `json:"era-age,omitempty"`
+	// FirstEra is set if no process ran in an earlier era, as far as the daemon knows.
+	FirstEra bool `json:"first-era,omitempty"`
+	// Records are the groups' records that the daemon knows and that the store may
+	// have lost.
+	Records map[string]lease.Record `json:"records,omitempty"`
+	// Configuration is the encoding of a newer configuration than the asker's that
+	// the store has lost.
+	Configuration []byte `json:"configuration,omitempty"`
 	// Hosts are live hosts that the platform doesn't list.
 	Hosts []membership.Host `json:"hosts"`
 	// Age is the time since the daemon's copy was known to be current.
@@ -51,7 +67,7 @@
 // ends: from an upstream and from a neighbor in each round, and every other round
 // from a host that is suspected, which may be back.
 func (f *Daemon) runExchange(x context.Context) error {
-	for n := 0; sleep(x, storecopy.ExchangeDelay(f.copy.Revision() > 0, nil)); n++ {
+	for n := 0; sleep(x, storecopy.ExchangeDelay(f.copy.Position().Revision > 0, nil)); n++ {
 		f.mu.Lock()
 		o := f.currentOverlay()
 		var suspects []membership.Host
@@ -110,7 +126,7 @@
 	defer stop()
 	t := now()
 	var o exchangeReply
-	err := f.node.Call(y, h, methodExchange, exchangeParams{Revision: f.copy.Revision()}, &o)
+	err := f.node.Call(y, h, methodExchange, exchangeParams{Position: f.copy.Position(), ConfigurationVersion: f.configurationVersion()}, &o)
 	if upstream {
 		f.observeUpstream(o, err)
 	}
@@ -118,16 +134,23 @@
 		f.config.Log.Debug("exchange failed", "host", h.ID, "error", err)
 		return
 	}
-	if !storecopy.IsCurrent(o.Age) && f.copy.Revision() == 0 && !f.staleCopyAllowed.Load() {
-		f.config.Log.Info("copy of the store declined", "host", h.ID, "revision", o.Revision, "age-ms", o.Age.Milliseconds())
+	if !storecopy.IsCurrent(o.Age) && f.copy.Position().Revision == 0 && !f.staleCopyAllowed.Load() {
+		f.config.Log.Info("copy of the store declined", "host", h.ID, "position", o.Position.String(), "age-ms", o.Age.Milliseconds())
 		return
 	}
 	for _, h := range o.Hosts {
 		f.updateView(membership.HostDiscovered{Host: h})
 	}
+	if o.EraAge > 0 {
+		f.observeEra(o.StoreEra, t.Add(-o.EraAge), o.FirstEra)
+	}
 	// The reply was computed after t, so that the copy was current at t minus Age
 	// or later.
-	f.applyUpdate(storecopy.Update{Items: o.Items, Revision: o.Revision, CurrentAt: t.Add(-o.Age), Complete: o.Complete}, h.ID)
+	f.applyUpdate(storecopy.Update{Items: o.Items, Position: o.Position, CurrentAt: t.Add(-o.Age), Complete: o.Complete}, h.ID)
+	f.applyReportedRecords(o.Records)
+	if len(o.Configuration) > 0 {
+		f.applyConfiguration(store.Item{Key: f.config.Decoder.ConfigurationKey, Value: o.Configuration}, h.ID)
+	}
 	f.checkReportedSuspects(o.Suspects)
 }
 
@@ -144,13 +167,17 @@
 
 // answerExchange returns what changed after the requested revision.
 func (f *Daemon) answerExchange(p exchangeParams) exchangeReply {
-	u := f.copy.ChangesSince(p.Revision)
+	u := f.copy.ChangesSince(p.Position)
+	k := f.newerConfiguration(p.ConfigurationVersion)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := time.Now()
 	o := exchangeReply{
-		Revision: u.Revision, Items: u.Items, Complete: u.Complete, Hosts: f.view.UnlistedHosts(n),
-		Age: now().Sub(u.CurrentAt),
+		Position: u.Position, Items: u.Items, Complete: u.Complete, Hosts: f.view.UnlistedHosts(n),
+		Age: now().Sub(u.CurrentAt), Records: f.reportedRecords(), Configuration: k,
+	}
+	if f.era.known {
+		o.StoreEra, o.EraAge, o.FirstEra = f.era.era, max(now().Sub(f.era.since), 1), f.era.first
 	}
 	for _, h := range f.view.Suspects(n) {
 		if f.view.IsSuspect(h.ID, n) && len(o.Suspects) < maxReportedSuspects {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,7 +54,9 @@
 	ConfigurationKey string
 	MemberPrefix     string
 	Configuration    func(value []byte) (*catalog.Catalog, error)
-	Member           func(key string, value []byte) (catalog.Member, error)
+	// Member returns a member and the sequence of its record, which rises with each
+	// of the member's reports since its start.
+	Member func(key string, value []byte) (m catalog.Member, sequence uint64, err error)
 	// Status decodes a member's reply to query.GetStatus.
 	Status func(query.Reply) (query.Status, error)
 }
@@ -70,11 +72,16 @@
 	Secret string
 	// Seeds are peer addresses of some daemons, which are queried while no other
 	// host is known to be live.
-	Seeds    []string
-	Store    store.Store
-	Promoter Promoter
-	Dialer   pool.Dialer
-	Decoder  Decoder
+	Seeds []string
+	// Bootstrap is set if the whole system starts for the first time.
+	Bootstrap bool
+	Store     store.Store
+	// StoreWritesPerSecond is the number of writes that the store accepts from all
+	// daemons together; zero if that isn't known.
+	StoreWritesPerSecond int
+	Promoter             Promoter
+	Dialer               pool.Dialer
+	Decoder              Decoder
 	// LogEvery logs one in this many successful requests; zero logs none. Failed
 	// requests are always logged.
 	LogEvery uint64
@@ -105,6 +112,8 @@
 	stop  context.CancelFunc
 	// failed receives the failure that ends the daemon.
 	failed chan error
+	// registerAgain receives a value when the store has lost the record of this host.
+	registerAgain chan struct{}
 
 	mu   sync.Mutex
 	view *membership.View
@@ -140,6 +149,12 @@
 	pinging    map[string]bool
 	// hostRecords holds the hosts' records in the store, by key.
 	hostRecords map[string]hostRecord
+	// era is what is known of the store's era.
+	era eraState
+	// configuration is the encoding of the configuration in force.
+	configuration []byte
+	// sequences holds the sequence of each member's newest record, by ID.
+	sequences map[string]uint64
 	// hostLease is the store's lease of this host's record; zero before the first.
 	hostLease uint64
 }
@@ -155,7 +170,7 @@
 	x, stop := context.WithCancel(context.Background())
 	m := storecopy.New()
 	f := &Daemon{
-		config: c, copy: m, failed: make(chan error, 1), metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
+		config: c, copy: m, failed: make(chan error, 1), registerAgain: make(chan struct{}, 1), sequences: map[string]uint64{}, metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
 		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 	}
@@ -227,7 +242,7 @@
 	}
 	n, held := time.Now(), false
 	for _, name := range f.table.Groups() {
-		r, _, ok := f.group(name).Record()
+		r, ok := f.group(name).Record()
 		if !ok || r.Holder.ID == "" {
 			continue
 		}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,9 +26,19 @@
 	RunSpecs(t, "fleet")
 }
 
+func at(revision uint64) store.Position { return store.Position{Revision: revision} }
+
+// eraStore is a store without calls, in an era.
+type eraStore struct {
+	store.Store
+	era atomic.Uint64
+}
+
+func (s *eraStore) Era() (uint64, bool) { return s.era.Load(), true }
+
 func newTestDaemon() *Daemon {
 	f, err := New(Config{
-		Self: membership.Host{ID: "a", FailureDomain: "west-a", Region: "west"}, PeerListen: "127.0.0.1:0", Secret: "s", Log: hclog.NewNullLogger(),
+		Self: membership.Host{ID: "a", FailureDomain: "west-a", Region: "west"}, PeerListen: "127.0.0.1:0", Secret: "s", Store: &eraStore{}, Log: hclog.NewNullLogger(),
 	})
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(f.stop)
@@ -38,7 +49,7 @@
 	It("stops waiting for a primary when the requesting daemon is gone", func() {
 		f := newTestDaemon()
 		g := f.group("g")
-		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder()}, Revision: 1}}, now())
+		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder()}, Position: at(1)}}, now())
 		x, stop := context.WithCancel(context.Background())
 		stop()
 		t := time.Now()
@@ -83,7 +94,7 @@
 		f.mu.Unlock()
 		f.catalog.Store(&catalog.Catalog{})
 		hold := func(group, holder string, rev uint64) {
-			f.applyRecord(store.Item{Key: groupPrefix + group, Value: []byte(`{"holder":{"id":"` + holder + `"}}`), Revision: rev}, time.Time{})
+			f.applyRecord(store.Item{Key: groupPrefix + group, Value: []byte(`{"holder":{"id":"` + holder + `"}}`), Position: at(rev)}, time.Time{})
 		}
 		hold("g", "c", 1)
 		hold("h", "d", 2)
@@ -109,7 +120,7 @@
 		f.mu.Lock()
 		f.table.SetMember(catalog.Member{ID: "m", Group: "g", Primary: true})
 		f.mu.Unlock()
-		f.applyRecord(store.Item{Key: groupPrefix + "g", Value: []byte(`{"holder":{"id":"b"},"primary":"m"}`), Revision: 1}, time.Time{})
+		f.applyRecord(store.Item{Key: groupPrefix + "g", Value: []byte(`{"holder":{"id":"b"},"primary":"m"}`), Position: at(1)}, time.Time{})
 		r := &query.Request{Group: "g", MaxAge: time.Second}
 		c, ok := f.cheapestTarget(r, nil)
 		Expect(ok).To(BeTrue())
@@ -122,16 +133,16 @@
 	It("starts with the copy of a daemon that has lost the store only if the store can't be read", func() {
 		f, p := newTestDaemon(), newTestDaemon()
 		f.config.Store = &conflictStore{}
-		p.copy.Apply(storecopy.Update{Items: []store.Item{{Key: groupPrefix + "left", Revision: 4}}, Revision: 4}, time.Now())
+		p.copy.Apply(storecopy.Update{Items: []store.Item{{Key: groupPrefix + "left", Position: at(4)}}, Position: at(4)}, time.Now())
 		x, stop := context.WithCancel(context.Background())
 		defer stop()
 		p.spawn(func(context.Context) { _ = p.node.Run(x) })
 		f.exchangeWith(x, peer.SeedHost(p.node.Address()), true)
-		Expect(f.copy.Revision()).To(BeZero())
+		Expect(f.copy.Position().Revision).To(BeZero())
 		f.staleCopyAllowed.Store(true)
 		Eventually(func() uint64 {
 			f.exchangeWith(x, peer.SeedHost(p.node.Address()), true)
-			return f.copy.Revision()
+			return f.copy.Position().Revision
 		}, 10*time.Second).Should(BeEquivalentTo(4))
 	})
 
@@ -140,7 +151,7 @@
 		g := f.group("g")
 		done := query.Reply{Signature: "m", State: query.Idle}
 		observeRecord := func(requested time.Time) {
-			g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder()}, Revision: 1, RequestedAt: requested}}, now())
+			g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder()}, Position: at(1), RequestedAt: requested}}, now())
 		}
 		observeRecord(now().Add(-2 * lease.Validity))
 		o := f.validateReply(g, &r, done)
@@ -163,7 +174,7 @@
 		Expect(f.isolated()).To(BeTrue())
 		g := f.group("g")
 		Expect(f.canReachHolder(g)).To(BeFalse())
-		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder()}, Revision: 1}}, now())
+		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder()}, Position: at(1)}}, now())
 		Expect(f.canReachHolder(g)).To(BeTrue())
 	})
 
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -47,6 +47,7 @@
 	if g == nil {
 		g = &group{name: name, Group: takeover.New(f.selfHolder()), table: f.table}
 		f.groups[name] = g
+		f.tellEra(g)
 	}
 	return g
 }
@@ -99,14 +100,14 @@
 // copy of the store. The copy contained all changes when it was last current, so
 // that this is as good as a request made then; f.mu is held.
 func (f *Daemon) confirmFromCopy(g *group, t time.Time) {
-	r, rev, ok := g.Record()
-	if !ok || r.Holder.ID != f.config.Self.ID {
+	r, ok := g.Record()
+	if !ok || g.RecordRestored() || r.Holder.ID != f.config.Self.ID {
 		return
 	}
 	i, at := f.copy.Item(recordKey(g))
-	if i.Revision == rev && at.After(g.confirmedAt) {
+	if p := g.RecordPosition(); i.Position == p && at.After(g.confirmedAt) {
 		g.confirmedAt = at
-		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: rev, RequestedAt: at}}, t)
+		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Position: p, RequestedAt: at}}, t)
 	}
 }
 
@@ -116,6 +117,8 @@
 	switch a := g.NextAction(f.hostState(g), t).(type) {
 	case takeover.AcquireLease:
 		return f.acquireGroupLease
+	case takeover.RewriteLease:
+		return f.rewriteGroupLease
 	case takeover.ReleaseLease:
 		return f.releaseGroupLease
 	case takeover.DiscoverPrimary:
@@ -139,7 +142,7 @@
 // the group's own state; f.mu is held.
 func (f *Daemon) hostState(g *group) takeover.HostState {
 	o := takeover.HostState{HostDraining: f.draining.Load(), Registered: f.hostLease != 0, WorkPending: g.IsPreviousHolder() && f.primaryBusy(g)}
-	if r, _, ok := g.Record(); ok {
+	if r, ok := g.Record(); ok {
 		o.TakeoverAllowed = f.mayTakeOver(r.Holder.ID)
 	}
 	if m, ok := f.table.AssumedPrimary(g.name); ok {
--- a/fleet/hedge.go
+++ b/fleet/hedge.go
@@ -24,8 +24,8 @@
 type storeReply struct {
 	// Item is the item that was read.
 	Item store.Item `json:"item"`
-	// Revision is the revision of a write.
-	Revision uint64 `json:"revision,omitempty"`
+	// Position is the position of a write.
+	store.Position
 	// Conflict is the current item if a write's condition did not hold.
 	Conflict *store.Item `json:"conflict,omitempty"`
 }
@@ -103,16 +103,20 @@
 	return f.config.Store.Get(y, key)
 }
 
-// putConditional writes an item if its revision is still w.Revision. A conflict
-// is returned in the reply, not as an error.
+// putConditional writes an item if its revision is still w.Revision, and no later era
+// is known than the one in which it had that revision. A conflict is returned in the
+// reply, not as an error.
 func (f *Daemon) putConditional(x context.Context, w store.Write) (storeReply, error) {
+	if err := f.checkEra(w); err != nil {
+		return storeReply{}, err
+	}
 	w.Conditional = true
-	n, err := f.config.Store.Put(x, w)
+	p, err := f.config.Store.Put(x, w)
 	var c *store.ConflictError
 	if errors.As(err, &c) {
 		return storeReply{Conflict: &c.Item}, nil
 	}
-	return storeReply{Revision: n}, err
+	return storeReply{Position: p}, err
 }
 
 // writeForPeer makes a conditional write for another daemon.
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -22,26 +22,39 @@
 // acquireGroupLease writes this host as the holder to the group's record.
 func (f *Daemon) acquireGroupLease(x context.Context, g *group) {
 	f.mu.Lock()
-	from := g.Holder()
-	n, rev := g.AcquireRecord()
+	from, restored := g.Holder(), g.RecordRestored()
+	c := g.Acquire(now())
 	f.mu.Unlock()
-	f.config.Log.Info("group lease requested", "group", g.name, "from", from.ID, "revision", rev, "prior", n.PreviousHolders)
-	f.compareAndSwap(x, g, n, rev)
+	f.config.Log.Info("group lease requested", "group", g.name, "from", from.ID, "era", c.Era, "revision", c.Revision, "prior", c.Record.PreviousHolders, "restored", restored)
+	f.compareAndSwap(x, g, c)
 }
 
-// compareAndSwap writes a group's record if its revision is still rev. It applies
-// the record that the store holds afterwards and reports whether that is r. If the
-// call fails, it reads the record and returns false.
-func (f *Daemon) compareAndSwap(x context.Context, g *group, r lease.Record, rev uint64) bool {
+// rewriteGroupLease writes the record of this host again after the store has come back
+// from an older copy.
+func (f *Daemon) rewriteGroupLease(x context.Context, g *group) {
+	f.mu.Lock()
+	c := g.Rewrite(now())
+	f.mu.Unlock()
+	f.config.Log.Info("group record rewrite requested", "group", g.name, "era", c.Era, "revision", c.Revision, "epoch", c.Record.Epoch, "primary", c.Record.Primary, "term", c.Record.Term, "target", c.Record.Target)
+	if f.compareAndSwap(x, g, c) {
+		f.metrics.rewrites.Inc()
+	}
+}
+
+// compareAndSwap changes a group's record if it is still the one that the change
+// replaces. It applies the record that the store holds afterwards and reports whether
+// that is the change's, in the change's era. If the call fails, it reads the record and
+// returns false.
+func (f *Daemon) compareAndSwap(x context.Context, g *group, c lease.Change) bool {
 	y, stop := context.WithTimeout(x, storeTimeout)
 	defer stop()
-	v, err := json.Marshal(r)
+	v, err := json.Marshal(c.Record)
 	if err != nil {
 		f.config.Log.Error("group record write failed", "group", g.name, "error", err)
 		return false
 	}
 	t := now()
-	o, err := f.writeItem(y, store.Write{Key: recordKey(g), Value: v, Conditional: true, Revision: rev})
+	o, err := f.writeItem(y, store.Write{Key: recordKey(g), Value: v, Conditional: true, Revision: c.Revision, Era: c.Era})
 	switch {
 	case err != nil:
 		f.config.Log.Warn("group record write failed", "group", g.name, "error", err)
@@ -49,11 +62,11 @@
 		f.confirmRecord(x, g)
 		return false
 	case o.Conflict == nil:
-		f.applyRecord(store.Item{Key: recordKey(g), Value: v, Revision: o.Revision}, t)
-		return true
+		f.applyRecord(store.Item{Key: recordKey(g), Value: v, Position: o.Position}, t)
+		return o.Position.Era == c.Era
 	default:
 		f.applyRecord(*o.Conflict, t)
-		return bytes.Equal(o.Conflict.Value, v)
+		return bytes.Equal(o.Conflict.Value, v) && o.Conflict.Era == c.Era
 	}
 }
 
@@ -106,24 +119,24 @@
 	if ok {
 		h, ok = f.view.Owner(assignment.ViewMember(m), time.Now())
 	}
-	r, rev := g.TransferRecord(lease.Holder{ID: h.ID, Address: h.PeerAddress}, now())
+	c := g.Transfer(lease.Holder{ID: h.ID, Address: h.PeerAddress}, now())
 	f.mu.Unlock()
 	if !ok || h.ID == f.config.Self.ID {
 		sleep(x, storecopy.Backoff(1, nil))
 		return
 	}
-	f.config.Log.Info("group lease transfer requested", "group", g.name, "to", h.ID, "revision", rev)
-	f.compareAndSwap(x, g, r, rev)
+	f.config.Log.Info("group lease transfer requested", "group", g.name, "to", h.ID, "revision", c.Revision)
+	f.compareAndSwap(x, g, c)
 }
 
 // releaseGroupLease removes this host from the previous holders in the group's
 // record, once it sends no more requests to the primary.
 func (f *Daemon) releaseGroupLease(x context.Context, g *group) {
 	f.mu.Lock()
-	r, rev, ok := g.ReleaseRecord(now())
+	c, ok := g.Release(now())
 	f.mu.Unlock()
 	if ok {
-		f.config.Log.Info("group lease release requested", "group", g.name, "holder", r.Holder.ID)
-		f.compareAndSwap(x, g, r, rev)
+		f.config.Log.Info("group lease release requested", "group", g.name, "holder", c.Record.Holder.ID)
+		f.compareAndSwap(x, g, c)
 	}
 }
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -18,6 +18,10 @@
 	storeCalls *prometheus.CounterVec
 	// configurationVersion is the version of the configuration in force.
 	configurationVersion prometheus.Gauge
+	// storeEra is the era of the store; rewrites counts the group records that were
+	// written again because the store had lost them.
+	storeEra prometheus.Gauge
+	rewrites prometheus.Counter
 	// unheldGroups is the number of groups that have a primary and no holder.
 	unheldGroups prometheus.Gauge
 	// copyAge is the time since the local copy of the store was known to be current.
@@ -54,6 +58,12 @@
 		configurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "dragonflypick_configuration_version", Help: "Version of the configuration in force; 0 before the first.",
 		}),
+		storeEra: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "dragonflypick_store_era", Help: "How often the platform's store has come back from an older copy.",
+		}),
+		rewrites: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dragonflypick_group_records_rewritten_total", Help: "Group records written again because the store had come back from an older copy.",
+		}),
 		unheldGroups: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "dragonflypick_groups_without_holder", Help: "Groups that have had a primary and no holder for a second.",
 		}),
@@ -70,7 +80,7 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.unheldGroups, f.metrics.copyAge)
+	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge)
 }
 
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -43,6 +43,7 @@
 			f.endIdleTransactions()
 			f.reportUnheldGroups()
 		}
+		f.observeStoreEra()
 		f.evictRemovedMembers()
 		f.startGroupTasks()
 		f.closeUnusedPools()
@@ -58,7 +59,7 @@
 	defer f.mu.Unlock()
 	n := time.Now()
 	for _, g := range f.currentDuties() {
-		r, _, ok := g.Record()
+		r, ok := g.Record()
 		if !ok || r.Holder.ID == "" || r.Holder.ID == f.config.Self.ID {
 			continue
 		}
@@ -91,6 +92,7 @@
 		if n.After(t) {
 			f.config.Log.Info("member evicted", "member", id)
 			delete(f.evictAt, id)
+			delete(f.sequences, id)
 			f.table.RemoveMember(id)
 		}
 	}
@@ -183,7 +185,7 @@
 	if !ok {
 		return false
 	}
-	r, _, _ := f.group(m.Group).Record()
+	r, _ := f.group(m.Group).Record()
 	return r.Holder.ID != "" && r.Holder.ID != f.config.Self.ID && r.Primary == member
 }
 
@@ -217,7 +219,7 @@
 	n := now()
 	for g := range f.replicaReads {
 		s, ok := g.history.Last()
-		r, _, _ := g.Record()
+		r, _ := g.Record()
 		if n.Sub(g.lastReplicaRead) > replicaReadWindow {
 			delete(f.replicaReads, g)
 			continue
@@ -255,7 +257,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, g := range f.groups {
-		r, _, ok := g.Record()
+		r, ok := g.Record()
 		if ok && r.Holder.ID == f.config.Self.ID || g.IsPreviousHolder() {
 			return false
 		}
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -52,9 +52,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g.Handle(takeover.MembersPolled{Statuses: l}, now())
-	r, rev, _ := g.Record()
+	r, _ := g.Record()
 	id, term := g.Primary()
-	f.config.Log.Info("primary discovery finished", "group", g.name, "found", g.PrimaryDiscovered(), "usable", g.PrimaryUsable(), "member", id, "term", term, "pending", r.Target, "revision", rev)
+	f.config.Log.Info("primary discovery finished", "group", g.name, "found", g.PrimaryDiscovered(), "usable", g.PrimaryUsable(), "member", id, "term", term, "pending", r.Target, "uncertain", r.PrimaryUncertain, "position", g.RecordPosition().String())
 }
 
 // probePrimary opens new connections to a silent primary to check whether it
@@ -109,7 +109,7 @@
 func (f *Daemon) replacePrimary(x context.Context, g *group, why takeover.Reason) {
 	f.mu.Lock()
 	t := now()
-	_, _, ok := g.IntentRecord(t)
+	_, ok := g.AnnouncePromotion(t)
 	if !ok {
 		f.mu.Unlock()
 		return
@@ -153,9 +153,9 @@
 // from now on, and reports whether that succeeded.
 func (f *Daemon) recordIntent(x context.Context, g *group) bool {
 	f.mu.Lock()
-	r, rev, ok := g.IntentRecord(now())
+	c, ok := g.AnnouncePromotion(now())
 	f.mu.Unlock()
-	return ok && f.compareAndSwap(x, g, r, rev)
+	return ok && f.compareAndSwap(x, g, c)
 }
 
 // awaitTransactions waits up to transactionWait for the open transactions at a
@@ -247,9 +247,9 @@
 func (f *Daemon) recordPrimary(x context.Context, g *group) {
 	for range 3 {
 		f.mu.Lock()
-		r, rev, ok := g.PrimaryRecord(now())
+		c, ok := g.NamePrimary(now())
 		f.mu.Unlock()
-		if !ok || f.compareAndSwap(x, g, r, rev) {
+		if !ok || f.compareAndSwap(x, g, c) {
 			return
 		}
 	}
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -150,7 +150,7 @@
 	if g == nil {
 		return membership.Host{}, false
 	}
-	r, _, ok := g.Record()
+	r, ok := g.Record()
 	if !ok || r.Holder.ID == "" {
 		return membership.Host{}, false
 	}
@@ -256,7 +256,7 @@
 		if h, ok := f.holderHost(m.Group, ""); ok && f.isLive(h.ID) {
 			return h, true
 		}
-		if r, _, ok := f.group(m.Group).Record(); ok && r.Holder.ID != "" && r.Holder.ID != f.config.Self.ID {
+		if r, ok := f.group(m.Group).Record(); ok && r.Holder.ID != "" && r.Holder.ID != f.config.Self.ID {
 			return membership.Host{}, false
 		}
 	}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -157,7 +157,7 @@
 	f.mu.Lock()
 	g := f.group(r.Group)
 	for !g.MaySendWork(now()) {
-		rec, _, _ := g.Record()
+		rec, _ := g.Record()
 		left := r.Remaining - time.Since(t)
 		if rec.Holder.ID != f.config.Self.ID || left <= holderRetryDelay {
 			f.mu.Unlock()
--- a/fleet/store_test.go
+++ b/fleet/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -9,10 +10,13 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/store"
 	"github.com/dragonflypick/dragonflypick/storecopy"
+	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
 // conflictStore refuses every write with a conflict: the key already holds the
@@ -22,16 +26,18 @@
 	value []byte
 }
 
-func (s *conflictStore) Put(_ context.Context, w store.Write) (uint64, error) {
+func (s *conflictStore) Era() (uint64, bool) { return 0, true }
+
+func (s *conflictStore) Put(_ context.Context, w store.Write) (store.Position, error) {
 	v := s.value
 	if v == nil {
 		v = w.Value
 	}
-	return 0, &store.ConflictError{Item: store.Item{Key: w.Key, Value: v, Revision: 7}}
+	return store.Position{}, &store.ConflictError{Item: store.Item{Key: w.Key, Value: v, Position: at(7)}}
 }
 
-func (s *conflictStore) Range(context.Context, string) ([]store.Item, uint64, error) {
-	return nil, 5, nil
+func (s *conflictStore) Range(context.Context, string) ([]store.Item, store.Position, error) {
+	return nil, at(5), nil
 }
 
 var _ = Describe("watching the store", func() {
@@ -43,7 +49,7 @@
 			l = append(l, membership.Host{ID: "h" + strconv.Itoa(i), Region: "west", FailureDomain: "west-a"})
 		}
 		f.updateView(membership.ListReceived{Hosts: l})
-		f.copy.Apply(storecopy.Update{Revision: 1, CurrentAt: now()}, time.Now())
+		f.copy.Apply(storecopy.Update{Position: at(1), CurrentAt: now()}, time.Now())
 		Expect(f.isWatcher()).To(BeFalse())
 		x, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 1)
@@ -59,14 +65,16 @@
 	revision atomic.Uint64
 }
 
-func (s *compactedStore) Range(context.Context, string) ([]store.Item, uint64, error) {
-	r := s.revision.Load()
-	return []store.Item{{Key: "k", Revision: r}}, r, nil
+func (s *compactedStore) Era() (uint64, bool) { return 0, true }
+
+func (s *compactedStore) Range(context.Context, string) ([]store.Item, store.Position, error) {
+	p := at(s.revision.Load())
+	return []store.Item{{Key: "k", Position: p}}, p, nil
 }
 
-func (s *compactedStore) Watch(x context.Context, _ string, after uint64, _ time.Duration) ([]store.Item, uint64, error) {
-	if after < s.revision.Load() {
-		return nil, 0, &store.CompactedError{After: after}
+func (s *compactedStore) Watch(x context.Context, _ string, after store.Position, _ time.Duration) ([]store.Item, store.Position, error) {
+	if after.Revision < s.revision.Load() {
+		return nil, store.Position{}, &store.CompactedError{After: after.Revision}
 	}
 	sleep(x, 10*time.Millisecond)
 	return nil, after, nil
@@ -81,9 +89,9 @@
 		x, stop := context.WithCancel(context.Background())
 		defer stop()
 		f.spawn(func(context.Context) { _ = f.watchStore(x) })
-		Eventually(f.copy.Revision, 5*time.Second).Should(BeEquivalentTo(3))
+		Eventually(f.copy.Position, 5*time.Second).Should(Equal(at(3)))
 		s.revision.Store(9)
-		Eventually(f.copy.Revision, 5*time.Second).Should(BeEquivalentTo(9))
+		Eventually(f.copy.Position, 5*time.Second).Should(Equal(at(9)))
 	})
 })
 
@@ -93,7 +101,7 @@
 		return storeReply{}, x.Err()
 	}
 	fails := func(context.Context) (storeReply, error) { return storeReply{}, &store.LeaseEndedError{} }
-	answers := func(context.Context) (storeReply, error) { return storeReply{Revision: 9}, nil }
+	answers := func(context.Context) (storeReply, error) { return storeReply{Position: at(9)}, nil }
 	viaPeers := func(first, second storeCall) func(h membership.Host) storeCall {
 		return func(h membership.Host) storeCall {
 			if h.ID == "b" {
@@ -126,11 +134,11 @@
 		f.config.Store = s
 		g := f.group("g")
 		r := lease.Record{Holder: f.selfHolder(), Epoch: 1}
-		Expect(f.compareAndSwap(context.Background(), g, r, 6)).To(BeTrue())
-		_, rev, _ := g.Record()
-		Expect(rev).To(Equal(uint64(7)))
+		c := lease.Change{Record: r, Revision: 6}
+		Expect(f.compareAndSwap(context.Background(), g, c)).To(BeTrue())
+		Expect(g.RecordPosition()).To(Equal(at(7)))
 		s.value = []byte(`{"holder":{"id":"z","address":""},"epoch":4}`)
-		Expect(f.compareAndSwap(context.Background(), g, r, 6)).To(BeFalse())
+		Expect(f.compareAndSwap(context.Background(), g, c)).To(BeFalse())
 	})
 })
 
@@ -142,7 +150,11 @@
 
 func (s *silentLeaseStore) GrantLease(context.Context, time.Duration) (uint64, error) { return 1, nil }
 
-func (s *silentLeaseStore) Put(context.Context, store.Write) (uint64, error) { return 1, nil }
+func (s *silentLeaseStore) Era() (uint64, bool) { return 0, true }
+
+func (s *silentLeaseStore) Put(context.Context, store.Write) (store.Position, error) {
+	return at(1), nil
+}
 
 func (s *silentLeaseStore) RenewLease(x context.Context, _ uint64) error {
 	if s.renewals.Add(1) == 1 {
@@ -163,3 +175,106 @@
 		Eventually(s.renewals.Load, hostLeaseInterval+storeTimeout+time.Second).Should(BeEquivalentTo(2))
 	})
 })
+
+var _ = Describe("the store's era", func() {
+	era := func(f *Daemon) *atomic.Uint64 { return &f.config.Store.(*eraStore).era }
+
+	It("is the system's first one only at a bootstrap, and not once another daemon knows better", func() {
+		f := newTestDaemon()
+		f.config.Bootstrap = true
+		era(f).Store(3)
+		f.observeStoreEra()
+		g := f.group("g")
+		Expect(f.era.first).To(BeTrue())
+		Expect(g.NextAction(takeover.HostState{Registered: true, PreferredHolder: true}, now())).To(Equal(takeover.AcquireLease{}))
+		f.observeEra(3, now(), false)
+		Expect(f.era.first).To(BeFalse())
+		Expect(g.NextAction(takeover.HostState{Registered: true, PreferredHolder: true}, now())).To(BeNil())
+	})
+
+	It("isn't the first one after an earlier one was heard of, also era 0", func() {
+		f := newTestDaemon()
+		f.config.Bootstrap = true
+		f.observeStoreEra()
+		era(f).Store(1)
+		f.observeStoreEra()
+		Expect(f.era.first).To(BeFalse())
+		Expect(f.group("g").NextAction(takeover.HostState{Registered: true, PreferredHolder: true}, now())).To(BeNil())
+	})
+
+	It("keeps conditions of an earlier one from being sent", func() {
+		f := newTestDaemon()
+		era(f).Store(2)
+		_, err := f.putConditional(context.Background(), store.Write{Key: "k", Revision: 5, Era: 1})
+		var e *store.EraChangedError
+		Expect(errors.As(err, &e)).To(BeTrue())
+	})
+
+	It("spreads with what daemons know and the store has lost", func() {
+		f, p := newTestDaemon(), newTestDaemon()
+		decode := func(b []byte) (*catalog.Catalog, error) { return &catalog.Catalog{Version: uint64(b[0])}, nil }
+		f.config.Decoder = Decoder{ConfigurationKey: "configuration", MemberPrefix: "members/", Configuration: decode}
+		p.config.Decoder = f.config.Decoder
+		record := func(epoch string) []byte {
+			return []byte(`{"holder":{"id":"h"},"epoch":` + epoch + `,"primary":"m` + epoch + `","term":` + epoch + `}`)
+		}
+		p.observeStoreEra()
+		p.applyUpdate(storecopy.Update{Items: []store.Item{
+			{Key: groupPrefix + "g", Value: record("2"), Position: at(8)}, {Key: "configuration", Value: []byte{9}, Position: at(9)},
+		}, Position: at(9)}, fromStore)
+		restored := storecopy.Update{Complete: true, Position: store.Position{Era: 1, Revision: 6}, Items: []store.Item{
+			{Key: groupPrefix + "g", Value: record("1"), Position: store.Position{Era: 1, Revision: 5}}, {Key: "configuration", Value: []byte{4}, Position: store.Position{Era: 1, Revision: 6}},
+		}}
+		for _, d := range []*Daemon{p, f} {
+			era(d).Store(1)
+			d.observeStoreEra()
+			d.applyUpdate(restored, fromStore)
+		}
+		Expect(f.configurationVersion()).To(Equal(uint64(4)), "a daemon that started since reads the older one")
+		Expect(p.configurationVersion()).To(Equal(uint64(9)))
+		x, stop := context.WithCancel(context.Background())
+		defer stop()
+		p.spawn(func(context.Context) { _ = p.node.Run(x) })
+		Eventually(func() uint64 {
+			f.exchangeWith(x, peer.SeedHost(p.node.Address()), false)
+			return f.configurationVersion()
+		}, 5*time.Second).Should(Equal(uint64(9)))
+		id, term := f.group("g").Primary()
+		Expect(id).To(Equal("m2"))
+		Expect(term).To(Equal(uint64(2)))
+		Expect(f.group("g").RecordRestored()).To(BeTrue())
+	})
+
+	It("makes a host that doesn't watch the store wait for others before it reads it anew", func() {
+		f := newTestDaemon()
+		var l []membership.Host
+		for i := range 20 {
+			l = append(l, membership.Host{ID: "h" + strconv.Itoa(i), Region: "west", FailureDomain: "west-a"})
+		}
+		f.updateView(membership.ListReceived{Hosts: l})
+		f.observeStoreEra()
+		f.copy.Apply(storecopy.Update{Position: at(1), CurrentAt: now()}, time.Now())
+		era(f).Store(1)
+		Expect(f.eraReadDue()).To(BeFalse())
+		f.observeEra(1, now().Add(-eraReadDelay-time.Millisecond), false)
+		Expect(f.eraReadDue()).To(BeTrue())
+	})
+
+	It("keeps what a member reported last", func() {
+		f := newTestDaemon()
+		f.config.Decoder = Decoder{ConfigurationKey: "configuration", MemberPrefix: "members/", Member: func(_ string, v []byte) (catalog.Member, uint64, error) {
+			return catalog.Member{ID: "m", Group: "g", StartMillis: 7, Draining: v[0] > 5}, uint64(v[0]), nil
+		}}
+		member := func(sequence byte, p store.Position) bool {
+			f.applyItems([]store.Item{{Key: "members/m", Value: []byte{sequence}, Position: p}}, fromStore)
+			m, _ := f.table.Member("m")
+			return m.Draining
+		}
+		f.observeStoreEra()
+		Expect(member(6, at(4))).To(BeTrue())
+		era(f).Store(1)
+		f.observeStoreEra()
+		Expect(member(5, store.Position{Era: 1, Revision: 3})).To(BeTrue())
+		Expect(member(7, store.Position{Era: 1, Revision: 4})).To(BeTrue())
+	})
+})
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -37,7 +37,7 @@
 func (f *Daemon) watchStore(x context.Context) error {
 	reload := false
 	for n := 0; x.Err() == nil; {
-		reload = reload && f.isWatcher() || f.copy.Revision() == 0
+		reload = reload && f.isWatcher() || f.copy.Position().Revision == 0 || f.eraReadDue()
 		var err error
 		started := time.Now()
 		if reload {
@@ -47,7 +47,7 @@
 		}
 		if err == nil {
 			if n > 0 {
-				f.config.Log.Info("store updates resumed", "revision", f.copy.Revision(), "failures", n, "copy-age-ms", f.copyAgeMillis())
+				f.config.Log.Info("store updates resumed", "position", f.copy.Position().String(), "failures", n, "copy-age-ms", f.copyAgeMillis())
 			}
 			n, reload = 0, false
 			continue
@@ -56,11 +56,10 @@
 			break
 		}
 		if n == 0 {
-			f.config.Log.Info("store updates interrupted", "error", err, "revision", f.copy.Revision(), "pending-ms", time.Since(started).Milliseconds(), "copy-age-ms", f.copyAgeMillis())
+			f.config.Log.Info("store updates interrupted", "error", err, "position", f.copy.Position().String(), "pending-ms", time.Since(started).Milliseconds(), "copy-age-ms", f.copyAgeMillis())
 		}
 		n++
-		var c *store.CompactedError
-		if errors.As(err, &c) && !reload {
+		if needsReload(err) && !reload {
 			reload = true
 			continue
 		}
@@ -69,6 +68,14 @@
 	return nil
 }
 
+// needsReload reports whether a watch failed because the copy can't be brought up to
+// date by changes alone.
+func needsReload(err error) bool {
+	var c *store.CompactedError
+	var e *store.EraChangedError
+	return errors.As(err, &c) || errors.As(err, &e)
+}
+
 // copyAgeMillis returns the age of the local copy of the store in milliseconds, or -1
 // if it was never known to be current.
 func (f *Daemon) copyAgeMillis() int64 {
@@ -85,13 +92,14 @@
 	defer stop()
 	t := now()
 	f.metrics.countStoreCall(purposeLoad)
-	l, r, err := f.config.Store.Range(y, "")
+	l, p, err := f.config.Store.Range(y, "")
+	f.observeStoreEra()
 	if err != nil {
 		f.staleCopyAllowed.Store(true)
 		return err
 	}
-	f.applyUpdate(storecopy.Update{Items: l, Revision: r, CurrentAt: t, Complete: true}, fromStore)
-	f.config.Log.Info("store read", "revision", r, "items", len(l))
+	f.applyUpdate(storecopy.Update{Items: l, Position: p, CurrentAt: t, Complete: true}, fromStore)
+	f.config.Log.Info("store read", "position", p.String(), "items", len(l))
 	return nil
 }
 
@@ -109,11 +117,11 @@
 	f.metrics.countStoreCall(purposeWatch)
 	y, stop := context.WithTimeout(x, storecopy.WatchTimeout)
 	defer stop()
-	l, r, err := f.config.Store.Watch(y, "", f.copy.Revision(), storecopy.WatchPollTime)
+	l, p, err := f.config.Store.Watch(y, "", f.copy.Position(), storecopy.WatchPollTime)
 	if err != nil {
 		return err
 	}
-	f.applyUpdate(storecopy.Update{Items: l, Revision: r, CurrentAt: t}, fromStore)
+	f.applyUpdate(storecopy.Update{Items: l, Position: p, CurrentAt: t}, fromStore)
 	return nil
 }
 
@@ -160,7 +168,7 @@
 	}
 	k, err := f.config.Decoder.Configuration(i.Value)
 	if err != nil {
-		f.config.Log.Error("invalid configuration", "revision", i.Revision, "error", err)
+		f.config.Log.Error("invalid configuration", "position", i.Position.String(), "error", err)
 		return
 	}
 	f.mu.Lock()
@@ -170,8 +178,9 @@
 		return
 	}
 	f.catalog.Store(k)
+	f.configuration = i.Value
 	f.metrics.configurationVersion.Set(float64(k.Version))
-	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "revision", i.Revision, "from", from, "copy-age-ms", f.copyAgeMillis())
+	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "position", i.Position.String(), "from", from, "copy-age-ms", f.copyAgeMillis())
 }
 
 // applyMember updates a member from its record. A removed member is kept for
@@ -179,9 +188,10 @@
 func (f *Daemon) applyMember(i store.Item) {
 	id := strings.TrimPrefix(i.Key, f.config.Decoder.MemberPrefix)
 	var m catalog.Member
+	var sequence uint64
 	var err error
 	if !i.Removed {
-		m, err = f.config.Decoder.Member(i.Key, i.Value)
+		m, sequence, err = f.config.Decoder.Member(i.Key, i.Value)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -197,7 +207,12 @@
 		}
 		return
 	}
+	if f.isOutdated(m, sequence) {
+		f.config.Log.Info("member record outdated", "member", id, "position", i.Position.String(), "sequence", sequence, "known", f.sequences[id])
+		return
+	}
 	delete(f.evictAt, id)
+	f.sequences[id] = sequence
 	if old != m {
 		f.table.SetMember(m)
 		f.config.Log.Info("member updated", "member", id, "group", m.Group, "failure-domain", m.FailureDomain, "draining", m.Draining, "primary", m.Primary, "born", m.StartMillis)
@@ -206,9 +221,8 @@
 
 // hostRecord is a host's record in the store.
 type hostRecord struct {
-	host membership.Host
-	// revision is the record's revision.
-	revision uint64
+	host     membership.Host
+	position store.Position
 }
 
 // applyHostRecord updates a host from its record, and reports whether it changed.
@@ -218,6 +232,9 @@
 	if i.Removed {
 		_, ok := f.hostRecords[i.Key]
 		delete(f.hostRecords, i.Key)
+		if i.Key == hostPrefix+f.config.Self.ID {
+			f.hostRecordLost()
+		}
 		return ok
 	}
 	var h membership.Host
@@ -225,7 +242,7 @@
 		f.config.Log.Warn("invalid host record", "key", i.Key, "error", err)
 		return false
 	}
-	f.hostRecords[i.Key] = hostRecord{host: h, revision: i.Revision}
+	f.hostRecords[i.Key] = hostRecord{host: h, position: i.Position}
 	return true
 }
 
@@ -242,7 +259,7 @@
 func runningHosts(l map[string]hostRecord) []membership.Host {
 	newest := map[string]hostRecord{}
 	for _, r := range l {
-		if r.revision > newest[r.host.PeerAddress].revision {
+		if o, ok := newest[r.host.PeerAddress]; !ok || o.position.Before(r.position) {
 			newest[r.host.PeerAddress] = r
 		}
 	}
@@ -266,10 +283,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(strings.TrimPrefix(i.Key, groupPrefix))
-	was, rev, _ := g.Record()
-	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: i.Revision, RequestedAt: requested}}, now())
-	if i.Revision > rev {
-		f.config.Log.Info("group record updated", "group", g.name, "revision", i.Revision, "holder", r.Holder.ID, "was", was.Holder.ID, "prior", r.PreviousHolders, "primary", r.Primary, "term", r.Term, "target", r.Target)
+	was, _ := g.Record()
+	before := g.RecordPosition()
+	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Position: i.Position, Removed: i.Removed, RequestedAt: requested}}, now())
+	if before.Before(i.Position) {
+		f.config.Log.Info("group record updated", "group", g.name, "position", i.Position.String(), "restored", g.RecordRestored(), "holder", r.Holder.ID, "was", was.Holder.ID, "prior", r.PreviousHolders, "primary", r.Primary, "term", r.Term, "target", r.Target)
 	}
 }
 
@@ -300,7 +318,15 @@
 		if n > 0 {
 			d = storecopy.Backoff(n, nil)
 		}
-		if !sleep(x, d) {
+		t := time.NewTimer(d)
+		select {
+		case <-t.C:
+		case <-f.registerAgain:
+			t.Stop()
+			sleep(x, f.registrationDelay())
+			return Error.Wrap(&store.LeaseEndedError{LeaseID: f.currentHostLease()})
+		case <-x.Done():
+			t.Stop()
 			return Error.Wrap(x.Err())
 		}
 		err := f.renewHostLease(x)
@@ -324,6 +350,7 @@
 	defer stop()
 	f.metrics.countStoreCall(purposeHostLease)
 	l, err := f.config.Store.GrantLease(x, hostLeaseTime)
+	f.observeStoreEra()
 	if err != nil {
 		return err
 	}
@@ -354,9 +381,12 @@
 func (f *Daemon) renewHostLease(x context.Context) error {
 	x, stop := context.WithTimeout(x, storeTimeout)
 	defer stop()
-	f.mu.Lock()
-	l := f.hostLease
-	f.mu.Unlock()
 	f.metrics.countStoreCall(purposeHostRenewal)
-	return f.config.Store.RenewLease(x, l)
+	return f.config.Store.RenewLease(x, f.currentHostLease())
+}
+
+func (f *Daemon) currentHostLease() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hostLease
 }
--- a/fleet/unheld.go
+++ b/fleet/unheld.go
@@ -19,9 +19,9 @@
 		}
 		f.unheldLogged[u.Name] = n
 		g := f.group(u.Name)
-		r, rev, known := g.Record()
+		r, known := g.Record()
 		f.config.Log.Warn("group has no holder", "group", u.Name, "since-ms", n.Sub(u.Since).Milliseconds(), "primary", u.Primary.ID,
-			"candidates", u.Candidates, "record-known", known, "revision", rev, "holder", r.Holder.ID, "takeover-allowed", f.mayTakeOver(r.Holder.ID),
+			"candidates", u.Candidates, "record-known", known, "restored", g.RecordRestored(), "position", g.RecordPosition().String(), "holder", r.Holder.ID, "takeover-allowed", f.mayTakeOver(r.Holder.ID),
 			"registered", f.hostLease != 0, "draining", f.draining.Load(), "task-running", g.taskRunning, "copy-age-ms", f.copyAgeMillis())
 	}
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -9,13 +9,20 @@
 // previous holder can still send work to the old one: each has released the lease,
 // its process is known to have ended, or its lease has expired.
 //
+// The store may come back from an older copy, in a new era: the record may then be an
+// earlier one, and name a holder that has been replaced. A record that was written in an
+// earlier era than its position is therefore only a hint. The holder of the earlier era
+// writes its record again. Other hosts, which may not know of a later holder, wait for
+// SettleTime after the start of the era, until whoever held the lease before it can't
+// act any more; nobody replaces the primary before that.
+//
 // Package takeover decides when a host acquires, transfers or releases a lease.
 package lease
 
 import (
-	"slices"
-	"strings"
 	"time"
+
+	"github.com/dragonflypick/dragonflypick/store"
 )
 
 // Timing of leases.
@@ -34,42 +41,23 @@
 	// inFlightTime is how long work that was sent before the lease expired may
 	// take to reach the primary.
 	inFlightTime = 1500 * time.Millisecond
+	// SettleTime is how long a holder of an earlier era may act after the era's start:
+	// its lease was confirmed before that. In addition to the work in flight, a
+	// promotion that it requested may take seconds until it has taken effect.
+	SettleTime = Validity + 4*time.Second
 )
 
-// Holder is the identity of a process that holds or held a group's lease.
-type Holder struct {
-	// ID is unique among all processes that ever ran.
-	ID string `json:"id"`
-	// Address is where other daemons reach the process.
-	Address string `json:"address"`
-}
-
-// Record is the record of a database group in the store.
-type Record struct {
-	// Holder is the process that holds the lease.
-	Holder Holder `json:"holder"`
-	// Epoch increases whenever the holder changes.
-	Epoch uint64 `json:"epoch"`
-	// PreviousHolders are the previous holders that may still send work to the
-	// primary, sorted by ID.
-	PreviousHolders []Holder `json:"prior,omitempty"`
-	// Primary and Term are the primary and its term after the latest known
-	// promotion.
-	Primary string `json:"primary,omitempty"`
-	Term    uint64 `json:"term,omitempty"`
-	// Target isn't empty while a promotion may have been requested whose result
-	// isn't recorded yet.
-	Target string `json:"target,omitempty"`
-}
-
 // Event is an input that changes the state of a lease.
 type Event interface{ event() }
 
 // RecordObserved is an observation of the record in the store.
 type RecordObserved struct {
 	Record Record
-	// Revision is the store's revision of the record; zero if there is none.
-	Revision uint64
+	// Position is the position of the record's last change; its revision is zero if
+	// there is no record.
+	Position store.Position
+	// Removed is set if the record was removed at Position.
+	Removed bool
 	// RequestedAt is when the record was requested, by the boot-time clock,
 	// which also advances while the process or host is suspended. It is zero
 	// for an update that wasn't requested, which doesn't prove that the record
@@ -77,6 +65,19 @@
 	RequestedAt time.Time
 }
 
+// RecordReported is a record that another host knows, which the store may have lost.
+type RecordReported struct{ Record Record }
+
+// EraObserved reports the store's era.
+type EraObserved struct {
+	Era uint64
+	// Since is a time by which the era had started, by the boot-time clock.
+	Since time.Time
+	// First is set if no process of the system ran before this era: no record can
+	// have been lost that doesn't exist.
+	First bool
+}
+
 // ProcessEnded reports that the process with the given ID has ended.
 type ProcessEnded struct{ ProcessID string }
 
@@ -89,6 +90,8 @@
 type ConfirmAttempt struct{ Failed bool }
 
 func (RecordObserved) event() {}
+func (RecordReported) event() {}
+func (EraObserved) event()    {}
 func (ProcessEnded) event()   {}
 func (WorkFinished) event()   {}
 func (ConfirmAttempt) event() {}
@@ -96,10 +99,23 @@
 // Lease is the state of a group's lease as one host observes it. It is not safe
 // for concurrent use.
 type Lease struct {
-	self        Holder
+	self Holder
+	// record is the latest record that this host knows of. The store may have lost it
+	// if restored is set.
 	record      Record
-	revision    uint64
 	recordKnown bool
+	// position is that of the record in the store, and condition the revision that
+	// it must have for this host to replace it: zero if there is none.
+	position  store.Position
+	condition uint64
+	// restored is set if the store's record was written in an earlier era than
+	// position's, or is missing in an era after the first.
+	restored bool
+	// era is the store's era and eraSince a time by which it had started; firstEra is
+	// EraObserved.First.
+	era      uint64
+	eraSince time.Time
+	firstEra bool
 	// validUntil is when this host's lease expires. It is kept when another host
 	// becomes the holder, since open transactions may continue until then.
 	validUntil time.Time
@@ -123,6 +139,12 @@
 	switch x := e.(type) {
 	case RecordObserved:
 		s.observeRecord(x, now)
+	case RecordReported:
+		if s.restored && x.Record.supersedes(s.record) {
+			s.record = x.Record
+		}
+	case EraObserved:
+		s.observeEra(x)
 	case ProcessEnded:
 		s.endedProcesses[x.ProcessID] = true
 		delete(s.unfinishedUntil, x.ProcessID)
@@ -138,12 +160,39 @@
 	}
 }
 
+// observeEra adopts a later era, in which no record has been observed yet, or learns
+// that the era had started earlier or wasn't the first one.
+func (s *Lease) observeEra(x EraObserved) {
+	switch {
+	case x.Era > s.era:
+		s.era, s.eraSince, s.firstEra = x.Era, x.Since, x.First
+		s.position, s.condition, s.restored = store.Position{Era: x.Era}, 0, true
+	case x.Era == s.era:
+		s.firstEra = s.firstEra && x.First
+		if x.Since.Before(s.eraSince) {
+			s.eraSince = x.Since
+		}
+	}
+}
+
 func (s *Lease) observeRecord(x RecordObserved, now time.Time) {
-	if s.recordKnown && x.Revision < s.revision {
+	if x.Position.Era > s.era {
+		s.observeEra(EraObserved{Era: x.Position.Era, Since: now})
+	}
+	if x.Position.Era < s.era || x.Position.Before(s.position) {
 		return
 	}
-	held := s.recordKnown && s.record.Holder.ID == s.self.ID && s.record.Epoch == x.Record.Epoch
-	s.record, s.revision, s.recordKnown = x.Record, x.Revision, true
+	s.position, s.condition = x.Position, x.Position.Revision
+	if x.Removed {
+		s.condition = 0
+	}
+	if x.Record.Era < s.era && !(s.firstEra && s.condition == 0) {
+		s.observeRestored(x.Record)
+		return
+	}
+	old := s.record
+	held := s.recordKnown && old.Holder.ID == s.self.ID && (old.Epoch == x.Record.Epoch || old.Era < x.Record.Era)
+	s.record, s.recordKnown, s.restored = x.Record, true, false
 	if x.Record.Holder.ID != s.self.ID {
 		clear(s.unfinishedUntil)
 		return
@@ -168,9 +217,43 @@
 	}
 }
 
-// Record returns the latest observed record and its revision, or false if none
-// has been observed.
-func (s *Lease) Record() (Record, uint64, bool) { return s.record, s.revision, s.recordKnown }
+// observeRestored handles a record that the store has kept from an earlier era. It
+// proves nothing, but may be later than what this host knows.
+func (s *Lease) observeRestored(r Record) {
+	s.restored = true
+	if !s.recordKnown || r.supersedes(s.record) {
+		s.record, s.recordKnown = r, s.recordKnown || s.condition != 0
+	}
+}
+
+// Record returns the latest known record, or false if none is known.
+func (s *Lease) Record() (Record, bool) { return s.record, s.recordKnown }
+
+// Position returns the position of the store's record.
+func (s *Lease) Position() store.Position { return s.position }
+
+// Restored reports whether the store's record may be older than the latest one: it was
+// written in an earlier era.
+func (s *Lease) Restored() bool { return s.restored }
+
+// settled reports whether no holder of an earlier era can act any more.
+func (s *Lease) settled(now time.Time) bool {
+	return s.era == 0 || s.firstEra && s.condition == 0 || !s.restored && s.record.Settled || !now.Before(s.eraSince.Add(SettleTime))
+}
+
+// MustRewrite reports whether this host holds the lease by a record that the store may
+// have lost, and has to write it again.
+func (s *Lease) MustRewrite(now time.Time) bool { return s.restored && s.Holds(now) }
+
+// MayAcquire reports whether another host than the holder may acquire the lease: not
+// while the latest holder may be unknown.
+func (s *Lease) MayAcquire(now time.Time) bool { return !s.restored || s.settled(now) }
+
+// SettleDue reports whether the holder has to record that no holder of an earlier era
+// can act any more.
+func (s *Lease) SettleDue(now time.Time) bool {
+	return s.era > 0 && !s.restored && !s.record.Settled && s.settled(now)
+}
 
 // Holds reports whether the host holds the lease and may send work to the primary
 // now.
@@ -184,12 +267,12 @@
 func (s *Lease) MayFinishTransactions(now time.Time) bool { return now.Before(s.validUntil) }
 
 // MayReplacePrimary reports whether the host holds the lease and no previous
-// holder can send work to the primary any more. The host may replace the
+// holder, also of an earlier era, can send work to the primary any more. The host may replace the
 // primary once it has written a record with a Target in place of the revision
 // that it observed: if another host has taken the lease over in the meantime,
 // that write fails, and a host that takes it over later reads the Target.
 func (s *Lease) MayReplacePrimary(now time.Time) bool {
-	return s.Holds(now) && len(s.UnfinishedHolders(now)) == 0
+	return s.Holds(now) && !s.restored && s.settled(now) && len(s.UnfinishedHolders(now)) == 0
 }
 
 // UnfinishedHolders returns the previous holders that may still send work to the
@@ -204,46 +287,7 @@
 	return o
 }
 
-func containsHolder(l []Holder, id string) bool {
-	return slices.ContainsFunc(l, func(p Holder) bool { return p.ID == id })
-}
-
 // ConfirmDue reports whether the record must be requested from the store now.
 func (s *Lease) ConfirmDue(now time.Time) bool {
-	return s.recordKnown && s.record.Holder.ID == s.self.ID && !now.Before(s.confirmAt)
-}
-
-// AcquireRecord returns the record by which the host takes the lease over.
-func (s *Lease) AcquireRecord() Record {
-	r := s.record
-	r.PreviousHolders = sortedHolders(append(slices.Clone(r.PreviousHolders), r.Holder), s.self.ID)
-	r.Holder = s.self
-	r.Epoch++
-	return r
-}
-
-// TransferRecord returns the record by which the holder transfers the lease to
-// another process. The holder's own work may continue until it has finished.
-func (s *Lease) TransferRecord(to Holder, now time.Time) Record {
-	r := s.record
-	r.PreviousHolders = sortedHolders(append(s.UnfinishedHolders(now), s.self), to.ID)
-	r.Holder = to
-	r.Epoch++
-	return r
-}
-
-// sortedHolders returns the holders sorted by ID, without duplicates and without
-// the holder whose ID is without.
-func sortedHolders(l []Holder, without string) []Holder {
-	l = slices.DeleteFunc(l, func(p Holder) bool { return p.ID == "" || p.ID == without })
-	slices.SortFunc(l, func(a, b Holder) int { return strings.Compare(a.ID, b.ID) })
-	return slices.CompactFunc(l, func(a, b Holder) bool { return a.ID == b.ID })
-}
-
-// ReleaseRecord returns the record without this host among the previous holders,
-// and whether it was among them.
-func (s *Lease) ReleaseRecord() (Record, bool) {
-	r := s.record
-	r.PreviousHolders = slices.DeleteFunc(slices.Clone(r.PreviousHolders), func(h Holder) bool { return h.ID == s.self.ID })
-	return r, len(r.PreviousHolders) < len(s.record.PreviousHolders)
+	return s.recordKnown && !s.restored && s.record.Holder.ID == s.self.ID && !now.Before(s.confirmAt)
 }
--- a/matrix/takeover.go
+++ b/matrix/takeover.go
@@ -37,6 +37,9 @@
 	StoreDown                  TakeoverFault = "store-down"
 	StoreSlow                  TakeoverFault = "store-slow"
 	StoreAnswersLost           TakeoverFault = "store-answers-lost"
+	StoreWritesLate            TakeoverFault = "store-writes-late"
+	StoreRestored              TakeoverFault = "store-restored"
+	StoreRestoredTwice         TakeoverFault = "store-restored-twice"
 	MessagesDelayed            TakeoverFault = "messages-delayed-and-duplicated"
 	FailureDomainCut           TakeoverFault = "failure-domain-cut"
 	ReplicasLagging            TakeoverFault = "replicas-lagging"
@@ -48,7 +51,7 @@
 		HolderKilled, HolderRestarted, HolderFrozen, HolderFrozenPastLease, HolderRejectedByStore, HolderCutFromMembers, HolderCutFromAll,
 		HolderInboundCut, HolderOutboundCut, HolderDraining, GroupPrimaryKilled, GroupPrimaryRestartedEmpty, GroupPrimaryFrozen,
 		GroupPrimaryFrozenBriefly, GroupPrimaryCut, GroupPrimaryDraining, MostAdvancedReplicaKilled, StoreDown, StoreSlow, StoreAnswersLost,
-		MessagesDelayed, FailureDomainCut, ReplicasLagging,
+		StoreWritesLate, StoreRestored, StoreRestoredTwice, MessagesDelayed, FailureDomainCut, ReplicasLagging,
 	}
 }
 
@@ -70,6 +73,14 @@
 	// after all faults have ended: the validity of a previous holder's lease,
 	// and a failover.
 	takeoverRecoveryTime = lease.Validity + 2*time.Second + maxWriteGap
+	// maxCopyAge bounds the age of the copy that the store comes back from. Runs draw
+	// ages of copyAgeStep times their seed, modulo maxCopyAge.
+	maxCopyAge  = 6 * time.Second
+	copyAgeStep = 370 * time.Millisecond
+	// restoreInterval is the time between the two restorations of StoreRestoredTwice.
+	restoreInterval = 2 * time.Second
+	// lateWritesTime is the duration of StoreWritesLate.
+	lateWritesTime = 4 * time.Second
 	// takeoverMaxMessageDelay bounds the delay of delayed messages.
 	takeoverMaxMessageDelay = 800 * time.Millisecond
 )
@@ -205,6 +216,14 @@
 		r.world.Platform.ExtraDelay = platformDelay
 	case StoreAnswersLost:
 		r.world.Platform.LoseAnswers = true
+	case StoreWritesLate:
+		r.world.Platform.LateWrites = true
+		r.world.After(lateWritesTime, func() { r.world.Platform.LateWrites = false })
+	case StoreRestored:
+		r.restoreStore()
+	case StoreRestoredTwice:
+		r.restoreStore()
+		r.world.After(restoreInterval, r.restoreStore)
 	case MessagesDelayed:
 		r.world.MessageFaults = model.MessageFaults{DuplicateProbability: messageFaultProbability, DelayProbability: messageFaultProbability, MaxDelay: takeoverMaxMessageDelay}
 	case FailureDomainCut:
@@ -216,6 +235,11 @@
 	}
 }
 
+// restoreStore brings the store back from a copy of a drawn age.
+func (r *takeoverRun) restoreStore() {
+	r.world.RestoreStore(time.Duration(r.plan.Seed*uint64(copyAgeStep)) % maxCopyAge)
+}
+
 // injectHolderFault injects a fault of the holder, and reports whether f is
 // one.
 func (r *takeoverRun) injectHolderFault(f TakeoverFault, d *model.PlatformDaemon) bool {
@@ -295,7 +319,7 @@
 func (r *takeoverRun) endFaults() {
 	r.faultsEnded = true
 	r.world.EndNetworkFaults()
-	r.world.Platform.ExtraDelay, r.world.Platform.LoseAnswers = 0, false
+	r.world.Platform.ExtraDelay, r.world.Platform.LoseAnswers, r.world.Platform.LateWrites = 0, false, false
 	r.world.Platform.Restart()
 	clear(r.world.RejectedByStore)
 	for _, m := range r.world.Members {
--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -101,6 +101,12 @@
 		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.HolderKilled}),
 	Entry("comparing positions", model.Options{NoPositionCheck: true}, "a read at a primary doesn't show",
 		matrix.TakeoverPlan{Trigger: matrix.NoFault, Step: model.Idle, First: matrix.GroupPrimaryRestartedEmpty}),
+	Entry("eras in positions", model.Options{NoEras: true}, "no write was acknowledged at the end of the run",
+		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryKilled, Step: model.PromotionRequested, First: matrix.StoreRestored}),
+	Entry("the era in which a record was written", model.Options{NoEraStamp: true}, "a replaced primary's write was acknowledged",
+		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderKilled}),
+	Entry("the wait after the start of an era", model.Options{NoEraWait: true}, "a replaced primary's write was acknowledged",
+		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderRestarted, After: 500 * time.Millisecond}),
 	Entry("floors of replicas", model.Options{NoFloor: true}, "a read at a replica doesn't show",
 		matrix.TakeoverPlan{Trigger: matrix.NoFault, Step: model.Idle, First: matrix.GroupPrimaryKilled}),
 )
--- a/model/platform.go
+++ b/model/platform.go
@@ -19,7 +19,9 @@
 	ExtraDelay time.Duration
 	// LoseAnswers drops the answer to each write after the write took effect.
 	LoseAnswers bool
-	bundle      *bundle.Signed
+	// LateWrites executes each write seconds later, without an answer.
+	LateWrites bool
+	bundle     *bundle.Signed
 	// index increases with every change of the bundle.
 	index uint64
 }
@@ -45,12 +47,23 @@
 	}
 }
 
-// startRequest runs handle at the service. Only answers to writes are subject
-// to LoseAnswers.
+// Bounds of the delay of a late write.
+const (
+	minWriteLateness = time.Second
+	maxWriteLateness = 6 * time.Second
+)
+
+// startRequest runs handle at the service. Only writes are subject to LoseAnswers and
+// LateWrites.
 func (p *Platform) startRequest(from *Node, handle func() any, write bool, done func(any, bool)) {
 	p.world.startCall(&call{
 		from: from, to: p.Node, purpose: "platform", timeout: platformTimeout, done: done,
 		handle: func(answer func(any)) {
+			if write && p.LateWrites {
+				d := minWriteLateness + time.Duration(p.world.random.Float64()*float64(maxWriteLateness-minWriteLateness))
+				p.after(d, func() { handle() })
+				return
+			}
 			p.after(p.ExtraDelay/2, func() {
 				v := handle()
 				if write && p.LoseAnswers {
--- a/model/platform_daemon.go
+++ b/model/platform_daemon.go
@@ -71,6 +71,10 @@
 	positionChecked map[*connection]bool
 	// lastHolderReply is when the holder last answered this daemon.
 	lastHolderReply time.Time
+	// era is the store's era, and eraSince when this daemon or one that told it
+	// first heard of it.
+	era      uint64
+	eraSince time.Time
 }
 
 // StartDaemon starts a daemon, at the given address or, if that is empty, at a
@@ -117,11 +121,23 @@
 // observeRecord passes a received record to the group. requestedAt is the time
 // of the request to the store; it is zero if the record came without a request
 // or from another daemon.
-func (d *PlatformDaemon) observeRecord(r lease.Record, rev uint64, requestedAt time.Time) {
+func (d *PlatformDaemon) observeRecord(a recordAnswer, requestedAt time.Time) {
+	d.observeEra(a.position.Era, d.world.now)
 	if d.world.Options.ValidityFromAnswer && !requestedAt.IsZero() {
 		requestedAt = d.world.now
 	}
-	d.handleLeaseEvent(lease.RecordObserved{Record: r, Revision: rev, RequestedAt: requestedAt})
+	d.handleLeaseEvent(lease.RecordObserved{Record: a.record, Position: a.position, RequestedAt: requestedAt})
+}
+
+// observeEra handles the store's era, which had started by the given time.
+func (d *PlatformDaemon) observeEra(era uint64, since time.Time) {
+	if d.world.Options.NoEraWait {
+		since = since.Add(-lease.SettleTime)
+	}
+	if era > d.era || era == d.era && since.Before(d.eraSince) {
+		d.era, d.eraSince = era, since
+		d.handleLeaseEvent(lease.EraObserved{Era: era, Since: since})
+	}
 }
 
 func (d *PlatformDaemon) handleLeaseEvent(e lease.Event) {
@@ -174,7 +190,7 @@
 func (d *PlatformDaemon) hostState() takeover.HostState {
 	n := d.world.now
 	f := takeover.HostState{HostDraining: d.draining, Registered: d.registered, WorkPending: d.pendingWrites > 0}
-	if r, _, ok := d.group.Record(); ok {
+	if r, ok := d.group.Record(); ok {
 		f.TakeoverAllowed = d.view.TakeoverAllowed(r.Holder.ID, n)
 	}
 	m := d.knownPrimary()
@@ -199,26 +215,6 @@
 	}
 }
 
-// exchangeRecords requests the record of a random daemon, on average every
-// recordExchangeInterval.
-func (d *PlatformDaemon) exchangeRecords() {
-	if o := d.randomDaemon(); o != nil {
-		d.callDaemon(o, "exchange", callTimeout, func(reply func(any)) {
-			r, rev, ok := o.group.Record()
-			if !ok {
-				reply(nil)
-				return
-			}
-			reply(recordAnswer{record: r, revision: rev})
-		}, func(v any, _ bool) {
-			if s, ok := v.(recordAnswer); ok {
-				d.observeRecord(s.record, s.revision, time.Time{})
-			}
-		})
-	}
-	d.after(recordExchangeInterval/2+time.Duration(d.world.random.Float64()*float64(recordExchangeInterval)), d.exchangeRecords)
-}
-
 // randomDaemon returns a random daemon that is live according to the daemon's
 // view, or nil.
 func (d *PlatformDaemon) randomDaemon() *PlatformDaemon {
@@ -254,26 +250,6 @@
 	})
 }
 
-// renewHostRecord writes the daemon's host record every hostRenewInterval.
-func (d *PlatformDaemon) renewHostRecord() {
-	d.writeHostRecord()
-	d.after(hostRenewInterval, d.renewHostRecord)
-}
-
-// writeHostRecord writes the daemon's host record into the store. If the record
-// is new or has changed, the store sends the list of hosts to the daemons.
-func (d *PlatformDaemon) writeHostRecord() {
-	t := d.world.now
-	d.world.callStoreDirectly(d, func() any {
-		known := d.world.hostRecords[d.host.ID] == d.host
-		d.world.hostRenewals[d.host.ID], d.world.hostRecords[d.host.ID] = t, d.host
-		if !known {
-			d.world.sendHostList()
-		}
-		return true
-	}, true, func(_ any, ok bool) { d.registered = d.registered || ok })
-}
-
 // pollHostList reads the host records every platformHostListPollInterval.
 func (d *PlatformDaemon) pollHostList() {
 	d.world.callStoreDirectly(d, d.world.validHosts, false, func(v any, ok bool) {
--- a/model/platform_takeover.go
+++ b/model/platform_takeover.go
@@ -16,18 +16,20 @@
 	n := d.world.now
 	switch a := a.(type) {
 	case takeover.AcquireLease:
-		r, rev := d.group.AcquireRecord()
+		c := d.group.Acquire(n)
 		if d.world.Options.NoPreviousHolders {
-			r.PreviousHolders = nil
+			c.Record.PreviousHolders = nil
 		}
-		d.swapRecord(r, rev, func(bool) { done() })
+		d.swapRecord(c, func(bool) { done() })
+	case takeover.RewriteLease:
+		d.swapRecord(d.group.Rewrite(n), func(bool) { done() })
 	case takeover.ReleaseLease:
-		r, rev, ok := d.group.ReleaseRecord(n)
+		c, ok := d.group.Release(n)
 		if !ok {
 			done()
 			return
 		}
-		d.swapRecord(r, rev, func(bool) { done() })
+		d.swapRecord(c, func(bool) { done() })
 	case takeover.DiscoverPrimary:
 		d.pollMembers(nil, func(l []takeover.MemberStatus) {
 			d.group.Handle(takeover.MembersPolled{Statuses: l}, d.world.now)
@@ -39,8 +41,8 @@
 			d.after(actionRetryDelay, done)
 			return
 		}
-		r, rev := d.group.TransferRecord(lease.Holder{ID: h.ID, Address: h.PeerAddress}, n)
-		d.swapRecord(r, rev, func(bool) { done() })
+		c := d.group.Transfer(lease.Holder{ID: h.ID, Address: h.PeerAddress}, n)
+		d.swapRecord(c, func(bool) { done() })
 	case takeover.PollPreviousHolders:
 		d.pollPreviousHolders(done)
 	case takeover.RecordPrimary:
@@ -88,7 +90,7 @@
 	requestedAt := d.world.now
 	d.callStore(d.world.readRecord, false, func(v any, ok bool) {
 		if s, is := v.(recordAnswer); ok && is {
-			d.observeRecord(s.record, s.revision, requestedAt)
+			d.observeRecord(s, requestedAt)
 		} else {
 			d.handleLeaseEvent(lease.ConfirmAttempt{Failed: true})
 		}
@@ -96,14 +98,14 @@
 	})
 }
 
-// swapRecord writes the record if its revision is still rev. If there is no
-// answer, the record is requested, since the write may have taken effect.
-func (d *PlatformDaemon) swapRecord(r lease.Record, rev uint64, done func(written bool)) {
+// swapRecord changes the record if it is still the one that the change replaces. If
+// there is no answer, the record is requested, since the write may have taken effect.
+func (d *PlatformDaemon) swapRecord(c lease.Change, done func(written bool)) {
 	requestedAt := d.world.now
-	d.callStore(func() any { return d.world.writeRecord(d, r, rev) }, true, func(v any, ok bool) {
+	d.callStore(func() any { return d.world.writeRecord(d, c.Record, c.Revision) }, true, func(v any, ok bool) {
 		s, is := v.(recordAnswer)
 		if ok && is {
-			d.observeRecord(s.record, s.revision, requestedAt)
+			d.observeRecord(s, requestedAt)
 			done(s.written)
 			return
 		}
@@ -199,7 +201,7 @@
 		d.group.Handle(takeover.ReplacementEnded{}, d.world.now)
 		done()
 	}
-	n, rev, ok := d.group.IntentRecord(d.world.now)
+	c, ok := d.group.AnnouncePromotion(d.world.now)
 	if !ok {
 		done()
 		return
@@ -209,7 +211,7 @@
 		r.selectCandidate()
 		return
 	}
-	d.swapRecord(n, rev, func(written bool) {
+	d.swapRecord(c, func(written bool) {
 		if !written {
 			d.after(actionRetryDelay, r.done)
 			return
@@ -248,8 +250,8 @@
 	m := d.world.member(a.Member.ID)
 	token, term, ok := d.group.Promotion(d.world.now)
 	if d.world.Options.NoIntent {
-		_, rev, may := d.group.IntentRecord(d.world.now)
-		token, ok = rev, may
+		token = d.group.RecordPosition().Token()
+		_, ok = d.group.AnnouncePromotion(d.world.now)
 		_, term = d.group.Primary()
 	}
 	switch {
@@ -305,12 +307,12 @@
 
 // recordPrimary writes the primary into the record.
 func (d *PlatformDaemon) recordPrimary(attempts int, done func()) {
-	n, rev, ok := d.group.PrimaryRecord(d.world.now)
+	c, ok := d.group.NamePrimary(d.world.now)
 	if !ok || attempts == 0 {
 		done()
 		return
 	}
-	d.swapRecord(n, rev, func(written bool) {
+	d.swapRecord(c, func(written bool) {
 		if written {
 			done()
 			return
--- a/model/platform_world.go
+++ b/model/platform_world.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/store"
 )
 
 // TakeoverStep is a step of a takeover in a group whose holder and primary are
@@ -59,12 +60,18 @@
 	// AnsweredReads counts the answered reads.
 	AnsweredReads int
 
-	record   lease.Record
-	revision uint64
+	record lease.Record
+	// revision is that of the record; era counts the restorations of the store.
+	revision, era uint64
+	// recordHistory holds the records of this era's past and of the copies that the
+	// store came back from, oldest first.
+	recordHistory []storedRecord
 	// hostRenewals holds the time of the last renewal of each host record, and
 	// hostRecords the records, both by host ID.
 	hostRenewals map[string]time.Time
 	hostRecords  map[string]membership.Host
+	// hostsRegistered holds the time of the first write of each host record.
+	hostsRegistered map[string]time.Time
 	// highestToken is the highest fencing token among the requests for a
 	// promotion.
 	highestToken uint64
@@ -74,6 +81,13 @@
 	hostsStarted int
 }
 
+// storedRecord is the record that the store had from a time on.
+type storedRecord struct {
+	at       time.Time
+	record   lease.Record
+	revision uint64
+}
+
 // promotion is a promotion that took effect.
 type promotion struct {
 	at     time.Time
@@ -98,7 +112,7 @@
 		Clock: Clock{now: startTime}, Options: c.Options, random: rand.New(rand.NewPCG(c.Seed, c.Seed)),
 		nodes: map[string]*Node{}, cuts: map[[2]string]bool{}, promotedTerms: map[*Member]uint64{},
 	}
-	w := &PlatformWorld{World: b, RejectedByStore: map[*PlatformDaemon]bool{}, hostRenewals: map[string]time.Time{}, hostRecords: map[string]membership.Host{}}
+	w := &PlatformWorld{World: b, RejectedByStore: map[*PlatformDaemon]bool{}, hostRenewals: map[string]time.Time{}, hostRecords: map[string]membership.Host{}, hostsRegistered: map[string]time.Time{}}
 	b.callers = b.newNode("callers", Location{})
 	b.newPlatform(locations[0])
 	for i, p := range locations {
@@ -170,8 +184,8 @@
 // recordAnswer is the answer to a read or a write of the group's record.
 type recordAnswer struct {
 	record   lease.Record
-	revision uint64
-	// written means that the write took effect.
+	position store.Position
+	// written means that the write took effect in the era in which it was sent.
 	written bool
 }
 
@@ -186,21 +200,58 @@
 }
 
 func (w *PlatformWorld) readRecord() any {
-	return recordAnswer{record: w.record, revision: w.revision}
+	return w.currentRecord()
+}
+
+func (w *PlatformWorld) currentRecord() recordAnswer {
+	o := recordAnswer{record: w.record, position: store.Position{Era: w.era, Revision: w.revision}}
+	if w.Options.NoEras {
+		o.position.Era, o.record.Era = 0, 0
+	}
+	if w.Options.NoEraStamp {
+		o.record.Era = w.era
+	}
+	return o
 }
 
 // writeRecord writes the record if its revision is still rev.
 func (w *PlatformWorld) writeRecord(d *PlatformDaemon, r lease.Record, rev uint64) recordAnswer {
 	if rev != w.revision {
-		return recordAnswer{record: w.record, revision: w.revision}
+		return w.currentRecord()
 	}
 	old := w.record
+	w.recordHistory = append(w.recordHistory, storedRecord{at: w.now, record: r, revision: w.revision + 1})
 	w.record = r
 	w.revision++
 	w.trace("record %d by %s: holder %s, previous holders %v, primary %s, term %d, target %q", w.revision, d.Name, r.Holder.ID, r.PreviousHolders, r.Primary, r.Term, r.Target)
 	w.sendRecord()
 	w.notifyRecordStep(old, r, d)
-	return recordAnswer{record: r, revision: w.revision, written: true}
+	o := w.currentRecord()
+	o.written = r.Era == o.position.Era
+	return o
+}
+
+// RestoreStore brings the store back from a copy of the given age, in a new era.
+func (w *PlatformWorld) RestoreStore(age time.Duration) {
+	t := w.now.Add(-age)
+	n := len(w.recordHistory)
+	for n > 0 && w.recordHistory[n-1].at.After(t) {
+		n--
+	}
+	w.era, w.record, w.revision, w.recordHistory = w.era+1, lease.Record{}, 0, w.recordHistory[:n]
+	if n > 0 {
+		w.record, w.revision = w.recordHistory[n-1].record, w.recordHistory[n-1].revision
+	}
+	for id, at := range w.hostsRegistered {
+		if at.After(t) {
+			delete(w.hostRenewals, id)
+			delete(w.hostRecords, id)
+			delete(w.hostsRegistered, id)
+		}
+	}
+	w.trace("the store comes back in era %d: record %d, holder %s, primary %s, term %d, target %q", w.era, w.revision, w.record.Holder.ID, w.record.Primary, w.record.Term, w.record.Target)
+	w.sendRecord()
+	w.sendHostList()
 }
 
 // notifyRecordStep reports the step that a change of the record represents.
@@ -219,11 +270,11 @@
 
 // sendRecord sends the record to all daemons that watch the store.
 func (w *PlatformWorld) sendRecord() {
-	r, rev := w.record, w.revision
+	r := w.currentRecord()
 	for _, d := range w.Daemons {
 		if !w.RejectedByStore[d] {
 			w.sendMessage(w.Platform.Node, d.Node, &connection{}, func() {
-				d.runInIncarnation(d.incarnation, func() { d.observeRecord(r, rev, time.Time{}) })
+				d.runInIncarnation(d.incarnation, func() { d.observeRecord(r, time.Time{}) })
 			})
 		}
 	}
--- a/model/world.go
+++ b/model/world.go
@@ -51,6 +51,12 @@
 	// NoPreviousHolders drops the previous holders from the record when a host
 	// acquires the lease.
 	NoPreviousHolders bool
+	// NoEras leaves the store's era out of positions.
+	NoEras bool
+	// NoEraStamp takes records of an earlier era for those of the present one.
+	NoEraStamp bool
+	// NoEraWait doesn't wait after the start of an era.
+	NoEraWait bool
 	// NoIntent promotes without writing the intent into the record.
 	NoIntent bool
 	// NoPositionCheck doesn't compare a position that a primary reports with
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -61,6 +61,7 @@
 	f, err := fleet.New(fleet.Config{
 		Self:       membership.Host{ID: id, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Region: s.Region, Weight: float64(s.Cores) * s.CPUShare},
 		PeerListen: s.PeerListen, Secret: c.Secret, Seeds: s.Seeds, Log: c.Log, LogEvery: c.LogEvery,
+		Bootstrap: s.Bootstrap, StoreWritesPerSecond: s.StoreWritesPerSecond,
 		Store: platform.NewStoreClient(s.StoreAddress), Promoter: platform.NewPromotionClient(s.PromotionAddress),
 		Dialer: platform.MemberDialer{Name: s.Host}, Decoder: newDecoder(s),
 	})
@@ -79,7 +80,7 @@
 	return fleet.Decoder{
 		ConfigurationKey: platform.ConfigurationKey, MemberPrefix: platform.MemberPrefix,
 		Configuration: platform.DecodeConfiguration,
-		Member: func(key string, value []byte) (catalog.Member, error) {
+		Member: func(key string, value []byte) (catalog.Member, uint64, error) {
 			return platform.DecodeMember(key, value, s.Regions)
 		},
 		Status: platform.ParseStatus,
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -1,6 +1,9 @@
 package site
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // newestPrimary returns the group's primary of the highest term; g.mu is held.
 func (g *group) newestPrimary() *member {
@@ -81,6 +84,48 @@
 // CompactStore discards the store's history, so that older watches fail.
 func (s *Site) CompactStore() { s.store.compact() }
 
+// RestoreStore brings the store back from a copy of the given age, in a new era. What the
+// operator and the members wrote is written again soon after.
+func (s *Site) RestoreStore(age time.Duration) {
+	s.store.restore(age)
+	time.AfterFunc(rewriteDelay, func() {
+		for _, g := range s.groups {
+			s.publishMembers(g)
+		}
+		s.mu.Lock()
+		b := s.configuration
+		s.mu.Unlock()
+		s.store.mu.Lock()
+		defer s.store.mu.Unlock()
+		s.store.put("op/config", b, 0)
+	})
+}
+
+// rewriteDelay is how long after the store has come back from a copy the operator and
+// the members write again what they wrote.
+const rewriteDelay = 700 * time.Millisecond
+
+// SetLateWrites makes the store execute writes that long after their arrival, without an
+// answer; zero ends this.
+func (s *Site) SetLateWrites(d time.Duration) {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	s.store.lateWrites = d
+}
+
+// RegisteredHosts returns the number of hosts that the store lists.
+func (s *Site) RegisteredHosts() int {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	n := 0
+	for k := range s.store.items {
+		if strings.HasPrefix(k, "dragonflypick/hosts/") {
+			n++
+		}
+	}
+	return n
+}
+
 // StoreRevision returns the store's current revision.
 func (s *Site) StoreRevision() uint64 {
 	s.store.mu.Lock()
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -51,6 +51,10 @@
 	fencingTokens map[string]int
 	tokenHolders  map[string]string
 	configVersion int
+	// configuration is the encoding of the newest configuration.
+	configuration []byte
+	// sequence counts the reports of all members.
+	sequence int
 }
 
 // statement is a statement as its client sent it.
@@ -105,6 +109,8 @@
 // publishMember writes the state of a member to the store.
 func (s *Site) publishMember(m *member, failureDomain string) {
 	state, role := "ready", "replica"
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
 	if m.draining {
 		state = "draining"
 	}
@@ -113,13 +119,21 @@
 	}
 	b, _ := json.Marshal(map[string]any{
 		"service": m.group.name, "address": m.listener.Addr().String(), "zone": failureDomain, "version": "v1", "slots": 3, "state": state,
-		"cold_remaining_ms": 0, "database_role": role, "sequence": 1, "born": m.startedAt,
+		"cold_remaining_ms": 0, "database_role": role, "sequence": s.nextSequence(), "born": m.startedAt,
 	})
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
 	s.store.put("servers/"+m.id, b, 0)
 }
 
+// nextSequence returns the sequence of the next report of a member.
+func (s *Site) nextSequence() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sequence++
+	return s.sequence
+}
+
 func (s *Site) startHTTPServer(h http.Handler) (string, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -175,6 +189,9 @@
 	v := s.configVersion
 	s.mu.Unlock()
 	b, _ := json.Marshal(map[string]any{"version": v, "routes": routes, "services": services, "limits": map[string]any{"transaction_idle_ms": 1000}})
+	s.mu.Lock()
+	s.configuration = b
+	s.mu.Unlock()
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
 	s.store.put("op/config", b, 0)
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/platform"
 	"github.com/dragonflypick/dragonflypick/platformdaemon"
 	"github.com/dragonflypick/dragonflypick/standin/site"
@@ -213,14 +214,71 @@
 		f := newFleet(defaultConfig, 3)
 		f.site.Configure([]string{"added"})
 		Eventually(func() string {
-			c, err := net.Dial("tcp", f.daemons[0].settings.CallerListen)
-			Expect(err).NotTo(HaveOccurred())
-			defer c.Close()
-			_, err = c.Write([]byte("START added who\r\n"))
-			Expect(err).NotTo(HaveOccurred())
-			b := make([]byte, 64)
-			n, _ := c.Read(b)
-			return string(b[:n])
+			return connect(f.daemons[0].settings.CallerListen, "added")
 		}, 2*time.Second, 20*time.Millisecond).Should(HavePrefix("READY I"))
 	})
 })
+
+var _ = Describe("a store that comes back from an older copy", func() {
+	It("is hardly noticed by callers", func() {
+		f := newFleet(defaultConfig, 3)
+		time.AfterFunc(1500*time.Millisecond, func() { f.site.RestoreStore(time.Second) })
+		o := f.runLoad(9, 5*time.Second)
+		Expect(o.InDoubt + o.Disconnected).To(BeZero())
+		Expect(o.Refused).To(BeNumerically("<", o.Served/50))
+		Expect(o.LongestWriteGap).To(BeNumerically("<", time.Second))
+	})
+
+	It("doesn't bring back a primary whose replacement it has lost, nor the configuration before", func() {
+		f := newFleet(defaultConfig, 3)
+		f.site.Configure([]string{"added"})
+		time.AfterFunc(700*time.Millisecond, func() {
+			restart := f.site.CrashPrimary(0)
+			time.AfterFunc(2500*time.Millisecond, restart)
+		})
+		time.AfterFunc(3*time.Second, func() { f.site.RestoreStore(2800 * time.Millisecond) })
+		o := f.runLoad(10, 6*time.Second)
+		Expect(o.LongestWriteGap).To(BeNumerically("<", 5*time.Second))
+		for _, a := range f.addresses() {
+			Expect(connect(a, "added")).To(HavePrefix("READY I"))
+		}
+	})
+
+	It("breaks no promise when it comes back twice, while daemons end and start and its writes are late", func() {
+		f := newFleet(defaultConfig, 4)
+		time.AfterFunc(500*time.Millisecond, func() { f.site.SetLateWrites(1200 * time.Millisecond) })
+		time.AfterFunc(900*time.Millisecond, func() { f.site.DrainPrimary(1) })
+		time.AfterFunc(1200*time.Millisecond, func() { f.site.RestoreStore(time.Second) })
+		time.AfterFunc(1500*time.Millisecond, f.daemons[0].stop)
+		time.AfterFunc(2*time.Second, func() { f.site.SetLateWrites(0) })
+		time.AfterFunc(2500*time.Millisecond, func() { f.start("late", "west-a") })
+		time.AfterFunc(3*time.Second, func() { f.site.RestoreStore(2 * time.Second) })
+		o := f.runLoad(11, 8*time.Second)
+		Expect(o.Served).To(BeNumerically(">", 500))
+	})
+
+	It("makes each host register again, and groups are held and replaced as before once the era has settled", func() {
+		f := newFleet(defaultConfig, 3)
+		f.site.RestoreStore(time.Hour)
+		Eventually(f.site.RegisteredHosts, 5*time.Second, 50*time.Millisecond).Should(Equal(3))
+		time.Sleep(lease.SettleTime + time.Second)
+		time.AfterFunc(700*time.Millisecond, func() {
+			restart := f.site.CrashPrimary(0)
+			time.AfterFunc(2500*time.Millisecond, restart)
+		})
+		o := f.runLoad(12, 4*time.Second)
+		Expect(o.LongestWriteGap).To(BeNumerically("<", 3500*time.Millisecond))
+	})
+})
+
+// connect returns the answer to a caller's first message.
+func connect(address, database string) string {
+	c, err := net.Dial("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	_, err = c.Write([]byte("START " + database + " who\r\n"))
+	Expect(err).NotTo(HaveOccurred())
+	b := make([]byte, 64)
+	n, _ := c.Read(b)
+	return string(b[:n])
+}
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -38,10 +38,64 @@
 	leaseTTLs map[uint64]time.Duration
 	lastLease uint64
 	// down refuses all calls; loseAnswers drops the answers to writes that were
-	// carried out.
+	// carried out. lateWrites is how long after their arrival writes are executed,
+	// without an answer; zero if they aren't late.
 	down, loseAnswers bool
+	lateWrites        time.Duration
 	// changed is closed and replaced on each change.
 	changed chan struct{}
+	// era counts how often the store has come back from a copy; copies are those
+	// that it may come back from, oldest first.
+	era    uint64
+	copies []storeCopy
+}
+
+// storeCopy is the state of the store at a time.
+type storeCopy struct {
+	at       time.Time
+	items    map[string]item
+	revision uint64
+	history  int
+	// leaseEnds and leaseTTLs are those of the store, lastLease the last lease ID.
+	leaseEnds map[uint64]time.Time
+	leaseTTLs map[uint64]time.Duration
+	lastLease uint64
+}
+
+// maxCopies is the number of copies that are kept.
+const maxCopies = 1000
+
+// keepCopy keeps the present state; k.mu is held.
+func (k *store) keepCopy() {
+	k.copies = append(k.copies, storeCopy{
+		at: time.Now(), items: maps.Clone(k.items), revision: k.revision, history: len(k.history),
+		leaseEnds: maps.Clone(k.leaseEnds), leaseTTLs: maps.Clone(k.leaseTTLs), lastLease: k.lastLease,
+	})
+	k.copies = k.copies[max(0, len(k.copies)-maxCopies):]
+}
+
+// restore brings the store back from a copy of the given age, in a new era. Leases have
+// as long to run as when the copy was made.
+func (k *store) restore(age time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	t := time.Now().Add(-age)
+	n := len(k.copies) - 1
+	for n > 0 && k.copies[n].at.After(t) {
+		n--
+	}
+	c := k.copies[n]
+	k.items, k.revision, k.leaseTTLs, k.lastLease = maps.Clone(c.items), c.revision, maps.Clone(c.leaseTTLs), c.lastLease
+	k.history = slices.Clip(k.history[:min(c.history, len(k.history))])
+	k.leaseEnds = map[uint64]time.Time{}
+	for id, e := range c.leaseEnds {
+		k.leaseEnds[id] = time.Now().Add(e.Sub(c.at))
+	}
+	k.copies = nil
+	k.era++
+	k.keepCopy()
+	close(k.changed)
+	k.changed = make(chan struct{})
 }
 
 func newStore() *store {
@@ -73,6 +127,7 @@
 
 func (k *store) recordEvent(i item) {
 	k.history = append(k.history, i)
+	k.keepCopy()
 	close(k.changed)
 	k.changed = make(chan struct{})
 }
@@ -118,6 +173,7 @@
 		k.mu.Lock()
 		down := k.down
 		k.expireLeases()
+		k.stamp(w)
 		k.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -127,6 +183,12 @@
 	})
 }
 
+// stamp adds the store's era to the header of an answer whose content is read now; k.mu
+// is held.
+func (k *store) stamp(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(k.era, 10))
+}
+
 func writeJSON(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
@@ -135,6 +197,7 @@
 
 func (k *store) handleGet(w http.ResponseWriter, r *http.Request) {
 	k.mu.Lock()
+	k.stamp(w)
 	i, ok := k.items[r.URL.Query().Get("key")]
 	k.mu.Unlock()
 	if !ok {
@@ -147,6 +210,7 @@
 func (k *store) handleRange(w http.ResponseWriter, r *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.stamp(w)
 	l := []item{}
 	for _, key := range slices.Sorted(maps.Keys(k.items)) {
 		if strings.HasPrefix(key, r.URL.Query().Get("prefix")) {
@@ -163,7 +227,8 @@
 	end := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		k.mu.Lock()
-		if after+1 < k.firstRevision {
+		k.stamp(w)
+		if after+1 < k.firstRevision || after > k.revision {
 			k.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
@@ -191,30 +256,49 @@
 	}
 }
 
+// transaction is a conditional change of some keys.
+type transaction struct {
+	Precondition []item   `json:"precondition"`
+	Puts         []item   `json:"puts"`
+	Removals     []string `json:"removals"`
+}
+
 func (k *store) handleTransaction(w http.ResponseWriter, r *http.Request) {
-	var t struct {
-		Precondition []item   `json:"precondition"`
-		Puts         []item   `json:"puts"`
-		Removals     []string `json:"removals"`
-	}
+	var t transaction
 	if json.NewDecoder(r.Body).Decode(&t) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.lateWrites > 0 {
+		time.AfterFunc(k.lateWrites, func() {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			k.execute(t)
+		})
+		panic(http.ErrAbortHandler)
+	}
+	k.stamp(w)
+	status, v := k.execute(t)
+	if k.loseAnswers && status == http.StatusOK {
+		panic(http.ErrAbortHandler)
+	}
+	writeJSON(w, status, v)
+}
+
+// execute executes a transaction and returns the answer; k.mu is held.
+func (k *store) execute(t transaction) (int, any) {
 	for _, p := range t.Precondition {
 		if k.items[p.Key].Revision != p.Revision {
 			i := k.items[p.Key]
 			i.Key = p.Key
-			writeJSON(w, http.StatusPreconditionFailed, map[string]any{"items": []item{i}})
-			return
+			return http.StatusPreconditionFailed, map[string]any{"items": []item{i}}
 		}
 	}
 	for _, p := range t.Puts {
 		if _, ok := k.leaseEnds[p.Lease]; p.Lease != 0 && !ok {
-			w.WriteHeader(http.StatusNotFound)
-			return
+			return http.StatusNotFound, struct{}{}
 		}
 	}
 	for _, p := range t.Puts {
@@ -223,10 +307,7 @@
 	for _, key := range t.Removals {
 		k.remove(key)
 	}
-	if k.loseAnswers {
-		panic(http.ErrAbortHandler)
-	}
-	writeJSON(w, http.StatusOK, map[string]any{"revision": k.revision})
+	return http.StatusOK, map[string]any{"revision": k.revision}
 }
 
 func (k *store) handleLeaseGrant(w http.ResponseWriter, r *http.Request) {
@@ -239,6 +320,7 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.stamp(w)
 	k.lastLease++
 	k.leaseTTLs[k.lastLease] = time.Duration(t.TTL) * time.Millisecond
 	k.leaseEnds[k.lastLease] = time.Now().Add(k.leaseTTLs[k.lastLease])
@@ -256,6 +338,7 @@
 func (k *store) handleLeaseRenewal(w http.ResponseWriter, r *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.stamp(w)
 	id, ok := k.requestedLease(r)
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -268,6 +351,7 @@
 func (k *store) handleLeaseEnd(w http.ResponseWriter, r *http.Request) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.stamp(w)
 	if id, ok := k.requestedLease(r); ok {
 		k.leaseEnds[id] = time.Time{}
 	}
--- a/storecopy/copy.go
+++ b/storecopy/copy.go
@@ -17,18 +17,20 @@
 // other daemons.
 const TombstoneTime = time.Minute
 
-// Copy is the local copy of the store's items as of a revision. It is safe for
+// Copy is the local copy of the store's items as of a position. It is safe for
 // concurrent use.
 type Copy struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// items are all of the era of position.
 	items map[string]store.Item
 	// tombstones holds the time at which each removal of a key was observed.
 	tombstones map[string]time.Time
-	revision   uint64
+	position   store.Position
 	// currentAt is a time at which the copy contained all changes of the store, by
 	// the boot-time clock.
 	currentAt time.Time
-	// prunedRevision is the highest revision of a removal that is no longer kept.
+	// prunedRevision is the highest revision, in this era, of a removal that is no
+	// longer kept.
 	prunedRevision uint64
 }
 
@@ -37,12 +39,12 @@
 	return &Copy{items: map[string]store.Item{}, tombstones: map[string]time.Time{}}
 }
 
-// Revision returns the store's revision that the copy reflects; zero before the
-// first update.
-func (c *Copy) Revision() uint64 {
+// Position returns the store's position that the copy reflects; zero before the first
+// update.
+func (c *Copy) Position() store.Position {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.revision
+	return c.position
 }
 
 // Age returns the time since the copy was known to contain all changes of the store,
@@ -54,30 +56,38 @@
 }
 
 // Update is what a daemon learns of the store: the items that changed up to a
-// revision, and a time at which that was all.
+// position, and a time at which that was all.
 type Update struct {
+	// Items are of the era of Position.
 	Items    []store.Item
-	Revision uint64
-	// CurrentAt is when the revision was current, by the boot-time clock, or
+	Position store.Position
+	// CurrentAt is when the position was current, by the boot-time clock, or
 	// earlier. Zero if that isn't known.
 	CurrentAt time.Time
-	// Complete is set if the items are all items of the store, read at the revision
+	// Complete is set if the items are all items of the store, read at the position
 	// or later.
 	Complete bool
 }
 
 // Apply applies an update and returns the items that are newer than the copy. A key
 // missing from a complete update becomes a removal, unless it changed after the
-// update's revision.
+// update's position. An update of an earlier era changes nothing; one of a later era
+// must be complete, and then replaces all items.
 func (c *Copy) Apply(u Update, now time.Time) []store.Item {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if u.Position.Era < c.position.Era || u.Position.Era > c.position.Era && !u.Complete {
+		return nil
+	}
 	if u.Complete {
 		u.Items = append(slices.Clone(u.Items), c.missing(u)...)
 	}
+	if u.Position.Era > c.position.Era {
+		c.position, c.prunedRevision = store.Position{Era: u.Position.Era}, 0
+	}
 	var o []store.Item
 	for _, i := range u.Items {
-		if i.Revision <= c.items[i.Key].Revision {
+		if i.Position.Compare(c.items[i.Key].Position) <= 0 {
 			continue
 		}
 		c.items[i.Key] = i
@@ -87,8 +97,10 @@
 		}
 		o = append(o, i)
 	}
-	c.revision = max(c.revision, u.Revision)
-	// A copy that has reached the other one's revision is as current.
+	if c.position.Before(u.Position) {
+		c.position = u.Position
+	}
+	// A copy that has reached the other one's position is as current.
 	if u.CurrentAt.After(c.currentAt) {
 		c.currentAt = u.CurrentAt
 	}
@@ -103,10 +115,12 @@
 	for _, i := range u.Items {
 		listed[i.Key] = true
 	}
+	later := u.Position.Era > c.position.Era
 	var o []store.Item
 	for k, i := range c.items {
-		if !listed[k] && !i.Removed && i.Revision <= u.Revision {
-			o = append(o, store.Item{Key: k, Revision: u.Revision, Removed: true})
+		// In a later era also the removals change: their revisions were of an earlier one.
+		if !listed[k] && (later || !i.Removed && i.Position.Compare(u.Position) <= 0) {
+			o = append(o, store.Item{Key: k, Position: u.Position, Removed: true})
 		}
 	}
 	return o
@@ -123,18 +137,19 @@
 	}
 }
 
-// ChangesSince returns the items that changed after a revision. The update is
-// complete if not all removals since then are known any more.
-func (c *Copy) ChangesSince(revision uint64) Update {
+// ChangesSince returns the items that changed after a position. The update is
+// complete if the position is of an earlier era, or if not all removals since then are
+// known any more.
+func (c *Copy) ChangesSince(p store.Position) Update {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	u := Update{Revision: c.revision, CurrentAt: c.currentAt}
-	if c.revision <= revision {
+	u := Update{Position: c.position, CurrentAt: c.currentAt}
+	if c.position.Compare(p) <= 0 {
 		return u
 	}
-	u.Complete = revision > 0 && revision < c.prunedRevision
+	u.Complete = p.Era < c.position.Era || p.Revision > 0 && p.Revision < c.prunedRevision
 	for _, i := range c.items {
-		if u.Complete && !i.Removed || !u.Complete && i.Revision > revision {
+		if u.Complete && !i.Removed || !u.Complete && i.Revision > p.Revision {
 			u.Items = append(u.Items, i)
 		}
 	}
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -47,6 +47,9 @@
 // AcquireLease makes the host the holder of the group's lease.
 type AcquireLease struct{}
 
+// RewriteLease writes the record of this host again, which the store has lost.
+type RewriteLease struct{}
+
 // ReleaseLease removes this host from the previous holders in the record, once it
 // sends no more work to the primary.
 type ReleaseLease struct{}
@@ -83,6 +86,7 @@
 )
 
 func (AcquireLease) action()        {}
+func (RewriteLease) action()        {}
 func (ReleaseLease) action()        {}
 func (DiscoverPrimary) action()     {}
 func (TransferLease) action()       {}
@@ -93,13 +97,17 @@
 
 // NextAction returns the action that the host must take now for the group, or nil.
 func (g *Group) NextAction(f HostState, now time.Time) Action {
-	r, _, known := g.lease.Record()
+	r, known := g.lease.Record()
 	switch {
-	case known && r.Holder.ID == g.self.ID:
+	case g.lease.MustRewrite(now):
+		return RewriteLease{}
+	case known && !g.lease.Restored() && r.Holder.ID == g.self.ID:
 		return g.holderAction(f, now)
 	case g.IsPreviousHolder() && !f.WorkPending:
 		return ReleaseLease{}
-	case f.HostDraining || !f.Registered || known && !f.TakeoverAllowed || !f.PreferredHolder:
+	case f.HostDraining || !f.Registered || !g.lease.MayAcquire(now) || !f.PreferredHolder:
+		return nil
+	case known && !g.lease.Restored() && !f.TakeoverAllowed:
 		return nil
 	default:
 		return AcquireLease{}
@@ -115,7 +123,7 @@
 		return DiscoverPrimary{}
 	case f.HostDraining:
 		return TransferLease{}
-	case g.primaryUnrecorded():
+	case g.primaryUnrecorded(), !g.primaryUnusable && g.lease.SettleDue(now):
 		return RecordPrimary{}
 	case len(g.lease.UnfinishedHolders(now)) > 0:
 		return PollPreviousHolders{}
@@ -136,10 +144,10 @@
 }
 
 // primaryUnrecorded reports whether the record lacks the current primary or its
-// term.
+// term, or holds them as uncertain.
 func (g *Group) primaryUnrecorded() bool {
-	r, _, _ := g.lease.Record()
-	return !g.primaryUnusable && g.primary != "" && (r.Primary != g.primary || r.Term != g.term)
+	r, _ := g.lease.Record()
+	return !g.primaryUnusable && g.primary != "" && (r.Primary != g.primary || r.Term != g.term || r.PrimaryUncertain)
 }
 
 // transferDue reports whether another host has been nearer to the primary for
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
 )
 
 // Timing and limits of monitoring a primary.
@@ -156,18 +157,16 @@
 
 // handleLease handles an event of the lease. Every host adopts the primary of a
 // newer record. A host that becomes the holder must discover the primary again,
-// even if it held the lease before.
+// even if it held the lease before; not if it only writes its record again.
 func (g *Group) handleLease(e lease.Event, now time.Time) {
-	old, rev, _ := g.lease.Record()
+	old, _ := g.lease.Record()
 	g.lease.Handle(e, now)
-	s, ok := e.(lease.RecordObserved)
-	if !ok || s.Revision <= rev {
-		return
-	}
-	if s.Record.Holder.ID == g.self.ID && s.Record.Epoch != old.Epoch {
+	r, _ := g.lease.Record()
+	rewritten := old.Holder.ID == g.self.ID && r.Era > old.Era && !r.PrimaryUncertain
+	if r.Holder.ID == g.self.ID && r.Epoch != old.Epoch && !rewritten {
 		g.primaryDiscovered, g.primaryUnusable, g.failedProbes, g.nearerSince = false, false, 0, time.Time{}
 	}
-	if r := s.Record; r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
+	if r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
 		g.primary, g.term = r.Primary, r.Term
 	}
 }
@@ -189,7 +188,7 @@
 // reportedPrimary returns the member that reports itself primary in the highest
 // term, if that is not below the record's term.
 func (g *Group) reportedPrimary(l []MemberStatus) (MemberStatus, bool) {
-	r, _, _ := g.lease.Record()
+	r, _ := g.lease.Record()
 	best := -1
 	for i, a := range l {
 		if a.Err == nil && a.Status.Primary && a.Status.Term >= r.Term && (best < 0 || a.Status.Term > l[best].Status.Term) {
@@ -206,15 +205,23 @@
 // the members. From then on the primary must have the furthest position that
 // any member reported: if it reports less, it has restarted without its log, or
 // another member was promoted.
+//
+// If the record's primary comes from an earlier era of the store, a later promotion may
+// be unknown: then every member has to answer, and a primary of an earlier term than
+// any of them has seen isn't used.
 func (g *Group) discoverPrimary(l []MemberStatus, now time.Time) {
 	for _, a := range l {
 		if a.Err == nil && g.logEnd.Less(a.Status.Received) {
 			g.logEnd, g.logEndAt = a.Status.Received, now
 		}
 	}
-	r, _, _ := g.lease.Record()
+	r, _ := g.lease.Record()
 	best, ok := g.reportedPrimary(l)
 	switch {
+	case r.PrimaryUncertain && slices.ContainsFunc(l, func(a MemberStatus) bool { return a.Err != nil }):
+		return
+	case r.PrimaryUncertain && ok && slices.ContainsFunc(l, func(a MemberStatus) bool { return a.Status.Term > best.Status.Term }):
+		g.primaryUnusable = true
 	case ok && (r.Target == "" || best.Status.Term > r.Term):
 		g.primary, g.term = best.Member.ID, best.Status.Term
 	case r.Target == "" && r.Primary != "":
@@ -229,13 +236,19 @@
 	g.primaryDiscovered, g.failedProbes = true, 0
 }
 
-// Record returns the group's record and its revision, or false if none is known.
-func (g *Group) Record() (lease.Record, uint64, bool) { return g.lease.Record() }
+// Record returns the latest known record of the group, or false if none is known.
+func (g *Group) Record() (lease.Record, bool) { return g.lease.Record() }
+
+// RecordPosition returns the position of the group's record in the store.
+func (g *Group) RecordPosition() store.Position { return g.lease.Position() }
+
+// RecordRestored reports whether the store's record may be older than the latest one.
+func (g *Group) RecordRestored() bool { return g.lease.Restored() }
 
 // Holder returns the process that holds the group's lease by the latest known
 // record.
 func (g *Group) Holder() lease.Holder {
-	r, _, _ := g.lease.Record()
+	r, _ := g.lease.Record()
 	return r.Holder
 }
 
@@ -273,60 +286,59 @@
 // ConfirmDue reports whether the record must be requested from the store now.
 func (g *Group) ConfirmDue(now time.Time) bool { return g.lease.ConfirmDue(now) }
 
-// IsPreviousHolder reports whether the record lists the host as a previous holder.
+// IsPreviousHolder reports whether the store's record lists the host as a previous
+// holder.
 func (g *Group) IsPreviousHolder() bool {
-	r, rev, known := g.lease.Record()
-	return known && rev > 0 && slices.Contains(r.PreviousHolders, g.self)
+	r, known := g.lease.Record()
+	return known && !g.lease.Restored() && slices.Contains(r.PreviousHolders, g.self)
 }
 
-// ReleaseRecord returns the record without the host among the previous holders,
-// the revision that it must replace, and whether the host was among them. The
-// host must have finished its work.
-func (g *Group) ReleaseRecord(now time.Time) (lease.Record, uint64, bool) {
+// Release returns the change that removes the host from the previous holders, and
+// whether it was among them. The host must have finished its work.
+func (g *Group) Release(now time.Time) (lease.Change, bool) {
 	g.lease.Handle(lease.WorkFinished{}, now)
-	r, ok := g.lease.ReleaseRecord()
-	_, rev, _ := g.lease.Record()
-	return r, rev, ok
+	r, ok := g.lease.ReleaseRecord(now)
+	return g.lease.Change(r), ok
 }
 
-// AcquireRecord returns the record that makes the host the holder, and the
-// revision that it must replace.
-func (g *Group) AcquireRecord() (lease.Record, uint64) {
-	_, rev, known := g.lease.Record()
-	if !known {
-		rev = 0
-	}
-	return g.lease.AcquireRecord(), rev
+// Acquire returns the change that makes the host the holder.
+func (g *Group) Acquire(now time.Time) lease.Change {
+	return g.lease.Change(g.lease.AcquireRecord(now))
+}
+
+// Rewrite returns the change by which the holder of an earlier era goes on.
+func (g *Group) Rewrite(now time.Time) lease.Change {
+	r := g.lease.RewriteRecord(now)
+	r.Primary, r.Term = g.primary, g.term
+	return g.lease.Change(r)
 }
 
-// TransferRecord returns the record by which the holder transfers the lease to
-// another process, and the revision that it must replace.
-func (g *Group) TransferRecord(to lease.Holder, now time.Time) (lease.Record, uint64) {
-	_, rev, _ := g.lease.Record()
-	return g.lease.TransferRecord(to, now), rev
+// Transfer returns the change that transfers the lease to another process.
+func (g *Group) Transfer(to lease.Holder, now time.Time) lease.Change {
+	return g.lease.Change(g.lease.TransferRecord(to, now))
 }
 
-// IntentRecord returns the record that announces a promotion, the revision that
-// it must replace, and whether the host may write it.
-func (g *Group) IntentRecord(now time.Time) (lease.Record, uint64, bool) {
-	r, rev, _ := g.lease.Record()
+// AnnouncePromotion returns the change that announces a promotion, and whether the host
+// may make it.
+func (g *Group) AnnouncePromotion(now time.Time) (lease.Change, bool) {
+	r := g.lease.UpdateRecord(now)
 	r.Primary, r.Term, r.Target = g.primary, max(g.term, r.Term), targetPending
-	return r, rev, g.lease.MayReplacePrimary(now)
+	return g.lease.Change(r), g.lease.MayReplacePrimary(now)
 }
 
 // Promotion returns the fencing token of a promotion, the term that the new
 // primary's term must exceed, and whether the host may request the promotion.
 func (g *Group) Promotion(now time.Time) (token, term uint64, ok bool) {
-	r, rev, _ := g.lease.Record()
-	return rev, max(g.term, r.Term), g.lease.MayReplacePrimary(now) && r.Target != ""
+	r, _ := g.lease.Record()
+	return g.lease.Position().Token(), max(g.term, r.Term), g.lease.MayReplacePrimary(now) && r.Target != ""
 }
 
-// PrimaryRecord returns the record that names the primary, the revision that it
-// must replace, and whether the host may write it.
-func (g *Group) PrimaryRecord(now time.Time) (lease.Record, uint64, bool) {
-	r, rev, _ := g.lease.Record()
-	ok := r.Holder.ID == g.self.ID && !g.primaryUnusable
+// NamePrimary returns the change that names the primary, and whether the host may make
+// it.
+func (g *Group) NamePrimary(now time.Time) (lease.Change, bool) {
+	r := g.lease.UpdateRecord(now)
+	ok := r.Holder.ID == g.self.ID && !g.lease.Restored() && !g.primaryUnusable
 	r.Primary, r.Term, r.Target = g.primary, g.term, ""
-	r.PreviousHolders = g.lease.UnfinishedHolders(now)
-	return r, rev, ok
+	r.PrimaryUncertain = r.PrimaryUncertain && !g.primaryDiscovered
+	return g.lease.Change(r), ok
 }
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -12,6 +12,7 @@
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -39,7 +40,7 @@
 // observeRecord passes a record to a group as the store's reply to a request sent
 // at the start.
 func observeRecord(g *takeover.Group, r lease.Record, rev uint64) {
-	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Revision: rev, RequestedAt: start}}, start)
+	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Position: store.Position{Revision: rev}, RequestedAt: start}}, start)
 }
 
 // newHolder returns the group of a holder that has discovered its primary p.
@@ -199,34 +200,99 @@
 		g := newHolder()
 		_, _, ok := g.Promotion(start)
 		Expect(ok).To(BeFalse())
-		r, rev, ok := g.IntentRecord(start)
+		c, ok := g.AnnouncePromotion(start)
 		Expect(ok).To(BeTrue())
-		observeRecord(g, r, rev+1)
+		observeRecord(g, c.Record, c.Revision+1)
 		token, term, ok := g.Promotion(start)
 		Expect(ok).To(BeTrue())
-		Expect(token).To(Equal(rev + 1))
+		Expect(token).To(Equal(c.Revision + 1))
 		Expect(term).To(Equal(uint64(1)))
 		g.Handle(takeover.PromotionRequested{}, start)
 		Expect(g.MaySendWork(start)).To(BeFalse())
-		_, _, ok = g.PrimaryRecord(start)
+		_, ok = g.NamePrimary(start)
 		Expect(ok).To(BeFalse())
 		g.Handle(takeover.PrimaryConfirmed{Member: "q", Status: primary("q", 2, 5).Status}, start)
 		Expect(g.MaySendWork(start)).To(BeTrue())
-		r, _, ok = g.PrimaryRecord(start)
+		c, ok = g.NamePrimary(start)
 		Expect(ok).To(BeTrue())
-		Expect(r.Primary).To(Equal("q"))
-		Expect(r.Target).To(BeEmpty())
+		Expect(c.Record.Primary).To(Equal("q"))
+		Expect(c.Record.Target).To(BeEmpty())
 	})
 
 	It("isn't requested while a previous holder may send work", func() {
 		g := takeover.New(lease.Holder{ID: "b"})
 		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}}, 1)
-		r, rev := g.AcquireRecord()
-		observeRecord(g, r, rev+1)
-		_, _, ok := g.IntentRecord(start)
+		c := g.Acquire(start)
+		observeRecord(g, c.Record, c.Revision+1)
+		_, ok := g.AnnouncePromotion(start)
 		Expect(ok).To(BeFalse())
 		g.Handle(takeover.LeaseEvent{Event: lease.ProcessEnded{ProcessID: "a"}}, start)
-		_, _, ok = g.IntentRecord(start)
+		_, ok = g.AnnouncePromotion(start)
 		Expect(ok).To(BeTrue())
 	})
 })
+
+var _ = Describe("a store that comes back from an older copy", func() {
+	later := start.Add(time.Second)
+	era := func(revision uint64) store.Position { return store.Position{Era: 1, Revision: revision} }
+	observe := func(g *takeover.Group, r lease.Record, p store.Position, at time.Time) {
+		g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Position: p, RequestedAt: at}}, at)
+	}
+
+	It("lets the holder write its record again and go on, and replace the primary once the era has settled", func() {
+		g, f := newHolder(), healthyState()
+		f.PrimaryHealth.LastReply = later.Add(lease.SettleTime)
+		observe(g, lease.Record{Holder: lease.Holder{ID: "z"}, Primary: "q"}, era(1), later)
+		Expect(g.NextAction(f, later)).To(Equal(takeover.RewriteLease{}))
+		Expect(g.MaySendWork(later)).To(BeTrue())
+		_, ok := g.AnnouncePromotion(later)
+		Expect(ok).To(BeFalse())
+
+		c := g.Rewrite(later)
+		Expect(c.Record.Primary).To(Equal("p"))
+		Expect(c.Record.Era).To(Equal(uint64(1)))
+		Expect(c.Record.Epoch).To(Equal(uint64(1)))
+		Expect(c.Revision).To(Equal(uint64(1)))
+		observe(g, c.Record, era(2), later)
+		Expect(g.NextAction(f, later)).To(BeNil())
+		Expect(g.MaySendWork(later)).To(BeTrue(), "without another discovery")
+		_, ok = g.AnnouncePromotion(later)
+		Expect(ok).To(BeFalse())
+
+		settled := later.Add(lease.SettleTime)
+		observe(g, c.Record, era(2), settled)
+		Expect(g.NextAction(f, settled)).To(Equal(takeover.RecordPrimary{}))
+		c, ok = g.NamePrimary(settled)
+		Expect(ok).To(BeTrue())
+		Expect(c.Record.Settled).To(BeTrue())
+		_, ok = g.AnnouncePromotion(settled)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("keeps others from taking over before the era has settled, also from a holder that is gone", func() {
+		g, f := takeover.New(lease.Holder{ID: "b"}), healthyState()
+		f.PreferredHolder, f.TakeoverAllowed = true, true
+		observe(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1}, era(1), later)
+		Expect(g.NextAction(f, later)).To(BeNil())
+		Expect(g.NextAction(f, later.Add(lease.SettleTime-1))).To(BeNil())
+		f.TakeoverAllowed = false
+		Expect(g.NextAction(f, later.Add(lease.SettleTime))).To(Equal(takeover.AcquireLease{}))
+	})
+
+	DescribeTable("makes a new holder that doesn't know the latest term", func(l []takeover.MemberStatus, discovered, usable bool) {
+		g := takeover.New(lease.Holder{ID: "b"})
+		observe(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1}, era(1), later)
+		n := later.Add(lease.SettleTime)
+		c := g.Acquire(n)
+		Expect(c.Record.PrimaryUncertain).To(BeTrue())
+		Expect(c.Record.PreviousHolders).To(BeEmpty())
+		observe(g, c.Record, era(2), n)
+		g.Handle(takeover.MembersPolled{Statuses: l}, n)
+		Expect(g.PrimaryDiscovered()).To(Equal(discovered))
+		Expect(g.MaySendWork(n)).To(Equal(usable))
+	},
+		Entry("wait for every member", []takeover.MemberStatus{primary("p", 1, 5), replica("q", 5, false), unreachable("r")}, false, false),
+		Entry("use the primary of the latest term", []takeover.MemberStatus{primary("p", 1, 5), primary("q", 2, 4), replica("r", 5, false)}, true, true),
+		Entry("not use a primary of an earlier term than a member has seen", []takeover.MemberStatus{primary("p", 1, 5), {Member: catalog.Member{ID: "q"}, Status: query.Status{Term: 2}}}, true, false),
+	)
+})
