takeover: hosts that know of different primaries agree on who takes a restored group over

The holder knew of the promotion, the others only the restored record, so that each took another host for the preferred one, for good.

Hosts now report the primary of the latest term with their records, and two seconds after the era has settled any host that watches the group may take it over; the store lets one of them.

--- a/fleet/era.go
+++ b/fleet/era.go
@@ -95,7 +95,7 @@
 	}
 	var o map[string]lease.Record
 	for name, g := range f.groups {
-		r, ok := g.Record()
+		r, ok := g.ReportedRecord()
 		if !ok || !g.RecordRestored() {
 			continue
 		}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -45,6 +45,9 @@
 	// its lease was confirmed before that. In addition to the work in flight, a
 	// promotion that it requested may take seconds until it has taken effect.
 	SettleTime = Validity + 4*time.Second
+	// abandonTime is how long after that the preferred host may take to acquire a
+	// lease that nobody has written again.
+	abandonTime = 2 * time.Second
 )
 
 // Event is an input that changes the state of a lease.
@@ -249,6 +252,13 @@
 // while the latest holder may be unknown.
 func (s *Lease) MayAcquire(now time.Time) bool { return !s.restored || s.settled(now) }
 
+// Abandoned reports whether any host may acquire a lease that nobody has written again
+// since the era has settled: hosts that know of different primaries don't agree on who
+// should.
+func (s *Lease) Abandoned(now time.Time) bool {
+	return s.restored && !now.Before(s.eraSince.Add(SettleTime+abandonTime))
+}
+
 // SettleDue reports whether the holder has to record that no holder of an earlier era
 // can act any more.
 func (s *Lease) SettleDue(now time.Time) bool {
--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -129,3 +129,10 @@
 	Entry("of a draining holder", matrix.HolderDraining),
 	Entry("of a holder that the store rejects", matrix.HolderRejectedByStore),
 )
+
+var _ = It("on the users' platform, a group is held again after a restored store and a frozen holder that alone knows of the promotion", func() {
+	for _, seed := range []uint64{1, 57} {
+		r := matrix.RunTakeover(matrix.TakeoverPlan{Seed: seed, Trigger: matrix.GroupPrimaryKilled, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderFrozenPastLease})
+		Expect(r.Violations).To(BeEmpty(), "seed %d", seed)
+	}
+})
--- a/model/platform_exchange.go
+++ b/model/platform_exchange.go
@@ -12,7 +12,10 @@
 func (d *PlatformDaemon) exchangeRecords() {
 	if o := d.randomDaemon(); o != nil {
 		d.callDaemon(o, "exchange", callTimeout, func(reply func(any)) {
-			r, ok := o.group.Record()
+			r, ok := o.group.ReportedRecord()
+			if !o.group.RecordRestored() {
+				r, ok = o.group.Record()
+			}
 			reply(exchangeAnswer{known: ok, record: r, position: o.group.RecordPosition(), restored: o.group.RecordRestored(), era: o.era, eraAge: o.world.now.Sub(o.eraSince)})
 		}, func(v any, _ bool) {
 			if s, ok := v.(exchangeAnswer); ok {
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -81,6 +81,10 @@
 // answers to its writes are lost (loseAnswers).
 func (s *Site) SetStoreFault(down, loseAnswers bool) { s.store.setFault(down, loseAnswers) }
 
+// SetStoreSilent sets whether the store answers nobody, not even the watches that it
+// holds already.
+func (s *Site) SetStoreSilent(silent bool) { s.store.setSilent(silent) }
+
 // CompactStore discards the store's history, so that older watches fail.
 func (s *Site) CompactStore() { s.store.compact() }
 
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -219,6 +220,27 @@
 	})
 })
 
+var _ = Describe("a store that has answered nobody for a while", func() {
+	It("doesn't delay a change that follows its return beyond the time that the calls since then take", func() {
+		f := newFleet(defaultConfig, 4)
+		// The watches that are pending now get no answer.
+		time.Sleep(500 * time.Millisecond)
+		f.site.SetStoreSilent(true)
+		time.Sleep(3 * time.Second)
+		f.site.SetStoreSilent(false)
+		f.site.Configure([]string{"added"})
+		Eventually(func() int {
+			n := 0
+			for _, d := range f.daemons {
+				if strings.HasPrefix(connect(d.settings.CallerListen, "added"), "READY I") {
+					n++
+				}
+			}
+			return n
+		}, 4*time.Second, 20*time.Millisecond).Should(Equal(4))
+	})
+})
+
 var _ = Describe("a store that comes back from an older copy", func() {
 	It("is hardly noticed by callers", func() {
 		f := newFleet(defaultConfig, 3)
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -42,6 +42,8 @@
 	// without an answer; zero if they aren't late.
 	down, loseAnswers bool
 	lateWrites        time.Duration
+	// silent is set while the store answers nobody.
+	silent bool
 	// changed is closed and replaced on each change.
 	changed chan struct{}
 	// era counts how often the store has come back from a copy; copies are those
@@ -154,6 +156,16 @@
 	k.history, k.firstRevision = nil, k.revision+1
 }
 
+// setSilent makes the store answer no call, nor the watches that it holds, or ends this.
+func (k *store) setSilent(silent bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.silent = silent
+	// The watches that are held look again.
+	close(k.changed)
+	k.changed = make(chan struct{})
+}
+
 func (k *store) setFault(down, loseAnswers bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -170,6 +182,14 @@
 	m.HandleFunc("POST /api/kv-keep/{id}", k.handleLeaseRenewal)
 	m.HandleFunc("DELETE /api/kv-lease-end/{id}", k.handleLeaseEnd)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		k.mu.Lock()
+		silent := k.silent
+		k.mu.Unlock()
+		if silent {
+			// The call gets no answer, also when the store answers others again.
+			<-r.Context().Done()
+			return
+		}
 		k.mu.Lock()
 		down := k.down
 		k.expireLeases()
@@ -239,8 +259,12 @@
 				l = append(l, i)
 			}
 		}
-		rev, c := k.revision, k.changed
+		rev, c, silent := k.revision, k.changed, k.silent
 		k.mu.Unlock()
+		if silent {
+			<-r.Context().Done()
+			return
+		}
 		if len(l) > 0 {
 			writeJSON(w, http.StatusOK, map[string]any{"events": l, "store_revision": rev})
 			return
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -105,7 +105,9 @@
 		return g.holderAction(f, now)
 	case g.IsPreviousHolder() && !f.WorkPending:
 		return ReleaseLease{}
-	case f.HostDraining || !f.Registered || !g.lease.MayAcquire(now) || !f.PreferredHolder:
+	case f.HostDraining || !f.Registered || !g.lease.MayAcquire(now):
+		return nil
+	case !f.PreferredHolder && !g.lease.Abandoned(now):
 		return nil
 	case known && !g.lease.Restored() && !f.TakeoverAllowed:
 		return nil
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -239,6 +239,16 @@
 // Record returns the latest known record of the group, or false if none is known.
 func (g *Group) Record() (lease.Record, bool) { return g.lease.Record() }
 
+// ReportedRecord returns the latest known record for hosts that may not know it, with the
+// primary of the latest term that this host knows.
+func (g *Group) ReportedRecord() (lease.Record, bool) {
+	r, ok := g.lease.Record()
+	if g.term > r.Term {
+		r.Primary, r.Term = g.primary, g.term
+	}
+	return r, ok
+}
+
 // RecordPosition returns the position of the group's record in the store.
 func (g *Group) RecordPosition() store.Position { return g.lease.Position() }
 
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -279,6 +279,24 @@
 		Expect(g.NextAction(f, later.Add(lease.SettleTime))).To(Equal(takeover.AcquireLease{}))
 	})
 
+	It("lets hosts agree on the primary of the latest term, and any of them take a group over that nobody wants", func() {
+		g, o, f := newHolder(), takeover.New(lease.Holder{ID: "b"}), healthyState()
+		g.Handle(takeover.PrimaryConfirmed{Member: "q", Status: primary("q", 2, 5).Status}, start)
+		restored := lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1}
+		observe(g, restored, era(1), later)
+		observe(o, restored, era(1), later)
+		r, ok := g.ReportedRecord()
+		Expect(ok).To(BeTrue())
+		o.Handle(takeover.LeaseEvent{Event: lease.RecordReported{Record: r}}, later)
+		id, term := o.Primary()
+		Expect(id).To(Equal("q"))
+		Expect(term).To(Equal(uint64(2)))
+
+		f.PreferredHolder = false
+		Expect(o.NextAction(f, later.Add(lease.SettleTime))).To(BeNil())
+		Expect(o.NextAction(f, later.Add(lease.SettleTime+2*time.Second))).To(Equal(takeover.AcquireLease{}))
+	})
+
 	DescribeTable("makes a new holder that doesn't know the latest term", func(l []takeover.MemberStatus, discovered, usable bool) {
 		g := takeover.New(lease.Holder{ID: "b"})
 		observe(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1}, era(1), later)
