--- a/standin/measure/measure_test.go
+++ b/standin/measure/measure_test.go
@@ -40,6 +40,7 @@
 	It("loses no order on a majority under a cut that loses some at commit", func() {
 		r, err := measure.WriteAcknowledgment(x, measure.WriteAcknowledgmentConfig{Rounds: 20, Runs: 1, Seed: 1})
 		Expect(err).NotTo(HaveOccurred())
+		AddReportEntry("cuts", r)
 		Expect(r.Variants).To(HaveLen(2))
 		Expect(r.Variants[0].Majority).To(BeTrue())
 		Expect(r.Variants[0].Cuts[0].Lost).To(BeZero())
--- a/standin/measure/writes.go
+++ b/standin/measure/writes.go
@@ -17,9 +17,9 @@
 
 // Times and load of the measurement. In a run with a cut, replication stops cutAt
 // after the start of the load. With a majority the primary is killed killDelay
-// later. At commit it is killed once more writes than there are sessions were
-// committed after replication stopped: each session sends a write only after the
-// answer to the one before, so that some of these writes are acknowledged for sure.
+// later. At commit it is killed once it is ahead of each replica by more writes than
+// there are sessions: each session sends a write only after the answer to the one
+// before, so that some of these writes are acknowledged for sure.
 const (
 	cutAt     = 1 * time.Second
 	killDelay = 1 * time.Second
@@ -189,11 +189,10 @@
 	if !sleep(x, pullTime) {
 		return
 	}
-	start := p.Status().Position.Offset
 	if majority && !sleep(x, killDelay) {
 		return
 	}
-	for !majority && p.Status().Position.Offset <= start+loadSessions {
+	for !majority && p.Status().Position.Offset <= furthestReplica(members, p)+loadSessions {
 		if !sleep(x, commitPollInterval) {
 			return
 		}
@@ -202,6 +201,17 @@
 	replication(false)
 }
 
+// furthestReplica returns the offset of the furthest replica of p's group.
+func furthestReplica(members []*cluster.Member, p *cluster.Member) uint64 {
+	var o uint64
+	for _, m := range members {
+		if m != p && m.Group == p.Group {
+			o = max(o, m.Status().Position.Offset)
+		}
+	}
+	return o
+}
+
 // Print writes the report as text.
 func (r *WriteAcknowledgmentReport) Print(o io.Writer) {
 	var l []Latency
