owner: the sessions of connections that no longer answer are ended

What callers saw: on the PostgreSQL edge every statement on a group's primary was refused (no-connection) for as long as the daemons ran, after the network had twice dropped the open connections to the member without a word.

Cause: the pool closes an idle connection that doesn't answer its check, and a control connection is replaced after a timeout, but the member doesn't notice: its sessions stay and count against its limit of connections. Only the sessions of writes under way were ended. After the second silence all 20 connections of the member belonged to nobody.

Change: the pool remembers the sessions of connections whose check timed out, and those of reads that timed out, and the next maintenance ends them over the control connection; a control connection that replaces one ends its session. A statement without a connection logs why.

--- a/backend/control.go
+++ b/backend/control.go
@@ -20,6 +20,9 @@
 	config Config
 	mu     sync.Mutex
 	conn   *pgconn.PgConn
+	// abandoned is the process ID of the session of a connection that didn't answer
+	// and was closed; zero if there is none.
+	abandoned uint32
 }
 
 // NewControl returns a Control that connects when it is first used.
@@ -69,9 +72,7 @@
 // TerminateSession ends the session with process ID pid, rolls back its open
 // transaction, and reports whether the session has certainly ended.
 func (c *Control) TerminateSession(x context.Context, pid uint32) (bool, error) {
-	n := strconv.FormatUint(uint64(pid), 10)
-	t := strconv.FormatInt((CallTimeout / 2).Milliseconds(), 10)
-	r, err := c.exec(x, "SELECT * FROM terminate_session("+n+", "+t+")")
+	r, err := c.exec(x, terminateCall(pid))
 	if err != nil {
 		return false, err
 	}
@@ -82,6 +83,11 @@
 	return b, Error.Wrap(err)
 }
 
+// terminateCall returns the call that ends a session.
+func terminateCall(pid uint32) string {
+	return "SELECT * FROM terminate_session(" + strconv.FormatUint(uint64(pid), 10) + ", " + strconv.FormatInt((CallTimeout/2).Milliseconds(), 10) + ")"
+}
+
 // SessionIdle reports whether the session with process ID pid runs no statement
 // or has ended.
 func (c *Control) SessionIdle(x context.Context, pid uint32) (bool, error) {
@@ -144,6 +150,9 @@
 		if err == nil || errors.As(err, &e) {
 			return r, err
 		}
+		if pgconn.Timeout(err) {
+			c.abandoned = c.conn.PID()
+		}
 		c.disconnect()
 	}
 	p, err := login(x, c.config)
@@ -151,6 +160,13 @@
 		return nil, err
 	}
 	c.conn = p
+	if c.abandoned != 0 {
+		if _, err := c.execOnce(x, terminateCall(c.abandoned)); err != nil {
+			c.disconnect()
+			return nil, err
+		}
+		c.abandoned = 0
+	}
 	r, err := c.execOnce(x, q)
 	var e *pgconn.PgError
 	if err != nil && !errors.As(err, &e) {
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -29,6 +29,9 @@
 	inUse int
 	// surplus is the number of tokens to drop when they are returned.
 	surplus int
+	// abandoned holds the sessions that Abandon has recorded and that have not
+	// certainly ended.
+	abandoned []abandonedSession
 }
 
 // maxConnections is the maximum number of connections of a pool.
@@ -113,7 +116,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.LastReply) < checkAfterIdle || c.Ping(checkTimeout) == nil {
+		if time.Since(c.LastReply) < checkAfterIdle || p.check(c) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -194,7 +197,7 @@
 			p.returnToken()
 			return
 		}
-		p.Put(c, c.Ping(checkTimeout) != nil)
+		p.Put(c, !p.check(c))
 	}
 }
 
--- a/monitor/resolve.go
+++ b/monitor/resolve.go
@@ -114,14 +114,15 @@
 const codeUndefinedTable = "42P01"
 
 // TerminateSession terminates a session, if its member answers, so that its open
-// transaction holds no more locks.
-func (m *Monitor) TerminateSession(x context.Context, session BackendSession) {
+// transaction holds no more locks, and reports whether it has certainly ended.
+func (m *Monitor) TerminateSession(x context.Context, session BackendSession) bool {
 	c, err := m.control(session.Member)
 	if err != nil {
-		return
+		return false
 	}
 	ended, err := c.TerminateSession(x, session.PID)
 	m.config.Log.Info("session termination requested", "group", m.config.Group.Name, "member", session.Member, "ended", ended, "error", err)
+	return err == nil && ended
 }
 
 // SessionIdle reports whether a session runs no statement, according to an answer
--- a/owner/handover.go
+++ b/owner/handover.go
@@ -50,12 +50,12 @@
 	s.pool.Close()
 }
 
-// isIdle reports whether no request is arriving, waiting or running, and no
-// connection is in use.
+// isIdle reports whether no request is arriving, waiting or running, no connection is
+// in use and no session is to be ended.
 func (s *server) isIdle() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return len(s.primaryWork) == 0 && s.slots.Idle() && s.pool.InUse() == 0
+	return len(s.primaryWork) == 0 && s.slots.Idle() && s.pool.InUse() == 0 && !s.pool.HasAbandoned()
 }
 
 // MovedError reports a request that was not run because its backend server has
--- a/owner/outcome.go
+++ b/owner/outcome.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/backend"
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/monitor"
@@ -90,15 +90,17 @@
 }
 
 // terminateSession terminates the session of a connection that timed out, since
-// its server may still keep the session and its transaction open.
+// its server may still keep the session and its transaction open. That of a read holds
+// no lock and is left to the next maintenance.
 func (e *exchange) terminateSession(err error) {
-	var n net.Error
-	if e.task.header.Kind == peer.KindRead || !errors.As(err, &n) || !n.Timeout() {
+	if !backend.IsTimeout(err) {
 		return
 	}
 	x, stop := context.WithDeadline(context.Background(), e.task.deadline)
 	defer stop()
-	e.task.monitor.TerminateSession(x, e.backendSession())
+	if e.task.header.Kind == peer.KindRead || !e.task.monitor.TerminateSession(x, e.backendSession()) {
+		e.task.server.pool.Abandon(e.conn.PID())
+	}
 }
 
 // completeAnswer sends the remaining messages of the answer for a transaction
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -107,9 +107,9 @@
 // warmTimeout bounds the time for opening connections in one MaintainConnections.
 const warmTimeout = time.Second
 
-// MaintainConnections checks the idle connections of all owned servers, and
-// opens new ones until each server has one idle connection per slot, so that no
-// statement waits for a connection to be opened.
+// MaintainConnections checks the idle connections of all owned servers, ends the
+// sessions of those that didn't answer, and opens new ones until each server has one
+// idle connection per slot, so that no statement waits for a connection to be opened.
 func (o *Owner) MaintainConnections() {
 	o.mu.Lock()
 	l := make([]*server, 0, len(o.servers))
@@ -121,10 +121,21 @@
 	defer stop()
 	for _, s := range l {
 		s.pool.CheckIdle()
+		s.pool.EndAbandoned(x, func(x context.Context, pid uint32) bool { return o.terminateSession(x, s.name, pid) })
 		s.warm(x)
 	}
 }
 
+// terminateSession terminates a session on a member, and reports whether it has ended.
+func (o *Owner) terminateSession(x context.Context, member string, pid uint32) bool {
+	g, _, ok := o.config.Bundle().Member(member)
+	if !ok {
+		return true
+	}
+	m := o.config.Monitor(g.Name)
+	return m != nil && m.TerminateSession(x, monitor.BackendSession{Member: member, PID: pid})
+}
+
 // Serve runs the statements of one stream and closes it.
 func (o *Owner) Serve(x context.Context, s *peer.Stream) {
 	o.addActiveStreams(1)
@@ -144,7 +155,7 @@
 		return
 	}
 	o.config.Log.Info("statement not completed", "group", h.Group, "member", h.Member, "rank", bundle.Rank(h.Rank).String(),
-		"kind", h.Kind, "outcome", v.Outcome, "reason", v.Reason, "retry-after", v.RetryAfter)
+		"kind", h.Kind, "outcome", v.Outcome, "reason", v.Reason, "retry-after", v.RetryAfter, "error", t.noConnection)
 	if s.WriteVerdict(v) == nil {
 		_ = s.Flush()
 	}
@@ -163,6 +174,8 @@
 	role string
 	// counted is set if the monitor counts the request as running on the primary.
 	counted bool
+	// noConnection is why no connection was available, if that is so.
+	noConnection error
 }
 
 // run serves the stream. It returns the verdict that the caller must still send;
@@ -233,6 +246,7 @@
 	if err == nil {
 		return c, peer.Verdict{}
 	}
+	t.noConnection = err
 	if counts {
 		t.server.endTransaction(r)
 	}
