--- a/command/standin/platform/platform.go
+++ b/command/standin/platform/platform.go
@@ -31,7 +31,7 @@
 	}
 	return &command.Command{
 		Name: "platform", Short: "Run the key-value service", Options: o,
-		Long:    "Inject faults by POST /standin/fault?down=true&delay=1s&lose-answers=1; GET /standin/counts returns the numbers of calls.",
+		Long:    "Inject faults by POST /standin/fault?down=true&delay=1s&lose-answers=1; restore the store of some time ago by POST /standin/restore?age=3s; GET /standin/counts returns the numbers of calls.",
 		Example: "standin platform --listen 127.0.0.1:8500",
 		Run:     func(x context.Context, _ []string) error { return runF(x, o) },
 	}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -113,6 +113,9 @@
 	// notifyPending holds an element while an update for the neighbors is
 	// pending.
 	notifyPending chan struct{}
+	// delisted holds an element once the platform's list has lost this host, until it
+	// registers again.
+	delisted chan struct{}
 }
 
 // New returns a daemon whose listening sockets are open.
@@ -120,7 +123,7 @@
 	d := &Daemon{
 		config: c, platform: consul.New(consul.Config{Address: c.PlatformAddress}),
 		groupWatches: map[string]*groupWatch{}, controlConnections: map[string]*backend.Control{},
-		hostList: gossip.NewHostList(), watcherSeen: time.Now(), platformHeard: time.Now(), notifyPending: make(chan struct{}, 1),
+		hostList: gossip.NewHostList(), watcherSeen: time.Now(), platformHeard: time.Now(), notifyPending: make(chan struct{}, 1), delisted: make(chan struct{}, 1),
 		tasks: &errgroup.Group{}, ctx: context.Background(),
 	}
 	d.owner = owner.New(owner.Config{
--- a/daemon/exchange.go
+++ b/daemon/exchange.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflypick/dragonflypick/gossip"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/store"
 )
 
 // Timing and limits of the exchange with peers.
@@ -27,17 +28,17 @@
 
 // versionParams are the versions that the calling daemon has.
 type versionParams struct {
-	Host            membership.Host    `json:"host"`
-	BundleVersion   uint64             `json:"version"`
-	BundleDigest    string             `json:"digest"`
-	HostListVersion gossip.ListVersion `json:"roster"`
+	Host            membership.Host `json:"host"`
+	BundleVersion   uint64          `json:"version"`
+	BundleDigest    string          `json:"digest"`
+	HostListVersion store.Position  `json:"roster"`
 }
 
 // versionResult is what the called daemon has.
 type versionResult struct {
-	BundleVersion   uint64             `json:"version"`
-	BundleDigest    string             `json:"digest"`
-	HostListVersion gossip.ListVersion `json:"roster"`
+	BundleVersion   uint64         `json:"version"`
+	BundleDigest    string         `json:"digest"`
+	HostListVersion store.Position `json:"roster"`
 	// WatcherSilence is the time in nanoseconds since some daemon was last
 	// known to watch the platform.
 	WatcherSilence time.Duration `json:"silence"`
@@ -73,7 +74,7 @@
 		UnlistedHosts: d.hostView.UnlistedHosts(now), DrainNotices: d.hostView.DrainNotices(now),
 	}
 	d.mu.Unlock()
-	if p.Host.ID != "" && (p.BundleVersion > o.BundleVersion || p.HostListVersion.After(o.HostListVersion)) {
+	if p.Host.ID != "" && (p.BundleVersion > o.BundleVersion || o.HostListVersion.Before(p.HostListVersion)) {
 		d.startTask(func() error {
 			d.fetchNewer(d.ctx, p.Host, p.BundleVersion, p.HostListVersion)
 			return nil
@@ -161,7 +162,7 @@
 
 // fetchNewer fetches from a peer the bundle and the host list that are newer
 // there, unless another fetch is running.
-func (d *Daemon) fetchNewer(x context.Context, h membership.Host, bundleVersion uint64, listVersion gossip.ListVersion) {
+func (d *Daemon) fetchNewer(x context.Context, h membership.Host, bundleVersion uint64, listVersion store.Position) {
 	if !d.fetchMu.TryLock() {
 		return
 	}
@@ -177,7 +178,7 @@
 		d.applyBundle(x, b, h.ID)
 	}
 	p := d.localVersions()
-	if !listVersion.After(p.HostListVersion) {
+	if !p.HostListVersion.Before(listVersion) {
 		return
 	}
 	var u gossip.Update
@@ -194,7 +195,7 @@
 }
 
 // hostListSince returns the changes of the host list since a version.
-func (d *Daemon) hostListSince(v gossip.ListVersion) gossip.Update {
+func (d *Daemon) hostListSince(v store.Position) gossip.Update {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.hostList.UpdateSince(v)
--- a/daemon/hosts.go
+++ b/daemon/hosts.go
@@ -56,9 +56,16 @@
 // neighbors.
 func (d *Daemon) applyHostList() {
 	d.mu.Lock()
-	l := d.hostList.Hosts()
+	l, was := d.hostList.Hosts(), d.hostView.IsListed(d.config.Host.ID)
 	d.mu.Unlock()
 	d.handleMembership(membership.ListReceived{Hosts: l})
+	if was && !d.isListed() {
+		d.config.Log.Warn("this host is no longer listed", "hosts", len(l))
+		select {
+		case d.delisted <- struct{}{}:
+		default:
+		}
+	}
 	d.notifyNeighbors()
 }
 
@@ -97,7 +104,7 @@
 			continue
 		}
 		b.reset()
-		sleep(x, jitter(2*e.ttl/3))
+		d.awaitRenewal(x, e.ttl)
 	}
 	if e.sessionID == "" {
 		return nil
@@ -107,6 +114,23 @@
 	return d.platform.DestroySession(y, e.sessionID)
 }
 
+// awaitRenewal waits until the registration is to be renewed. That is soon after the
+// platform's list has lost this host, as when its store came back from an older copy.
+func (d *Daemon) awaitRenewal(x context.Context, ttl time.Duration) {
+	t := time.NewTimer(jitter(2 * ttl / 3))
+	defer t.Stop()
+	select {
+	case <-x.Done():
+	case <-t.C:
+	case <-d.delisted:
+		sleep(x, jitter(relistDelay))
+	}
+}
+
+// relistDelay is the maximum delay until a host that the list has lost registers
+// again: several are lost at once.
+const relistDelay = 2 * time.Second
+
 // renewRegistration extends the entry. It creates a new one if the entry is
 // lost, isn't listed, or has too short a time to live for the number of hosts.
 func (d *Daemon) renewRegistration(x context.Context, e *registration) error {
--- a/daemon/platformwatch.go
+++ b/daemon/platformwatch.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/consul"
 	"github.com/dragonflypick/dragonflypick/gossip"
+	"github.com/dragonflypick/dragonflypick/store"
 )
 
 // Timing of calls to the platform and to peers.
@@ -95,7 +96,7 @@
 func (d *Daemon) hasBundleAndHosts() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.signedBundle != nil && d.hostList.Version() != gossip.ListVersion{}
+	return d.signedBundle != nil && d.hostList.Version() != store.Position{}
 }
 
 // isWatcher reports whether this daemon is to watch the platform. If so, it sets
--- a/gossip/gossip_test.go
+++ b/gossip/gossip_test.go
@@ -169,7 +169,7 @@
 				default:
 					r[i].Apply(r[rapid.IntRange(0, 3).Draw(t, "from")].UpdateSince(old))
 				}
-				if old.After(r[i].Version()) {
+				if r[i].Version().Before(old) {
 					t.Fatalf("version decreased from %v to %v", old, r[i].Version())
 				}
 			}
--- a/gossip/hostlist.go
+++ b/gossip/hostlist.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/store"
 )
 
 // maxTombstones and maxRecentIndexes limit the numbers of removed hosts and of
@@ -18,21 +19,6 @@
 // list after which the platform's store is assumed to have been restored.
 const maxStaleReads = 2
 
-// ListVersion is the version of a host list. Versions are ordered by generation,
-// then by index.
-type ListVersion struct {
-	// Generation increases when the platform's index falls, which happens when its
-	// store is restored.
-	Generation uint64 `json:"generation"`
-	// Index is the platform's index of the list.
-	Index uint64 `json:"index"`
-}
-
-// After reports whether s is newer than o.
-func (s ListVersion) After(o ListVersion) bool {
-	return s.Generation > o.Generation || s.Generation == o.Generation && s.Index > o.Index
-}
-
 // HostEntry is a host on the list, or the tombstone of a host that was removed
 // from it.
 type HostEntry struct {
@@ -45,7 +31,9 @@
 
 // Update is the difference between two lists, or a complete list.
 type Update struct {
-	Version ListVersion `json:"stamp"`
+	// Version is the list's position. This platform tells no era: a daemon that sees
+	// its index fall begins the next one.
+	Version store.Position `json:"stamp"`
 	// Complete is set if the update is a complete list: a host without an entry
 	// isn't listed.
 	Complete bool        `json:"whole,omitempty"`
@@ -55,7 +43,7 @@
 // HostList is the newest host list that a daemon has read from the platform or
 // received from another daemon. It is not safe for concurrent use.
 type HostList struct {
-	version ListVersion
+	version store.Position
 	// lastRead is the index of the list that this daemon last read from the
 	// platform.
 	lastRead uint64
@@ -68,7 +56,7 @@
 	entries   map[string]HostEntry
 	// prunedIndex is the index up to which tombstones may have been pruned.
 	prunedIndex uint64
-	// recentIndexes are the indexes of the latest lists in this generation. A
+	// recentIndexes are the indexes of the latest lists in this era. A
 	// difference can be computed only for a daemon that has one of these lists,
 	// since the hosts on any other list are unknown.
 	recentIndexes []uint64
@@ -78,7 +66,7 @@
 func NewHostList() *HostList { return &HostList{entries: map[string]HostEntry{}} }
 
 // Version returns the version of the list.
-func (r *HostList) Version() ListVersion { return r.version }
+func (r *HostList) Version() store.Position { return r.version }
 
 // Hosts returns the listed hosts, sorted by ID.
 func (r *HostList) Hosts() []membership.Host {
@@ -98,16 +86,16 @@
 // stays below the current index for maxStaleReads reads, the list counts as
 // newer.
 func (r *HostList) UpdateFromPlatform(index uint64, hosts []membership.Host) bool {
-	if r.staleReads++; index >= r.version.Index {
+	if r.staleReads++; index >= r.version.Revision {
 		r.staleReads = 0
 	}
 	r.indexFell = r.indexFell || index < r.lastRead || r.staleReads >= maxStaleReads
 	r.lastRead = index
-	s := ListVersion{Generation: r.version.Generation, Index: index}
+	s := store.Position{Era: r.version.Era, Revision: index}
 	if r.indexFell {
-		s.Generation++
+		s.Era++
 	}
-	if len(hosts) == 0 || !s.After(r.version) {
+	if len(hosts) == 0 || !r.version.Before(s) {
 		return false
 	}
 	u := Update{Version: s, Complete: true}
@@ -125,7 +113,7 @@
 // Apply applies an update from another daemon, and reports whether it is newer
 // than the current list.
 func (r *HostList) Apply(u Update) bool {
-	if !u.Version.After(r.version) {
+	if !r.version.Before(u.Version) {
 		return false
 	}
 	r.applyUpdate(u)
@@ -133,9 +121,9 @@
 }
 
 func (r *HostList) applyUpdate(u Update) {
-	if u.Version.Generation != r.version.Generation {
+	if u.Version.Era != r.version.Era {
 		r.entries = map[string]HostEntry{}
-		r.prunedIndex, r.recentIndexes = u.Version.Index, nil
+		r.prunedIndex, r.recentIndexes = u.Version.Revision, nil
 	}
 	n := map[string]bool{}
 	for _, e := range u.Entries {
@@ -144,12 +132,12 @@
 	}
 	for id, e := range r.entries {
 		if u.Complete && !n[id] && !e.Removed {
-			e.Removed, e.Changed = true, u.Version.Index
+			e.Removed, e.Changed = true, u.Version.Revision
 			r.entries[id] = e
 		}
 	}
 	r.version, r.indexFell, r.staleReads = u.Version, false, 0
-	r.recentIndexes = append(r.recentIndexes, u.Version.Index)
+	r.recentIndexes = append(r.recentIndexes, u.Version.Revision)
 	r.recentIndexes = r.recentIndexes[max(len(r.recentIndexes)-maxRecentIndexes, 0):]
 	r.pruneTombstones()
 }
@@ -175,11 +163,11 @@
 
 // UpdateSince returns the update for a daemon that has the list of the given
 // version: the difference, or the complete list if the difference isn't known.
-func (r *HostList) UpdateSince(s ListVersion) Update {
+func (r *HostList) UpdateSince(s store.Position) Update {
 	u := Update{Version: r.version}
-	u.Complete = s.Generation != r.version.Generation || s.Index < r.prunedIndex || !slices.Contains(r.recentIndexes, s.Index)
+	u.Complete = s.Era != r.version.Era || s.Revision < r.prunedIndex || !slices.Contains(r.recentIndexes, s.Revision)
 	for _, e := range r.entries {
-		if u.Complete && !e.Removed || !u.Complete && e.Changed > s.Index {
+		if u.Complete && !e.Removed || !u.Complete && e.Changed > s.Revision {
 			u.Entries = append(u.Entries, e)
 		}
 	}
--- a/standin/cluster/bundle_test.go
+++ b/standin/cluster/bundle_test.go
@@ -142,6 +142,50 @@
 		Eventually(versions, "11s").Should(HaveEach(c.Bundle.Version))
 	})
 
+	It("interrupts no request, takes back no bundle and loses no host when the platform comes back from an older copy", func() {
+		start(3, 0)
+		changed := time.Now()
+		d, err := c.StartDaemon(1)
+		Expect(err).NotTo(HaveOccurred())
+		pushNextVersion(nil)
+		awaitVersion()
+		hosts := func() []int {
+			var o []int
+			for _, d := range c.Daemons {
+				o = append(o, len(d.Status().HostIDs))
+			}
+			return o
+		}
+		Eventually(hosts, convergenceTimeout).Should(HaveEach(4))
+		k := consul.New(consul.Config{Address: c.Platform.Address()})
+		registered := func() int {
+			r, err := k.Get(x, consul.HostPrefix+d.ID, 0, 0)
+			Expect(err).NotTo(HaveOccurred())
+			return len(r.Pairs)
+		}
+		Eventually(registered, convergenceTimeout).Should(Equal(1))
+
+		// restore brings back a copy of before the newest daemon and bundle, twice.
+		restore := func() {
+			for range 2 {
+				c.Platform.Restore(time.Since(changed))
+				Expect(registered()).To(BeZero())
+				time.Sleep(time.Second)
+			}
+		}
+		expectUninterrupted(runLoad(5*time.Second, c.Daemons, restore))
+		Expect(versions()).To(HaveEach(uint64(2)))
+		Expect(hosts()).To(HaveEach(4))
+		Eventually(registered, "10s").Should(Equal(1))
+
+		_, err = c.StartDaemon(0)
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(hosts, convergenceTimeout).Should(HaveEach(5))
+		awaitVersion()
+		pushNextVersion(nil)
+		awaitVersion()
+	})
+
 	It("keeps a daemon registered when answers to its registration are lost", func() {
 		start(1, 0)
 		for lost := 1; lost <= 2; lost++ {
--- a/standin/kv/server.go
+++ b/standin/kv/server.go
@@ -122,6 +122,7 @@
 	x.HandleFunc("PUT /v1/session/destroy/{id}", s.withFaults(s.handleDestroySession, true))
 	x.HandleFunc("GET /standin/counts", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Counts()) })
 	x.HandleFunc("POST /standin/fault", s.handleFault)
+	x.HandleFunc("POST /standin/restore", s.handleRestore)
 	return x
 }
 
@@ -281,6 +282,18 @@
 	s.SetFault(Fault{Down: r.FormValue("down") == "true", Delay: d, LoseAnswers: n})
 }
 
+// Restore brings the store back to its state some time ago.
+func (s *Server) Restore(age time.Duration) { s.store.Restore(age, time.Now()) }
+
+func (s *Server) handleRestore(w http.ResponseWriter, r *http.Request) {
+	d, err := time.ParseDuration(r.FormValue("age"))
+	if err != nil || d < 0 || d > copyRetention {
+		http.Error(w, "age must be a duration of at most "+copyRetention.String(), http.StatusBadRequest)
+		return
+	}
+	s.Restore(d)
+}
+
 func parseIndex(s string) *uint64 {
 	n, err := strconv.ParseUint(s, 10, 64)
 	if err != nil {
--- a/standin/kv/store.go
+++ b/standin/kv/store.go
@@ -35,7 +35,9 @@
 	// changed is closed and replaced at every change of a key.
 	changed chan struct{}
 	// history holds the snapshots of the lagging prefix, oldest first.
-	history       []snapshot
+	history []snapshot
+	// copies are the states that Restore can bring back, oldest first; never empty.
+	copies        []storeCopy
 	laggingPrefix string
 	lag           time.Duration
 }
@@ -50,20 +52,23 @@
 // NewStore returns an empty store. A read of keys under prefix returns their
 // state as it was lag before the read.
 func NewStore(prefix string, lag time.Duration) *Store {
-	return &Store{
+	s := &Store{
 		index: 1, pairs: map[string]Pair{}, sessions: map[string]*session{},
 		changed: make(chan struct{}), laggingPrefix: prefix, lag: lag,
 	}
+	s.keepCopy(time.Now())
+	return s
 }
 
-// recordChange wakes blocking queries after a change of key, and adds a
-// snapshot if the key is under the lagging prefix; s.mu is held.
+// recordChange wakes blocking queries after a change of key, keeps a copy, and adds
+// a snapshot if the key is under the lagging prefix; s.mu is held.
 func (s *Store) recordChange(key string, now time.Time) {
 	close(s.changed)
 	s.changed = make(chan struct{})
 	if s.lag > 0 && strings.HasPrefix(key, s.laggingPrefix) {
 		s.history = append(s.history, snapshot{at: now, index: s.index, pairs: s.pairsWithPrefix(s.laggingPrefix)})
 	}
+	s.keepCopy(now)
 }
 
 func (s *Store) pairsWithPrefix(prefix string) []Pair {
@@ -183,6 +188,7 @@
 	defer s.mu.Unlock()
 	id := uuid.NewString()
 	s.sessions[id] = &session{ttl: ttl, expires: now.Add(ttl)}
+	s.keepCopy(now)
 	return id
 }
 
