--- a/command/serve/platform.go
+++ b/command/serve/platform.go
@@ -38,14 +38,21 @@
 }
 
 // runOnPlatform runs the daemon of package fleet with the settings file of the
-// users' platform. Of the flags, only --secret, --log-level and --log-every apply.
+// users' platform. Of the flags, only --secret, --peer-advertise, --log-level and
+// --log-every apply.
 func runOnPlatform(x context.Context, o *Options, path string) error {
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return &command.FlagError{Reason: err.Error()}
 	}
-	if o.Secret == "" {
-		return &command.FlagError{Reason: "invalid settings:\n  --secret must be set"}
+	k := &settingsChecker{}
+	k.requireSet("--secret", o.Secret)
+	if o.PeerAdvertise != "" {
+		k.requireAddress("--peer-advertise", o.PeerAdvertise)
+		s.PeerAdvertise = o.PeerAdvertise
+	}
+	if err := k.err(); err != nil {
+		return err
 	}
 	x, stop := signal.NotifyContext(x, syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/command/standin/standin.go
+++ b/command/standin/standin.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflypick/dragonflypick/command/standin/measure"
 	"github.com/dragonflypick/dragonflypick/command/standin/platform"
 	"github.com/dragonflypick/dragonflypick/command/standin/rollout"
+	"github.com/dragonflypick/dragonflypick/command/standin/soak"
 )
 
 // NewCmdStandin returns the root command.
@@ -23,6 +24,7 @@
 			load.NewCmdLoad(f, nil),
 			measure.NewCmdMeasure(f),
 			rollout.NewCmdRollout(f, nil),
+			soak.NewCmdSoak(f, nil),
 		},
 	}
 }
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -57,9 +57,13 @@
 		debug.SetMemoryLimit(int64(math.Round(float64(s.MemoryBytes) * memoryLimitFraction)))
 	}
 	id := s.Host + "." + uuid.NewString()[:8]
+	address := s.PeerListen
+	if s.PeerAdvertise != "" {
+		address = s.PeerAdvertise
+	}
 	c.Log.Info("daemon starting", "host", id, "failure-domain", s.FailureDomain, "region", s.Region, "cores", s.Cores, "memory", s.MemoryBytes)
 	f, err := fleet.New(fleet.Config{
-		Self:       membership.Host{ID: id, PeerAddress: s.PeerListen, FailureDomain: s.FailureDomain, Region: s.Region, Weight: float64(s.Cores) * s.CPUShare},
+		Self:       membership.Host{ID: id, PeerAddress: address, FailureDomain: s.FailureDomain, Region: s.Region, Weight: float64(s.Cores) * s.CPUShare},
 		PeerListen: s.PeerListen, Secret: c.Secret, Seeds: s.Seeds, Log: c.Log, LogEvery: c.LogEvery,
 		Bootstrap: s.Bootstrap, StoreWritesPerSecond: s.StoreWritesPerSecond,
 		Store: platform.NewStoreClient(s.StoreAddress), Promoter: platform.NewPromotionClient(s.PromotionAddress),
--- a/standin/process/member.go
+++ b/standin/process/member.go
@@ -56,7 +56,7 @@
 // if that is not empty.
 func (s *System) startMember(x context.Context, m *Member, primary string) error {
 	var err error
-	if m.Address, err = s.ports.freeAddress(); err != nil {
+	if m.Address, err = s.ports.FreeAddress(); err != nil {
 		return err
 	}
 	if m.Relay, m.AdvertisedAddress, err = s.startRelay(m.Address); err != nil {
@@ -92,7 +92,7 @@
 // startProcess runs a member as a separate process.
 func (s *System) startProcess(m *Member, primary string) error {
 	var err error
-	if m.FaultAddress, err = s.ports.freeAddress(); err != nil {
+	if m.FaultAddress, err = s.ports.FreeAddress(); err != nil {
 		return err
 	}
 	a := []string{
@@ -103,7 +103,7 @@
 	if primary != "" {
 		a = append(a, "--primary", primary)
 	}
-	m.Process, err = s.starter.start(s.Config.Dir, m.Name, s.Config.Programs.Standin, nil, a...)
+	m.Process, err = s.starter.Start(s.Config.Dir, m.Name, s.Config.Programs.Standin, nil, a...)
 	return err
 }
 
--- a/standin/process/process.go
+++ b/standin/process/process.go
@@ -57,12 +57,14 @@
 type Process struct {
 	// Name is unique within a system.
 	Name string
-	// LogFile is the path of the file that receives the process's stderr.
+	// LogFile is the path of the file that receives the process's standard output and
+	// error.
 	LogFile string
 	cmd     *exec.Cmd
 	stderr  *os.File
-	// ended is closed once the process has ended.
+	// ended is closed once the process has ended; exit is then its exit status.
 	ended chan struct{}
+	exit  error
 }
 
 // PID returns the process's ID.
@@ -78,6 +80,15 @@
 	}
 }
 
+// Done returns a channel that is closed once the process has ended.
+func (p *Process) Done() <-chan struct{} { return p.ended }
+
+// ExitError returns how a process has ended: nil if it exited with status 0.
+func (p *Process) ExitError() error {
+	<-p.ended
+	return p.exit
+}
+
 // Signal sends a signal; it does nothing if the process has ended.
 func (p *Process) Signal(s syscall.Signal) error {
 	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
@@ -115,16 +126,17 @@
 	}
 }
 
-// starter starts all processes from one OS thread that it keeps until close:
+// Starter starts all processes from one OS thread that it keeps until Close:
 // Linux sends a child its parent-death signal (Pdeathsig) when the thread that
 // started it ends, not only when the parent process ends.
-type starter struct {
+type Starter struct {
 	tasks  *errgroup.Group
 	starts chan func()
 }
 
-func newStarter() *starter {
-	s := &starter{tasks: &errgroup.Group{}, starts: make(chan func())}
+// NewStarter returns a starter.
+func NewStarter() *Starter {
+	s := &Starter{tasks: &errgroup.Group{}, starts: make(chan func())}
 	s.tasks.Go(func() error {
 		runtime.LockOSThread()
 		defer runtime.UnlockOSThread()
@@ -136,8 +148,9 @@
 	return s
 }
 
-// start starts a process that is killed when this process ends.
-func (s *starter) start(dir, name, program string, env []string, args ...string) (*Process, error) {
+// Start starts a process that is killed when this process ends. Its standard output and
+// error go to a file of its name in dir; env is added to this process's environment.
+func (s *Starter) Start(dir, name, program string, env []string, args ...string) (*Process, error) {
 	p := &Process{Name: name, LogFile: filepath.Join(dir, name+".log"), ended: make(chan struct{})}
 	var err error
 	if p.stderr, err = os.OpenFile(p.LogFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, logFileMode); err != nil {
@@ -145,7 +158,7 @@
 	}
 	p.cmd = exec.Command(program, args...)
 	p.cmd.Env = append(os.Environ(), env...)
-	p.cmd.Stderr = p.stderr
+	p.cmd.Stdout, p.cmd.Stderr = p.stderr, p.stderr
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	done := make(chan error)
 	s.starts <- func() { done <- p.cmd.Start() }
@@ -155,14 +168,15 @@
 	}
 	s.tasks.Go(func() error {
 		defer close(p.ended)
-		_ = p.cmd.Wait()
+		p.exit = p.cmd.Wait()
 		_ = p.stderr.Close()
 		return nil
 	})
 	return p, nil
 }
 
-func (s *starter) close() {
+// Close ends the starter once all its processes have ended.
+func (s *Starter) Close() {
 	close(s.starts)
 	_ = s.tasks.Wait()
 }
--- a/standin/process/system.go
+++ b/standin/process/system.go
@@ -67,6 +67,8 @@
 	// Relays places a relay in front of the platform, every member and every
 	// daemon's peer address; otherwise the Relay fields are nil.
 	Relays bool
+	// RelayKeepAlive is the setting KeepAlive of the relays.
+	RelayKeepAlive time.Duration
 }
 
 // DefaultConfig returns the settings of the system that the README describes.
@@ -84,6 +86,8 @@
 	AdminAddress  string
 	// Relay forwards connections to the daemon's peer address; nil without relays.
 	Relay *relay.Relay
+
+	peerListen, advertised, failureDomain string
 }
 
 // System is a running system.
@@ -96,22 +100,24 @@
 	Members       []*Member
 	Daemons       []*Daemon
 
+	// platformListen is the platform's own address.
+	platformListen string
 	// platformAddress is the address of the platform that daemons connect to.
 	platformAddress string
 	// embedded runs the members within this process; stopEmbedded ends them.
 	embedded     *errgroup.Group
 	stopEmbedded context.CancelFunc
-	starter      *starter
+	starter      *Starter
 	authorKey    *bundle.Key
 	approverKey  *bundle.Key
 	bundle       *bundle.Bundle
-	ports        *ports
+	ports        *Ports
 }
 
 // Start starts a system and returns when it is ready: every daemon has the
 // bundle and one has a confirmed primary.
 func Start(x context.Context, c Config) (*System, error) {
-	s := &System{Config: c, starter: newStarter(), ports: newPorts()}
+	s := &System{Config: c, starter: NewStarter(), ports: &Ports{}}
 	if err := s.start(x); err != nil {
 		s.Stop()
 		return nil, err
@@ -145,28 +151,57 @@
 }
 
 func (s *System) startPlatform() error {
-	a, err := s.ports.freeAddress()
+	a, err := s.ports.FreeAddress()
 	if err != nil {
 		return err
 	}
-	if s.Platform, err = s.starter.start(s.Config.Dir, "platform", s.Config.Programs.Standin, nil, "platform", "--listen", a, "--host-lag", "200ms"); err != nil {
+	if s.Platform, err = s.starter.Start(s.Config.Dir, "platform", s.Config.Programs.Standin, nil, "platform", "--listen", a, "--host-lag", "200ms"); err != nil {
 		return err
 	}
+	s.platformListen = a
 	s.PlatformRelay, s.platformAddress, err = s.startRelay(a)
 	return err
 }
 
+// RestorePlatform brings the platform's store back to its state some time ago.
+func (s *System) RestorePlatform(x context.Context, age time.Duration) error {
+	return s.controlPlatform(x, "restore?age="+age.String())
+}
+
+// LosePlatformAnswers makes the platform apply the next n writes without an answer.
+func (s *System) LosePlatformAnswers(x context.Context, n int) error {
+	return s.controlPlatform(x, "fault?lose-answers="+strconv.Itoa(n))
+}
+
+func (s *System) controlPlatform(x context.Context, call string) error {
+	x, stop := context.WithTimeout(x, statusTimeout)
+	defer stop()
+	q, err := http.NewRequestWithContext(x, http.MethodPost, "http://"+s.platformListen+"/standin/"+call, nil)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	_ = r.Body.Close()
+	if r.StatusCode != http.StatusOK {
+		return Error.Wrap(&FaultError{Call: call, Status: r.Status})
+	}
+	return nil
+}
+
 // startRelay starts a relay to target if Config.Relays is set. It returns the
 // address that other processes are to use: the relay's, or target.
 func (s *System) startRelay(target string) (*relay.Relay, string, error) {
 	if !s.Config.Relays {
 		return nil, target, nil
 	}
-	a, err := s.ports.freeAddress()
+	a, err := s.ports.FreeAddress()
 	if err != nil {
 		return nil, "", err
 	}
-	r, err := relay.Start(relay.Config{Listen: a, Target: target})
+	r, err := relay.Start(relay.Config{Listen: a, Target: target, KeepAlive: s.Config.RelayKeepAlive})
 	return r, a, err
 }
 
@@ -230,22 +265,17 @@
 	var l [3]string
 	var err error
 	for i := range l {
-		if l[i], err = s.ports.freeAddress(); err != nil {
+		if l[i], err = s.ports.FreeAddress(); err != nil {
 			return nil, err
 		}
 	}
 	d.CallerAddress, d.AdminAddress = l[0], l[2]
-	var advertised string
-	if d.Relay, advertised, err = s.startRelay(l[1]); err != nil {
+	d.peerListen, d.failureDomain = l[1], failureDomain(len(s.Daemons))
+	if d.Relay, d.advertised, err = s.startRelay(l[1]); err != nil {
 		return nil, err
 	}
 	n := "daemon-" + strconv.Itoa(len(s.Daemons)+1)
-	e := []string{"DRAGONFLYPICK_BACKEND_PASSWORD=" + BackendPassword, "DRAGONFLYPICK_SECRET=" + peerSecret}
-	d.Process, err = s.starter.start(s.Config.Dir, n, s.Config.Programs.Dragonflypick, e,
-		"serve", "--id", n, "--region", region, "--failure-domain", failureDomain(len(s.Daemons)),
-		"--listen", l[0], "--peer-listen", l[1], "--peer-advertise", advertised, "--admin-listen", l[2],
-		"--platform", s.platformAddress, "--author", s.authorKey.PublicText(), "--approver", s.approverKey.PublicText(), "--log-level", s.Config.LogLevel, "--log-json")
-	if err != nil {
+	if err := s.RestartDaemon(d, n); err != nil {
 		stopRelay(d.Relay)
 		return nil, err
 	}
@@ -253,6 +283,27 @@
 	return d, nil
 }
 
+// RestartDaemon starts a process with the given unique ID at the addresses of a daemon
+// whose process has ended.
+func (s *System) RestartDaemon(d *Daemon, id string) error {
+	e := []string{"DRAGONFLYPICK_BACKEND_PASSWORD=" + BackendPassword, "DRAGONFLYPICK_SECRET=" + peerSecret}
+	p, err := s.starter.Start(s.Config.Dir, id, s.Config.Programs.Dragonflypick, e,
+		"serve", "--id", id, "--region", region, "--failure-domain", d.failureDomain,
+		"--listen", d.CallerAddress, "--peer-listen", d.peerListen, "--peer-advertise", d.advertised, "--admin-listen", d.AdminAddress,
+		"--platform", s.platformAddress, "--author", s.authorKey.PublicText(), "--approver", s.approverKey.PublicText(), "--log-level", s.Config.LogLevel, "--log-json")
+	if err == nil {
+		d.Process = p
+	}
+	return err
+}
+
+// PushNext pushes a bundle of the next version without another change, and returns the
+// version.
+func (s *System) PushNext(x context.Context) (uint64, error) {
+	s.bundle.Version++
+	return s.bundle.Version, s.pushBundle(x)
+}
+
 // waitUntil polls ok until it returns true, for at most startTimeout.
 func (s *System) waitUntil(x context.Context, ok func() bool) error {
 	t := time.Now().Add(startTimeout)
@@ -319,7 +370,7 @@
 	for _, p := range l {
 		_ = p.Kill()
 	}
-	s.starter.close()
+	s.starter.Close()
 	if s.stopEmbedded != nil {
 		s.stopEmbedded()
 		_ = s.embedded.Wait()
@@ -331,6 +382,7 @@
 		stopRelay(m.Relay)
 	}
 	stopRelay(s.PlatformRelay)
+	s.ports.Close()
 }
 
 // logTails returns the last logTailSize bytes of each log.
@@ -348,6 +400,11 @@
 // logTailSize is the number of bytes of a log that logTails returns.
 const logTailSize = 2 << 10
 
+// FaultError reports a fault that a stand-in refused to inject.
+type FaultError struct{ Call, Status string }
+
+func (e *FaultError) Error() string { return "fault " + e.Call + " refused: " + e.Status }
+
 // StartTimeoutError reports a system that wasn't ready, or a bundle that wasn't
 // accepted, within startTimeout.
 type StartTimeoutError struct {
--- a/standin/relay/forward.go
+++ b/standin/relay/forward.go
@@ -33,7 +33,7 @@
 				k.close(false)
 			}
 		}
-		r.endDirection(k, from)
+		r.endDirection(k, from, to)
 		return nil
 	})
 	for {
@@ -51,10 +51,13 @@
 }
 
 // endDirection closes both connections after from has ended. If the link is silent
-// it closes only from, and the other connection stays open.
-func (r *Relay) endDirection(k *link, from net.Conn) {
-	if silent, ok := r.waitWhileHolding(k); silent && ok {
+// it closes only from, and the other connection stays open for Config.KeepAlive.
+func (r *Relay) endDirection(k *link, from, to net.Conn) {
+	if silent, ok := r.waitWhileHolding(k, to); silent && ok {
 		_ = from.Close()
+		if r.config.KeepAlive > 0 {
+			time.AfterFunc(r.config.KeepAlive, func() { _ = to.Close() })
+		}
 		return
 	}
 	k.close(false)
@@ -82,7 +85,7 @@
 			return false
 		}
 	}
-	silent, ok := r.waitWhileHolding(k)
+	silent, ok := r.waitWhileHolding(k, to)
 	if !ok {
 		return false
 	}
@@ -93,13 +96,27 @@
 	return err == nil
 }
 
-// waitWhileHolding waits while the relay is in mode Hold and the link isn't
-// silent. It reports whether the link is silent; ok is false if the relay was
+// holds reports whether the relay holds back bytes to one end of a link; r.mu is held.
+func (r *Relay) holds(k *link, to net.Conn) bool {
+	switch r.mode {
+	case Hold:
+		return true
+	case HoldRequests:
+		return to == k.target
+	case HoldAnswers:
+		return to == k.accepted
+	default:
+		return false
+	}
+}
+
+// waitWhileHolding waits while the relay holds back bytes to one end of a link that
+// isn't silent. It reports whether the link is silent; ok is false if the relay was
 // stopped meanwhile.
-func (r *Relay) waitWhileHolding(k *link) (silent, ok bool) {
+func (r *Relay) waitWhileHolding(k *link, to net.Conn) (silent, ok bool) {
 	for {
 		r.mu.Lock()
-		d, s, c := r.mode == Hold, k.silent, r.changed
+		d, s, c := r.holds(k, to), k.silent, r.changed
 		r.mu.Unlock()
 		if s {
 			return true, r.ctx.Err() == nil
--- a/standin/relay/relay.go
+++ b/standin/relay/relay.go
@@ -29,6 +29,9 @@
 	Reset
 	// Refuse refuses new connections; open ones are still forwarded.
 	Refuse
+	// HoldRequests holds back the bytes to the target only, HoldAnswers those from it.
+	HoldRequests
+	HoldAnswers
 )
 
 // dialTimeout is the maximum time for connecting to the target.
@@ -40,6 +43,10 @@
 	Listen string
 	// Target is the IP address and port to connect to.
 	Target string
+	// KeepAlive is how long the other end of a silent connection stays open once one
+	// end has closed: the time until its TCP keep-alive would fail. Zero means for
+	// good.
+	KeepAlive time.Duration
 }
 
 // Relay forwards connections. It is safe for concurrent use.
--- a/standin/relay/relay_test.go
+++ b/standin/relay/relay_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,11 +23,22 @@
 	RunSpecs(t, "Relay")
 }
 
+// counter counts the bytes that are written to it.
+type counter struct{ n *atomic.Int64 }
+
+func (c counter) Write(p []byte) (int, error) {
+	c.n.Add(int64(len(p)))
+	return len(p), nil
+}
+
 // quietTime is how long a test checks that no bytes arrive.
 const quietTime = 50 * time.Millisecond
 
 var _ = Describe("a relay in front of an echo server", func() {
 	var r *relay.Relay
+	var target string
+	// served counts the server's open connections, echoed the bytes that it received.
+	var served, echoed atomic.Int64
 
 	dial := func() net.Conn {
 		c, err := net.Dial("tcp", r.Address())
@@ -60,11 +72,14 @@
 				}
 				g.Go(func() error {
 					defer func() { _ = c.Close() }()
-					_, _ = io.Copy(c, c)
+					served.Add(1)
+					defer served.Add(-1)
+					_, _ = io.Copy(c, io.TeeReader(c, counter{&echoed}))
 					return nil
 				})
 			}
 		})
+		target = l.Addr().String()
 		r, err = relay.Start(relay.Config{Listen: "127.0.0.1:0", Target: l.Addr().String()})
 		Expect(err).NotTo(HaveOccurred())
 		DeferCleanup(func() {
@@ -102,6 +117,37 @@
 		expectNothing(c)
 	})
 
+	It("closes the other end of a silent connection once its keep-alive has failed", func() {
+		const d = 50 * time.Millisecond
+		k, err := relay.Start(relay.Config{Listen: "127.0.0.1:0", Target: target, KeepAlive: d})
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(k.Stop)
+		c, err := net.Dial("tcp", k.Address())
+		Expect(err).NotTo(HaveOccurred())
+		send(c)
+		expectEcho(c)
+		k.Silence()
+		Consistently(served.Load, 2*d).Should(BeNumerically(">", 0))
+		Expect(c.Close()).To(Succeed())
+		Eventually(served.Load).Should(BeZero())
+	})
+
+	DescribeTable("holds back the bytes of one direction only", func(m relay.Mode, received int64) {
+		c := dial()
+		send(c)
+		expectEcho(c)
+		before := echoed.Load()
+		Expect(r.SetMode(m)).To(Succeed())
+		send(c)
+		expectNothing(c)
+		Expect(echoed.Load() - before).To(Equal(received))
+		Expect(r.SetMode(relay.Pass)).To(Succeed())
+		expectEcho(c)
+	},
+		Entry("requests", relay.HoldRequests, int64(0)),
+		Entry("answers", relay.HoldAnswers, int64(len("amber\n"))),
+	)
+
 	It("resets open and new connections in mode Reset", func() {
 		c := dial()
 		send(c)
--- a/standin/site/client.go
+++ b/standin/site/client.go
@@ -23,6 +23,10 @@
 // clientTimeout limits the wait for an answer.
 const clientTimeout = 4 * time.Second
 
+// lossSlack is how long before the end of its connection a statement may have been
+// sent that the daemon has not read: the close and the statement crossed.
+const lossSlack = 200 * time.Millisecond
+
 // LoadReport holds the results of RunLoad.
 type LoadReport struct {
 	mu sync.Mutex
@@ -31,6 +35,9 @@
 	// operations got no complete answer within clientTimeout or before the
 	// connection ended.
 	Served, Refused, InDoubt, Disconnected int
+	// Lost are the statements without a complete answer that a member has received or
+	// that were sent longer than lossSlack before the connection ended.
+	Lost []string
 	// LongestWriteGap is the longest time between two served writes on a primary
 	// database.
 	LongestWriteGap time.Duration
@@ -189,10 +196,28 @@
 	if !needsSignature {
 		want = ""
 	}
-	code, state, complete = c.readAnswer(want)
+	if code, state, complete = c.readAnswer(want); !complete {
+		c.recordLoss(a)
+	}
 	return id, code, state, complete
 }
 
+// recordLoss records a statement without a complete answer, unless it may have crossed
+// the close of its connection.
+func (c *Client) recordLoss(a *statement) {
+	d := time.Since(a.sent)
+	c.site.mu.Lock()
+	received := a.received
+	c.site.mu.Unlock()
+	if !received && d <= lossSlack {
+		return
+	}
+	c.report.mu.Lock()
+	defer c.report.mu.Unlock()
+	c.report.Lost = append(c.report.Lost, fmt.Sprintf("%s %q sent %s before the end, in a transaction: %t, received by a member: %t",
+		a.id, a.text, d.Round(time.Millisecond), a.inTransaction, received))
+}
+
 // runOperation runs one operation on a daemon.
 func (c *Client) runOperation(l []string) {
 	if !c.connect(l) {
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -68,6 +68,17 @@
 	s.publishMembers(g)
 }
 
+// EndDrains sets the state of all members of group i to ready.
+func (s *Site) EndDrains(i int) {
+	g := s.groups[i]
+	g.mu.Lock()
+	for _, m := range g.members {
+		m.draining = false
+	}
+	g.mu.Unlock()
+	s.publishMembers(g)
+}
+
 // SetLag sets the replication lag of all groups.
 func (s *Site) SetLag(d time.Duration) {
 	for _, g := range s.groups {
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -14,10 +14,12 @@
 	group    *group
 	site     *Site
 	listener net.Listener
-	primary  bool
-	term     int
-	log      []*logEntry
-	down     bool
+	// advertised is the address in the member's record.
+	advertised string
+	primary    bool
+	term       int
+	log        []*logEntry
+	down       bool
 	// incarnation counts how often the member was stopped; sessions of an earlier
 	// incarnation are invalid.
 	incarnation int
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -21,6 +21,9 @@
 	StatementTime time.Duration
 	// PromotionTime is the duration of a promotion.
 	PromotionTime time.Duration
+	// Advertise returns the address at which daemons reach a member that listens at the
+	// given one; nil if they connect to that.
+	Advertise func(member, address string) (string, error)
 }
 
 // Regions maps each failure domain to its region.
@@ -67,6 +70,8 @@
 	inTransaction bool
 	// values are the session values that the client had set.
 	values map[string]string
+	// received is set once a member has received the statement.
+	received bool
 }
 
 // New starts a site.
@@ -95,7 +100,13 @@
 	if err != nil {
 		return err
 	}
-	m := &member{id: id, group: g, site: s, listener: l, primary: primary, term: 1, slots: make(chan struct{}, 3), conns: map[net.Conn]bool{}, startedAt: time.Now().UnixMilli()}
+	a := l.Addr().String()
+	if s.config.Advertise != nil {
+		if a, err = s.config.Advertise(id, a); err != nil {
+			return err
+		}
+	}
+	m := &member{id: id, group: g, site: s, listener: l, advertised: a, primary: primary, term: 1, slots: make(chan struct{}, 3), conns: map[net.Conn]bool{}, startedAt: time.Now().UnixMilli()}
 	g.members = append(g.members, m)
 	s.closers = append(s.closers, l.Close)
 	s.tasks.Go(func() error {
@@ -118,7 +129,7 @@
 		role = "primary"
 	}
 	b, _ := json.Marshal(map[string]any{
-		"service": m.group.name, "address": m.listener.Addr().String(), "zone": failureDomain, "version": "v1", "slots": 3, "state": state,
+		"service": m.group.name, "address": m.advertised, "zone": failureDomain, "version": "v1", "slots": 3, "state": state,
 		"cold_remaining_ms": 0, "database_role": role, "sequence": s.nextSequence(), "born": m.startedAt,
 	})
 	s.store.mu.Lock()
@@ -288,6 +299,9 @@
 func (s *Site) checkStatement(id, text string, on *backendSession) *statement {
 	s.mu.Lock()
 	a := s.statements[id]
+	if a != nil {
+		a.received = true
+	}
 	s.mu.Unlock()
 	if a == nil {
 		s.reportViolation("UNASKED", "%s ran %q, which no client sent", id, text)
--- /dev/null
+++ b/standin/soak/platform.go
@@ -0,0 +1,398 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/dragonflypick/dragonflypick/standin/process"
+	"github.com/dragonflypick/dragonflypick/standin/site"
+)
+
+// Settings of the system on the users' platform.
+const (
+	platformClients  = 16
+	membersPerGroup  = 3
+	graceSeconds     = 3
+	lateWriteDelay   = 1500 * time.Millisecond
+	replicationLag   = 15 * time.Millisecond
+	faultLag         = 1500 * time.Millisecond
+	startTimeout     = 20 * time.Second
+	readinessTimeout = time.Second
+	// readinessInterval is how often the balancer asks each daemon; maxMisses misses in
+	// a row take it out of rotation.
+	readinessInterval = time.Second
+	maxMisses         = 2
+	settingsFileMode  = 0o644
+)
+
+// platformDomains are the failure domains, in the order in which daemons are placed.
+var platformDomains = []string{"west-a", "west-b", "north-a"}
+
+// platformSystem runs daemons as processes against the stand-in of the users' platform.
+type platformSystem struct {
+	config  Config
+	site    *site.Site
+	starter *process.Starter
+	ports   *process.Ports
+	links   *links
+	daemons []*platformDaemon
+	tasks   errgroup.Group
+	end     context.CancelFunc
+
+	mu sync.Mutex
+	// storeDisturbed is set while the store has a fault, groupDisturbed holds the
+	// groups with one.
+	storeDisturbed bool
+	groupDisturbed map[int]bool
+	// added is the name of the database that the newest configuration added.
+	added string
+	// configurations counts the configurations.
+	configurations int
+}
+
+// platformDaemon is the place of a daemon.
+type platformDaemon struct {
+	managedProcess
+	// callers is the address of the relay before the daemon's address for callers.
+	callers   string
+	readiness string
+	// misses counts the readiness checks in a row that failed; it belongs to the
+	// balancer and is guarded by the system's mu.
+	misses int
+}
+
+func startPlatformSystem(x context.Context, c Config) (system, error) {
+	s := &platformSystem{config: c, starter: process.NewStarter(), ports: &process.Ports{}, links: newLinks(), groupDisturbed: map[int]bool{}}
+	y, end := context.WithCancel(context.Background())
+	s.end = end
+	if err := s.start(); err != nil {
+		s.stop()
+		return nil, err
+	}
+	s.tasks.Go(func() error {
+		s.balance(y)
+		return nil
+	})
+	for t := time.Now(); len(s.rotation()) < len(s.daemons); sleep(x, readinessInterval/10) {
+		if time.Since(t) > startTimeout || x.Err() != nil {
+			s.stop()
+			return nil, Error.Wrap(&StartError{Dir: c.Dir})
+		}
+	}
+	return s, nil
+}
+
+// StartError reports daemons that weren't ready in time.
+type StartError struct{ Dir string }
+
+func (e *StartError) Error() string { return "daemons not ready in time; logs in " + e.Dir }
+
+func (s *platformSystem) start() error {
+	n := 0
+	var err error
+	s.site, err = site.New(site.Config{
+		Groups: s.config.Groups, Lag: replicationLag, StatementTime: time.Millisecond, PromotionTime: 300 * time.Millisecond,
+		Advertise: func(_, address string) (string, error) {
+			n++
+			return s.links.start(s.ports, MemberLink, n-1, address)
+		},
+	})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	var seeds []string
+	for i := range s.config.Daemons {
+		seed, err := s.addDaemon(i, seeds)
+		if err != nil {
+			return err
+		}
+		if len(seeds) < 3 {
+			seeds = append(seeds, seed)
+		}
+	}
+	return nil
+}
+
+// addDaemon starts a daemon and returns the address at which others reach it.
+func (s *platformSystem) addDaemon(i int, seeds []string) (string, error) {
+	d := &platformDaemon{managedProcess: managedProcess{name: "n" + strconv.Itoa(i), grace: (graceSeconds + 2) * time.Second}}
+	domain := platformDomains[i%len(platformDomains)]
+	var l [4]string
+	var err error
+	for k := range l {
+		if l[k], err = s.ports.FreeAddress(); err != nil {
+			return "", Error.Wrap(err)
+		}
+	}
+	d.readiness = l[1]
+	var storeAddress, advertised string
+	for _, k := range []struct {
+		link   Link
+		target string
+		to     *string
+	}{{StoreLink, s.site.StoreAddress, &storeAddress}, {PeerLink, l[2], &advertised}, {CallerLink, l[0], &d.callers}} {
+		if *k.to, err = s.links.start(s.ports, k.link, i, k.target); err != nil {
+			return "", err
+		}
+	}
+	_, metricsPort, _ := net.SplitHostPort(l[3])
+	starts := 0
+	d.start = func() (*process.Process, error) {
+		starts++
+		t := fmt.Sprintf(`node: %s
+ip: 127.0.0.1
+zone: %s
+region: %s
+zones: {west-a: west, west-b: west, north-a: north}
+listen_addresses: {front: %q, readiness_address: %q, control: %q}
+internal_ports: [%s, %s]
+seeds: [%s]
+bootstrap: %t
+limits: {cores: 1, cpu_share: 1.0, memory_mb: 284}
+bounds: {grace_s: %d}
+platform: {address: %q, writes_per_s: 400}
+cloud: {address: %q}
+`, d.name, domain, site.Regions[domain], l[0], l[1], l[2], metricsPort, metricsPort, quoted(seeds), starts == 1, graceSeconds, storeAddress, s.site.PromotionAddress)
+		f := filepath.Join(s.config.Dir, d.name+".yaml")
+		if err := os.WriteFile(f, []byte(t), settingsFileMode); err != nil {
+			return nil, Error.Wrap(err)
+		}
+		return s.starter.Start(s.config.Dir, d.name, s.config.Programs.Dragonflypick, []string{"DRAGONFLYPICK_CONFIG=" + f, "DRAGONFLYPICK_SECRET=soak"},
+			"serve", "--peer-advertise", advertised, "--log-every", "0")
+	}
+	s.daemons = append(s.daemons, d)
+	return advertised, d.run()
+}
+
+func quoted(l []string) string {
+	o := make([]string, len(l))
+	for i, a := range l {
+		o[i] = strconv.Quote(a)
+	}
+	return strings.Join(o, ", ")
+}
+
+func (s *platformSystem) shape() Shape {
+	return Shape{
+		Daemons: s.config.Daemons, Groups: s.config.Groups, Members: s.config.Groups * membersPerGroup,
+		Links:        []Link{StoreLink, PeerLink, CallerLink, MemberLink},
+		StoreActions: []StoreAction{StoreDown, StoreSilent, LoseAnswers, LateWrites, DropHistory, StoreRestore},
+		GroupActions: []GroupAction{CrashPrimary, EmptyPrimary, DrainPrimary, LagReplicas},
+	}
+}
+
+func (s *platformSystem) inject(f Fault) (end func(), ok bool) {
+	switch f := f.(type) {
+	case ProcessFault:
+		return s.daemons[f.Daemon].inject(f.Action)
+	case LinkFault:
+		return s.links.inject(f)
+	case StoreFault:
+		return s.injectStoreFault(f.Action)
+	case GroupFault:
+		return s.injectGroupFault(f)
+	case Reconfigure:
+		s.reconfigure()
+		return func() {}, true
+	}
+	return nil, false
+}
+
+// reconfigure writes a configuration with one more database.
+func (s *platformSystem) reconfigure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.configurations++
+	s.added = "added-" + strconv.Itoa(s.configurations)
+	s.site.Configure([]string{s.added})
+}
+
+func (s *platformSystem) injectStoreFault(a StoreAction) (end func(), ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.storeDisturbed {
+		return nil, false
+	}
+	end = func() {}
+	switch a {
+	case StoreRestore:
+		s.site.RestoreStore(copyAge(s.config.Seed))
+		return end, true
+	case DropHistory:
+		s.site.CompactStore()
+		return end, true
+	case StoreDown:
+		s.site.SetStoreFault(true, false)
+		end = func() { s.site.SetStoreFault(false, false) }
+	case LoseAnswers:
+		s.site.SetStoreFault(false, true)
+		end = func() { s.site.SetStoreFault(false, false) }
+	case StoreSilent:
+		s.site.SetStoreSilent(true)
+		end = func() { s.site.SetStoreSilent(false) }
+	case LateWrites:
+		s.site.SetLateWrites(lateWriteDelay)
+		end = func() { s.site.SetLateWrites(0) }
+	}
+	s.storeDisturbed = true
+	restore := end
+	return func() {
+		restore()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.storeDisturbed = false
+	}, true
+}
+
+func (s *platformSystem) injectGroupFault(f GroupFault) (end func(), ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.groupDisturbed[f.Group] {
+		return nil, false
+	}
+	s.groupDisturbed[f.Group] = true
+	restore := func() {}
+	switch f.Action {
+	case CrashPrimary:
+		restore = s.site.CrashPrimary(f.Group)
+	case EmptyPrimary:
+		s.site.RestartPrimaryEmpty(f.Group)
+	case DrainPrimary:
+		s.site.DrainPrimary(f.Group)
+		restore = func() { s.site.EndDrains(f.Group) }
+	case LagReplicas:
+		s.site.SetLag(faultLag)
+		restore = func() { s.site.SetLag(replicationLag) }
+	}
+	return func() {
+		restore()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.groupDisturbed, f.Group)
+	}, true
+}
+
+func (s *platformSystem) load(_ context.Context, seed uint64, d time.Duration) (outcome, error) {
+	o := s.site.RunLoad(seed, platformClients, d, s.rotation)
+	s.site.VerifyWrites(o)
+	return outcome{served: o.Served, refused: o.Refused, inDoubt: o.InDoubt, cut: o.Disconnected, lost: o.Lost}, nil
+}
+
+// balance checks the daemons' readiness as the platform's balancer does, until the
+// context ends.
+func (s *platformSystem) balance(x context.Context) {
+	for ; x.Err() == nil; sleep(x, readinessInterval) {
+		var g errgroup.Group
+		for _, d := range s.daemons {
+			g.Go(func() error {
+				ok := isReady(x, d.readiness)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if d.misses++; ok {
+					d.misses = 0
+				}
+				return nil
+			})
+		}
+		_ = g.Wait()
+	}
+}
+
+func isReady(x context.Context, address string) bool {
+	y, stop := context.WithTimeout(x, readinessTimeout)
+	defer stop()
+	q, err := http.NewRequestWithContext(y, http.MethodGet, "http://"+address+"/api/readiness", nil)
+	if err != nil {
+		return false
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		return false
+	}
+	_ = r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+// rotation returns the addresses to which the balancer sends new connections: those of
+// all daemons if fewer than half are ready.
+func (s *platformSystem) rotation() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ready, all []string
+	for _, d := range s.daemons {
+		all = append(all, d.callers)
+		if d.misses < maxMisses {
+			ready = append(ready, d.callers)
+		}
+	}
+	if 2*len(ready) < len(all) {
+		return all
+	}
+	return ready
+}
+
+func (s *platformSystem) violations() []string {
+	o := slices.Clone(s.site.Violations())
+	for _, d := range s.daemons {
+		o = append(o, d.check()...)
+	}
+	return o
+}
+
+// checkWhole returns the daemons that aren't ready, or that don't serve the newest
+// configuration.
+func (s *platformSystem) checkWhole(x context.Context) []string {
+	var o []string
+	for _, d := range s.daemons {
+		if !isReady(x, d.readiness) {
+			o = append(o, "WHOLE: "+d.name+" isn't ready after the calm")
+		} else if a := s.connect(d.callers); s.added != "" && !strings.HasPrefix(a, "READY") {
+			o = append(o, fmt.Sprintf("CONFIG: %s answers %q for %s after the calm", d.name, a, s.added))
+		}
+	}
+	return o
+}
+
+// connect returns the first line that a caller of the newest database gets.
+func (s *platformSystem) connect(address string) string {
+	c, err := net.DialTimeout("tcp", address, readinessTimeout)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(2 * readinessTimeout))
+	if _, err := fmt.Fprintf(c, "START %s who\r\n", s.added); err != nil {
+		return err.Error()
+	}
+	t, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		return err.Error()
+	}
+	return strings.TrimSpace(t)
+}
+
+func (s *platformSystem) stop() {
+	s.end()
+	_ = s.tasks.Wait()
+	for _, d := range s.daemons {
+		d.kill()
+	}
+	s.starter.Close()
+	s.links.stop()
+	s.ports.Close()
+	if s.site != nil {
+		s.site.Close()
+	}
+}
