lease: a previous holder is waited for from when this host first saw another one

Cause: the holder's machine was gone for good at 3.0 s; another host took the group over at 6 s and was killed at 13.8 s; the third took it over at 15.1 s, found the primary removed, and waited 11.5 s for the first one, counted from its own record, though it had known since 6 s that another process was the holder.

Change: each host records when it first knew that a previous holder had been replaced, and counts from then. Whoever was the holder confirmed its lease by a request before it was replaced, which was before this host saw that. A record names the change of the holder by its epoch: if this host has missed one, or the era has changed, it counts from now, since the previous holder may have held the lease again meanwhile.

Tests: 'waits for a holder from when this host first saw another one' fails on the code before; 'doesn't count from before a record that it hasn't seen' fails without the epoch (the rapid property doesn't reach that in 300,000 series).

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -125,6 +125,9 @@
 	// unfinishedUntil maps the ID of a previous holder to the time until which
 	// it may still send work.
 	unfinishedUntil map[string]time.Time
+	// displacedAt maps the ID of a previous holder to when this host first knew that
+	// another process was the holder, and has known of no record since that names it.
+	displacedAt map[string]time.Time
 	// endedProcesses is the set of IDs of the processes that are known to have
 	// ended.
 	endedProcesses map[string]bool
@@ -193,6 +196,7 @@
 		s.observeRestored(x.Record)
 		return
 	}
+	s.observeDisplacements(x.Record, now)
 	old := s.record
 	held := s.recordKnown && old.Holder.ID == s.self.ID && (old.Epoch == x.Record.Epoch || old.Era < x.Record.Era)
 	s.record, s.recordKnown, s.restored = x.Record, true, false
@@ -208,7 +212,7 @@
 	if !held {
 		for _, h := range x.Record.PreviousHolders {
 			if !s.endedProcesses[h.ID] {
-				s.unfinishedUntil[h.ID] = now.Add(Validity + inFlightTime)
+				s.unfinishedUntil[h.ID] = s.displacedAt[h.ID].Add(Validity + inFlightTime)
 			}
 		}
 	}
@@ -220,6 +224,22 @@
 	}
 }
 
+// observeDisplacements records when the previous holders were known not to be the holder
+// any more. Each change of the holder counts one epoch: of a record that this host hasn't
+// seen in between, any of them may have been the holder.
+func (s *Lease) observeDisplacements(r Record, now time.Time) {
+	complete := s.recordKnown && !s.restored && r.Era == s.record.Era && r.Epoch <= s.record.Epoch+1
+	m := map[string]time.Time{}
+	for _, h := range r.PreviousHolders {
+		t, ok := s.displacedAt[h.ID]
+		if !ok || !complete {
+			t = now
+		}
+		m[h.ID] = t
+	}
+	s.displacedAt = m
+}
+
 // observeRestored handles a record that the store has kept from an earlier era. It
 // proves nothing, but may be later than what this host knows.
 func (s *Lease) observeRestored(r Record) {
--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -94,6 +94,31 @@
 		Expect(t.MayReplacePrimary(n.Add(time.Second))).To(BeTrue())
 	})
 
+	It("waits for a holder from when this host first saw another one, however often the lease has changed hands since", func() {
+		t := lease.New(holder("d"))
+		observe := func(revision uint64, r lease.Record, n time.Time) {
+			t.Handle(lease.RecordObserved{Record: r, Position: at(revision), RequestedAt: n}, n)
+		}
+		observe(1, lease.Record{Holder: holder("a"), Epoch: 1}, start)
+		replaced := start.Add(3 * time.Second)
+		observe(2, lease.Record{Holder: holder("b"), Epoch: 2, PreviousHolders: []lease.Holder{holder("a")}}, replaced)
+		n := start.Add(11 * time.Second)
+		observe(3, t.AcquireRecord(n), n)
+		t.Handle(lease.ProcessEnded{ProcessID: "b"}, n)
+		Expect(t.UnfinishedHolders(n)).To(Equal([]lease.Holder{holder("a")}))
+		Expect(t.MayReplacePrimary(replaced.Add(lease.Validity))).To(BeFalse())
+		Expect(t.MayReplacePrimary(replaced.Add(lease.Validity + 1500*time.Millisecond))).To(BeTrue())
+	})
+
+	It("doesn't count from before a record that it hasn't seen", func() {
+		t := lease.New(holder("d"))
+		t.Handle(lease.RecordObserved{Record: lease.Record{Holder: holder("b"), Epoch: 2, PreviousHolders: []lease.Holder{holder("a")}}, Position: at(2)}, start)
+		n := start.Add(11 * time.Second)
+		t.Handle(lease.RecordObserved{Record: lease.Record{Holder: holder("d"), Epoch: 5, PreviousHolders: []lease.Holder{holder("a"), holder("b")}}, Position: at(5), RequestedAt: n}, n)
+		Expect(t.UnfinishedHolders(n)).To(HaveLen(2))
+		Expect(t.UnfinishedHolders(n.Add(lease.Validity))).To(HaveLen(2))
+	})
+
 	It("keeps the previous holders in the record when another host takes it over", func() {
 		t := lease.New(holder("c"))
 		t.Handle(lease.RecordObserved{Record: lease.Record{Holder: holder("b"), PreviousHolders: []lease.Holder{holder("a")}}, Position: at(4)}, start)
