standin/site: calls to the store after it came back from a copy, counted at 18 hosts

The spec counts what a fleet of 18 hosts calls in 16 s: idle, restored empty, and restored from a copy a second old. Bounds: two reads of everything for each watcher, a write for each group at once and when the era has settled, two for each host whose record is lost.

--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -120,6 +120,13 @@
 // the members write again what they wrote.
 const rewriteDelay = 700 * time.Millisecond
 
+// StoreCalls returns the numbers of calls that the store has received.
+func (s *Site) StoreCalls() StoreCalls {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	return s.store.calls
+}
+
 // SetLateWrites makes the store execute writes that long after their arrival, without an
 // answer; zero ends this.
 func (s *Site) SetLateWrites(d time.Duration) {
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -279,6 +279,31 @@
 		Expect(o.Served).To(BeNumerically(">", 500))
 	})
 
+	It("costs a fleet of 18 hosts few calls, whether hosts' records are lost or not", func() {
+		const hosts, groups = 18, 3
+		c := defaultConfig
+		c.Groups = groups
+		f := newFleet(c, hosts)
+		time.Sleep(2 * time.Second)
+		calls := func(age time.Duration) site.StoreCalls {
+			o := f.site.StoreCalls()
+			if age > 0 {
+				f.site.RestoreStore(age)
+			}
+			time.Sleep(lease.SettleTime + 2*time.Second)
+			return f.site.StoreCalls().Since(o)
+		}
+		idle, empty, restored := calls(0), calls(time.Hour), calls(time.Second)
+		AddReportEntry("calls in 16 s: idle, restored empty, restored", fmt.Sprintf("%+v\n%+v\n%+v", idle, empty, restored))
+		// Each watcher reads everything once, or a second time if its first read was late.
+		Expect(restored.Ranges - idle.Ranges).To(BeNumerically("<=", 8))
+		// A record a group is written at once and when the era has settled; a try may fail.
+		Expect(restored.Transactions - idle.Transactions).To(BeNumerically("<=", 4*groups))
+		Expect(empty.Ranges - idle.Ranges).To(BeNumerically("<=", 8))
+		Expect(empty.Transactions - idle.Transactions).To(BeNumerically("<=", 4*groups+2*hosts))
+		Expect(empty.LeaseGrants - idle.LeaseGrants).To(BeNumerically("<=", 2*hosts))
+	})
+
 	It("makes each host register again, and groups are held and replaced as before once the era has settled", func() {
 		f := newFleet(defaultConfig, 3)
 		f.site.RestoreStore(time.Hour)
--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -46,12 +46,24 @@
 	silent bool
 	// changed is closed and replaced on each change.
 	changed chan struct{}
+	calls   StoreCalls
 	// era counts how often the store has come back from a copy; copies are those
 	// that it may come back from, oldest first.
 	era    uint64
 	copies []storeCopy
 }
 
+// StoreCalls are the numbers of calls that the store has received, by kind.
+type StoreCalls struct{ Gets, Ranges, Watches, Transactions, LeaseGrants, LeaseRenewals int }
+
+// Since returns the calls since an earlier count.
+func (c StoreCalls) Since(o StoreCalls) StoreCalls {
+	return StoreCalls{
+		Gets: c.Gets - o.Gets, Ranges: c.Ranges - o.Ranges, Watches: c.Watches - o.Watches,
+		Transactions: c.Transactions - o.Transactions, LeaseGrants: c.LeaseGrants - o.LeaseGrants, LeaseRenewals: c.LeaseRenewals - o.LeaseRenewals,
+	}
+}
+
 // storeCopy is the state of the store at a time.
 type storeCopy struct {
 	at       time.Time
@@ -172,14 +184,24 @@
 	k.down, k.loseAnswers = down, loseAnswers
 }
 
+// counted returns a handler that counts the calls in n.
+func (k *store) counted(n *int, h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		k.mu.Lock()
+		*n++
+		k.mu.Unlock()
+		h(w, r)
+	}
+}
+
 func (k *store) handler() http.Handler {
 	m := http.NewServeMux()
-	m.HandleFunc("GET /api/kv-key", k.handleGet)
-	m.HandleFunc("GET /api/kv-range", k.handleRange)
-	m.HandleFunc("GET /api/kv-watch", k.handleWatch)
-	m.HandleFunc("POST /api/kv-txn", k.handleTransaction)
-	m.HandleFunc("POST /api/kv-lease", k.handleLeaseGrant)
-	m.HandleFunc("POST /api/kv-keep/{id}", k.handleLeaseRenewal)
+	m.HandleFunc("GET /api/kv-key", k.counted(&k.calls.Gets, k.handleGet))
+	m.HandleFunc("GET /api/kv-range", k.counted(&k.calls.Ranges, k.handleRange))
+	m.HandleFunc("GET /api/kv-watch", k.counted(&k.calls.Watches, k.handleWatch))
+	m.HandleFunc("POST /api/kv-txn", k.counted(&k.calls.Transactions, k.handleTransaction))
+	m.HandleFunc("POST /api/kv-lease", k.counted(&k.calls.LeaseGrants, k.handleLeaseGrant))
+	m.HandleFunc("POST /api/kv-keep/{id}", k.counted(&k.calls.LeaseRenewals, k.handleLeaseRenewal))
 	m.HandleFunc("DELETE /api/kv-lease-end/{id}", k.handleLeaseEnd)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		k.mu.Lock()
