--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -5,6 +5,7 @@
 package catalog
 
 import (
+	"crypto/sha256"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -37,6 +38,8 @@
 	// TargetLatency is the desired latency of an operation.
 	TargetLatency time.Duration `json:"target"`
 	Rank          bundle.Rank   `json:"rank"`
+	// Anonymous databases also serve callers without a team.
+	Anonymous bool `json:"anonymous"`
 }
 
 // Group is a database group.
@@ -57,6 +60,37 @@
 	Groups    map[string]Group    `json:"groups"`
 	// IdleInTransaction is the longest time that a transaction may be idle.
 	IdleInTransaction time.Duration `json:"idle-in-transaction"`
+	// Teams are the teams by name; empty if the configuration names none, so that
+	// callers need no key.
+	Teams map[string]Team `json:"teams"`
+	// TeamsByKey maps the digest of each key to the name of its team in Teams.
+	TeamsByKey map[KeyDigest]string `json:"-"`
+}
+
+// Team is a team whose callers identify themselves by keys.
+type Team struct {
+	Name string `json:"name"`
+	// Rate is the limit of the team's operations per second over all daemons, and
+	// Burst how many it may start at once after a pause. A team without a Rate is
+	// not limited.
+	Rate  float64 `json:"rate"`
+	Burst float64 `json:"burst"`
+}
+
+// KeyDigest is the SHA-256 digest of a caller's key. The key itself isn't kept.
+type KeyDigest [sha256.Size]byte
+
+// DigestKey returns the digest of a key.
+func DigestKey(key string) KeyDigest { return sha256.Sum256([]byte(key)) }
+
+// TeamOf returns the team that holds a key.
+func (c *Catalog) TeamOf(d KeyDigest) (Team, bool) {
+	n, ok := c.TeamsByKey[d]
+	if !ok {
+		return Team{}, false
+	}
+	t, ok := c.Teams[n]
+	return t, ok
 }
 
 // Member is a backend server.
--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -43,7 +43,7 @@
 func (f *Daemon) memberStatus(x context.Context, m catalog.Member) (query.Status, error) {
 	x, stop := context.WithTimeout(x, statusTimeout)
 	defer stop()
-	c, _, err := f.config.Dialer.Dial(x, m)
+	c, _, err := f.config.Dialer.Dial(x, m, "")
 	if err != nil {
 		return query.Status{}, err
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -85,9 +85,32 @@
 	// LogEvery logs one in this many successful requests; zero logs none. Failed
 	// requests are always logged.
 	LogEvery uint64
+	// Features are the optional features in use.
+	Features Features
 	Log      hclog.Logger
 }
 
+// Features are the features that a deployment has to ask for. The zero value
+// asks for none.
+type Features struct {
+	// UnevenMembers adapts to members that are slow, cold or fail.
+	UnevenMembers bool
+	// Pressure refuses the least urgent work at the entry while a member is
+	// overloaded.
+	Pressure bool
+	// Rates bounds the operations of teams; nil leaves them unbounded.
+	Rates *RateBounds
+}
+
+// RateBounds state how the rate of a team is measured. In any Window at most
+// (rate * Window + burst) * (1 + Overage) + Slack operations may arrive at
+// members.
+type RateBounds struct {
+	Window  time.Duration
+	Overage float64
+	Slack   float64
+}
+
 // Daemon serves requests as one of the daemons that share a store. It is safe
 // for concurrent use.
 type Daemon struct {
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -74,7 +74,7 @@
 			y, stop := context.WithTimeout(x, probeTimeout)
 			defer stop()
 			t := now()
-			c, p, err := f.config.Dialer.Dial(y, m)
+			c, p, err := f.config.Dialer.Dial(y, m, "")
 			if err == nil {
 				c.Close()
 				f.observePosition(g, m.ID, p, t)
@@ -268,7 +268,7 @@
 			return
 		}
 		y, stop := context.WithTimeout(x, statusTimeout)
-		c, _, err := f.config.Dialer.Dial(y, m)
+		c, _, err := f.config.Dialer.Dial(y, m, "")
 		if err == nil {
 			var o query.Reply
 			o, err = c.RunStep(query.Demote{Term: term}, time.Now().Add(statusTimeout))
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -100,7 +100,7 @@
 	y, stop := context.WithDeadline(x, deadline)
 	defer stop()
 	t := p.config.Now()
-	k, at, err := p.config.Dialer.Dial(y, p.config.Member)
+	k, at, err := p.config.Dialer.Dial(y, p.config.Member, "")
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
 		return &conn{Conn: k, prepared: map[string]bool{}}, nil
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -12,9 +12,10 @@
 
 // Dialer opens connections to backend servers.
 type Dialer interface {
-	// Dial returns a connection and the position that the member reported. If the
-	// member refused it, the error is a *query.Failure.
-	Dial(x context.Context, m catalog.Member) (Conn, logpos.Position, error)
+	// Dial returns a connection in the name of a team, empty for the daemon's own
+	// work and for callers without a team, and the position that the member
+	// reported. If the member refused it, the error is a *query.Failure.
+	Dial(x context.Context, m catalog.Member, team string) (Conn, logpos.Position, error)
 }
 
 // Conn is a connection to a backend server. It is not safe for concurrent use.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -43,7 +43,7 @@
 	mismatched []string
 }
 
-func (m *member) Dial(context.Context, catalog.Member) (pool.Conn, logpos.Position, error) {
+func (m *member) Dial(context.Context, catalog.Member, string) (pool.Conn, logpos.Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.open >= m.limit {
--- a/query/query.go
+++ b/query/query.go
@@ -100,6 +100,8 @@
 	UnknownName        Reason = "unknown-name"
 	Malformed          Reason = "malformed"
 	NoDatabase         Reason = "no-database"
+	// Denied means that the caller's key belongs to no team.
+	Denied Reason = "denied"
 	// Moved means that the queried daemon doesn't own the member or isn't the
 	// group's holder. It is used between daemons only.
 	Moved Reason = "moved"
@@ -179,6 +181,8 @@
 	ID     string `json:"i"`
 	Group  string `json:"g"`
 	Member string `json:"m,omitempty"`
+	// Team is the name of the caller's team, empty if it has none.
+	Team string `json:"w,omitempty"`
 	// Session identifies the session; it is unique among all daemons.
 	Session string `json:"c"`
 	// Transaction identifies the transaction. It is unique for each attempt to
