--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,16 @@
 	// Catalog returns the current configuration, or nil before the first one.
 	Catalog func() *catalog.Catalog
 	Router  Router
+	// Limiter bounds the operations of teams; nil bounds none.
+	Limiter Limiter
+}
+
+// Limiter bounds the rate of a team's operations.
+type Limiter interface {
+	// Admit returns nil if an operation of a team on a database may start, perhaps after
+	// some time, or else why not. The returned function is to be called with the
+	// response to the operation's only or first statement.
+	Admit(x context.Context, team string, d catalog.Database) (func(*query.Response), *query.Failure)
 }
 
 // Entry opens sessions. It is safe for concurrent use.
@@ -234,7 +244,7 @@
 	if f != nil {
 		return query.Reply{Failure: f}
 	}
-	o := s.entry.config.Router.Execute(x, r, s.tx.pin)
+	o := s.execute(x, r, d)
 	if d.Consistency != catalog.PrimaryReads && o.Failure == nil {
 		s.raiseFloor(r, o.Position)
 	}
@@ -245,6 +255,24 @@
 	return o.Reply
 }
 
+// execute runs a request, if it isn't the start of an operation that the limiter
+// refuses.
+func (s *Session) execute(x context.Context, r *query.Request, d catalog.Database) query.Response {
+	l := s.entry.config.Limiter
+	if l == nil || r.Stage != query.Single && r.Stage != query.First {
+		return s.entry.config.Router.Execute(x, r, s.tx.pin)
+	}
+	t := time.Now()
+	settle, f := l.Admit(x, r.Team, d)
+	if f != nil {
+		return query.Response{Reply: query.Reply{Failure: f}}
+	}
+	r.Remaining -= time.Since(t)
+	o := s.entry.config.Router.Execute(x, r, s.tx.pin)
+	settle(&o)
+	return o
+}
+
 // raiseFloor raises the floor to p if the request committed a write. It also
 // records that an open transaction has written.
 func (s *Session) raiseFloor(r *query.Request, p logpos.Position) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -180,6 +180,9 @@
 	sequences map[string]uint64
 	// hostLease is the store's lease of this host's record; zero before the first.
 	hostLease uint64
+	// movedUntil is until when the accountants of teams under earlier groups may lend.
+	movedUntil time.Time
+	rates      rates
 }
 
 // ownedPool is a pool and the time at which it was last requested.
@@ -197,6 +200,7 @@
 		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 	}
+	f.rates.borrowers = map[string]*borrower{}
 	f.table = assignment.New(c.Self.ID, f.view)
 	var err error
 	f.node, err = peer.New(peer.Config{
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/allowance"
 	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
@@ -30,6 +31,13 @@
 	confirmedAt time.Time
 	// lastReplicaRead is when a replica owned here last received a read.
 	lastReplicaRead time.Time
+	// ledger holds the accounts of teams; nil if rates aren't bounded. era is the
+	// daemon's. closing is set while previous accountants are asked to stop;
+	// loggedMode is the ledger's mode when it was last logged.
+	ledger     *allowance.Ledger
+	era        *eraState
+	closing    bool
+	loggedMode allowance.Mode
 	// positionRequest is set while the end of the log is being requested from the
 	// holder, and closed when the request has ended.
 	positionRequest chan struct{}
@@ -45,7 +53,7 @@
 func (f *Daemon) group(name string) *group {
 	g := f.groups[name]
 	if g == nil {
-		g = &group{name: name, Group: takeover.New(f.selfHolder()), table: f.table}
+		g = &group{name: name, Group: takeover.New(f.selfHolder()), table: f.table, era: &f.era, ledger: f.newLedger()}
 		f.groups[name] = g
 		f.tellEra(g)
 	}
@@ -58,6 +66,7 @@
 	s := assignment.GroupState{Holder: g.Holder().ID, PreviousHolder: g.IsPreviousHolder()}
 	s.Primary, _ = g.Primary()
 	g.table.SetGroup(g.name, s)
+	g.observeTenure(now)
 }
 
 // startGroupTasks starts the next task of every group that has none running, and
@@ -68,6 +77,7 @@
 	t := now()
 	for _, g := range f.currentDuties() {
 		f.confirmFromCopy(g, t)
+		f.maintainLedger(g, t)
 		if g.ConfirmDue(t) && !g.confirming {
 			g.confirming = true
 			g.Handle(takeover.LeaseEvent{Event: lease.ConfirmAttempt{}}, t)
--- /dev/null
+++ b/fleet/rates_report.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+)
+
+// Bounds of what is reported of teams.
+const (
+	// maxTeamLabels bounds the values of the label team.
+	maxTeamLabels = 128
+	// otherTeams is the label of the teams beyond these.
+	otherTeams = "other"
+	// refusalLogInterval is the shortest time between two log lines about the refusals
+	// of one team.
+	refusalLogInterval = 2 * time.Second
+)
+
+// teamLabels holds the values of the label team that are in use.
+type teamLabels struct {
+	sync.Mutex
+	values map[string]bool
+}
+
+// refusalLog holds when the refusals of each labelled team were last logged, and how
+// many there were since.
+type refusalLog map[string]*refusalCount
+
+type refusalCount struct {
+	at    time.Time
+	count int
+}
+
+// teamLabel returns the value of the label team for a team.
+func (f *Daemon) teamLabel(team string) string {
+	f.metrics.teamLabels.Lock()
+	defer f.metrics.teamLabels.Unlock()
+	m := f.metrics.teamLabels.values
+	if !m[team] && len(m) >= maxTeamLabels {
+		return otherTeams
+	}
+	m[team] = true
+	return team
+}
+
+// recordRefusal counts and logs that an operation was not admitted.
+func (f *Daemon) recordRefusal(team, group string, r *refusal) {
+	l := f.teamLabel(team)
+	f.metrics.refused.WithLabelValues(l, r.reason).Inc()
+	f.rates.mu.Lock()
+	if f.rates.logged == nil {
+		f.rates.logged = refusalLog{}
+	}
+	c := f.rates.logged[l]
+	if c == nil {
+		c = &refusalCount{}
+		f.rates.logged[l] = c
+	}
+	c.count++
+	n, t := c.count, now()
+	due := t.Sub(c.at) >= refusalLogInterval
+	if due {
+		c.at, c.count = t, 0
+	}
+	f.rates.mu.Unlock()
+	if !due {
+		return
+	}
+	f.mu.Lock()
+	h, known := f.holderHost(group, "")
+	f.mu.Unlock()
+	f.config.Log.Info("operations of a team refused", "team", team, "count", n, "reason", r.reason, "rate", r.grant.Limit.Rate, "burst", r.grant.Limit.Burst, "stock", r.grant.Stock, "outstanding", r.grant.Outstanding,
+		"mode", r.mode, "accountant", h.ID, "accountant-reachable", known, "group", group, "copy-age-ms", f.copyAgeMillis(), "retry-after-ms", r.retryAfter.Milliseconds())
+}
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -54,6 +54,7 @@
 	if !f.contain("request", func() { o = f.route(x, r, pin, t) }) {
 		o = query.Response{Reply: query.Reply{Failure: lostFailure(r, "the request ended in a panic")}}
 	}
+	o.MayHaveRun = o.MayHaveRun || mayHaveRun(o.Failure)
 	if o.Failure != nil && (o.Failure.Reason == query.Moved || o.Failure.Reason == query.Unreachable) {
 		o.Failure.Reason = f.finalReason(r)
 	}
@@ -61,6 +62,19 @@
 	return o
 }
 
+// mayHaveRun reports whether a member may have received a request that failed.
+func mayHaveRun(q *query.Failure) bool {
+	if q == nil {
+		return true
+	}
+	switch q.Reason {
+	case query.Overloaded, query.Lagging, query.TooManyConnections, query.WrongMember, query.Moved:
+		return false
+	default:
+		return true
+	}
+}
+
 // route sends a request to where it can run.
 func (f *Daemon) route(x context.Context, r *query.Request, pin *entry.Pin, t time.Time) query.Response {
 	switch {
@@ -105,9 +119,9 @@
 
 // executePrimary runs a request at the group's holder. It retries after Moved and
 // Unreachable, except for a write that may have reached a member.
-func (f *Daemon) executePrimary(x context.Context, r *query.Request, t time.Time) query.Response {
-	var o query.Response
-	hint := ""
+func (f *Daemon) executePrimary(x context.Context, r *query.Request, t time.Time) (o query.Response) {
+	hint, mayHaveRunBefore := "", false
+	defer func() { o.MayHaveRun = mayHaveRunBefore }()
 	for n := 0; ; n++ {
 		left := r.Remaining - time.Since(t)
 		if left <= 0 || n > 0 && left <= holderRetryDelay || x.Err() != nil {
@@ -126,6 +140,7 @@
 		}
 		if ok {
 			o = f.executeAt(x, h, r, left)
+			mayHaveRunBefore = mayHaveRunBefore || mayHaveRun(o.Failure)
 			if o.Failure == nil || o.Failure.Reason != query.Moved && o.Failure.Reason != query.Unreachable {
 				return o
 			}
@@ -166,8 +181,9 @@
 
 // executeRead sends a read to one member after the other, in the order of
 // predicted cost, until one serves it.
-func (f *Daemon) executeRead(x context.Context, r *query.Request, t time.Time) query.Response {
-	var o query.Response
+func (f *Daemon) executeRead(x context.Context, r *query.Request, t time.Time) (o query.Response) {
+	mayHaveRunBefore := false
+	defer func() { o.MayHaveRun = mayHaveRunBefore }()
 	tried := map[string]int{}
 	for range maxReadAttempts {
 		left := r.Remaining - time.Since(t)
@@ -187,6 +203,7 @@
 		}
 		tried[c.member.ID]++
 		o = f.executeReadAt(x, c, r, t)
+		mayHaveRunBefore = mayHaveRunBefore || mayHaveRun(o.Failure)
 		if !retryElsewhere(o.Failure) || o.State == query.Failed {
 			return o
 		}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/dragonflypick/dragonflypick/allowance"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/pool"
@@ -23,6 +24,8 @@
 	methodItem     = "item"
 	methodWrite    = "write"
 	methodPing     = "ping"
+	methodLend     = "lend"
+	methodClose    = "close-ledger"
 )
 
 // positionReply states that a group's log had reached Position at the time that is
@@ -78,6 +81,18 @@
 		return f.writeForPeer(x, w)
 	case methodPing:
 		return struct{}{}, nil
+	case methodLend:
+		var c allowance.Call
+		if err := decodeParams(r, &c); err != nil {
+			return nil, err
+		}
+		return f.lend(c), nil
+	case methodClose:
+		var c allowance.CloseCall
+		if err := decodeParams(r, &c); err != nil {
+			return nil, err
+		}
+		return f.closeLedger(c), nil
 	default:
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: r.Method}
 	}
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -177,6 +177,7 @@
 	if old != nil && k.Version <= old.Version {
 		return
 	}
+	f.observeGroups(old, k)
 	f.catalog.Store(k)
 	f.configuration = i.Value
 	f.metrics.configurationVersion.Set(float64(k.Version))
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -291,6 +291,14 @@
 	return s.recordKnown && s.record.Holder.ID == s.self.ID && now.Before(s.validUntil)
 }
 
+// ConfirmedAt returns when the latest record that proved that this host is the holder
+// was requested.
+func (s *Lease) ConfirmedAt() time.Time { return s.validUntil.Add(-Validity) }
+
+// Settled reports whether no holder of an earlier era of the store can act any more,
+// unless it is the holder by the present record.
+func (s *Lease) Settled(now time.Time) bool { return !s.restored && s.settled(now) }
+
 // MayFinishTransactions reports whether the host may continue open
 // transactions. It may also do so after another host has taken the lease over
 // or received it.
--- a/query/query.go
+++ b/query/query.go
@@ -220,6 +220,9 @@
 	// Transaction identifies the request's transaction. The requesting daemon sets
 	// it.
 	Transaction string `json:"-"`
+	// MayHaveRun is set if a member may have received the request although its outcome
+	// is a failure. The requesting daemon sets it.
+	MayHaveRun bool `json:"-"`
 	// Holder is the ID of the group's holder, to which the request is to be sent
 	// instead, if the reason is Moved.
 	Holder string `json:"h,omitempty"`
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -293,6 +293,16 @@
 	return g.lease.UnfinishedHolders(now)
 }
 
+// HoldsLease reports whether the host holds the group's lease now.
+func (g *Group) HoldsLease(now time.Time) bool { return g.lease.Holds(now) }
+
+// ConfirmedAt returns when the latest record that proved that this host is the holder
+// was requested.
+func (g *Group) ConfirmedAt() time.Time { return g.lease.ConfirmedAt() }
+
+// Settled reports whether no holder of an earlier era of the store can act any more.
+func (g *Group) Settled(now time.Time) bool { return g.lease.Settled(now) }
+
 // ConfirmDue reports whether the record must be requested from the store now.
 func (g *Group) ConfirmDue(now time.Time) bool { return g.lease.ConfirmDue(now) }
 
