Teams: keys, denial, and connections in a team's name

The configuration names teams with keys and limits, and databases that also serve callers without one. Only digests of keys are kept. A session runs its statements for the team that holds its key by the configuration in force; a withdrawn key is denied at the start and at the next operation, and its open transaction is rolled back.

The team of a request reaches the owner of the member, whose pool runs it on a connection in that team's name. The least recently used idle connection is closed if the member allows no more.

A starting daemon doesn't serve callers with keys by a copy that only one other daemon gave it, or by a store that has come back from an older copy.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,8 @@
 	// Catalog returns the current configuration, or nil before the first one.
 	Catalog func() *catalog.Catalog
 	Router  Router
+	// Denied is called for each denial, if it isn't nil.
+	Denied func(Stage)
 }
 
 // Entry opens sessions. It is safe for concurrent use.
@@ -59,6 +61,10 @@
 	entry    *Entry
 	id       string
 	database string
+	// key is the digest of the caller's key. current is the team for which the last
+	// statement ran.
+	key     catalog.KeyDigest
+	current catalog.Team
 	// values are in the order in which their names were first set.
 	values   []query.Value
 	prepared map[string]query.Template
@@ -80,15 +86,19 @@
 	database catalog.Database
 }
 
-// Open starts a session.
-func (e *Entry) Open(database string) (*Session, *query.Failure) {
-	if _, f := e.lookUpDatabase(database); f != nil {
+// Open starts a session of a caller who has the key with the given digest.
+func (e *Entry) Open(database string, key catalog.KeyDigest) (*Session, *query.Failure) {
+	d, f := e.lookUpDatabase(database)
+	if f != nil {
+		return nil, f
+	}
+	s := &Session{entry: e, database: database, key: key, prepared: map[string]query.Template{}, state: query.Idle}
+	if s.current, f = s.team(d); f != nil {
+		e.countDenied(StageStart)
 		return nil, f
 	}
-	return &Session{
-		entry: e, id: e.config.SessionPrefix + "/" + strconv.FormatUint(e.sessionCount.Add(1), 36), database: database,
-		prepared: map[string]query.Template{}, state: query.Idle,
-	}, nil
+	s.id = e.config.SessionPrefix + "/" + strconv.FormatUint(e.sessionCount.Add(1), 36)
+	return s, nil
 }
 
 func (e *Entry) lookUpDatabase(name string) (catalog.Database, *query.Failure) {
@@ -133,6 +143,11 @@
 	if s.state == query.Failed {
 		return s.handleFailed(st)
 	}
+	if _, ok := st.(query.Rollback); !ok {
+		if f := s.updateTeam(x, st); f != nil {
+			return query.Reply{Failure: f}
+		}
+	}
 	switch t := st.(type) {
 	case query.Begin:
 		return s.beginTx(id, t)
@@ -268,7 +283,7 @@
 			return d, f
 		}
 	}
-	r.Group, r.Session, r.Rank, r.Remaining = d.Group, s.id, d.Rank, d.StatementTimeout
+	r.Group, r.Team, r.Session, r.Rank, r.Remaining = d.Group, s.current.Name, s.id, d.Rank, d.StatementTimeout
 	r.Values, r.Floor, r.MaxAge = s.values, s.floor, d.MaxAge
 	r.Primary = d.Consistency == catalog.PrimaryReads || r.Action == query.ActionWrite
 	if s.state == query.Open {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -42,9 +42,10 @@
 	var r *router
 	var k *catalog.Catalog
 	var s *entry.Session
+	var key catalog.KeyDigest
 	x := context.Background()
 	BeforeEach(func() {
-		r = &router{}
+		r, key = &router{}, catalog.KeyDigest{}
 		k = &catalog.Catalog{Version: 1, IdleInTransaction: time.Second, Databases: map[string]catalog.Database{
 			"p": {Name: "p", Group: "g", Consistency: catalog.PrimaryReads, StatementTimeout: time.Second},
 			"b": {Name: "b", Group: "g", Consistency: catalog.BoundedStaleness, StatementTimeout: time.Second, MaxAge: time.Second},
@@ -53,14 +54,14 @@
 	})
 	open := func(d string) {
 		var f *query.Failure
-		s, f = entry.New(entry.Config{SessionPrefix: "h", Catalog: func() *catalog.Catalog { return k }, Router: r}).Open(d)
+		s, f = entry.New(entry.Config{SessionPrefix: "h", Catalog: func() *catalog.Catalog { return k }, Router: r}).Open(d, key)
 		Expect(f).To(BeNil())
 	}
 	last := func() query.Request { return r.requests[len(r.requests)-1] }
 	handle := func(st query.Statement) query.Reply { return s.Handle(x, "id", st) }
 
 	It("can't be opened for a database that isn't in the configuration", func() {
-		_, f := entry.New(entry.Config{Catalog: func() *catalog.Catalog { return k }}).Open("none")
+		_, f := entry.New(entry.Config{Catalog: func() *catalog.Catalog { return k }}).Open("none", catalog.KeyDigest{})
 		Expect(f.Reason).To(Equal(query.NoDatabase))
 	})
 
--- /dev/null
+++ b/fleet/confirm_test.go
@@ -0,0 +1,75 @@
+package fleet
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/storecopy"
+)
+
+var _ = Describe("teams", func() {
+	key := catalog.DigestKey("k1")
+	// configure applies a configuration in which team a holds the given key; without a
+	// key it names no teams.
+	configure := func(f *Daemon, version uint64, key string, err error) {
+		f.config.Decoder.Configuration = func([]byte) (*catalog.Catalog, error) {
+			c := &catalog.Catalog{Version: version}
+			if key != "" {
+				c.Teams = map[string]catalog.Team{"a": {Name: "a"}}
+				c.TeamsByKey = map[catalog.KeyDigest]string{catalog.DigestKey(key): "a"}
+			}
+			return c, err
+		}
+		f.applyConfiguration(store.Item{}, fromStore)
+	}
+
+	It("keeps the last good configuration if a later one is invalid", func() {
+		f := newTestDaemon()
+		configure(f, 1, "k1", nil)
+		configure(f, 2, "k2", Error.New("two teams with one key"))
+		Expect(f.Catalog().Version).To(Equal(uint64(1)))
+		_, ok := f.Catalog().TeamOf(key)
+		Expect(ok).To(BeTrue())
+		configure(f, 3, "k2", nil)
+		_, ok = f.Catalog().TeamOf(key)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("doesn't serve callers with keys by an old copy that one other daemon has sent to it after its start", func() {
+		f := newTestDaemon()
+		configure(f, 1, "k1", nil)
+		f.copy.Apply(storecopy.Update{Position: at(1), CurrentAt: now().Add(-time.Minute)}, time.Now())
+		f.observeConfirmation("b")
+		Expect(f.CallerCatalog()).To(BeNil())
+		f.observeConfirmation("c")
+		f.observeConfirmation("d")
+		Expect(f.CallerCatalog().Version).To(Equal(uint64(1)))
+	})
+
+	It("doesn't serve callers with keys by a store that has come back from an older copy before others are heard", func() {
+		f := newTestDaemon()
+		f.updateView(membership.ListReceived{Hosts: []membership.Host{{ID: "a"}, {ID: "b"}}})
+		f.updateView(membership.HostAnswered{ID: "b"})
+		f.observeEra(1, now(), false)
+		configure(f, 1, "k1", nil)
+		f.copy.Apply(storecopy.Update{Position: store.Position{Era: 1, Revision: 1}, CurrentAt: now(), Complete: true}, time.Now())
+		f.observeConfirmation(fromStore)
+		Expect(f.CallerCatalog()).To(BeNil())
+	})
+
+	It("serves callers at once if the store was read, or if no key is needed", func() {
+		f := newTestDaemon()
+		configure(f, 1, "", nil)
+		Expect(f.CallerCatalog()).NotTo(BeNil())
+		configure(f, 2, "k1", nil)
+		Expect(f.CallerCatalog()).To(BeNil())
+		f.copy.Apply(storecopy.Update{Position: at(1), CurrentAt: now()}, time.Now())
+		f.observeConfirmation(fromStore)
+		Expect(f.CallerCatalog().Version).To(Equal(uint64(2)))
+	})
+})
--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -151,6 +151,7 @@
 	if len(o.Configuration) > 0 {
 		f.applyConfiguration(store.Item{Key: f.config.Decoder.ConfigurationKey, Value: o.Configuration}, h.ID)
 	}
+	f.observeConfirmation(h.ID)
 	f.checkReportedSuspects(o.Suspects)
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -120,6 +120,8 @@
 	metrics  *metrics
 	catalog  atomic.Pointer[catalog.Catalog]
 	draining atomic.Bool
+	// configurationConfirmed is set once confirmation is given.
+	configurationConfirmed atomic.Bool
 	// staleCopyAllowed is set once the store couldn't be read. Before that, a daemon
 	// without a copy doesn't take one that may name members which have left since.
 	staleCopyAllowed atomic.Bool
@@ -174,6 +176,8 @@
 	hostRecords map[string]hostRecord
 	// era is what is known of the store's era.
 	era eraState
+	// confirmation decides whether callers with keys may be served.
+	confirmation storecopy.Confirmation
 	// configuration is the encoding of the configuration in force.
 	configuration []byte
 	// sequences holds the sequence of each member's newest record, by ID.
@@ -242,7 +246,7 @@
 
 // Ready reports whether the daemon can serve callers.
 func (f *Daemon) Ready() bool {
-	if f.draining.Load() || f.Catalog() == nil {
+	if f.draining.Load() || f.CallerCatalog() == nil {
 		return false
 	}
 	f.mu.Lock()
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dragonflypick/dragonflypick/contain"
+	"github.com/dragonflypick/dragonflypick/entry"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/storecopy"
 )
@@ -16,6 +17,8 @@
 	latency  *prometheus.HistogramVec
 	// storeCalls counts the calls to the store by purpose.
 	storeCalls *prometheus.CounterVec
+	// denied counts the callers that were denied because of their key.
+	denied *prometheus.CounterVec
 	// configurationVersion is the version of the configuration in force.
 	configurationVersion prometheus.Gauge
 	// storeEra is the era of the store; rewrites counts the group records that were
@@ -55,6 +58,9 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_store_calls_total", Help: "Calls to the platform's store by purpose; host renewals and relayed calls included.",
 		}, []string{"purpose"}),
+		denied: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_denied_total", Help: "Sessions, operations and statements of transactions whose key belongs to no team, by stage.",
+		}, []string{"stage"}),
 		configurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "dragonflypick_configuration_version", Help: "Version of the configuration in force; 0 before the first.",
 		}),
@@ -80,9 +86,12 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge)
+	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.denied)
 }
 
+// CountDenied counts a denial.
+func (f *Daemon) CountDenied(g entry.Stage) { f.metrics.denied.WithLabelValues(string(g)).Inc() }
+
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
 // successful requests it logs one in LogEvery.
 func (f *Daemon) recordOutcome(r *query.Request, o *query.Response, t time.Time) {
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -99,6 +99,7 @@
 		return err
 	}
 	f.applyUpdate(storecopy.Update{Items: l, Position: p, CurrentAt: t, Complete: true}, fromStore)
+	f.observeConfirmation(fromStore)
 	f.config.Log.Info("store read", "position", p.String(), "items", len(l))
 	return nil
 }
@@ -180,7 +181,7 @@
 	f.catalog.Store(k)
 	f.configuration = i.Value
 	f.metrics.configurationVersion.Set(float64(k.Version))
-	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "position", i.Position.String(), "from", from, "copy-age-ms", f.copyAgeMillis())
+	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "teams", len(k.Teams), "position", i.Position.String(), "from", from, "copy-age-ms", f.copyAgeMillis())
 }
 
 // applyMember updates a member from its record. A removed member is kept for
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	e := entry.New(entry.Config{SessionPrefix: id, Catalog: f.Catalog, Router: f})
+	e := entry.New(entry.Config{SessionPrefix: id, Catalog: f.CallerCatalog, Router: f, Denied: f.CountDenied})
 	k, err := platform.NewCallerServer(platform.CallerServerConfig{Listen: s.CallerListen, Entry: e, Log: c.Log})
 	if err != nil {
 		return err
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -11,23 +11,23 @@
 // dialTimeout bounds opening a connection, which takes a member about 10 ms.
 const dialTimeout = 1500 * time.Millisecond
 
-// acquireConn returns a connection: an idle one with the same session values if
-// there is one, otherwise any idle one, otherwise a new one. It waits until
+// acquireConn returns a connection of a team: an idle one with the same session values
+// if there is one, otherwise any idle one, otherwise a new one. It waits until
 // deadline.
-func (p *Pool) acquireConn(x context.Context, v []query.Value, deadline time.Time) (*conn, *query.Failure) {
+func (p *Pool) acquireConn(x context.Context, team string, v []query.Value, deadline time.Time) (*conn, *query.Failure) {
 	w := make(chan struct{}, 1)
 	t := time.NewTimer(time.Until(deadline))
 	defer t.Stop()
 	defer p.removeWaiter(w)
 	for {
-		c, dial, f := p.takeIdle(w, v)
+		c, dial, f := p.takeIdle(w, team, v)
 		switch {
 		case f != nil:
 			return nil, f
 		case c != nil:
 			return c, nil
 		case dial:
-			if c, f := p.dial(x, deadline); c != nil || f != nil {
+			if c, f := p.dial(x, team, deadline); c != nil || f != nil {
 				return c, f
 			}
 			continue
@@ -45,14 +45,31 @@
 // takeIdle returns an idle connection, or dial set if the caller is to open one,
 // which is already counted in p.open. If neither is possible, it registers the
 // waiter.
-func (p *Pool) takeIdle(w chan struct{}, v []query.Value) (c *conn, dial bool, f *query.Failure) {
+func (p *Pool) takeIdle(w chan struct{}, team string, v []query.Value) (c *conn, dial bool, f *query.Failure) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
 		return nil, false, &query.Failure{Reason: query.Moved, Text: "the member is owned elsewhere"}
 	}
-	n := len(p.idle)
-	if n == 0 {
+	i := -1
+	for j := len(p.idle) - 1; j >= 0; j-- {
+		k := p.idle[j]
+		if k.team != team {
+			continue
+		}
+		if i < 0 || k.hasValues(v) {
+			i = j
+		}
+		if k.hasValues(v) {
+			break
+		}
+	}
+	if i < 0 {
+		if p.open >= p.maxConnections && len(p.idle) > 0 {
+			p.idle[0].Close()
+			p.idle = p.idle[1:]
+			p.open--
+		}
 		if p.open >= p.maxConnections || p.config.Now().Before(p.noDialUntil) {
 			if !slices.Contains(p.waiters, w) {
 				p.waiters = append(p.waiters, w)
@@ -62,13 +79,6 @@
 		p.open++
 		return nil, true, nil
 	}
-	i := n - 1
-	for j := n - 1; j >= 0; j-- {
-		if p.idle[j].hasValues(v) {
-			i = j
-			break
-		}
-	}
 	c = p.idle[i]
 	p.idle = slices.Delete(p.idle, i, i+1)
 	return c, false, nil
@@ -91,19 +101,19 @@
 	}
 }
 
-// dial opens a connection that is already counted in p.open. Both results are nil
+// dial opens a connection of a team that is already counted in p.open. Both results are nil
 // if the member has no connections left and the caller is to wait.
-func (p *Pool) dial(x context.Context, deadline time.Time) (*conn, *query.Failure) {
+func (p *Pool) dial(x context.Context, team string, deadline time.Time) (*conn, *query.Failure) {
 	if d := time.Now().Add(dialTimeout); d.Before(deadline) {
 		deadline = d
 	}
 	y, stop := context.WithDeadline(x, deadline)
 	defer stop()
 	t := p.config.Now()
-	k, at, err := p.config.Dialer.Dial(y, p.config.Member, "")
+	k, at, err := p.config.Dialer.Dial(y, p.config.Member, team)
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
-		return &conn{Conn: k, prepared: map[string]bool{}}, nil
+		return &conn{Conn: k, team: team, prepared: map[string]bool{}}, nil
 	}
 	f := dialFailure(err)
 	p.mu.Lock()
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -29,6 +29,8 @@
 // conn is a pooled connection with the state of its session at the member.
 type conn struct {
 	Conn
+	// team is the team in whose name the connection was opened.
+	team     string
 	values   []query.Value
 	prepared map[string]bool
 	// lastUsed is when the connection was last released.
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -85,7 +85,7 @@
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
-	c, f := p.acquireConn(x, r.Values, d)
+	c, f := p.acquireConn(x, r.Team, r.Values, d)
 	if f != nil {
 		n.ReleaseDeclined()
 		return query.Reply{Failure: f, State: query.Idle}, nil
@@ -289,7 +289,7 @@
 // one.
 func (p *Pool) Probe(x context.Context, s query.Step, d time.Duration) (query.Reply, error) {
 	t := time.Now().Add(d)
-	c, f := p.acquireConn(x, nil, t)
+	c, f := p.acquireConn(x, "", nil, t)
 	if f != nil {
 		return query.Reply{}, f
 	}
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -41,9 +43,13 @@
 	// mismatched lists statements that ran with a session value other than their
 	// own.
 	mismatched []string
+	// dialed counts the connections opened in the name of each team. foreign lists
+	// statements that ran on a connection of another team.
+	dialed  map[string]int
+	foreign []string
 }
 
-func (m *member) Dial(context.Context, catalog.Member, string) (pool.Conn, logpos.Position, error) {
+func (m *member) Dial(_ context.Context, _ catalog.Member, team string) (pool.Conn, logpos.Position, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.open >= m.limit {
@@ -51,12 +57,17 @@
 	}
 	m.open++
 	m.maxOpen = max(m.maxOpen, m.open)
-	return &conn{m: m, state: query.Idle, values: map[string]string{}}, logpos.Position{}, nil
+	if m.dialed == nil {
+		m.dialed = map[string]int{}
+	}
+	m.dialed[team]++
+	return &conn{m: m, team: team, state: query.Idle, values: map[string]string{}}, logpos.Position{}, nil
 }
 
 // conn is a connection to a member.
 type conn struct {
 	m      *member
+	team   string
 	state  query.State
 	values map[string]string
 	closed atomic.Bool
@@ -98,6 +109,9 @@
 	if c.values["v"] != s.Text {
 		c.m.mismatched = append(c.m.mismatched, s.Text+" ran with "+c.values["v"])
 	}
+	if t, ok := strings.CutPrefix(s.Text, "for "); ok && t != c.team {
+		c.m.foreign = append(c.m.foreign, s.Text+" ran for "+c.team)
+	}
 	c.m.mu.Unlock()
 	time.Sleep(c.m.statementTime)
 	c.m.mu.Lock()
@@ -238,6 +252,37 @@
 		Expect(run(p, request("b", "b", query.Single, query.ActionRead)).State).To(Equal(query.Idle))
 	})
 
+	It("runs each team's statements on connections in its name, also with more teams than connections", func() {
+		m := &member{limit: 10, statementTime: time.Millisecond}
+		p := newPool(m, 3, 10)
+		var w sync.WaitGroup
+		for i := range 20 {
+			w.Go(func() {
+				team := "t" + strconv.Itoa(i)
+				for j := range 10 {
+					r := request(team+"-"+strconv.Itoa(j), "for "+team, query.Single, query.ActionRead)
+					r.Team = team
+					Expect(run(p, r).Failure).To(BeNil())
+				}
+			})
+		}
+		w.Wait()
+		Expect(m.foreign).To(BeEmpty())
+		Expect(m.dialed).To(HaveLen(20))
+		Expect(m.maxOpen).To(BeNumerically("<=", 8))
+	})
+
+	It("probes a member on a connection in the daemon's own name", func() {
+		m := &member{limit: 10}
+		p := newPool(m, 3, 10)
+		r := request("a", "a", query.Single, query.ActionRead)
+		r.Team = "red"
+		Expect(run(p, r).Failure).To(BeNil())
+		_, err := p.Probe(context.Background(), query.ResetSession{}, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(m.dialed).To(Equal(map[string]int{"red": 1, "": 1}))
+	})
+
 	It("ends idle transactions, and all transactions when it is killed", func() {
 		m := &member{limit: 10}
 		p := newPool(m, 3, 10)
