fleet, platform: a large configuration reaches hosts on thin links

A configuration with 1,220 more routes takes longer on a link of 2 Mbit/s than a watch or an exchange may last, so that each was cut off and begun anew: hosts kept the old version for good.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -28,12 +28,16 @@
 	store.Position
 	// ConfigurationVersion is the version in force at the asker.
 	ConfigurationVersion uint64 `json:"configuration-version,omitempty"`
+	// Unpacks is set if the asker can unpack values.
+	Unpacks bool `json:"unpacks,omitempty"`
 }
 
 // exchangeReply returns these items with the position of the daemon's own copy.
 type exchangeReply struct {
 	store.Position
 	Items []store.Item `json:"items"`
+	// Packed holds the compressed values that are missing from Items, by key.
+	Packed map[string][]byte `json:"packed,omitempty"`
 	// Complete is set if the items are all items of the store: the copy is of a later
 	// era, or the daemon doesn't know all removals since the requested position any
 	// more.
@@ -126,7 +130,10 @@
 	defer stop()
 	t := now()
 	var o exchangeReply
-	err := f.node.Call(y, h, methodExchange, exchangeParams{Position: f.copy.Position(), ConfigurationVersion: f.configurationVersion()}, &o)
+	err := f.node.Call(y, h, methodExchange, exchangeParams{Position: f.copy.Position(), ConfigurationVersion: f.configurationVersion(), Unpacks: true}, &o)
+	if err == nil {
+		err = unpackValues(o.Items, o.Packed)
+	}
 	if upstream {
 		f.observeUpstream(o, err)
 	}
@@ -177,6 +184,9 @@
 		Position: u.Position, Items: u.Items, Complete: u.Complete, Hosts: f.view.UnlistedHosts(n),
 		Age: now().Sub(u.CurrentAt), Records: f.reportedRecords(), Configuration: k,
 	}
+	if p.Unpacks {
+		o.Items, o.Packed = f.packValues(u.Items)
+	}
 	if f.era.known {
 		o.StoreEra, o.EraAge, o.FirstEra = f.era.era, max(now().Sub(f.era.since), 1), f.era.first
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -125,6 +125,8 @@
 	// staleCopyAllowed is set once the store couldn't be read. Before that, a daemon
 	// without a copy doesn't take one that may name members which have left since.
 	staleCopyAllowed atomic.Bool
+	// packed is the value that was compressed last.
+	packed atomic.Pointer[packedValue]
 	// attempts counts the attempts to open a transaction; each gets its own name
 	// from it.
 	attempts atomic.Uint64
