--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -36,19 +36,24 @@
 	maxRetryAfter = 3 * time.Second
 )
 
-// Shares of the rate and of the reserve. lagShare, startShare, paceShare and
-// promiseShare add up to less than 1.
+// Shares of the rate, the burst and the reserve. Those of the reserve, with half of
+// startShare counted once more, add up to less than 1.
 const (
 	// reducedShare is the share of the rate that a holder lends whose lease wasn't
 	// confirmed for FreshTime. It exceeds what teams usually ask.
 	reducedShare = 0.65
+	// spreadShare is the share of the burst that is spread over the window, so that a
+	// team that asks too much for longer than a moment gets what the rule allows.
+	spreadShare = 0.4
 	// lagShare is added to the burst, for tokens that have been used and still count as
-	// outstanding.
-	lagShare = 0.3
-	// startShare is for an accountant while loans of an earlier one may be unused.
-	startShare = 0.3
+	// outstanding. extraShare is spread over the window.
+	lagShare   = 0.3
+	extraShare = 0.1
+	// startShare is for an accountant while loans of an earlier one may be unused; half
+	// of it if that one had just begun.
+	startShare = 0.2
 	// paceShare is for an accountant while an earlier one may still lend.
-	paceShare = 0.3
+	paceShare = 0.2
 	// promiseShare is for tokens that are lent before they are minted.
 	promiseShare = 0.07
 )
@@ -85,8 +90,10 @@
 	Pending Mode = "pending"
 	// Shared means that an earlier accountant may lend at the reduced rate.
 	Shared Mode = "shared"
-	// Settling means that loans of an earlier accountant may be unused.
-	Settling Mode = "settling"
+	// Settling means that loans of an earlier accountant may be unused; Succeeding that
+	// this accountant may be the third within a window.
+	Settling   Mode = "settling"
+	Succeeding Mode = "succeeding"
 	// Reduced means that the lease wasn't confirmed for FreshTime, or that the store
 	// has come back from an older copy.
 	Reduced Mode = "reduced"
@@ -99,17 +106,24 @@
 type terms struct{ rate, most float64 }
 
 func (b Bounds) terms(m Mode, l Limit) terms {
-	r := b.reserve(l)
-	most, start, pace := max(l.Burst, 1)+lagShare*r, startShare*r, paceShare*r/b.Window.Seconds()
+	r, w := b.reserve(l), b.Window.Seconds()
+	start, pace := startShare*r, paceShare*r/w
+	// What may be used in a window is divided into a rate and what may be used at once.
+	// That is at least what is lent in half a second, or the loans would bound the rate.
+	budget := l.Rate*w + l.Burst + (lagShare+extraShare)*r
+	rate := min((budget-(1-spreadShare)*l.Burst-lagShare*r)/w, budget/(w+0.5))
+	most := max(budget-rate*w, 1)
 	switch m {
 	case Full:
-		return terms{rate: l.Rate, most: most}
+		return terms{rate: rate, most: most}
 	case Reduced:
-		return terms{rate: reducedShare * l.Rate, most: most}
+		return terms{rate: reducedShare * rate, most: most}
 	case Settling:
-		return terms{rate: l.Rate, most: start}
+		return terms{rate: rate, most: start}
+	case Succeeding:
+		return terms{rate: rate, most: start / 2}
 	case Shared:
-		return terms{rate: (1-reducedShare)*l.Rate + pace, most: start}
+		return terms{rate: (1-reducedShare)*rate + pace, most: start}
 	case Pending:
 		return terms{rate: pace, most: start}
 	default:
--- a/allowance/borrower.go
+++ b/allowance/borrower.go
@@ -16,6 +16,9 @@
 	returnTime = 150 * time.Millisecond
 	// idlePurseTime is how long the state of a team without operations is kept.
 	idlePurseTime = 10 * time.Second
+	// minAhead is the number of operations in a rateWindow from which one token is
+	// borrowed ahead.
+	minAhead = 2
 	// maxItems bounds the teams in one call.
 	maxItems = 256
 )
@@ -135,7 +138,11 @@
 
 // ahead returns the number of tokens to borrow for operations to come.
 func (p *purse) ahead() int {
-	return max(int(float64(p.last)*aheadTime.Seconds()/rateWindow.Seconds())-len(p.lots), 0)
+	n := int(float64(p.last) * aheadTime.Seconds() / rateWindow.Seconds())
+	if p.last >= minAhead {
+		n = max(n, 1)
+	}
+	return max(n-len(p.lots), 0)
 }
 
 // Wait adds a ticket. Its team has been the argument of Take.
--- a/allowance/tenure.go
+++ b/allowance/tenure.go
@@ -83,10 +83,14 @@
 	case t.soleSince.IsZero():
 		return t.modeWithRivals(doubtful, now)
 	case !t.first && !t.imported && now.Before(t.soleSince.Add(LoanTime+promiseTime)):
-		if doubtful || !t.calm {
+		switch {
+		case doubtful:
 			return Closed
+		case !t.calm:
+			return Succeeding
+		default:
+			return Settling
 		}
-		return Settling
 	case doubtful:
 		return Reduced
 	default:
--- a/fleet/accountant.go
+++ b/fleet/accountant.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/peer"
 )
 
 // newLedger returns the ledger of a group, or nil if rates aren't bounded.
@@ -80,6 +82,11 @@
 		var o allowance.Handover
 		err := f.node.Call(y, membership.Host{ID: h.ID, PeerAddress: h.Address}, methodClose, allowance.CloseCall{Group: g.name, Epoch: e}, &o)
 		stop()
+		var w *peer.WrongHostError
+		if errors.As(err, &w) {
+			f.holderEnded(g, h.ID, w)
+			continue
+		}
 		if err != nil {
 			f.config.Log.Debug("previous accountant does not answer", "group", g.name, "host", h.ID, "error", err)
 			continue
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -101,15 +101,20 @@
 		stop()
 		var o *peer.WrongHostError
 		if errors.As(err, &o) {
-			f.config.Log.Info("previous holder has ended", "group", g.name, "host", p.ID, "now", o.Host)
-			f.mu.Lock()
-			g.Handle(takeover.LeaseEvent{Event: lease.ProcessEnded{ProcessID: p.ID}}, now())
-			f.mu.Unlock()
+			f.holderEnded(g, p.ID, o)
 		}
 	}
 	sleep(x, previousHolderPingInterval)
 }
 
+// holderEnded handles that another process answers at the address of a previous holder.
+func (f *Daemon) holderEnded(g *group, id string, o *peer.WrongHostError) {
+	f.config.Log.Info("previous holder has ended", "group", g.name, "host", id, "now", o.Host)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g.Handle(takeover.LeaseEvent{Event: lease.ProcessEnded{ProcessID: id}}, now())
+}
+
 // transferGroupLease transfers the group's lease to the host that is to own the
 // primary, because this one is draining or the other one is nearer to the primary.
 func (f *Daemon) transferGroupLease(x context.Context, g *group) {
--- a/fleet/rates_report.go
+++ b/fleet/rates_report.go
@@ -22,9 +22,11 @@
 	values map[string]bool
 }
 
-// refusalLog holds when the refusals of each labelled team were last logged, and how
-// many there were since.
-type refusalLog map[string]*refusalCount
+// refusalLog holds when the refusals of each labelled team for each reason were last
+// logged, and how many there were since.
+type refusalLog map[refusalKey]*refusalCount
+
+type refusalKey struct{ team, reason string }
 
 type refusalCount struct {
 	at    time.Time
@@ -51,10 +53,11 @@
 	if f.rates.logged == nil {
 		f.rates.logged = refusalLog{}
 	}
-	c := f.rates.logged[l]
+	k := refusalKey{team: l, reason: r.reason}
+	c := f.rates.logged[k]
 	if c == nil {
 		c = &refusalCount{}
-		f.rates.logged[l] = c
+		f.rates.logged[k] = c
 	}
 	c.count++
 	n, t := c.count, now()
