allowance, fleet: three accountants a team, with a share of its rate each

A partition or a lost link between regions left the teams without their only accountant for seconds. Callers ask the nearest accountant first and the others when it refuses or can't be reached.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -122,14 +122,14 @@
 // own time, at the team's rate.
 func (a *account) retryAfter(x terms, n int, now time.Time) time.Duration {
 	if x.rate <= 0 {
-		return maxRetryAfter
+		return MaxRetryAfter
 	}
-	d := min(a.mintDelay(x, 1), maxRetryAfter)
+	d := min(a.mintDelay(x, 1), MaxRetryAfter)
 	if t := now.Add(d); a.nextReturn.Before(t) {
 		a.nextReturn = t
 	}
 	o := a.nextReturn.Sub(now)
-	a.nextReturn = earlier(a.nextReturn.Add(seconds(float64(n)/x.rate)), now.Add(maxRetryAfter))
+	a.nextReturn = earlier(a.nextReturn.Add(seconds(float64(n)/x.rate)), now.Add(MaxRetryAfter))
 	return o
 }
 
--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -2,8 +2,9 @@
 // answers teams that ask many times their rate through every host at once, while
 // hosts fail, are cut off or are suspended. It does no I/O and reads no clock.
 //
-// Each team has one accountant, the holder of the lease of a database group. A
-// Ledger is the accountant's state: it mints tokens at the team's rate and lends
+// Each team has a few accountants, the holders of the leases of database groups, with
+// a fixed share of the team's rate each. A
+// Ledger is the accountant's state: it mints tokens at that rate and lends
 // them. A Borrower is the state of a host that takes callers: each operation uses
 // one token of a loan. A loan expires by itself; until then the ledger counts its
 // tokens as outstanding, so that what can be used at any time is bounded:
@@ -32,8 +33,8 @@
 	MovedTime = 12 * time.Second
 	// promiseTime bounds the time after which a promised token is minted.
 	promiseTime = 120 * time.Millisecond
-	// maxRetryAfter bounds the time after which a refused caller may come back.
-	maxRetryAfter = 3 * time.Second
+	// MaxRetryAfter bounds the time after which a refused caller may come back.
+	MaxRetryAfter = 3 * time.Second
 )
 
 // Shares of the rate, the burst and the reserve. Those of the reserve, with half of
@@ -58,24 +59,24 @@
 	promiseShare = 0.07
 )
 
-// Bounds state how the rate of a team is measured: in any Window at most (rate *
-// Window + burst) * (1 + Overage) + Slack operations may run.
+// Bounds state how rates are measured: in any Window at most (rate * Window + burst) *
+// (1 + Overage) + slack operations of a team may run.
 type Bounds struct {
 	Window  time.Duration
 	Overage float64
-	Slack   float64
 }
 
-// Limit is the rate of a team in operations per second, and how many it may start
-// at once after a pause.
+// Limit is an accountant's share of a team's limit: operations per second, how many may
+// start at once after a pause, and the slack of the rule.
 type Limit struct {
 	Rate  float64 `json:"r"`
 	Burst float64 `json:"b"`
+	Slack float64 `json:"s"`
 }
 
 // reserve returns what the rule allows in a window beyond rate * window + burst.
 func (b Bounds) reserve(l Limit) float64 {
-	return b.Overage*(l.Rate*b.Window.Seconds()+l.Burst) + b.Slack
+	return b.Overage*(l.Rate*b.Window.Seconds()+l.Burst) + l.Slack
 }
 
 // Mode is how much an accountant may lend.
--- a/allowance/borrower.go
+++ b/allowance/borrower.go
@@ -47,20 +47,17 @@
 	Patience time.Duration
 }
 
-// Result is the result of a call for one ticket: a token, or the reply that refuses
-// it. If there is neither, the accountant doesn't know yet what it may lend, or can't
-// be reached: the ticket goes on waiting.
+// Result is the result of a call for one ticket: a token if Granted is set, or else the
+// reply that refuses it.
 type Result struct {
-	Ticket *Ticket
-	// Token is the token that the ticket receives if Granted is set.
+	Ticket  *Ticket
 	Token   Token
 	Granted bool
-	// RetryAfter is when the caller may come back, if Refused is set; Grant is the
-	// accountant's explanation.
-	Refused    bool
+	// RetryAfter is when the caller may come back; zero if the accountant can't tell.
 	RetryAfter time.Duration
-	Grant      Grant
-	Mode       Mode
+	// Grant is the accountant's explanation.
+	Grant Grant
+	Mode  Mode
 }
 
 // purse is a borrower's state of one team.
@@ -306,8 +303,7 @@
 	}
 }
 
-// resolve gives tokens to the tickets of a call and refuses the others, unless the
-// accountant may not lend fully yet.
+// resolve gives tokens to the tickets of a call and refuses the others.
 func (p *purse) resolve(g Grant, m Mode, now time.Time) []Result {
 	var o []Result
 	for len(p.asked) > 0 && len(p.lots) > 0 {
@@ -319,11 +315,12 @@
 		o = append(o, Result{Ticket: p.asked[0], Token: t, Granted: true})
 		p.asked = p.asked[1:]
 	}
-	if m != Full && m != Reduced || g.Count+g.Promised > 0 && g.RetryAfter == 0 {
-		return o
-	}
 	for i, w := range p.asked {
-		o = append(o, Result{Ticket: w, Refused: true, RetryAfter: g.RetryAfter + time.Duration(i)*g.Spacing, Grant: g, Mode: m})
+		r := Result{Ticket: w, Grant: g, Mode: m}
+		if g.RetryAfter > 0 && (m == Full || m == Reduced) {
+			r.RetryAfter = g.RetryAfter + time.Duration(i)*g.Spacing
+		}
+		o = append(o, r)
 	}
 	p.asked = nil
 	return o
--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -103,7 +103,8 @@
 // Epoch returns the epoch of the present holder.
 func (l *Ledger) Epoch() uint64 { return l.last.Epoch }
 
-// Teams returns the limit of a team, and false if the team isn't known.
+// Teams returns this accountant's share of the limit of a team, which is zero if the
+// team has other accountants, and false if the team isn't known.
 type Teams func(team string) (Limit, bool)
 
 // Lend answers a borrower's call. movedUntil is until when other accountants may lend
@@ -119,6 +120,10 @@
 		if !ok {
 			n = i.Limit
 		}
+		if n.Rate <= 0 {
+			o.Grants = append(o.Grants, Grant{Team: i.Team})
+			continue
+		}
 		a := l.account(i.Team, n, movedUntil, now)
 		for _, s := range i.Spent {
 			a.settle(c.Host, s)
--- a/fleet/accountant.go
+++ b/fleet/accountant.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
-	"errors"
 	"maps"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/dragonflypick/dragonflypick/allowance"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
@@ -19,7 +22,7 @@
 	if r == nil {
 		return nil
 	}
-	return allowance.NewLedger(f.config.Self.ID, allowance.Bounds{Window: r.Window, Overage: r.Overage, Slack: r.Slack})
+	return allowance.NewLedger(f.config.Self.ID, allowance.Bounds{Window: r.Window, Overage: r.Overage})
 }
 
 // observeTenure tells the group's ledger who holds the lease; the daemon's mutex is
@@ -82,10 +85,8 @@
 		var o allowance.Handover
 		err := f.node.Call(y, membership.Host{ID: h.ID, PeerAddress: h.Address}, methodClose, allowance.CloseCall{Group: g.name, Epoch: e}, &o)
 		stop()
-		var w *peer.WrongHostError
-		if errors.As(err, &w) {
-			f.holderEnded(g, h.ID, w)
-			continue
+		if peer.ShowsEnd(err) {
+			o, err = allowance.Handover{Closed: true}, nil
 		}
 		if err != nil {
 			f.config.Log.Debug("previous accountant does not answer", "group", g.name, "host", h.ID, "error", err)
@@ -119,14 +120,18 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g := f.group(c.Group)
-	if g.ledger == nil {
+	k := f.Catalog()
+	if g.ledger == nil || k == nil {
 		return allowance.Reply{Mode: allowance.Closed}
 	}
-	t, k := now(), f.Catalog()
+	t := now()
 	g.observeTenure(t)
 	o := g.ledger.Lend(c, func(team string) (allowance.Limit, bool) {
 		n, ok := k.Teams[team]
-		return allowance.Limit{Rate: n.Rate, Burst: n.Burst}, ok && n.Rate > 0
+		if l := accountingGroups(k, team); slices.Contains(l, g.name) {
+			return f.shareOf(n, len(l)), ok
+		}
+		return allowance.Limit{}, ok
 	}, f.movedUntil, t)
 	for _, x := range o.Grants {
 		f.metrics.lent.WithLabelValues(f.teamLabel(x.Team)).Add(float64(x.Count + x.Promised))
@@ -134,42 +139,32 @@
 	return o
 }
 
-// askForTokens sends a call to an accountant and handles the reply. It returns a host
-// to which the next call should go, and the delay before it.
-func (f *Daemon) askForTokens(x context.Context, b *borrower, h membership.Host, c allowance.Call) (string, time.Duration) {
-	o, err := f.callLend(x, h, c)
-	f.rates.mu.Lock()
-	defer f.rates.mu.Unlock()
-	switch {
-	case err != nil:
-		f.metrics.lendCalls.WithLabelValues("failed").Inc()
-		b.Fail(c)
-		return "", accountantRetryDelay
-	case o.Holder != "" || o.Mode == allowance.Closed:
-		f.metrics.lendCalls.WithLabelValues("not-lending").Inc()
-		b.Fail(c)
-		if o.Holder == "" {
-			return "", lendingRetryDelay
-		}
-		return o.Holder, accountantRetryDelay
-	}
-	f.metrics.lendCalls.WithLabelValues("answered").Inc()
-	b.deliver(b.Answer(c, o, now()))
-	if o.Mode != allowance.Full && o.Mode != allowance.Reduced {
-		return "", lendingRetryDelay
-	}
-	return "", 0
+// shareOf returns the share of one of n accountants in a team's limit.
+func (f *Daemon) shareOf(t catalog.Team, n int) allowance.Limit {
+	m := float64(n)
+	return allowance.Limit{Rate: t.Rate / m, Burst: t.Burst / m, Slack: f.config.Features.Rates.Slack / m}
 }
 
-func (f *Daemon) callLend(x context.Context, h membership.Host, c allowance.Call) (allowance.Reply, error) {
-	if h.ID == f.config.Self.ID {
-		return f.lend(c), nil
-	}
-	y, stop := context.WithTimeout(x, allowance.LoanTime)
-	defer stop()
-	var o allowance.Reply
-	err := f.node.Call(y, h, methodLend, c, &o)
-	return o, err
+// accountants is the number of a team's accountants. Two of them lend more than a team
+// usually asks, so that the failure of one is not felt.
+const accountants = 3
+
+// accountingGroups returns the groups whose holders are a team's accountants.
+func accountingGroups(c *catalog.Catalog, team string) []string {
+	type ranked struct {
+		name  string
+		score uint64
+	}
+	var l []ranked
+	for name := range c.Groups {
+		l = append(l, ranked{name: name, score: xxhash.Sum64String(team + "\x00" + name)})
+	}
+	slices.SortFunc(l, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name)) })
+	o := make([]string, 0, accountants)
+	for _, r := range l[:min(len(l), accountants)] {
+		o = append(o, r.name)
+	}
+	return o
 }
 
 // observeGroups notes that accountants may have changed with the groups; f.mu is held.
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/dragonflypick/dragonflypick/allowance"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/entry"
@@ -19,26 +18,34 @@
 	// may wait for a promised token.
 	patienceFraction = 4
 	// admissionFraction is the fraction of a statement's time that an operation may wait
-	// for an accountant that can't be reached or may not lend yet.
+	// while none of its team's accountants can be reached and may lend.
 	admissionFraction = 2
-	// accountantRetryDelay is the delay before an accountant that could not be reached
-	// is looked up again, lendingRetryDelay that before one is called again that may
-	// not lend what is asked.
-	accountantRetryDelay = 20 * time.Millisecond
-	lendingRetryDelay    = 60 * time.Millisecond
+	// admissionRetryDelay is the delay before these accountants are asked again.
+	admissionRetryDelay = 60 * time.Millisecond
+	// accountantTimeout is how long an operation waits for one accountant before it asks
+	// the next one.
+	accountantTimeout = 250 * time.Millisecond
+	// usedUpTime is how long an accountant that has refused a team isn't asked for it.
+	usedUpTime = 150 * time.Millisecond
 	// unknownRetryAfter is the retry-after interval of an operation that is refused
-	// because the team's accountant could not be reached.
+	// because the team's accountants could not be reached.
 	unknownRetryAfter = 500 * time.Millisecond
 )
 
 // Reasons for the refusal of an operation, in metrics and logs.
 const (
 	refusedRate        = "rate"
+	refusedNotLending  = "accountant-not-lending"
 	refusedUnreachable = "accountant-unreachable"
 	refusedCutOff      = "cut-off"
 	refusedGone        = "caller-gone"
 )
 
+var refusalTexts = map[string]string{
+	refusedRate: "the team's rate is used up", refusedUnreachable: "the team's rate can't be checked now", refusedNotLending: "the team's rate can't be checked now",
+	refusedCutOff: "this daemon is cut off from the others", refusedGone: "the caller is gone",
+}
+
 // rates is the state of the operations of teams that start at this host.
 type rates struct {
 	mu sync.Mutex
@@ -55,6 +62,17 @@
 	waiting map[*allowance.Ticket]chan admission
 	// calling is set while a task calls the accountant.
 	calling bool
+	// usedUp holds the teams that the accountant has refused of late.
+	usedUp map[string]*usedUp
+}
+
+// usedUp is an accountant's refusal of a team.
+type usedUp struct {
+	// until is when the accountant may be asked again.
+	until time.Time
+	// refusal is what callers are told; returnAt is when the next one may come back.
+	refusal  refusal
+	returnAt time.Time
 }
 
 // admission is the outcome of waiting for a token: the token, or why there is none.
@@ -66,6 +84,7 @@
 // refusal is why an operation was not admitted.
 type refusal struct {
 	reason     string
+	group      string
 	retryAfter time.Duration
 	// mode and grant are the accountant's, if it has refused.
 	mode  allowance.Mode
@@ -83,75 +102,108 @@
 // Admit implements entry.Limiter.
 func (f *Daemon) Admit(x context.Context, team string, d catalog.Database) (func(*query.Response), *query.Failure) {
 	c := f.Catalog()
-	if c == nil || c.Teams[team].Rate <= 0 {
+	if c == nil || c.Teams[team].Rate <= 0 || len(c.Groups) == 0 {
 		return func(*query.Response) {}, nil
 	}
-	t := c.Teams[team]
-	b := f.borrower(accountingGroup(c, team))
-	k, r := f.awaitToken(x, b, t, d)
+	x, stop := context.WithTimeout(x, d.StatementTimeout/admissionFraction)
+	defer stop()
+	b, k, r := f.acquireToken(x, c, c.Teams[team], d)
 	if r != nil {
-		f.recordRefusal(team, b.group, r)
+		f.recordRefusal(team, r)
 		return nil, &query.Failure{Reason: query.Overloaded, Text: refusalTexts[r.reason], RetryAfter: r.retryAfter}
 	}
 	f.metrics.admitted.WithLabelValues(f.teamLabel(team)).Inc()
 	return func(o *query.Response) { f.settleToken(b, k, o) }, nil
 }
 
-var refusalTexts = map[string]string{
-	refusedRate: "the team's rate is used up", refusedUnreachable: "the team's rate can't be checked now",
-	refusedCutOff: "this daemon is cut off from the others", refusedGone: "the caller is gone",
-}
-
-// accountingGroup returns the group whose holder is a team's accountant.
-func accountingGroup(c *catalog.Catalog, team string) string {
-	best, most := "", uint64(0)
-	for name := range c.Groups {
-		if n := xxhash.Sum64String(team + "\x00" + name); best == "" || n > most || n == most && name < best {
-			best, most = name, n
+// acquireToken returns a token of the first accountant of a team that lends one.
+func (f *Daemon) acquireToken(x context.Context, c *catalog.Catalog, t catalog.Team, d catalog.Database) (*borrower, allowance.Token, *refusal) {
+	for {
+		var first, unknown *refusal
+		l := f.orderedAccountants(c, t.Name)
+		for _, b := range l {
+			o := f.awaitToken(x, b, allowance.Ticket{Team: t.Name, Limit: f.shareOf(t, len(l)), Patience: d.TargetLatency / patienceFraction})
+			switch r := o.refusal; {
+			case r == nil:
+				return b, o.token, nil
+			case r.reason == refusedCutOff || x.Err() == context.Canceled:
+				return nil, o.token, r
+			case r.reason != refusedRate:
+				unknown = r
+			case first == nil || r.retryAfter < first.retryAfter:
+				first = r
+			}
+		}
+		switch {
+		case first != nil:
+			return nil, allowance.Token{}, f.claimReturn(t.Name, first)
+		case !sleep(x, admissionRetryDelay):
+			return nil, allowance.Token{}, unknown
 		}
 	}
-	return best
 }
 
-func (f *Daemon) borrower(group string) *borrower {
+// orderedAccountants returns the loans from a team's accountants, the nearest one that
+// can be reached first.
+func (f *Daemon) orderedAccountants(c *catalog.Catalog, team string) []*borrower {
+	names := accountingGroups(c, team)
+	cost := map[string]time.Duration{}
+	f.mu.Lock()
+	for i, name := range names {
+		cost[name] = time.Hour
+		if h, ok := f.holderHost(name, ""); ok {
+			cost[name] = f.assumedRTT(h.Region, h.FailureDomain) + time.Duration(i)
+			if h.ID == f.config.Self.ID {
+				cost[name] = 0
+			}
+		}
+	}
+	f.mu.Unlock()
+	slices.SortStableFunc(names, func(a, b string) int { return int(cost[a] - cost[b]) })
 	f.rates.mu.Lock()
 	defer f.rates.mu.Unlock()
-	b := f.rates.borrowers[group]
-	if b == nil {
-		b = &borrower{Borrower: allowance.NewBorrower(group, f.config.Self.ID), group: group, waiting: map[*allowance.Ticket]chan admission{}}
-		f.rates.borrowers[group] = b
+	o := make([]*borrower, 0, len(names))
+	for _, name := range names {
+		b := f.rates.borrowers[name]
+		if b == nil {
+			b = &borrower{Borrower: allowance.NewBorrower(name, f.config.Self.ID), group: name, waiting: map[*allowance.Ticket]chan admission{}, usedUp: map[string]*usedUp{}}
+			f.rates.borrowers[name] = b
+		}
+		o = append(o, b)
 	}
-	return b
+	return o
 }
 
-// awaitToken returns a token for an operation.
-func (f *Daemon) awaitToken(x context.Context, b *borrower, t catalog.Team, d catalog.Database) (allowance.Token, *refusal) {
-	x, stop := context.WithTimeout(x, d.StatementTimeout/admissionFraction)
-	defer stop()
+// awaitToken returns a token of one accountant for an operation.
+func (f *Daemon) awaitToken(x context.Context, b *borrower, k allowance.Ticket) admission {
 	f.rates.mu.Lock()
-	k, ok := b.Take(t.Name, now())
+	t, ok := b.Take(k.Team, now())
+	u := b.usedUp[k.Team]
 	f.rates.mu.Unlock()
-	if ok {
-		return k, nil
+	switch {
+	case ok:
+		return admission{token: t}
+	case u != nil && now().Before(u.until):
+		r := u.refusal
+		return admission{refusal: &r}
 	}
-	for {
-		o := f.waitForOutcome(x, b, &allowance.Ticket{
-			Team: t.Name, Limit: allowance.Limit{Rate: t.Rate, Burst: t.Burst}, Patience: d.TargetLatency / patienceFraction,
-		})
-		if o.refusal != nil {
-			return o.token, o.refusal
-		}
-		if u := o.token.UsableAt.Sub(now()); u > 0 {
-			sleep(x, u)
-		}
-		if o.token.Usable(now()) {
-			return o.token, nil
-		}
+	o := f.waitForOutcome(x, b, &k)
+	if o.refusal != nil {
+		return o
+	}
+	if d := o.token.UsableAt.Sub(now()); d > 0 {
+		sleep(x, d)
 	}
+	if !o.token.Usable(now()) {
+		o.refusal = &refusal{reason: refusedUnreachable, group: b.group, retryAfter: unknownRetryAfter}
+	}
+	return o
 }
 
 // waitForOutcome waits until a ticket gets a token or is refused.
 func (f *Daemon) waitForOutcome(x context.Context, b *borrower, k *allowance.Ticket) admission {
+	x, stop := context.WithTimeout(x, accountantTimeout)
+	defer stop()
 	c := make(chan admission, 1)
 	f.rates.mu.Lock()
 	b.Wait(k)
@@ -176,10 +228,11 @@
 		return o
 	default:
 	}
+	r := &refusal{reason: refusedUnreachable, group: b.group, retryAfter: unknownRetryAfter}
 	if x.Err() == context.Canceled {
-		return admission{refusal: &refusal{reason: refusedGone}}
+		r.reason = refusedGone
 	}
-	return admission{refusal: &refusal{reason: refusedUnreachable, retryAfter: unknownRetryAfter}}
+	return admission{refusal: r}
 }
 
 // settleToken notes whether an operation that was admitted has used its token.
@@ -193,70 +246,20 @@
 	b.deliver(b.Return(k, now()))
 }
 
-// deliver sends results to those that wait; the daemon's rates.mu is held.
-func (b *borrower) deliver(l []allowance.Result) {
-	for _, r := range l {
-		c, ok := b.waiting[r.Ticket]
-		if !ok {
-			continue
-		}
-		delete(b.waiting, r.Ticket)
-		o := admission{token: r.Token}
-		if r.Refused {
-			o.refusal = &refusal{reason: refusedRate, retryAfter: r.RetryAfter, mode: r.Mode, grant: r.Grant}
-		}
-		c <- o
-	}
-}
-
-// callAccountant calls the accountant of a group as long as operations wait for tokens.
-func (f *Daemon) callAccountant(x context.Context, b *borrower) {
-	defer f.endCalls(b)
-	hint := ""
-	for {
-		f.mu.Lock()
-		h, ok := f.holderHost(b.group, hint)
-		isolated := f.isolated() && h.ID != f.config.Self.ID
-		f.mu.Unlock()
-		f.rates.mu.Lock()
-		if isolated {
-			b.refuseAll(&refusal{reason: refusedCutOff, retryAfter: isolatedRetryAfter})
-		}
-		if len(b.waiting) == 0 {
-			f.rates.mu.Unlock()
-			return
-		}
-		var c allowance.Call
-		if ok {
-			c, ok = b.Call(now())
-		}
-		f.rates.mu.Unlock()
-		d := accountantRetryDelay
-		if ok {
-			hint, d = f.askForTokens(x, b, h, c)
-		}
-		if d > 0 && !sleep(x, d) {
-			return
-		}
-	}
-}
-
-// endCalls ends the task that calls an accountant, and starts another one if operations
-// have begun to wait meanwhile.
-func (f *Daemon) endCalls(b *borrower) {
+// claimReturn returns the refusal of an operation, with a time of its own at which the
+// caller may come back.
+func (f *Daemon) claimReturn(team string, r *refusal) *refusal {
 	f.rates.mu.Lock()
 	defer f.rates.mu.Unlock()
-	b.calling = len(b.waiting) > 0 && f.ctx.Err() == nil
-	if b.calling {
-		f.spawn(func(x context.Context) { f.callAccountant(x, b) })
+	u := f.rates.borrowers[r.group].usedUp[team]
+	o, t := *r, now()
+	if u == nil {
+		return &o
 	}
-}
-
-// refuseAll refuses all that wait; the daemon's rates.mu is held.
-func (b *borrower) refuseAll(r *refusal) {
-	for k, c := range b.waiting {
-		b.Leave(k)
-		c <- admission{refusal: r}
+	if u.returnAt.Before(t) {
+		u.returnAt = t.Add(r.retryAfter)
 	}
-	clear(b.waiting)
+	o.retryAfter = min(u.returnAt.Sub(t), allowance.MaxRetryAfter)
+	u.returnAt = u.returnAt.Add(r.grant.Spacing)
+	return &o
 }
--- a/fleet/rates_report.go
+++ b/fleet/rates_report.go
@@ -46,7 +46,7 @@
 }
 
 // recordRefusal counts and logs that an operation was not admitted.
-func (f *Daemon) recordRefusal(team, group string, r *refusal) {
+func (f *Daemon) recordRefusal(team string, r *refusal) {
 	l := f.teamLabel(team)
 	f.metrics.refused.WithLabelValues(l, r.reason).Inc()
 	f.rates.mu.Lock()
@@ -70,8 +70,8 @@
 		return
 	}
 	f.mu.Lock()
-	h, known := f.holderHost(group, "")
+	h, known := f.holderHost(r.group, "")
 	f.mu.Unlock()
 	f.config.Log.Info("operations of a team refused", "team", team, "count", n, "reason", r.reason, "rate", r.grant.Limit.Rate, "burst", r.grant.Limit.Burst, "stock", r.grant.Stock, "outstanding", r.grant.Outstanding,
-		"mode", r.mode, "accountant", h.ID, "accountant-reachable", known, "group", group, "copy-age-ms", f.copyAgeMillis(), "retry-after-ms", r.retryAfter.Milliseconds())
+		"mode", r.mode, "accountant", h.ID, "accountant-reachable", known, "group", r.group, "copy-age-ms", f.copyAgeMillis(), "retry-after-ms", r.retryAfter.Milliseconds())
 }
