--- a/allowance/account.go
+++ b/allowance/account.go
@@ -13,6 +13,15 @@
 	until time.Time
 }
 
+// peak is a sum of stock and outstanding tokens.
+type peak struct {
+	at  time.Time
+	sum float64
+}
+
+// peakInterval is the time within which peaks are kept as one.
+const peakInterval = 100 * time.Millisecond
+
 // account is the account of one team.
 type account struct {
 	limit Limit
@@ -24,6 +33,9 @@
 	// loans are sorted by when they expire; outstanding is the sum of their tokens.
 	loans       []loan
 	outstanding int
+	// peaks are the highest sums of stock and outstanding tokens in the last window,
+	// each the highest since its time. They are sorted by time.
+	peaks []peak
 	// movedUntil is until when another accountant may lend to the team because the
 	// groups have changed; zero if none may.
 	movedUntil time.Time
@@ -47,16 +59,55 @@
 		if len(a.loans) > 0 && a.loans[0].until.After(a.mintedAt) {
 			end = earlier(end, a.loans[0].until)
 		}
-		x := b.terms(m, a.limit)
-		a.mint(x, x.rate*end.Sub(a.mintedAt).Seconds())
-		a.mintedAt = end
+		a.mint(b, b.terms(m, a.limit), end)
 		a.expire()
 	}
 }
 
-// mint adds tokens as far as the terms allow, and drops what exceeds them.
-func (a *account) mint(x terms, n float64) {
-	a.stock = min(a.stock+n, x.most-float64(a.outstanding))
+// mint adds the tokens up to a time as far as the terms allow, and drops what exceeds
+// them.
+func (a *account) mint(b Bounds, x terms, end time.Time) {
+	d, p := end.Sub(a.mintedAt).Seconds(), a.peak(b)
+	n := x.rate(p, b.Window) * d
+	if s := min(a.sum()+n, x.most); s > p {
+		n = min(n, x.rate(s, b.Window)*d)
+	}
+	a.mintedAt = end
+	a.clamp(x, a.stock+n)
+	a.recordPeak(b, a.sum())
+}
+
+// clamp sets the stock, as far as the terms allow.
+func (a *account) clamp(x terms, stock float64) {
+	a.stock = min(stock, x.most-float64(a.outstanding))
+}
+
+// sum returns the number of tokens that may be used from now on without being minted.
+func (a *account) sum() float64 { return a.stock + float64(a.outstanding) }
+
+// peak returns the highest sum in the last window.
+func (a *account) peak(b Bounds) float64 {
+	for len(a.peaks) > 0 && a.peaks[0].at.Before(a.mintedAt.Add(-b.Window)) {
+		a.peaks = a.peaks[1:]
+	}
+	if len(a.peaks) == 0 {
+		return a.sum()
+	}
+	return max(a.peaks[0].sum, a.sum())
+}
+
+// recordPeak notes a sum as of mintedAt.
+func (a *account) recordPeak(b Bounds, s float64) {
+	n := len(a.peaks)
+	for n > 0 && a.peaks[n-1].sum <= s {
+		n--
+	}
+	a.peaks = a.peaks[:n]
+	if n > 0 && a.mintedAt.Sub(a.peaks[n-1].at) < peakInterval {
+		a.peaks[n-1].at = a.mintedAt
+		return
+	}
+	a.peaks = append(a.peaks, peak{at: a.mintedAt, sum: s})
 }
 
 // expire drops the loans that have expired.
@@ -97,39 +148,39 @@
 	return n
 }
 
-// promise lends up to n tokens that will be minted within the given time, and returns
-// how many, and when the first one is.
-func (a *account) promise(x terms, most float64, n int, within time.Duration) (int, time.Duration) {
-	if x.rate <= 0 {
+// promise returns how many of n tokens will be minted within a time and may be lent now,
+// and when the first one is minted. most is the number of tokens that may be owed.
+func (a *account) promise(x terms, rate, most float64, n int, within time.Duration) (int, time.Duration) {
+	if rate <= 0 {
 		return 0, 0
 	}
 	k := 0
-	for k < n && a.stock-float64(k+1) >= -most && a.stock+float64(a.outstanding+k+1) <= x.most && a.mintDelay(x, k+1) <= within {
+	for k < n && a.stock-float64(k+1) >= -most && a.sum()+float64(k+1) <= x.most && a.mintDelay(rate, k+1) <= within {
 		k++
 	}
 	if k == 0 {
 		return 0, 0
 	}
-	return k, a.mintDelay(x, 1)
+	return k, a.mintDelay(rate, 1)
 }
 
 // mintDelay returns when the n-th further token is minted.
-func (a *account) mintDelay(x terms, n int) time.Duration {
-	return max(seconds((float64(n)-a.stock)/x.rate), 0)
+func (a *account) mintDelay(rate float64, n int) time.Duration {
+	return max(seconds((float64(n)-a.stock)/rate), 0)
 }
 
 // retryAfter returns when the first of n refused callers may come back. Each gets its
-// own time, at the team's rate.
-func (a *account) retryAfter(x terms, n int, now time.Time) time.Duration {
-	if x.rate <= 0 {
+// own time, at the rate of minting.
+func (a *account) retryAfter(rate float64, n int, now time.Time) time.Duration {
+	if rate <= 0 {
 		return MaxRetryAfter
 	}
-	d := min(a.mintDelay(x, 1), MaxRetryAfter)
+	d := min(a.mintDelay(rate, 1), MaxRetryAfter)
 	if t := now.Add(d); a.nextReturn.Before(t) {
 		a.nextReturn = t
 	}
 	o := a.nextReturn.Sub(now)
-	a.nextReturn = earlier(a.nextReturn.Add(seconds(float64(n)/x.rate)), now.Add(MaxRetryAfter))
+	a.nextReturn = earlier(a.nextReturn.Add(seconds(float64(n)/rate)), now.Add(MaxRetryAfter))
 	return o
 }
 
--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -49,14 +49,14 @@
 	// lagShare is added to the burst, for tokens that have been used and still count as
 	// outstanding. extraShare is spread over the window.
 	lagShare   = 0.3
-	extraShare = 0.1
+	extraShare = 0.42
 	// startShare is for an accountant while loans of an earlier one may be unused; half
 	// of it if that one had just begun.
-	startShare = 0.2
+	startShare = 0.1
 	// paceShare is for an accountant while an earlier one may still lend.
-	paceShare = 0.2
+	paceShare = 0.05
 	// promiseShare is for tokens that are lent before they are minted.
-	promiseShare = 0.07
+	promiseShare = 0.05
 )
 
 // Bounds state how rates are measured: in any Window at most (rate * Window + burst) *
@@ -102,36 +102,49 @@
 	Full Mode = "full"
 )
 
-// terms are the terms of minting: a rate, and the most that may be in stock and
-// outstanding together.
-type terms struct{ rate, most float64 }
+// terms are the terms of minting.
+type terms struct {
+	// share is the share of the rate that follows from budget, and pace a rate in
+	// addition.
+	share, pace float64
+	// budget is what may be used in a window.
+	budget float64
+	// most is the most that may be in stock and outstanding together.
+	most float64
+}
 
 func (b Bounds) terms(m Mode, l Limit) terms {
 	r, w := b.reserve(l), b.Window.Seconds()
 	start, pace := startShare*r, paceShare*r/w
-	// What may be used in a window is divided into a rate and what may be used at once.
-	// That is at least what is lent in half a second, or the loans would bound the rate.
+	// At least half a second's loans may be outstanding, or they would bound the rate.
 	budget := l.Rate*w + l.Burst + (lagShare+extraShare)*r
-	rate := min((budget-(1-spreadShare)*l.Burst-lagShare*r)/w, budget/(w+0.5))
-	most := max(budget-rate*w, 1)
+	lowest := min((budget-(1-spreadShare)*l.Burst-lagShare*r)/w, budget/(w+0.5))
+	most := max(budget-lowest*w, 1)
 	switch m {
 	case Full:
-		return terms{rate: rate, most: most}
+		return terms{share: 1, budget: budget, most: most}
 	case Reduced:
-		return terms{rate: reducedShare * rate, most: most}
+		return terms{share: reducedShare, budget: budget, most: most}
 	case Settling:
-		return terms{rate: rate, most: start}
+		return terms{share: 1, budget: budget, most: start}
 	case Succeeding:
-		return terms{rate: rate, most: start / 2}
+		return terms{share: 1, budget: budget, most: start / 2}
 	case Shared:
-		return terms{rate: (1-reducedShare)*rate + pace, most: start}
+		return terms{share: 1 - reducedShare, pace: pace, budget: budget, most: start}
 	case Pending:
-		return terms{rate: pace, most: start}
+		return terms{pace: pace, budget: budget, most: start}
 	default:
-		return terms{most: start}
+		return terms{budget: budget, most: start}
 	}
 }
 
+// rate returns the rate of minting if at most peak tokens were in stock and outstanding
+// at any time in the last window. What is minted in a window and what there was at its
+// start so never exceed the budget.
+func (x terms) rate(peak float64, w time.Duration) float64 {
+	return x.share*max(x.budget-peak, 0)/w.Seconds() + x.pace
+}
+
 // Call is a request of a borrower to the accountant of some teams.
 type Call struct {
 	Group string `json:"g"`
--- a/allowance/handover.go
+++ b/allowance/handover.go
@@ -96,6 +96,7 @@
 	}
 	a.advance(l.bounds, l.tenure, now)
 	a.limit, a.stock, a.mintedAt, a.usedAt = h.Limit, h.Stock, now, now
+	a.recordPeak(l.bounds, l.bounds.terms(Full, h.Limit).most)
 	for _, x := range h.Loans {
 		a.addLoan(loan{count: x.Count, until: now.Add(x.Left)})
 	}
--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -143,9 +143,10 @@
 		m = Pending
 	}
 	x := l.bounds.terms(m, a.limit)
+	rate := x.rate(a.peak(l.bounds), l.bounds.Window)
 	n := 0
 	if m != Closed {
-		a.mint(x, 0)
+		a.clamp(x, a.stock)
 		n = int(math.Max(a.stock+1e-6, 0))
 	}
 	o.Count = min(i.Waiting, n)
@@ -157,16 +158,16 @@
 		a.lend(loan{host: c.Host, call: c.Number, count: o.Count, until: now.Add(LoanTime)})
 	}
 	if left := i.Waiting - o.Count; left > 0 && m == Full {
-		o.Promised, o.Delay = a.promise(x, promiseShare*l.bounds.reserve(a.limit), left, min(i.Patience, promiseTime))
+		o.Promised, o.Delay = a.promise(x, rate, promiseShare*l.bounds.reserve(a.limit), left, min(i.Patience, promiseTime))
 	}
-	if x.rate > 0 {
-		o.Spacing = seconds(1 / x.rate)
+	if rate > 0 {
+		o.Spacing = seconds(1 / rate)
 	}
 	if o.Promised > 0 {
 		a.lend(loan{host: c.Host, call: c.Number, count: o.Promised, until: now.Add(LoanTime + promiseTime)})
 	}
 	if left := i.Waiting - o.Count - o.Promised; left > 0 {
-		o.RetryAfter = a.retryAfter(x, left, now)
+		o.RetryAfter = a.retryAfter(rate, left, now)
 	}
 	return o
 }
@@ -181,7 +182,7 @@
 	a.advance(l.bounds, t, now)
 	if a.limit != n {
 		a.limit = n
-		a.mint(l.bounds.terms(l.modeAt(now), n), 0)
+		a.clamp(l.bounds.terms(l.modeAt(now), n), a.stock)
 	}
 	a.usedAt = now
 	return a
@@ -198,10 +199,12 @@
 		a.stock = l.bounds.terms(Full, n).most
 	case t.imported:
 		x := l.bounds.terms(Full, n)
-		a.stock, a.mintedAt = min(x.rate*t.fullFor.Seconds(), x.most), t.importedAt
+		a.stock, a.mintedAt = min(x.rate(x.most, l.bounds.Window)*t.fullFor.Seconds(), x.most), t.importedAt
 	case t.calm:
 		a.stock = l.bounds.terms(Pending, n).most
 	}
+	// An earlier accountant may have lent as much as that.
+	a.recordPeak(l.bounds, l.bounds.terms(Full, n).most)
 	return a
 }
 
