--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -23,11 +23,13 @@
 const (
 	// LoanTime is how long a loan lasts after the borrower has sent its request. It
 	// covers a slow round trip between regions.
-	LoanTime = 600 * time.Millisecond
+	LoanTime = 400 * time.Millisecond
 	// FreshTime is the age of the last confirmation of a lease at which its holder
 	// begins to lend less. It is longer than confirmations take while the store
 	// answers.
 	FreshTime = 4 * time.Second
+	// unusedTime is how long tokens that were lent may remain unused.
+	unusedTime = LoanTime + promiseTime
 	// MovedTime is how long after a change of the groups the accountant of a team
 	// under the earlier groups may still lend.
 	MovedTime = 12 * time.Second
@@ -124,13 +126,13 @@
 	case Full:
 		return terms{share: 1, budget: budget, most: most}
 	case Reduced:
-		return terms{share: reducedShare, budget: budget, most: most}
+		return terms{share: reducedShare, budget: budget, most: reducedShare * most}
 	case Settling:
 		return terms{share: 1, budget: budget, most: start}
 	case Succeeding:
 		return terms{share: 1, budget: budget, most: start / 2}
 	case Shared:
-		return terms{share: 1 - reducedShare, pace: pace, budget: budget, most: start}
+		return terms{share: 1 - reducedShare, pace: pace, budget: budget, most: (1-reducedShare)*most + start}
 	case Pending:
 		return terms{pace: pace, budget: budget, most: start}
 	default:
--- a/allowance/borrower.go
+++ b/allowance/borrower.go
@@ -299,7 +299,7 @@
 	}
 	for i := range g.Promised {
 		u := now.Add(g.Delay + time.Duration(i)*g.Spacing)
-		p.lots = append(p.lots, Token{Team: g.Team, call: call, expires: sent.Add(LoanTime + promiseTime), UsableAt: u})
+		p.lots = append(p.lots, Token{Team: g.Team, call: call, expires: sent.Add(unusedTime), UsableAt: u})
 	}
 }
 
--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -164,7 +164,7 @@
 		o.Spacing = seconds(1 / rate)
 	}
 	if o.Promised > 0 {
-		a.lend(loan{host: c.Host, call: c.Number, count: o.Promised, until: now.Add(LoanTime + promiseTime)})
+		a.lend(loan{host: c.Host, call: c.Number, count: o.Promised, until: now.Add(unusedTime)})
 	}
 	if left := i.Waiting - o.Count - o.Promised; left > 0 {
 		o.RetryAfter = a.retryAfter(rate, left, now)
--- a/allowance/simulation_test.go
+++ b/allowance/simulation_test.go
@@ -24,6 +24,8 @@
 	kind     string
 	at, last time.Duration
 	host     int
+	// fails is set if an accountant can't lend meanwhile.
+	fails bool
 }
 
 // scenario is one run in virtual time.
--- a/allowance/tenure.go
+++ b/allowance/tenure.go
@@ -82,10 +82,12 @@
 		return Closed
 	case t.soleSince.IsZero():
 		return t.modeWithRivals(doubtful, now)
-	case !t.first && !t.imported && now.Before(t.soleSince.Add(LoanTime+promiseTime)):
+	case !t.first && !t.imported && now.Before(t.soleSince.Add(unusedTime)):
 		switch {
 		case doubtful:
 			return Closed
+		case t.shares(t.soleSince):
+			return Shared
 		case !t.calm:
 			return Succeeding
 		default:
@@ -98,6 +100,12 @@
 	}
 }
 
+// shares reports whether an earlier accountant lends at the reduced rate by now, and
+// what it lent before has expired.
+func (t *tenure) shares(now time.Time) bool {
+	return !now.Before(t.start.Add(FreshTime + unusedTime))
+}
+
 // modeWithRivals is mode while an earlier accountant may still lend. That one lends
 // at the reduced rate once it can't have confirmed its lease for FreshTime; if it had
 // rivals itself, it lends nothing then.
@@ -105,7 +113,7 @@
 	switch {
 	case doubtful:
 		return Closed
-	case !now.Before(t.start.Add(FreshTime)):
+	case t.shares(now):
 		return Shared
 	case t.calm && t.rivalsAtStart == 1:
 		return Pending
