--- a/allowance/account.go
+++ b/allowance/account.go
@@ -74,7 +74,7 @@
 	}
 	a.mintedAt = end
 	a.clamp(x, a.stock+n)
-	a.recordPeak(b, a.sum())
+	a.recordPeak(a.sum())
 }
 
 // clamp sets the stock, as far as the terms allow.
@@ -97,7 +97,7 @@
 }
 
 // recordPeak notes a sum as of mintedAt.
-func (a *account) recordPeak(b Bounds, s float64) {
+func (a *account) recordPeak(s float64) {
 	n := len(a.peaks)
 	for n > 0 && a.peaks[n-1].sum <= s {
 		n--
@@ -170,7 +170,7 @@
 }
 
 // retryAfter returns when the first of n refused callers may come back. Each gets its
-// own time, at the rate of minting.
+// own time, at the rate of minting, unless there are too many of them.
 func (a *account) retryAfter(rate float64, n int, now time.Time) time.Duration {
 	if rate <= 0 {
 		return MaxRetryAfter
@@ -180,8 +180,17 @@
 		a.nextReturn = t
 	}
 	o := a.nextReturn.Sub(now)
-	a.nextReturn = earlier(a.nextReturn.Add(seconds(float64(n)/rate)), now.Add(MaxRetryAfter))
-	return o
+	a.nextReturn = now.Add(BoundRetryAfter(o + seconds(float64(n)/rate)))
+	return max(o, time.Millisecond)
+}
+
+// BoundRetryAfter bounds the time after which a caller may come back to MaxRetryAfter.
+// Longer times are spread over the second half of that.
+func BoundRetryAfter(d time.Duration) time.Duration {
+	if d <= MaxRetryAfter {
+		return d
+	}
+	return MaxRetryAfter/2 + d%(MaxRetryAfter/2)
 }
 
 // full reports whether the account is as good as a new one.
--- a/allowance/borrower.go
+++ b/allowance/borrower.go
@@ -318,7 +318,7 @@
 	for i, w := range p.asked {
 		r := Result{Ticket: w, Grant: g, Mode: m}
 		if g.RetryAfter > 0 && (m == Full || m == Reduced) {
-			r.RetryAfter = g.RetryAfter + time.Duration(i)*g.Spacing
+			r.RetryAfter = BoundRetryAfter(g.RetryAfter + time.Duration(i)*g.Spacing)
 		}
 		o = append(o, r)
 	}
--- a/allowance/handover.go
+++ b/allowance/handover.go
@@ -77,8 +77,14 @@
 		return
 	}
 	t.closed[from] = true
+	if h.Complete {
+		// It couldn't have lent at the full rate while earlier ones might lend.
+		for _, id := range l.last.Unfinished {
+			t.closed[id] = true
+		}
+	}
 	t.observeRivals(l.last, now)
-	if h.Complete && t.rivalsAtStart == 1 && !t.soleSince.IsZero() {
+	if h.Complete {
 		t.imported, t.importedAt, t.fullFor = true, now, h.FullFor
 		for _, x := range h.Accounts {
 			l.importAccount(x, now)
@@ -96,7 +102,7 @@
 	}
 	a.advance(l.bounds, l.tenure, now)
 	a.limit, a.stock, a.mintedAt, a.usedAt = h.Limit, h.Stock, now, now
-	a.recordPeak(l.bounds, l.bounds.terms(Full, h.Limit).most)
+	a.recordPeak(l.bounds.terms(Full, h.Limit).most)
 	for _, x := range h.Loans {
 		a.addLoan(loan{count: x.Count, until: now.Add(x.Left)})
 	}
--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -204,7 +204,7 @@
 		a.stock = l.bounds.terms(Pending, n).most
 	}
 	// An earlier accountant may have lent as much as that.
-	a.recordPeak(l.bounds, l.bounds.terms(Full, n).most)
+	a.recordPeak(l.bounds.terms(Full, n).most)
 	return a
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -38,6 +38,62 @@
 	return o
 }
 
+// limiter refuses operations on demand, and records what it is told.
+type limiter struct {
+	refuse  *query.Failure
+	teams   []string
+	settled []*query.Response
+}
+
+func (l *limiter) Admit(_ context.Context, team string, _ catalog.Database) (func(*query.Response), *query.Failure) {
+	l.teams = append(l.teams, team)
+	return func(o *query.Response) { l.settled = append(l.settled, o) }, l.refuse
+}
+
+var _ = Describe("Session with a limiter", func() {
+	var r *router
+	var l *limiter
+	var s *entry.Session
+	x := context.Background()
+	BeforeEach(func() {
+		r, l = &router{}, &limiter{}
+		k := &catalog.Catalog{Version: 1, Databases: map[string]catalog.Database{"p": {Name: "p", Group: "g", Consistency: catalog.PrimaryReads, StatementTimeout: time.Second}}}
+		var f *query.Failure
+		s, f = entry.New(entry.Config{Catalog: func() *catalog.Catalog { return k }, Router: r, Limiter: l}).Open("p", catalog.KeyDigest{})
+		Expect(f).To(BeNil())
+	})
+
+	It("asks it once for a statement or a transaction", func() {
+		s.Handle(x, "1", query.Read{Text: "READ a"})
+		Expect(l.teams).To(HaveLen(1))
+		s.Handle(x, "2", query.Begin{})
+		Expect(l.teams).To(HaveLen(1))
+		s.Handle(x, "3", query.Read{Text: "READ a"})
+		s.Handle(x, "4", query.Write{Text: "WRITE a b"})
+		s.Handle(x, "5", query.Commit{})
+		Expect(l.teams).To(HaveLen(2))
+		Expect(l.settled).To(HaveLen(2))
+		Expect(r.requests).To(HaveLen(4))
+	})
+
+	It("runs nothing that is refused, and ends a transaction that it has let in", func() {
+		l.refuse = &query.Failure{Reason: query.Overloaded, RetryAfter: time.Second}
+		Expect(s.Handle(x, "1", query.Read{Text: "READ a"}).Failure).To(Equal(l.refuse))
+		s.Handle(x, "2", query.Begin{})
+		o := s.Handle(x, "3", query.Write{Text: "WRITE a b"})
+		Expect(o.Failure).To(Equal(l.refuse))
+		Expect(o.State).To(Equal(query.Failed))
+		Expect(r.requests).To(BeEmpty())
+		s.Handle(x, "4", query.Rollback{})
+		l.refuse = nil
+		s.Handle(x, "5", query.Begin{})
+		s.Handle(x, "6", query.Read{Text: "READ a"})
+		l.refuse = &query.Failure{Reason: query.Overloaded}
+		Expect(s.Handle(x, "7", query.Write{Text: "WRITE a b"}).Failure).To(BeNil())
+		Expect(s.Handle(x, "8", query.Commit{}).Failure).To(BeNil())
+	})
+})
+
 var _ = Describe("Session", func() {
 	var r *router
 	var k *catalog.Catalog
--- a/fleet/borrow.go
+++ b/fleet/borrow.go
@@ -23,8 +23,7 @@
 		case r.Granted:
 		case r.RetryAfter > 0:
 			o.refusal = &refusal{reason: refusedRate, group: b.group, retryAfter: r.RetryAfter, mode: r.Mode, grant: r.Grant}
-			b.forgetUsedUp(t)
-			b.usedUp[r.Ticket.Team] = &usedUp{until: t.Add(min(usedUpTime, r.RetryAfter)), refusal: *o.refusal, returnAt: t.Add(r.RetryAfter)}
+			b.rememberUsedUp(r, *o.refusal, t)
 		default:
 			o.refusal = &refusal{reason: refusedNotLending, group: b.group, retryAfter: unknownRetryAfter, mode: r.Mode, grant: r.Grant}
 		}
@@ -32,11 +31,12 @@
 	}
 }
 
-// forgetUsedUp bounds the refusals that are kept.
-func (b *borrower) forgetUsedUp(t time.Time) {
+// rememberUsedUp notes that the accountant has refused a team.
+func (b *borrower) rememberUsedUp(r allowance.Result, f refusal, t time.Time) {
 	if len(b.usedUp) >= maxUsedUp {
 		maps.DeleteFunc(b.usedUp, func(_ string, u *usedUp) bool { return t.After(u.returnAt) })
 	}
+	b.usedUp[r.Ticket.Team] = &usedUp{until: t.Add(min(usedUpTime, f.grant.RetryAfter)), refusal: f, returnAt: t.Add(r.RetryAfter)}
 }
 
 // maxUsedUp is the number of refused teams from which the old refusals are dropped.
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -86,6 +86,9 @@
 	reason     string
 	group      string
 	retryAfter time.Duration
+	// remembered is set if the accountant wasn't asked because it has just refused the
+	// team.
+	remembered bool
 	// mode and grant are the accountant's, if it has refused.
 	mode  allowance.Mode
 	grant allowance.Grant
@@ -185,6 +188,7 @@
 		return admission{token: t}
 	case u != nil && now().Before(u.until):
 		r := u.refusal
+		r.remembered = true
 		return admission{refusal: &r}
 	}
 	o := f.waitForOutcome(x, b, &k)
@@ -252,14 +256,11 @@
 	f.rates.mu.Lock()
 	defer f.rates.mu.Unlock()
 	u := f.rates.borrowers[r.group].usedUp[team]
-	o, t := *r, now()
-	if u == nil {
-		return &o
+	if u == nil || !r.remembered {
+		return r
 	}
-	if u.returnAt.Before(t) {
-		u.returnAt = t.Add(r.retryAfter)
-	}
-	o.retryAfter = min(u.returnAt.Sub(t), allowance.MaxRetryAfter)
-	u.returnAt = u.returnAt.Add(r.grant.Spacing)
-	return &o
+	t := now()
+	r.retryAfter = allowance.BoundRetryAfter(max(u.returnAt.Sub(t), 0) + r.grant.Spacing)
+	u.returnAt = t.Add(r.retryAfter)
+	return r
 }
