teamconns, pool: which connection of which team is kept, waited for or opened

More teams than connections share a member, a few large and many small, and an opening takes one of its slots for longer than most statements. A new package decides: the idle connection whose team is expected to need it least is closed; a request waits for its team's running connection unless a further one saves more waiting than its opening takes, or its team has waited that long; openings take at most half of the slots, and what waits gives its place to others.

--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/entry"
+	"github.com/dragonflypick/dragonflypick/pool"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/storecopy"
 )
@@ -17,6 +18,8 @@
 	latency  *prometheus.HistogramVec
 	// storeCalls counts the calls to the store by purpose.
 	storeCalls *prometheus.CounterVec
+	// pool counts the connections to members.
+	pool *pool.Metrics
 	// denied counts the callers that were denied because of their key.
 	denied *prometheus.CounterVec
 	// configurationVersion is the version of the configuration in force.
@@ -58,6 +61,7 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_store_calls_total", Help: "Calls to the platform's store by purpose; host renewals and relayed calls included.",
 		}, []string{"purpose"}),
+		pool: pool.NewMetrics(),
 		denied: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_denied_total", Help: "Sessions, operations and statements of transactions whose key belongs to no team, by stage.",
 		}, []string{"stage"}),
@@ -86,7 +90,8 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.denied)
+	l := append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.pool.Collectors()...)
+	return append(l, f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.denied)
 }
 
 // CountDenied counts a denial.
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -242,7 +242,7 @@
 			n = c.Groups[m.Group].Connections
 		}
 		o = &ownedPool{Pool: pool.New(pool.Config{
-			Member: m, Connections: n, Dialer: f.config.Dialer, Now: now, Log: f.config.Log,
+			Member: m, Connections: n, Dialer: f.config.Dialer, Now: now, Metrics: f.metrics.pool, Log: f.config.Log,
 			ObservePosition: func(p logpos.Position, sent time.Time) { f.observePosition(g, m.ID, p, sent) },
 		})}
 		f.pools[m.ID] = o
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -2,108 +2,193 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/teamconns"
 )
 
 // dialTimeout bounds opening a connection, which takes a member about 10 ms.
 const dialTimeout = 1500 * time.Millisecond
 
-// acquireConn returns a connection of a team: an idle one with the same session values
-// if there is one, otherwise any idle one, otherwise a new one. It waits until
-// deadline.
-func (p *Pool) acquireConn(x context.Context, team string, v []query.Value, deadline time.Time) (*conn, *query.Failure) {
-	w := make(chan struct{}, 1)
-	t := time.NewTimer(time.Until(deadline))
-	defer t.Stop()
-	defer p.removeWaiter(w)
+// decision is what a request that waits for a connection is told: an action of
+// teamconns.Set, or the failure with which it ends.
+type decision struct {
+	action  teamconns.Action
+	failure *query.Failure
+}
+
+// place is a request's slot, which it gives to others while it waits for a connection.
+type place struct {
+	gate     *gate.Gate
+	request  *query.Request
+	deadline time.Time
+	slot     gate.Slot
+	held     bool
+}
+
+// giveUp releases the slot. The member has done no work for the request.
+func (k *place) giveUp() {
+	if k.held {
+		k.held = false
+		k.slot.ReleaseDeclined()
+	}
+}
+
+// take takes a slot again, without waiting, if it was given up.
+func (k *place) take(x context.Context) *query.Failure {
+	if k == nil || k.held {
+		return nil
+	}
+	n, f := acquireSlot(x, k.gate, k.request, k.deadline, true)
+	k.slot, k.held = n, f == nil
+	return f
+}
+
+// acquireConn returns a connection of a team: an idle one, with the same session values
+// if there is one, or a new one. It waits until deadline. k is the request's slot, nil
+// if it has none.
+func (p *Pool) acquireConn(x context.Context, team string, v []query.Value, deadline time.Time, k *place) (*conn, *query.Failure) {
 	for {
-		c, dial, f := p.takeIdle(w, team, v)
-		switch {
-		case f != nil:
-			return nil, f
-		case c != nil:
+		d := p.awaitDecision(x, team, v, deadline, k)
+		if d.failure != nil {
+			return nil, d.failure
+		}
+		f := k.take(x)
+		switch a := d.action.(type) {
+		case teamconns.Use:
+			c := p.conn(a.Conn)
+			if f != nil {
+				p.releaseConn(c, false)
+				return nil, f
+			}
 			return c, nil
-		case dial:
-			if c, f := p.dial(x, team, deadline); c != nil || f != nil {
+		case teamconns.Open:
+			if f != nil {
+				p.cancelOpening(a.Conn)
+				return nil, f
+			}
+			if c, f := p.dial(x, a, team, deadline); c != nil || f != nil {
 				return c, f
 			}
-			continue
 		}
+	}
+}
+
+// awaitDecision waits for a connection to use, or for the permission to open one.
+func (p *Pool) awaitDecision(x context.Context, team string, v []query.Value, deadline time.Time, k *place) decision {
+	id, w := p.requestConn(team, v)
+	t := time.NewTimer(time.Until(deadline))
+	defer t.Stop()
+	for {
 		select {
-		case <-w:
+		case d := <-w:
+			if _, ok := d.action.(teamconns.Yield); !ok {
+				return d
+			}
+			if k != nil {
+				k.giveUp()
+			}
 		case <-t.C:
-			return nil, &query.Failure{Reason: query.Overloaded, Text: "no connection was free in time"}
+			return p.withdraw(id, w, &query.Failure{Reason: query.Overloaded, Text: "no connection was free in time"})
 		case <-x.Done():
-			return nil, &query.Failure{Reason: query.Aborted, Text: "the caller has left"}
+			return p.withdraw(id, w, &query.Failure{Reason: query.Aborted, Text: "the caller has left"})
 		}
 	}
 }
 
-// takeIdle returns an idle connection, or dial set if the caller is to open one,
-// which is already counted in p.open. If neither is possible, it registers the
-// waiter.
-func (p *Pool) takeIdle(w chan struct{}, team string, v []query.Value) (c *conn, dial bool, f *query.Failure) {
+// requestConn requests a connection. The channel receives the decisions.
+func (p *Pool) requestConn(team string, v []query.Value) (uint64, <-chan decision) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// A request is told to yield at most once before the decision.
+	w := make(chan decision, 2)
 	if p.closed {
-		return nil, false, &query.Failure{Reason: query.Moved, Text: "the member is owned elsewhere"}
+		w <- decision{failure: movedFailure()}
+		return 0, w
 	}
-	i := -1
-	for j := len(p.idle) - 1; j >= 0; j-- {
-		k := p.idle[j]
-		if k.team != team {
-			continue
-		}
-		if i < 0 || k.hasValues(v) {
-			i = j
-		}
-		if k.hasValues(v) {
-			break
-		}
+	p.lastID++
+	p.waiting[p.lastID] = w
+	p.handle(teamconns.Requested{ID: p.lastID, Team: team, Values: valuesKey(v)})
+	return p.lastID, w
+}
+
+func movedFailure() *query.Failure {
+	return &query.Failure{Reason: query.Moved, Text: "the member is owned elsewhere"}
+}
+
+// withdraw ends the wait of a request with a failure. A connection that it was given
+// meanwhile is released.
+func (p *Pool) withdraw(id uint64, w <-chan decision, f *query.Failure) decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.waiting[id]; ok {
+		delete(p.waiting, id)
+		p.handle(teamconns.Withdrawn{ID: id})
+		return decision{failure: f}
 	}
-	if i < 0 {
-		if p.open >= p.maxConnections && len(p.idle) > 0 {
-			p.idle[0].Close()
-			p.idle = p.idle[1:]
-			p.open--
+	for len(w) > 0 {
+		switch a := (<-w).action.(type) {
+		case teamconns.Use:
+			p.handle(teamconns.Released{Conn: a.Conn, Values: valuesKey(p.conns[a.Conn].values)})
+		case teamconns.Open:
+			p.handle(teamconns.OpeningFailed{Conn: a.Conn})
 		}
-		if p.open >= p.maxConnections || p.config.Now().Before(p.noDialUntil) {
-			if !slices.Contains(p.waiters, w) {
-				p.waiters = append(p.waiters, w)
-			}
-			return nil, false, nil
+	}
+	return decision{failure: f}
+}
+
+// handle passes an event to the set and takes the actions; p.mu is held.
+func (p *Pool) handle(e teamconns.Event) {
+	now := p.config.Now()
+	for _, a := range p.set.Handle(e, now) {
+		switch a := a.(type) {
+		case teamconns.Use:
+			p.decide(a.Request, a)
+		case teamconns.Open:
+			p.decide(a.Request, a)
+		case teamconns.Yield:
+			p.waiting[a.Request] <- decision{action: a}
+		case teamconns.Close:
+			p.conns[a.Conn].Close()
+			delete(p.conns, a.Conn)
+			p.countClosed(a.Reason)
 		}
-		p.open++
-		return nil, true, nil
 	}
-	c = p.idle[i]
-	p.idle = slices.Delete(p.idle, i, i+1)
-	return c, false, nil
+	p.scheduleTick(now)
 }
 
-// removeWaiter unregisters a waiter.
-func (p *Pool) removeWaiter(w chan struct{}) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.waiters = slices.DeleteFunc(p.waiters, func(o chan struct{}) bool { return o == w })
+// decide tells a waiting request the decision; p.mu is held.
+func (p *Pool) decide(id uint64, a teamconns.Action) {
+	p.waiting[id] <- decision{action: a}
+	delete(p.waiting, id)
 }
 
-// wakeWaiters makes all waiters try again; p.mu is held.
-func (p *Pool) wakeWaiters() {
-	for _, w := range p.waiters {
-		select {
-		case w <- struct{}{}:
-		default:
-		}
+// scheduleTick has the set handle a Ticked event when one is due; p.mu is held.
+func (p *Pool) scheduleTick(now time.Time) {
+	if p.ticker != nil {
+		p.ticker.Stop()
+		p.ticker = nil
 	}
+	if t, ok := p.set.NextTick(now); ok {
+		p.ticker = time.AfterFunc(t.Sub(now), func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.handle(teamconns.Ticked{})
+		})
+	}
+}
+
+func (p *Pool) conn(id uint64) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.conns[id]
 }
 
-// dial opens a connection of a team that is already counted in p.open. Both results are nil
-// if the member has no connections left and the caller is to wait.
-func (p *Pool) dial(x context.Context, team string, deadline time.Time) (*conn, *query.Failure) {
+// dial opens a connection in a team's name. Both results are nil if the member has no
+// connections left and the caller is to wait.
+func (p *Pool) dial(x context.Context, o teamconns.Open, team string, deadline time.Time) (*conn, *query.Failure) {
 	if d := time.Now().Add(dialTimeout); d.Before(deadline) {
 		deadline = d
 	}
@@ -113,29 +198,44 @@
 	k, at, err := p.config.Dialer.Dial(y, p.config.Member, team)
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
-		return &conn{Conn: k, team: team, prepared: map[string]bool{}}, nil
+		return p.addConn(&conn{Conn: k, id: o.Conn, team: team, prepared: map[string]bool{}}, o.Reason, t), nil
 	}
 	f := dialFailure(err)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open--
-	if f.Reason == query.TooManyConnections {
-		p.noDialUntil = p.config.Now().Add(dialRetryDelay)
-		time.AfterFunc(dialRetryDelay, p.endDialBackoff)
-		if !p.closed {
-			return nil, nil
-		}
+	full := f.Reason == query.TooManyConnections
+	if closed := p.openingFailed(o.Conn, full); full && !closed {
+		return nil, nil
 	}
-	p.failures++
-	p.wakeWaiters()
 	return nil, f
 }
 
-// endDialBackoff makes waiters try again after dialRetryDelay has passed.
-func (p *Pool) endDialBackoff() {
+// addConn adds a connection whose opening began at t.
+func (p *Pool) addConn(c *conn, why teamconns.OpenReason, t time.Time) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[c.id] = c
+	p.countOpened(why)
+	p.handle(teamconns.Opened{Conn: c.id, Took: p.config.Now().Sub(t)})
+	return c
+}
+
+// cancelOpening takes note that a connection is not opened.
+func (p *Pool) cancelOpening(id uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wakeWaiters()
+	p.handle(teamconns.OpeningFailed{Conn: id})
+}
+
+// openingFailed takes note that a connection could not be opened, and reports whether
+// the pool is closed. full is set if the member has no connections left.
+func (p *Pool) openingFailed(id uint64, full bool) (closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !full {
+		p.failures++
+	}
+	p.config.Metrics.countOpeningFailed(full)
+	p.handle(teamconns.OpeningFailed{Conn: id, Full: full})
+	return p.closed
 }
 
 // dialFailure returns why a connection could not be opened.
@@ -150,25 +250,22 @@
 func (p *Pool) releaseConn(c *conn, broken bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if broken || p.closed {
-		p.open--
+	closed := broken || p.closed
+	if closed {
+		delete(p.conns, c.id)
 		c.Close()
-	} else {
-		c.lastUsed = p.config.Now()
-		p.idle = append(p.idle, c)
 	}
-	p.wakeWaiters()
+	p.handle(teamconns.Released{Conn: c.id, Values: valuesKey(c.values), Closed: closed})
 }
 
-// CloseIdle closes connections that have been idle for longer than idleTimeout.
+// CloseIdle closes connections that have been idle for longer than idleTimeout, or
+// teamIdleTimeout.
 func (p *Pool) CloseIdle() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 && p.config.Now().Sub(p.idle[0].lastUsed) > idleTimeout {
-		p.idle[0].Close()
-		p.idle = p.idle[1:]
-		p.open--
-	}
+	now := p.config.Now()
+	p.handle(teamconns.IdleExpired{Before: now.Add(-idleTimeout), TeamsBefore: now.Add(-teamIdleTimeout)})
+	p.logExchanged(now)
 }
 
 // Close closes idle connections now and others when they are released. New
@@ -177,12 +274,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
-	for _, c := range p.idle {
-		c.Close()
-		p.open--
+	for id, w := range p.waiting {
+		w <- decision{failure: movedFailure()}
+		delete(p.waiting, id)
+		p.handle(teamconns.Withdrawn{ID: id})
 	}
-	p.idle = nil
-	p.wakeWaiters()
+	later := p.config.Now().Add(time.Hour)
+	p.handle(teamconns.IdleExpired{Before: later, TeamsBefore: later})
 }
 
 // Kill closes the pool and also the connections of open transactions.
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
@@ -29,12 +31,21 @@
 // conn is a pooled connection with the state of its session at the member.
 type conn struct {
 	Conn
+	// id identifies the connection in the pool.
+	id uint64
 	// team is the team in whose name the connection was opened.
 	team     string
 	values   []query.Value
 	prepared map[string]bool
-	// lastUsed is when the connection was last released.
-	lastUsed time.Time
+}
+
+// valuesKey identifies session values.
+func valuesKey(l []query.Value) string {
+	var b strings.Builder
+	for _, v := range l {
+		b.WriteString(strconv.Quote(v.Name) + strconv.Quote(v.Text))
+	}
+	return b.String()
 }
 
 // hasValues reports whether the connection's session values equal v.
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/teamconns"
 )
 
 // Guard is called immediately before a step is sent to a member. It returns nil
@@ -85,16 +86,17 @@
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
-	c, f := p.acquireConn(x, r.Team, r.Values, d)
+	k := &place{gate: p.slots, request: r, deadline: d, slot: n, held: true}
+	c, f := p.acquireConn(x, r.Team, r.Values, d, k)
 	if f != nil {
-		n.ReleaseDeclined()
+		k.giveUp()
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
 	o, broken := p.runOn(c, r, floor, d, g)
 	if o.Failure != nil && o.Failure.Reason.NotRun() {
-		n.ReleaseDeclined()
+		k.giveUp()
 	} else {
-		n.Release()
+		k.slot.Release()
 	}
 	if broken {
 		p.releaseConn(c, true)
@@ -148,6 +150,7 @@
 	if _, ok := p.abandoned[r.Transaction]; ok {
 		return false
 	}
+	p.handle(teamconns.Kept{Conn: c.id})
 	p.txs[r.Transaction] = &tx{c: c, slot: ticket, lastUsed: time.Now()}
 	return true
 }
@@ -289,7 +292,7 @@
 // one.
 func (p *Pool) Probe(x context.Context, s query.Step, d time.Duration) (query.Reply, error) {
 	t := time.Now().Add(d)
-	c, f := p.acquireConn(x, "", nil, t)
+	c, f := p.acquireConn(x, "", nil, t, nil)
 	if f != nil {
 		return query.Reply{}, f
 	}
--- /dev/null
+++ b/pool/metrics.go
@@ -0,0 +1,84 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/dragonflypick/dragonflypick/teamconns"
+)
+
+// exchangeLogInterval is how often a pool logs that connections were opened in place of
+// other teams' ones.
+const exchangeLogInterval = 10 * time.Second
+
+// Reasons of failed openings.
+const (
+	failedFull        = "member-full"
+	failedUnreachable = "unreachable"
+)
+
+// Metrics counts the connections of all pools of a daemon. It is safe for concurrent
+// use.
+type Metrics struct {
+	opened, closed, failed *prometheus.CounterVec
+}
+
+// NewMetrics returns metrics at zero.
+func NewMetrics() *Metrics {
+	v := func(name, help string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{"reason"})
+	}
+	return &Metrics{
+		opened: v("dragonflypick_member_connections_opened_total", "Connections opened to members, by why the request didn't use an open one."),
+		closed: v("dragonflypick_member_connections_closed_total", "Idle connections to members that were closed, by reason."),
+		failed: v("dragonflypick_member_connections_failed_total", "Connections to members that could not be opened, by reason."),
+	}
+}
+
+// Collectors returns the collectors to register with a metrics server.
+func (m *Metrics) Collectors() []prometheus.Collector {
+	return []prometheus.Collector{m.opened, m.closed, m.failed}
+}
+
+func (m *Metrics) countOpeningFailed(full bool) {
+	why := failedUnreachable
+	if full {
+		why = failedFull
+	}
+	m.failed.WithLabelValues(why).Inc()
+}
+
+// exchangeLog is what a pool logs about the connections that it opened in place of
+// others.
+type exchangeLog struct {
+	// opened counts all connections opened, and replaced those closed for another
+	// team, since the last line.
+	opened, replaced int
+	loggedAt         time.Time
+}
+
+// countOpened counts an opened connection; p.mu is held.
+func (p *Pool) countOpened(why teamconns.OpenReason) {
+	p.config.Metrics.opened.WithLabelValues(string(why)).Inc()
+	p.exchanged.opened++
+}
+
+// countClosed counts a closed idle connection; p.mu is held.
+func (p *Pool) countClosed(why teamconns.CloseReason) {
+	p.config.Metrics.closed.WithLabelValues(string(why)).Inc()
+	if why == teamconns.CloseForOther {
+		p.exchanged.replaced++
+	}
+}
+
+// logExchanged logs how many connections were opened in place of other teams' ones, if
+// any were; p.mu is held.
+func (p *Pool) logExchanged(now time.Time) {
+	e := &p.exchanged
+	if e.replaced == 0 || now.Sub(e.loggedAt) < exchangeLogInterval {
+		return
+	}
+	p.config.Log.Info("connections exchanged between teams", "member", p.config.Member.ID, "opened", e.opened, "replaced", e.replaced, "connections", p.set.Len(), "idle", p.set.Idle())
+	*e = exchangeLog{loggedAt: now}
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -17,6 +17,7 @@
 	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/teamconns"
 )
 
 // Error is the class of all failures of this package.
@@ -27,13 +28,10 @@
 	// reservedConnections are left unused for status checks and for another daemon
 	// that takes over the member.
 	reservedConnections = 2
-	// dialRetryDelay is how long no connection is opened after the member
-	// refused one because it had reached its limit. The member closes broken
-	// ones after 3 s.
-	dialRetryDelay = 250 * time.Millisecond
-	// idleTimeout is how long an unused connection is kept. Members close theirs
-	// after one minute.
-	idleTimeout = 30 * time.Second
+	// idleTimeout is how long an unused connection is kept, and teamIdleTimeout how
+	// long one of a team is. Members close theirs after one minute.
+	idleTimeout     = 30 * time.Second
+	teamIdleTimeout = 50 * time.Second
 	// routineShare and backgroundShare are minimum shares of the slots, so that
 	// lower ranks are served while urgent requests overload the member.
 	routineShare    = 0.1
@@ -60,7 +58,9 @@
 	// Now reads the boot-time clock, which also advances while the process or host
 	// is suspended.
 	Now func() time.Time
-	Log hclog.Logger
+	// Metrics counts the connections of all pools; nil counts them nowhere.
+	Metrics *Metrics
+	Log     hclog.Logger
 }
 
 // Pool runs requests at one backend server. It is safe for concurrent use.
@@ -70,18 +70,17 @@
 	// that a connection is left for each slot.
 	slots        *gate.Gate
 	transactions *gate.Gate
-	// maxConnections is the maximum number of connections of this pool.
-	maxConnections int
 
 	mu sync.Mutex
-	// idle holds unused connections, least recently used first; open counts all
-	// connections.
-	idle []*conn
-	open int
-	// noDialUntil is the end of dialRetryDelay.
-	noDialUntil time.Time
-	// waiters are notified when a connection may be available.
-	waiters []chan struct{}
+	// set decides which connection a request uses; conns holds the open ones by ID.
+	set   *teamconns.Set
+	conns map[uint64]*conn
+	// waiting holds a channel for the decisions on each request that waits for a
+	// connection, by ID. The channels are buffered, so that sending never blocks.
+	waiting   map[uint64]chan decision
+	lastID    uint64
+	ticker    *time.Timer
+	exchanged exchangeLog
 	// txs holds the open transactions by name. abandoned holds the times at which
 	// transactions were abandoned before they were open.
 	txs       map[string]*tx
@@ -113,8 +112,12 @@
 	for _, q := range []*admission.Config{&s, &t} {
 		q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
 	}
+	if c.Metrics == nil {
+		c.Metrics = NewMetrics()
+	}
 	return &Pool{
-		config: c, slots: gate.New(s), transactions: gate.New(t), maxConnections: n, txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
+		config: c, slots: gate.New(s), transactions: gate.New(t), txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
+		set: teamconns.New(teamconns.Config{Connections: n, Slots: c.Member.Slots}), conns: map[uint64]*conn{}, waiting: map[uint64]chan decision{},
 	}
 }
 
@@ -158,7 +161,7 @@
 	l := Load{RunningStatements: p.slots.Running(), WaitingStatements: p.slots.Depth(), WaitingTransactions: p.transactions.Depth()}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.Connections, l.IdleConnections, l.OpenTransactions = p.open, len(p.idle), len(p.txs)
+	l.Connections, l.IdleConnections, l.OpenTransactions = p.set.Len(), p.set.Idle(), len(p.txs)
 	return l
 }
 
--- /dev/null
+++ b/teamconns/export_test.go
@@ -0,0 +1,12 @@
+package teamconns
+
+// NewGreedy returns a set that opens a connection for each request whose team has no
+// idle one, in place of the least recently used one.
+func NewGreedy(c Config) *Set {
+	s := New(c)
+	s.greedy = true
+	return s
+}
+
+// Remembered returns the number of teams that a set remembers.
+func (s *Set) Remembered() int { return len(s.teams) }
