--- a/teamconns/set.go
+++ b/teamconns/set.go
@@ -16,6 +16,10 @@
 	fullRetryDelay = 250 * time.Millisecond
 	// minTick is the shortest time until a Ticked event.
 	minTick = 100 * time.Microsecond
+	// slowFactor is the multiple of the mean opening time after which an opening no
+	// longer counts as taking a slot, and minSlowTime the shortest such time.
+	slowFactor  = 4
+	minSlowTime = 50 * time.Millisecond
 	// maxYieldedPerSlot bounds the requests that wait for an opening without a place.
 	maxYieldedPerSlot = 2
 )
@@ -117,7 +121,10 @@
 
 // NextTick returns when a Ticked event is due at the latest, or false if none is.
 func (s *Set) NextTick(now time.Time) (time.Time, bool) {
-	var n time.Time
+	_, n := s.openings(now)
+	if len(s.waiting) == 0 {
+		return time.Time{}, false
+	}
 	for _, r := range s.waiting {
 		d := s.team(r.Team, now).untilWorthOpening(s.openingTime)
 		if d > 0 {
@@ -161,7 +168,7 @@
 		}
 		why = OpenMore
 	}
-	if r.Team != "" && s.count(opening) >= s.maxOpenings() && !s.greedy {
+	if n, _ := s.openings(now); r.Team != "" && n >= s.maxOpenings() && !s.greedy {
 		return s.yield(r)
 	}
 	var o []Action
@@ -172,7 +179,7 @@
 	}
 	s.stopWaiting(r.ID, now)
 	s.lastID++
-	c := &conn{id: s.lastID, team: r.Team, state: opening}
+	c := &conn{id: s.lastID, team: r.Team, state: opening, since: now}
 	s.conns = append(s.conns, c)
 	s.team(r.Team, now).opened(s.busyOf(r.Team), now)
 	return append(o, Open{Request: r.ID, Conn: c.id, Reason: why})
@@ -185,6 +192,23 @@
 	return saved > float64(s.openingTime)
 }
 
+// openings returns the number of openings that take a slot, and when the first of them
+// will no longer count. One that lasts for long isn't answered by the member, and must
+// not delay the others.
+func (s *Set) openings(now time.Time) (n int, until time.Time) {
+	slow := max(slowFactor*s.openingTime, minSlowTime)
+	for _, c := range s.conns {
+		if c.state != opening || now.Sub(c.since) >= slow {
+			continue
+		}
+		n++
+		if t := c.since.Add(slow); until.IsZero() || t.Before(until) {
+			until = t
+		}
+	}
+	return n, until
+}
+
 // maxOpenings returns the number of openings that may run at once.
 func (s *Set) maxOpenings() int { return max(s.config.Slots/2, 1) }
 
--- a/teamconns/team.go
+++ b/teamconns/team.go
@@ -136,14 +136,3 @@
 	}
 	return n
 }
-
-// count returns the number of connections in a state.
-func (s *Set) count(t connState) int {
-	n := 0
-	for _, c := range s.conns {
-		if c.state == t {
-			n++
-		}
-	}
-	return n
-}
--- a/teamconns/teamconns_test.go
+++ b/teamconns/teamconns_test.go
@@ -93,6 +93,17 @@
 		Expect(o[0].(teamconns.Open).Request).To(Equal(id))
 	})
 
+	It("doesn't let openings that the member leaves unanswered delay the others", func() {
+		request("a", "", t)
+		request("b", "", t)
+		request("c", "", t)
+		now := t.Add(49 * time.Millisecond)
+		Expect(s.Handle(teamconns.Ticked{}, now)).To(BeEmpty())
+		due, _ := s.NextTick(now)
+		Expect(due).To(Equal(t.Add(50 * time.Millisecond)))
+		Expect(s.Handle(teamconns.Ticked{}, due)[0]).To(BeAssignableToTypeOf(teamconns.Open{}))
+	})
+
 	It("waits after the member has refused a connection, and makes room there", func() {
 		a := open("red", t)
 		release(a, "", t)
