standin/site: teams, their keys and a store that turns some hosts away

Clients have keys, members check that a statement runs on a connection in the name of the team that held its client's key, and that no key is passed on. Keys are withdrawn, moved and given back under load, at hosts that the store turns away, that start meanwhile, or whose store has come back from an older copy.

--- a/standin/site/client.go
+++ b/standin/site/client.go
@@ -35,6 +35,9 @@
 	// operations got no complete answer within clientTimeout or before the
 	// connection ended.
 	Served, Refused, InDoubt, Disconnected int
+	// Denied counts the sessions and operations that were denied. Denied operations are
+	// among the refused ones.
+	Denied int
 	// Lost are the statements without a complete answer that a member has received or
 	// that were sent longer than lossSlack before the connection ended.
 	Lost []string
@@ -53,6 +56,7 @@
 	report *LoadReport
 	random *rand.Rand
 	name   string
+	key    string
 	// sequence is the number of the client's last session or statement.
 	sequence int
 	conn     net.Conn
@@ -73,7 +77,7 @@
 	var w sync.WaitGroup
 	for i := range clients {
 		w.Go(func() {
-			c := &Client{site: s, report: o, random: rand.New(rand.NewPCG(seed, uint64(i))), name: fmt.Sprintf("c%d-%d", seed, i)}
+			c := &Client{site: s, report: o, random: rand.New(rand.NewPCG(seed, uint64(i))), name: fmt.Sprintf("c%d-%d", seed, i), key: ClientKey(i)}
 			for t := time.Now(); time.Since(t) < d; {
 				c.runOperation(addresses())
 				time.Sleep(time.Duration(c.random.IntN(10)) * time.Millisecond)
@@ -133,11 +137,12 @@
 	c.sessionID = fmt.Sprintf("%s@%d", c.name, c.sequence)
 	g := c.site.groups[c.random.IntN(len(c.site.groups))]
 	c.kind = []string{"primary", "bounded", "own"}[c.random.IntN(3)]
-	if _, err := fmt.Fprintf(k, "START %s-%s who\r\n", g.name, c.kind); err != nil {
+	if _, err := fmt.Fprintf(k, "START %s-%s %s\r\n", g.name, c.kind, c.key); err != nil {
 		c.disconnect()
 		return false
 	}
 	if code, _, _ := c.readAnswer(startID); code != "" {
+		c.countDenied(code)
 		c.disconnect()
 		return false
 	}
@@ -176,7 +181,7 @@
 func (c *Client) execute(text string, needsSignature bool) (id, code string, state byte, complete bool) {
 	c.sequence++
 	id = fmt.Sprintf("%s.%d", c.name, c.sequence)
-	a := &statement{id: id, sessionID: c.sessionID, text: text, sent: time.Now(), ownWrites: c.kind == "own", inTransaction: c.inTransaction, values: map[string]string{}}
+	a := &statement{id: id, sessionID: c.sessionID, text: text, key: c.key, sent: time.Now(), ownWrites: c.kind == "own", inTransaction: c.inTransaction, values: map[string]string{}}
 	for n, v := range c.values {
 		a.values[n] = v
 	}
@@ -311,10 +316,20 @@
 	c.disconnectUnlessIdle(state, complete)
 }
 
+// countDenied counts a refusal by its code.
+func (c *Client) countDenied(code string) {
+	if code == "DENIED" {
+		c.report.mu.Lock()
+		c.report.Denied++
+		c.report.mu.Unlock()
+	}
+}
+
 // recordOutcome counts an operation by its outcome. writeIDs are the IDs of the
 // operation's writes.
 func (c *Client) recordOutcome(code string, complete bool, writeIDs []string, isWrite bool) {
 	now := time.Now()
+	c.countDenied(code)
 	if code == "" && complete {
 		for _, id := range writeIDs {
 			for _, g := range c.site.groups {
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -52,6 +52,8 @@
 	// transactionSessionID is the ID of the client session whose transaction is
 	// open.
 	transactionSessionID string
+	// who is the name that was told when the connection was opened.
+	who string
 	// incarnation is the member's incarnation when the connection was opened.
 	incarnation int
 }
@@ -101,7 +103,10 @@
 			_ = s.writer.Flush()
 			return
 		case f[0] == "START":
-			if id := strings.Fields(t); id[1] != m.group.name || len(id) > 3 && id[3] != m.id {
+			id := strings.Fields(t)
+			s.who = id[2]
+			m.site.checkName(s.who)
+			if id[1] != m.group.name || len(id) > 3 && id[3] != m.id {
 				fmt.Fprintf(s.writer, "ERROR WRONGNODE %s\r\n", m.id)
 				_ = s.writer.Flush()
 				return
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -21,6 +22,8 @@
 	StatementTime time.Duration
 	// PromotionTime is the duration of a promotion.
 	PromotionTime time.Duration
+	// Teams is the number of teams; clients need no key if it is zero.
+	Teams int
 	// Advertise returns the address at which daemons reach a member that listens at the
 	// given one; nil if they connect to that.
 	Advertise func(member, address string) (string, error)
@@ -43,7 +46,10 @@
 	// services.
 	StoreAddress     string
 	PromotionAddress string
-	closers          []func() error
+	// TurnedAwayAddress is another address of the store; see SetTurnedAway.
+	TurnedAwayAddress string
+	turnedAway        atomic.Bool
+	closers           []func() error
 
 	mu sync.Mutex
 	// statements holds the statements that clients have sent, by ID.
@@ -56,6 +62,8 @@
 	configVersion int
 	// configuration is the encoding of the newest configuration.
 	configuration []byte
+	// keys holds who has held each key, in order.
+	keys map[string][]holding
 	// sequence counts the reports of all members.
 	sequence int
 }
@@ -64,8 +72,10 @@
 type statement struct {
 	id, sessionID, text string
 	sent                time.Time
-	ownWrites           bool
-	maxStaleness        time.Duration
+	// key is the key of the client.
+	key          string
+	ownWrites    bool
+	maxStaleness time.Duration
 	// inTransaction reports whether the client had a transaction open.
 	inTransaction bool
 	// values are the session values that the client had set.
@@ -76,7 +86,8 @@
 
 // New starts a site.
 func New(c Config) (*Site, error) {
-	s := &Site{config: c, store: newStore(), statements: map[string]*statement{}, fencingTokens: map[string]int{}, tokenHolders: map[string]string{}}
+	s := &Site{config: c, store: newStore(), statements: map[string]*statement{}, fencingTokens: map[string]int{}, tokenHolders: map[string]string{}, keys: map[string][]holding{}}
+	s.initKeys()
 	for i := range c.Groups {
 		g := &group{name: fmt.Sprintf("g%d", i), lag: c.Lag, promotedAt: map[int]time.Time{}, reportViolation: s.reportViolation}
 		for j, z := range failureDomains {
@@ -90,6 +101,9 @@
 	if s.StoreAddress, err = s.startHTTPServer(s.store.handler()); err != nil {
 		return nil, err
 	}
+	if s.TurnedAwayAddress, err = s.startHTTPServer(s.turnAway(s.store.handler())); err != nil {
+		return nil, err
+	}
 	s.PromotionAddress, err = s.startHTTPServer(http.HandlerFunc(s.handlePromotion))
 	s.Configure(nil)
 	return s, err
@@ -197,9 +211,14 @@
 	}
 	s.mu.Lock()
 	s.configVersion += 3
-	v := s.configVersion
+	v, teams := s.configVersion, s.tenants()
 	s.mu.Unlock()
-	b, _ := json.Marshal(map[string]any{"version": v, "routes": routes, "services": services, "limits": map[string]any{"transaction_idle_ms": 1000}})
+	b, _ := json.Marshal(map[string]any{"version": v, "routes": routes, "services": services, "tenants": teams, "limits": map[string]any{"transaction_idle_ms": 1000}})
+	s.PutConfiguration(b)
+}
+
+// PutConfiguration writes the encoding of a configuration, which may be invalid.
+func (s *Site) PutConfiguration(b []byte) {
 	s.mu.Lock()
 	s.configuration = b
 	s.mu.Unlock()
@@ -307,6 +326,7 @@
 		s.reportViolation("UNASKED", "%s ran %q, which no client sent", id, text)
 		return nil
 	}
+	s.checkTeam(a, on.who)
 	if on.state != 'I' && on.transactionSessionID != a.sessionID {
 		s.reportViolation("PINNED", "%s of %s ran in the transaction of %s", id, a.sessionID, on.transactionSessionID)
 	}
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -1,8 +1,10 @@
 package site_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -39,6 +41,27 @@
 	site    *site.Site
 	mu      sync.Mutex
 	daemons []*daemon
+	// logs holds all lines of the daemons.
+	logs logBuffer
+}
+
+// logBuffer is a buffer that is safe for concurrent use.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
 }
 
 // nextPort is the next port to try. Ports below the kernel's ephemeral range stay
@@ -82,16 +105,22 @@
 }
 
 func (f *fleet) start(name, failureDomain string) *daemon {
+	return f.startAt(name, failureDomain, f.site.StoreAddress)
+}
+
+// startAt starts a daemon that reaches the store at an address, with the given peers as
+// seeds.
+func (f *fleet) startAt(name, failureDomain, store string, seeds ...string) *daemon {
 	d := &daemon{done: make(chan error, 1), settings: platform.Settings{
 		Host: name, FailureDomain: failureDomain, Region: site.Regions[failureDomain], Regions: site.Regions,
 		CallerListen: freeAddress(), ReadinessListen: freeAddress(), PeerListen: freeAddress(), MetricsListen: freeAddress(),
-		StoreAddress: f.site.StoreAddress, PromotionAddress: f.site.PromotionAddress, GracePeriod: 3 * time.Second,
+		StoreAddress: store, Seeds: seeds, PromotionAddress: f.site.PromotionAddress, GracePeriod: 3 * time.Second,
 	}}
 	x, stop := context.WithCancel(context.Background())
 	d.stop = stop
 	go func() {
 		defer close(d.done)
-		l := hclog.New(&hclog.LoggerOptions{Output: GinkgoWriter, Level: hclog.Info, Name: name})
+		l := hclog.New(&hclog.LoggerOptions{Output: io.MultiWriter(GinkgoWriter, &f.logs), Level: hclog.Info, Name: name})
 		d.done <- platformdaemon.Run(x, platformdaemon.Config{Settings: d.settings, Secret: "s", Log: l})
 	}()
 	f.mu.Lock()
@@ -295,10 +324,15 @@
 
 // connect returns the answer to a caller's first message.
 func connect(address, database string) string {
+	return connectWith(address, database, "who")
+}
+
+// connectWith returns the answer to the first message of a caller with a key.
+func connectWith(address, database, key string) string {
 	c, err := net.Dial("tcp", address)
 	Expect(err).NotTo(HaveOccurred())
 	defer c.Close()
-	_, err = c.Write([]byte("START " + database + " who\r\n"))
+	_, err = c.Write([]byte("START " + database + " " + key + "\r\n"))
 	Expect(err).NotTo(HaveOccurred())
 	b := make([]byte, 64)
 	n, _ := c.Read(b)
