--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -104,7 +104,7 @@
 func (l *Ledger) Epoch() uint64 { return l.last.Epoch }
 
 // Teams returns this accountant's share of the limit of a team, which is zero if the
-// team has other accountants, and false if the team isn't known.
+// team has other accountants, and false if no limit of the team is known.
 type Teams func(team string) (Limit, bool)
 
 // Lend answers a borrower's call. movedUntil is until when other accountants may lend
--- a/fleet/accountant.go
+++ b/fleet/accountant.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -127,11 +126,14 @@
 	t := now()
 	g.observeTenure(t)
 	o := g.ledger.Lend(c, func(team string) (allowance.Limit, bool) {
-		n, ok := k.Teams[team]
+		n := k.Teams[team]
+		if n.Rate <= 0 {
+			return allowance.Limit{}, false
+		}
 		if l := accountingGroups(k, team); slices.Contains(l, g.name) {
-			return f.shareOf(n, len(l)), ok
+			return f.shareOf(n, len(l)), true
 		}
-		return allowance.Limit{}, ok
+		return allowance.Limit{}, true
 	}, f.movedUntil, t)
 	for _, x := range o.Grants {
 		f.metrics.lent.WithLabelValues(f.teamLabel(x.Team)).Add(float64(x.Count + x.Promised))
@@ -151,20 +153,19 @@
 
 // accountingGroups returns the groups whose holders are a team's accountants.
 func accountingGroups(c *catalog.Catalog, team string) []string {
-	type ranked struct {
-		name  string
-		score uint64
-	}
-	var l []ranked
+	var names [accountants + 1]string
+	var scores [accountants + 1]uint64
+	n := 0
 	for name := range c.Groups {
-		l = append(l, ranked{name: name, score: xxhash.Sum64String(team + "\x00" + name)})
-	}
-	slices.SortFunc(l, func(a, b ranked) int { return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.name, b.name)) })
-	o := make([]string, 0, accountants)
-	for _, r := range l[:min(len(l), accountants)] {
-		o = append(o, r.name)
+		i := min(n, accountants)
+		names[i], scores[i] = name, xxhash.Sum64String(team+"\x00"+name)
+		for ; i > 0 && (scores[i] > scores[i-1] || scores[i] == scores[i-1] && names[i] < names[i-1]); i-- {
+			names[i], names[i-1] = names[i-1], names[i]
+			scores[i], scores[i-1] = scores[i-1], scores[i]
+		}
+		n = min(n+1, accountants)
 	}
-	return o
+	return slices.Clone(names[:n])
 }
 
 // observeGroups notes that accountants may have changed with the groups; f.mu is held.
