--- a/allowance/allowance.go
+++ b/allowance/allowance.go
@@ -21,17 +21,15 @@
 
 // Timing of loans and accountants.
 const (
-	// minLoanTime and maxLoanTime bound how long a loan lasts after the borrower has sent
-	// its request. The first covers a slow round trip between regions, the other one over
-	// a link that is busy.
-	minLoanTime = 400 * time.Millisecond
-	maxLoanTime = 1000 * time.Millisecond
+	// LoanTime is how long a loan lasts after the borrower has sent its request. It
+	// covers a slow round trip between regions.
+	LoanTime = 400 * time.Millisecond
 	// FreshTime is the age of the last confirmation of a lease at which its holder
 	// begins to lend less. It is longer than confirmations take while the store
 	// answers.
 	FreshTime = 4 * time.Second
 	// unusedTime is how long tokens that were lent may remain unused.
-	unusedTime = maxLoanTime + promiseTime
+	unusedTime = LoanTime + promiseTime
 	// MovedTime is how long after a change of the groups the accountant of a team
 	// under the earlier groups may still lend.
 	MovedTime = 12 * time.Second
@@ -53,10 +51,10 @@
 	// lagShare is added to the burst, for tokens that have been used and still count as
 	// outstanding. extraShare is spread over the window.
 	lagShare   = 0.3
-	extraShare = 0.27
+	extraShare = 0.42
 	// startShare is for an accountant while loans of an earlier one may be unused; half
 	// of it if that one had just begun.
-	startShare = 0.2
+	startShare = 0.1
 	// paceShare is for an accountant while an earlier one may still lend.
 	paceShare = 0.05
 	// promiseShare is for tokens that are lent before they are minted.
@@ -155,9 +153,7 @@
 	// Host is the borrower's process, and Number the number of the call there.
 	Host   string `json:"h"`
 	Number uint64 `json:"n"`
-	// LoanTime is how long the loans that it asks for last, after it is sent.
-	LoanTime time.Duration `json:"d"`
-	Items    []Item        `json:"i"`
+	Items  []Item `json:"i"`
 }
 
 // Item is the part of a call about one team.
--- a/allowance/borrower.go
+++ b/allowance/borrower.go
@@ -87,14 +87,12 @@
 	// is.
 	calls  uint64
 	sentAt time.Time
-	// loanTime is the time of the next loans. It follows the time that calls take.
-	loanTime time.Duration
 }
 
 // NewBorrower returns the state of a host without loans. The host's ID is unique among
 // all processes.
 func NewBorrower(group, host string) *Borrower {
-	return &Borrower{group: group, host: host, purses: map[string]*purse{}, loanTime: minLoanTime}
+	return &Borrower{group: group, host: host, purses: map[string]*purse{}}
 }
 
 // Take returns a token for an operation that arrives, or false if it has to wait.
@@ -201,7 +199,7 @@
 	}
 	b.calls++
 	b.sentAt = now
-	c := Call{Group: b.group, Host: b.host, Number: b.calls, LoanTime: b.loanTime}
+	c := Call{Group: b.group, Host: b.host, Number: b.calls}
 	for team, p := range b.purses {
 		if len(c.Items) < maxItems && (len(p.waiting) > 0 || len(p.spent) > 0) {
 			c.Items = append(c.Items, p.item(team, now))
@@ -268,11 +266,10 @@
 	}
 	sent := b.sentAt
 	b.sentAt = time.Time{}
-	b.loanTime = min(max(3*now.Sub(sent), minLoanTime), maxLoanTime)
 	var o []Result
 	for _, g := range r.Grants {
 		if p := b.purses[g.Team]; p != nil {
-			p.addTokens(c, g, sent, now)
+			p.addTokens(c.Number, g, sent, now)
 			o = append(o, p.resolve(g, r.Mode, now)...)
 		}
 	}
@@ -282,9 +279,8 @@
 
 // Fail handles the failure of a call. Its tickets go on waiting.
 func (b *Borrower) Fail(c Call) {
-	if c.Number == b.calls && !b.sentAt.IsZero() {
+	if c.Number == b.calls {
 		b.sentAt = time.Time{}
-		b.loanTime = min(2*b.loanTime, maxLoanTime)
 		b.requeue()
 	}
 }
@@ -297,13 +293,13 @@
 
 // addTokens adds the tokens of a loan. Its time counts from when the call was sent,
 // earlier than the accountant counts.
-func (p *purse) addTokens(c Call, g Grant, sent, now time.Time) {
+func (p *purse) addTokens(call uint64, g Grant, sent, now time.Time) {
 	for range g.Count {
-		p.lots = append(p.lots, Token{Team: g.Team, call: c.Number, expires: sent.Add(c.LoanTime)})
+		p.lots = append(p.lots, Token{Team: g.Team, call: call, expires: sent.Add(LoanTime)})
 	}
 	for i := range g.Promised {
 		u := now.Add(g.Delay + time.Duration(i)*g.Spacing)
-		p.lots = append(p.lots, Token{Team: g.Team, call: c.Number, expires: sent.Add(c.LoanTime + promiseTime), UsableAt: u})
+		p.lots = append(p.lots, Token{Team: g.Team, call: call, expires: sent.Add(unusedTime), UsableAt: u})
 	}
 }
 
--- a/allowance/ledger.go
+++ b/allowance/ledger.go
@@ -155,7 +155,7 @@
 		o.Count += min(i.Ahead, (n-o.Count)/4)
 	}
 	if o.Count > 0 {
-		a.lend(loan{host: c.Host, call: c.Number, count: o.Count, until: now.Add(c.lasting())})
+		a.lend(loan{host: c.Host, call: c.Number, count: o.Count, until: now.Add(LoanTime)})
 	}
 	if left := i.Waiting - o.Count; left > 0 && m == Full {
 		o.Promised, o.Delay = a.promise(x, rate, promiseShare*l.bounds.reserve(a.limit), left, min(i.Patience, promiseTime))
@@ -164,7 +164,7 @@
 		o.Spacing = seconds(1 / rate)
 	}
 	if o.Promised > 0 {
-		a.lend(loan{host: c.Host, call: c.Number, count: o.Promised, until: now.Add(c.lasting() + promiseTime)})
+		a.lend(loan{host: c.Host, call: c.Number, count: o.Promised, until: now.Add(unusedTime)})
 	}
 	if left := i.Waiting - o.Count - o.Promised; left > 0 {
 		o.RetryAfter = a.retryAfter(rate, left, now)
@@ -172,9 +172,6 @@
 	return o
 }
 
-// lasting returns how long a loan lasts after the call was received.
-func (c Call) lasting() time.Duration { return min(max(c.LoanTime, 0), maxLoanTime) }
-
 // account returns the account of a team as of now.
 func (l *Ledger) account(team string, n Limit, movedUntil, now time.Time) *account {
 	t, a := l.tenure, l.accounts[team]
--- a/allowance/run_test.go
+++ b/allowance/run_test.go
@@ -264,7 +264,7 @@
 // callAt sends a call to the accountant. It is given up after the time of a loan.
 func (w *world) callAt(h, k *host, c allowance.Call, there, back time.Duration) {
 	cut := func() bool { return h != k && (h.cutOthers || k.cutOthers) }
-	w.onHost(h, w.now+c.LoanTime, func() { h.borrower.Fail(c) })
+	w.onHost(h, w.now+allowance.LoanTime, func() { h.borrower.Fail(c) })
 	if cut() || h != k && w.rnd.Float64() < w.loss {
 		return
 	}
--- a/fleet/borrow.go
+++ b/fleet/borrow.go
@@ -121,7 +121,7 @@
 	if h.ID == f.config.Self.ID {
 		return f.lend(c), nil
 	}
-	y, stop := context.WithTimeout(x, c.LoanTime)
+	y, stop := context.WithTimeout(x, allowance.LoanTime)
 	defer stop()
 	var o allowance.Reply
 	err := f.node.Call(y, h, methodLend, c, &o)
--- a/fleet/rates_test.go
+++ b/fleet/rates_test.go
@@ -136,7 +136,7 @@
 			}
 		}
 		hold(other)
-		o := f.lend(allowance.Call{Group: other, Host: "x", Number: 1, LoanTime: time.Second, Items: []allowance.Item{{Team: "t", Waiting: 1, Limit: allowance.Limit{Rate: 9, Burst: 9}}}})
+		o := f.lend(allowance.Call{Group: other, Host: "x", Number: 1, Items: []allowance.Item{{Team: "t", Waiting: 1, Limit: allowance.Limit{Rate: 9, Burst: 9}}}})
 		Expect(o.Grants).To(HaveLen(1))
 		Expect(o.Grants[0].Count).To(BeZero())
 	})
