--- a/fleet/confirm.go
+++ b/fleet/confirm.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/store"
 )
 
 // CallerCatalog returns the configuration by which callers are served. It is nil
@@ -20,6 +21,22 @@
 	return k
 }
 
+// redact removes the secrets from the configuration among items of the store. One that
+// can't be read becomes empty.
+func (f *Daemon) redact(l []store.Item) []store.Item {
+	for n, i := range l {
+		if i.Key != f.config.Decoder.ConfigurationKey || i.Removed || f.config.Decoder.Redact == nil {
+			continue
+		}
+		v, err := f.config.Decoder.Redact(i.Value)
+		if err != nil {
+			f.config.Log.Error("invalid configuration", "position", i.Position.String(), "error", err)
+		}
+		l[n].Value = v
+	}
+	return l
+}
+
 // observeConfirmation takes note that this daemon has taken over what the store or
 // another daemon knows; from is fromStore or the ID of the daemon.
 func (f *Daemon) observeConfirmation(from string) {
--- a/fleet/confirm_test.go
+++ b/fleet/confirm_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"bytes"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -62,6 +63,19 @@
 		Expect(f.CallerCatalog()).To(BeNil())
 	})
 
+	It("keeps and passes on no configuration with keys in it", func() {
+		f := newTestDaemon()
+		f.config.Decoder.ConfigurationKey = "c"
+		f.config.Decoder.Redact = func(v []byte) ([]byte, error) {
+			if string(v) == "unreadable key" {
+				return nil, Error.New("unreadable")
+			}
+			return bytes.ReplaceAll(v, []byte("key"), []byte("digest")), nil
+		}
+		l := []store.Item{{Key: "c", Value: []byte("key")}, {Key: "other", Value: []byte("key")}, {Key: "c", Value: []byte("unreadable key")}}
+		Expect(f.redact(l)).To(Equal([]store.Item{{Key: "c", Value: []byte("digest")}, {Key: "other", Value: []byte("key")}, {Key: "c"}}))
+	})
+
 	It("serves callers at once if the store was read, or if no key is needed", func() {
 		f := newTestDaemon()
 		configure(f, 1, "", nil)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,6 +54,9 @@
 	ConfigurationKey string
 	MemberPrefix     string
 	Configuration    func(value []byte) (*catalog.Catalog, error)
+	// Redact returns an encoded configuration without secrets. Only this is kept and
+	// passed on to other daemons. Nil leaves it as it is.
+	Redact func(value []byte) ([]byte, error)
 	// Member returns a member and the sequence of its record, which rises with each
 	// of the member's reports since its start.
 	Member func(key string, value []byte) (m catalog.Member, sequence uint64, err error)
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -98,7 +98,7 @@
 		f.staleCopyAllowed.Store(true)
 		return err
 	}
-	f.applyUpdate(storecopy.Update{Items: l, Position: p, CurrentAt: t, Complete: true}, fromStore)
+	f.applyUpdate(storecopy.Update{Items: f.redact(l), Position: p, CurrentAt: t, Complete: true}, fromStore)
 	f.observeConfirmation(fromStore)
 	f.config.Log.Info("store read", "position", p.String(), "items", len(l))
 	return nil
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	f.applyUpdate(storecopy.Update{Items: l, Position: p, CurrentAt: t}, fromStore)
+	f.applyUpdate(storecopy.Update{Items: f.redact(l), Position: p, CurrentAt: t}, fromStore)
 	return nil
 }
 
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -83,7 +83,7 @@
 func newDecoder(s platform.Settings) fleet.Decoder {
 	return fleet.Decoder{
 		ConfigurationKey: platform.ConfigurationKey, MemberPrefix: platform.MemberPrefix,
-		Configuration: platform.DecodeConfiguration,
+		Configuration: platform.DecodeConfiguration, Redact: platform.RedactConfiguration,
 		Member: func(key string, value []byte) (catalog.Member, uint64, error) {
 			return platform.DecodeMember(key, value, s.Regions)
 		},
