--- a/entry/entry.go
+++ b/entry/entry.go
@@ -39,6 +39,18 @@
 	// Catalog returns the current configuration, or nil before the first one.
 	Catalog func() *catalog.Catalog
 	Router  Router
+	// Limiter bounds the operations of teams; nil bounds none.
+	Limiter Limiter
+	// Denied is called for each denial, if it isn't nil.
+	Denied func(Stage)
+}
+
+// Limiter bounds the rate of a team's operations.
+type Limiter interface {
+	// Admit returns nil if an operation of a team on a database may start, perhaps after
+	// some time, or else why not. The returned function is to be called with the
+	// response to the operation's only or first statement.
+	Admit(x context.Context, team string, d catalog.Database) (func(*query.Response), *query.Failure)
 }
 
 // Entry opens sessions. It is safe for concurrent use.
@@ -59,6 +71,10 @@
 	entry    *Entry
 	id       string
 	database string
+	// key is the digest of the caller's key. current is the team for which the last
+	// statement ran.
+	key     catalog.KeyDigest
+	current catalog.Team
 	// values are in the order in which their names were first set.
 	values   []query.Value
 	prepared map[string]query.Template
@@ -80,15 +96,19 @@
 	database catalog.Database
 }
 
-// Open starts a session.
-func (e *Entry) Open(database string) (*Session, *query.Failure) {
-	if _, f := e.lookUpDatabase(database); f != nil {
+// Open starts a session of a caller who has the key with the given digest.
+func (e *Entry) Open(database string, key catalog.KeyDigest) (*Session, *query.Failure) {
+	d, f := e.lookUpDatabase(database)
+	if f != nil {
+		return nil, f
+	}
+	s := &Session{entry: e, database: database, key: key, prepared: map[string]query.Template{}, state: query.Idle}
+	if s.current, f = s.team(d); f != nil {
+		e.countDenied(StageStart)
 		return nil, f
 	}
-	return &Session{
-		entry: e, id: e.config.SessionPrefix + "/" + strconv.FormatUint(e.sessionCount.Add(1), 36), database: database,
-		prepared: map[string]query.Template{}, state: query.Idle,
-	}, nil
+	s.id = e.config.SessionPrefix + "/" + strconv.FormatUint(e.sessionCount.Add(1), 36)
+	return s, nil
 }
 
 func (e *Entry) lookUpDatabase(name string) (catalog.Database, *query.Failure) {
@@ -133,6 +153,11 @@
 	if s.state == query.Failed {
 		return s.handleFailed(st)
 	}
+	if _, ok := st.(query.Rollback); !ok {
+		if f := s.updateTeam(x, st); f != nil {
+			return query.Reply{Failure: f}
+		}
+	}
 	switch t := st.(type) {
 	case query.Begin:
 		return s.beginTx(id, t)
@@ -234,7 +259,7 @@
 	if f != nil {
 		return query.Reply{Failure: f}
 	}
-	o := s.entry.config.Router.Execute(x, r, s.tx.pin)
+	o := s.execute(x, r, d)
 	if d.Consistency != catalog.PrimaryReads && o.Failure == nil {
 		s.raiseFloor(r, o.Position)
 	}
@@ -245,6 +270,24 @@
 	return o.Reply
 }
 
+// execute runs a request, if it isn't the start of an operation that the limiter
+// refuses.
+func (s *Session) execute(x context.Context, r *query.Request, d catalog.Database) query.Response {
+	l := s.entry.config.Limiter
+	if l == nil || r.Stage != query.Single && r.Stage != query.First {
+		return s.entry.config.Router.Execute(x, r, s.tx.pin)
+	}
+	t := time.Now()
+	settle, f := l.Admit(x, r.Team, d)
+	if f != nil {
+		return query.Response{Reply: query.Reply{Failure: f}}
+	}
+	r.Remaining -= time.Since(t)
+	o := s.entry.config.Router.Execute(x, r, s.tx.pin)
+	settle(&o)
+	return o
+}
+
 // raiseFloor raises the floor to p if the request committed a write. It also
 // records that an open transaction has written.
 func (s *Session) raiseFloor(r *query.Request, p logpos.Position) {
@@ -268,7 +311,7 @@
 			return d, f
 		}
 	}
-	r.Group, r.Session, r.Rank, r.Remaining = d.Group, s.id, d.Rank, d.StatementTimeout
+	r.Group, r.Team, r.Session, r.Rank, r.Remaining = d.Group, s.current.Name, s.id, d.Rank, d.StatementTimeout
 	r.Values, r.Floor, r.MaxAge = s.values, s.floor, d.MaxAge
 	r.Primary = d.Consistency == catalog.PrimaryReads || r.Action == query.ActionWrite
 	if s.state == query.Open {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,6 +54,9 @@
 	ConfigurationKey string
 	MemberPrefix     string
 	Configuration    func(value []byte) (*catalog.Catalog, error)
+	// Redact returns an encoded configuration without secrets. Only this is kept and
+	// passed on to other daemons. Nil leaves it as it is.
+	Redact func(value []byte) ([]byte, error)
 	// Member returns a member and the sequence of its record, which rises with each
 	// of the member's reports since its start.
 	Member func(key string, value []byte) (m catalog.Member, sequence uint64, err error)
@@ -120,9 +123,13 @@
 	metrics  *metrics
 	catalog  atomic.Pointer[catalog.Catalog]
 	draining atomic.Bool
+	// configurationConfirmed is set once confirmation is given.
+	configurationConfirmed atomic.Bool
 	// staleCopyAllowed is set once the store couldn't be read. Before that, a daemon
 	// without a copy doesn't take one that may name members which have left since.
 	staleCopyAllowed atomic.Bool
+	// packed is the value that was compressed last.
+	packed atomic.Pointer[packedValue]
 	// attempts counts the attempts to open a transaction; each gets its own name
 	// from it.
 	attempts atomic.Uint64
@@ -174,12 +181,17 @@
 	hostRecords map[string]hostRecord
 	// era is what is known of the store's era.
 	era eraState
+	// confirmation decides whether callers with keys may be served.
+	confirmation storecopy.Confirmation
 	// configuration is the encoding of the configuration in force.
 	configuration []byte
 	// sequences holds the sequence of each member's newest record, by ID.
 	sequences map[string]uint64
 	// hostLease is the store's lease of this host's record; zero before the first.
 	hostLease uint64
+	// movedUntil is until when the accountants of teams under earlier groups may lend.
+	movedUntil time.Time
+	rates      rates
 }
 
 // ownedPool is a pool and the time at which it was last requested.
@@ -197,6 +209,7 @@
 		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 	}
+	f.rates.borrowers = map[string]*borrower{}
 	f.table = assignment.New(c.Self.ID, f.view)
 	var err error
 	f.node, err = peer.New(peer.Config{
@@ -242,7 +255,7 @@
 
 // Ready reports whether the daemon can serve callers.
 func (f *Daemon) Ready() bool {
-	if f.draining.Load() || f.Catalog() == nil {
+	if f.draining.Load() || f.CallerCatalog() == nil {
 		return false
 	}
 	f.mu.Lock()
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -6,6 +6,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dragonflypick/dragonflypick/contain"
+	"github.com/dragonflypick/dragonflypick/entry"
+	"github.com/dragonflypick/dragonflypick/pool"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/storecopy"
 )
@@ -16,6 +18,10 @@
 	latency  *prometheus.HistogramVec
 	// storeCalls counts the calls to the store by purpose.
 	storeCalls *prometheus.CounterVec
+	// pool counts the connections to members.
+	pool *pool.Metrics
+	// denied counts the callers that were denied because of their key.
+	denied *prometheus.CounterVec
 	// configurationVersion is the version of the configuration in force.
 	configurationVersion prometheus.Gauge
 	// storeEra is the era of the store; rewrites counts the group records that were
@@ -26,6 +32,14 @@
 	unheldGroups prometheus.Gauge
 	// copyAge is the time since the local copy of the store was known to be current.
 	copyAge prometheus.GaugeFunc
+	// admitted and refused count the operations of teams at this host, lent the tokens
+	// that it lends, and lendCalls its calls to accountants.
+	admitted  *prometheus.CounterVec
+	refused   *prometheus.CounterVec
+	lent      *prometheus.CounterVec
+	lendCalls *prometheus.CounterVec
+	// teamLabels bounds the label team.
+	teamLabels teamLabels
 }
 
 // Purposes of the calls to the store.
@@ -45,6 +59,19 @@
 
 func newMetrics(c *storecopy.Copy) *metrics {
 	return &metrics{
+		teamLabels: teamLabels{values: map[string]bool{}},
+		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_team_admitted_total", Help: "Operations of teams with a rate that were let in at this host.",
+		}, []string{"team"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_team_refused_total", Help: "Operations of teams with a rate that were refused at this host, by reason.",
+		}, []string{"team", "reason"}),
+		lent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_team_lent_total", Help: "Tokens that this host has lent as the accountant of teams.",
+		}, []string{"team"}),
+		lendCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_lend_calls_total", Help: "Calls of this host to the accountants of teams, by outcome.",
+		}, []string{"outcome"}),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_requests_total", Help: "Statements by rank and outcome.",
 		}, []string{"rank", "outcome"}),
@@ -55,6 +82,10 @@
 		storeCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_store_calls_total", Help: "Calls to the platform's store by purpose; host renewals and relayed calls included.",
 		}, []string{"purpose"}),
+		pool: pool.NewMetrics(),
+		denied: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_denied_total", Help: "Sessions, operations and statements of transactions whose key belongs to no team, by stage.",
+		}, []string{"stage"}),
 		configurationVersion: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "dragonflypick_configuration_version", Help: "Version of the configuration in force; 0 before the first.",
 		}),
@@ -80,9 +111,14 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge)
+	l := append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.pool.Collectors()...)
+	return append(l, f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.denied,
+		f.metrics.admitted, f.metrics.refused, f.metrics.lent, f.metrics.lendCalls)
 }
 
+// CountDenied counts a denial.
+func (f *Daemon) CountDenied(g entry.Stage) { f.metrics.denied.WithLabelValues(string(g)).Inc() }
+
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
 // successful requests it logs one in LogEvery.
 func (f *Daemon) recordOutcome(r *query.Request, o *query.Response, t time.Time) {
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -98,7 +98,8 @@
 		f.staleCopyAllowed.Store(true)
 		return err
 	}
-	f.applyUpdate(storecopy.Update{Items: l, Position: p, CurrentAt: t, Complete: true}, fromStore)
+	f.applyUpdate(storecopy.Update{Items: f.redact(l), Position: p, CurrentAt: t, Complete: true}, fromStore)
+	f.observeConfirmation(fromStore)
 	f.config.Log.Info("store read", "position", p.String(), "items", len(l))
 	return nil
 }
@@ -121,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	f.applyUpdate(storecopy.Update{Items: l, Position: p, CurrentAt: t}, fromStore)
+	f.applyUpdate(storecopy.Update{Items: f.redact(l), Position: p, CurrentAt: t}, fromStore)
 	return nil
 }
 
@@ -177,10 +178,11 @@
 	if old != nil && k.Version <= old.Version {
 		return
 	}
+	f.observeGroups(old, k)
 	f.catalog.Store(k)
 	f.configuration = i.Value
 	f.metrics.configurationVersion.Set(float64(k.Version))
-	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "position", i.Position.String(), "from", from, "copy-age-ms", f.copyAgeMillis())
+	f.config.Log.Info("configuration in force", "version", k.Version, "databases", len(k.Databases), "groups", len(k.Groups), "teams", len(k.Teams), "position", i.Position.String(), "from", from, "copy-age-ms", f.copyAgeMillis())
 }
 
 // applyMember updates a member from its record. A removed member is kept for
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	e := entry.New(entry.Config{SessionPrefix: id, Catalog: f.Catalog, Router: f})
+	e := entry.New(entry.Config{SessionPrefix: id, Catalog: f.CallerCatalog, Router: f, Limiter: f.Limiter(), Denied: f.CountDenied})
 	k, err := platform.NewCallerServer(platform.CallerServerConfig{Listen: s.CallerListen, Entry: e, Log: c.Log})
 	if err != nil {
 		return err
@@ -83,7 +83,7 @@
 func newDecoder(s platform.Settings) fleet.Decoder {
 	return fleet.Decoder{
 		ConfigurationKey: platform.ConfigurationKey, MemberPrefix: platform.MemberPrefix,
-		Configuration: platform.DecodeConfiguration,
+		Configuration: platform.DecodeConfiguration, Redact: platform.RedactConfiguration,
 		Member: func(key string, value []byte) (catalog.Member, uint64, error) {
 			return platform.DecodeMember(key, value, s.Regions)
 		},
