pace: the number of statements and openings at a member follows how it answers

Cause: a pool sends a member as many statements as it has slots, also when it has just started or come back with an empty cache, and opens as many connections at a time as statements wait; a new owner knows nothing of what the one before it found.

Change: package pace finds an own limit for each member from the times of its statements, compared by kind; it begins with a quarter of the slots for a member that has started within 10 s or that the platform calls cold, doubles while answers are in line, and lowers the limit only if fewer statements are faster. BUSY halves it, too many connections halve the openings. Owners tell their findings with some of their responses; who owns the member next begins from that.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -109,4 +109,7 @@
 	// StartMillis is the member's start time in Unix milliseconds. A changed value
 	// means that the member was restarted and has lost its data.
 	StartMillis int64
+	// ColdRemaining is how much longer the member will be slow after its start
+	// according to its record.
+	ColdRemaining time.Duration
 }
--- a/fleet/call.go
+++ b/fleet/call.go
@@ -45,6 +45,7 @@
 	if err == nil {
 		f.mu.Lock()
 		f.lastExecuteReply[h.ID] = time.Now()
+		f.learnPace(&o)
 		f.mu.Unlock()
 		return o
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -155,6 +155,8 @@
 	// requests and open transactions have ended.
 	closingPools []*pool.Pool
 	loads        *loadTable
+	// paces holds what is known of the members' pace, by member ID.
+	paces map[string]knownPace
 	// lastSeen is when each host last answered any call. lastPinged is when each
 	// holder was last pinged.
 	lastSeen   map[string]time.Time
@@ -186,6 +188,8 @@
 type ownedPool struct {
 	*pool.Pool
 	lastUsed time.Time
+	// responses counts the responses to other hosts.
+	responses uint64
 }
 
 // New returns a daemon whose listening socket for other daemons is open.
@@ -195,7 +199,7 @@
 	f := &Daemon{
 		config: c, copy: m, failed: make(chan error, 1), registerAgain: make(chan struct{}, 1), sequences: map[string]uint64{}, metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
 		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
-		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
+		pools: map[string]*ownedPool{}, loads: newLoadTable(), paces: map[string]knownPace{}, exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 	}
 	f.table = assignment.New(c.Self.ID, f.view)
 	var err error
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -26,6 +26,8 @@
 	unheldGroups prometheus.Gauge
 	// copyAge is the time since the local copy of the store was known to be current.
 	copyAge prometheus.GaugeFunc
+	// paceDecisions counts the decisions on members' limits.
+	paceDecisions *prometheus.CounterVec
 }
 
 // Purposes of the calls to the store.
@@ -67,6 +69,7 @@
 		unheldGroups: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "dragonflypick_groups_without_holder", Help: "Groups that have had a primary and no holder for a second.",
 		}),
+		paceDecisions: newPaceDecisions(),
 		copyAge: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "dragonflypick_store_copy_age_seconds", Help: "Time since the local copy of the store was known to contain all changes; -1 if it never was.",
 		}, func() float64 {
@@ -80,7 +83,7 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge)
+	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.paceDecisions, paceCollector{f})
 }
 
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -193,6 +193,7 @@
 func (f *Daemon) retirePool(id string, o *ownedPool, why string) {
 	f.config.Log.Info("member pool closed", "member", id, "why", why)
 	delete(f.pools, id)
+	f.keepPace(o.Pool)
 	o.Close()
 	f.closingPools = append(f.closingPools, o.Pool)
 }
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -51,7 +51,9 @@
 		if err := decodeParams(r, &q); err != nil {
 			return nil, err
 		}
-		return f.serveRequest(x, &q), nil
+		o := f.serveRequest(x, &q)
+		f.tellPace(&o)
+		return o, nil
 	case methodPosition:
 		var p positionParams
 		if err := decodeParams(r, &p); err != nil {
@@ -242,7 +244,7 @@
 			n = c.Groups[m.Group].Connections
 		}
 		o = &ownedPool{Pool: pool.New(pool.Config{
-			Member: m, Connections: n, Dialer: f.config.Dialer, Now: now, Log: f.config.Log,
+			Pace: f.paceConfig(m), Member: m, Connections: n, Dialer: f.config.Dialer, Now: now, Log: f.config.Log,
 			ObservePosition: func(p logpos.Position, sent time.Time) { f.observePosition(g, m.ID, p, sent) },
 		})}
 		f.pools[m.ID] = o
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -53,7 +53,7 @@
 	}
 	n := len(p.idle)
 	if n == 0 {
-		if p.open >= p.maxConnections || p.config.Now().Before(p.noDialUntil) {
+		if p.open >= p.maxConnections || p.config.Now().Before(p.noDialUntil) || !p.pacer.reserveOpening() {
 			if !slices.Contains(p.waiters, w) {
 				p.waiters = append(p.waiters, w)
 			}
@@ -100,7 +100,7 @@
 	y, stop := context.WithDeadline(x, deadline)
 	defer stop()
 	t := p.config.Now()
-	k, at, err := p.config.Dialer.Dial(y, p.config.Member, "")
+	k, at, err := p.openConn(y)
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
 		return &conn{Conn: k, prepared: map[string]bool{}}, nil
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -121,7 +121,7 @@
 		}
 		floor = logpos.Position{}
 	}
-	o, err := p.runStep(c, requestStep(r, floor), d)
+	o, err := p.runRequestStep(c, r, floor, d)
 	if err != nil {
 		return lostReply(r, err), true
 	}
@@ -187,7 +187,7 @@
 	if o, err := c.setUpSession(r, d); err != nil || o.Failure != nil {
 		return lostTxReply(err), true
 	}
-	o, err := p.runStep(c, requestStep(r, logpos.Position{}), d)
+	o, err := p.runRequestStep(c, r, logpos.Position{}, d)
 	switch {
 	case err == nil:
 		return o, false
--- /dev/null
+++ b/pool/pace.go
@@ -0,0 +1,186 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/dragonflypick/dragonflypick/admission"
+	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/gate"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/pace"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// actionCount is the number of values of query.Action.
+const actionCount = 3
+
+var _ = [1]int{}[pace.KindCount-bundle.RankCount*actionCount]
+
+// PaceConfig asks for limits that follow how the member answers.
+type PaceConfig struct {
+	// Fresh is set if the member has started recently.
+	Fresh bool
+	// Known is what an earlier owner found; nil if nothing is known.
+	Known *pace.State
+	// Observe is called with each decision on the limit.
+	Observe func(pace.Change)
+}
+
+// pacer applies the limits of a pace.Pace to a pool.
+type pacer struct {
+	config PaceConfig
+	member catalog.Member
+	slots  *gate.Gate
+	log    hclog.Logger
+	now    func() time.Time
+
+	mu   sync.Mutex
+	pace *pace.Pace
+	// gateConfig is the configuration of slots for the limit in force.
+	gateConfig admission.Config
+	// opening counts the connections that are being opened.
+	opening int
+	// direction is the sign of the last change of the limit.
+	direction int
+}
+
+// newPacer returns a pacer, or nil if the pool's limits are fixed. slots has the
+// configuration s.
+func newPacer(c Config, connections int, slots *gate.Gate, s admission.Config) *pacer {
+	if c.Pace == nil {
+		return nil
+	}
+	m := c.Member
+	a := &pacer{
+		config: *c.Pace, member: m, slots: slots, log: c.Log, now: c.Now, gateConfig: s,
+		pace: pace.New(pace.Config{Slots: m.Slots, Connections: connections, Cold: m.ColdRemaining, Fresh: c.Pace.Fresh, Known: c.Pace.Known}, c.Now()),
+	}
+	a.configureGate()
+	return a
+}
+
+// configureGate gives the gate the limit in force; a.mu is held.
+func (a *pacer) configureGate() {
+	n := a.pace.Limit()
+	if n >= a.member.Slots {
+		n = a.member.Slots + queuedStatements
+	}
+	if n != a.gateConfig.Slots {
+		a.gateConfig.Slots = n
+		a.slots.Configure(a.gateConfig)
+	}
+}
+
+func (a *pacer) handle(e pace.Event) {
+	a.mu.Lock()
+	c := a.pace.Handle(e, a.now())
+	if c == nil {
+		a.mu.Unlock()
+		return
+	}
+	a.configureGate()
+	d := 0
+	switch {
+	case c.To > c.From:
+		d = 1
+	case c.To < c.From:
+		d = -1
+	}
+	turned := d != 0 && d != a.direction
+	if d != 0 {
+		a.direction = d
+	}
+	a.mu.Unlock()
+	if turned {
+		a.log.Info("member pace changed direction", "member", a.member.ID, "group", a.member.Group, "slots", a.member.Slots, "from", c.From, "to", c.To, "reason", string(c.Reason),
+			"slowness", c.Slowness, "accepted", c.Level, "answers", c.Answers)
+	}
+	if a.config.Observe != nil {
+		a.config.Observe(*c)
+	}
+}
+
+// observe reports the reply to a statement that was sent while running statements,
+// itself included, held a slot.
+func (a *pacer) observe(r *query.Request, o query.Reply, took time.Duration, running int) {
+	switch {
+	case o.Failure == nil:
+		k := pace.Kind(int(min(r.Rank, bundle.RankCount-1))*actionCount + int(min(r.Action, actionCount-1)))
+		a.handle(pace.Answered{Kind: k, Took: took, Running: running})
+	case o.Failure.Reason == query.Overloaded:
+		a.handle(pace.Busy{})
+	}
+}
+
+// reserveOpening reports whether a connection may be opened now, and counts it. It
+// always may without a pacer.
+func (a *pacer) reserveOpening() bool {
+	if a == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.opening >= a.pace.Openings() {
+		return false
+	}
+	a.opening++
+	return true
+}
+
+// endOpening ends a reserved opening.
+func (a *pacer) endOpening(took time.Duration, err error) {
+	a.mu.Lock()
+	a.opening--
+	a.mu.Unlock()
+	if err == nil {
+		a.handle(pace.Opened{Took: took})
+		return
+	}
+	if f, ok := asFailure(err); ok && f.Reason == query.TooManyConnections {
+		a.handle(pace.OpeningRefused{})
+	}
+}
+
+// openConn opens a connection for which reserveOpening was called.
+func (p *Pool) openConn(x context.Context) (Conn, logpos.Position, error) {
+	if p.pacer == nil {
+		return p.config.Dialer.Dial(x, p.config.Member, "")
+	}
+	t := p.config.Now()
+	c, at, err := p.config.Dialer.Dial(x, p.config.Member, "")
+	p.pacer.endOpening(p.config.Now().Sub(t), err)
+	p.mu.Lock()
+	p.wakeWaiters()
+	p.mu.Unlock()
+	return c, at, err
+}
+
+// runRequestStep runs the statement or commit of a request and reports its time.
+func (p *Pool) runRequestStep(c *conn, r *query.Request, floor logpos.Position, d time.Time) (query.Reply, error) {
+	if p.pacer == nil {
+		return p.runStep(c, requestStep(r, floor), d)
+	}
+	n, t := p.slots.Running(), p.config.Now()
+	o, err := p.runStep(c, requestStep(r, floor), d)
+	if err == nil {
+		p.pacer.observe(r, o, p.config.Now().Sub(t), n)
+	}
+	return o, err
+}
+
+// Pace returns what this pool has found about the member's pace. It returns false if
+// the limits are fixed.
+func (p *Pool) Pace() (pace.State, bool) {
+	a := p.pacer
+	if a == nil {
+		return pace.State{}, false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.pace.State(), true
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -61,6 +61,8 @@
 	// is suspended.
 	Now func() time.Time
 	Log hclog.Logger
+	// Pace makes the limits follow how the member answers; nil leaves them fixed.
+	Pace *PaceConfig
 }
 
 // Pool runs requests at one backend server. It is safe for concurrent use.
@@ -70,6 +72,8 @@
 	// that a connection is left for each slot.
 	slots        *gate.Gate
 	transactions *gate.Gate
+	// pacer is nil if the limits are fixed.
+	pacer *pacer
 	// maxConnections is the maximum number of connections of this pool.
 	maxConnections int
 
@@ -113,8 +117,9 @@
 	for _, q := range []*admission.Config{&s, &t} {
 		q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
 	}
+	g := gate.New(s)
 	return &Pool{
-		config: c, slots: gate.New(s), transactions: gate.New(t), maxConnections: n, txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
+		config: c, slots: g, pacer: newPacer(c, n, g, s), transactions: gate.New(t), maxConnections: n, txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
 	}
 }
 
--- a/query/query.go
+++ b/query/query.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/pace"
 )
 
 // Statement is a statement of a caller.
@@ -213,6 +214,8 @@
 	Reply
 	// QueueWait is the predicted queue wait of a new request of the same rank.
 	QueueWait time.Duration `json:"q,omitempty"`
+	// Pace is what the owner has found about the member's pace, if it tells that.
+	Pace *pace.State `json:"v,omitempty"`
 	// Member is the member that ran the statement, and Owner the ID of the host
 	// that owns it. The requesting daemon sets Owner.
 	Member string `json:"m,omitempty"`
