pace: the wait at a full member isn't taken for slowness; kinds tell databases apart

Change: the mean wait behind one statement is taken off, answers behind more are ignored, and the kind is hashed from rank, action and accepted age.

--- a/pace/handle.go
+++ b/pace/handle.go
@@ -52,13 +52,12 @@
 }
 
 func (p *Pace) answered(x Answered, now time.Time) *Change {
-	if x.Kind >= KindCount {
+	// Answers that waited behind more than one other statement tell little.
+	if x.Kind >= KindCount || x.Running > p.config.Slots+1 {
 		return nil
 	}
 	c := p.expireWindow(now)
-	// Statements beyond the slots wait at the server for their turn.
-	wait := math.Log(max(1, float64(x.Running)/float64(p.config.Slots)))
-	t := math.Log(max(x.Took, minTook).Seconds()) - wait
+	t := math.Log(p.withoutWait(x))
 	u := &p.usual[x.Kind]
 	known, d := u.known(), t-u.mean
 	u.add(t - p.recent)
@@ -89,6 +88,20 @@
 	}
 }
 
+// withoutWait returns the time of an answer in seconds without the wait at the server
+// behind a statement beyond its slots.
+func (p *Pace) withoutWait(x Answered) float64 {
+	t := max(x.Took, minTook).Seconds()
+	if x.Running > p.config.Slots {
+		t -= min(p.service/float64(p.config.Slots), maxWaitShare*t)
+	}
+	if p.service == 0 {
+		p.service = t
+	}
+	p.service += serviceWeight * (min(t, maxServiceFactor*p.service) - p.service)
+	return t
+}
+
 // expireWindow starts a new window, and ends the trial, if the window is too old or
 // the clock was set back.
 func (p *Pace) expireWindow(now time.Time) *Change {
--- a/pace/model_test.go
+++ b/pace/model_test.go
@@ -50,6 +50,17 @@
 	}
 }
 
+// crowded is an owner that also sends four statements of open transactions, which the
+// limit doesn't bound, for half of each second.
+type crowded struct{ *paced }
+
+func (c crowded) limit(t float64) int {
+	if math.Mod(t, 1) < 0.5 {
+		return c.paced.limit(t) + 4
+	}
+	return c.paced.limit(t)
+}
+
 // during is an owner that sends statements between two times.
 type during struct {
 	control
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -23,7 +23,7 @@
 // Limits and thresholds. Those of slowness are natural logarithms of time ratios.
 const (
 	// KindCount is the number of kinds of statements.
-	KindCount = 9
+	KindCount = 16
 	// tolerance is the slowness beyond which answers are out of line.
 	tolerance = 0.405
 	// maxDeviation caps the deviation of one answer, so that a few statements of
@@ -83,8 +83,14 @@
 	slowerWeight = 0.1
 	// floorDivisor divides the slots into the least limit.
 	floorDivisor = 4
-	// minTook is the least time that an answer counts with.
-	minTook = 50 * time.Microsecond
+	// minTook is the least time that an answer counts with, and maxWaitShare the
+	// greatest part of it that is taken for waiting.
+	minTook      = 50 * time.Microsecond
+	maxWaitShare = 0.75
+	// serviceWeight is the weight of a new answer in the mean time, and
+	// maxServiceFactor caps an answer at this multiple of it.
+	serviceWeight    = 0.02
+	maxServiceFactor = 8
 )
 
 // Kind is a kind of statement, below KindCount. Only times of one kind are compared.
@@ -181,7 +187,9 @@
 	// slowness of the last answers.
 	level  float64
 	recent float64
-	window window
+	// service is the mean time of statements of all kinds in seconds, without waiting.
+	service float64
+	window  window
 	// settling is the number of answers to ignore after a change of the limit.
 	settling int
 	// trial is nil unless one is under way.
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -136,6 +136,30 @@
 		Entry("that a neighbor slows at times", condition(disturbed), nil, 0.9),
 	)
 
+	DescribeTable("doesn't take the wait at a full server for slowness", func(crowd bool) {
+		light := newPaced(pace.Config{})
+		m := &play{condition: warm, owners: []control{light}, perSecond: 60, random: rand.New(rand.NewPCG(98, 1))}
+		m.run(20)
+		trials := 0
+		for i := range uint64(seeds) {
+			p := newPaced(pace.Config{Known: &pace.State{Usual: light.p.State().Usual}})
+			m := &play{condition: warm, owners: []control{p}, random: rand.New(rand.NewPCG(i, 1))}
+			if crowd {
+				m.owners[0] = crowded{p}
+			}
+			m.run(20)
+			for _, k := range p.changes {
+				if k.Reason == pace.TryFewer {
+					trials++
+				}
+			}
+		}
+		Expect(trials).To(BeNumerically("<=", seeds), "one trial in twenty seconds")
+	},
+		Entry("behind the one statement that keeps it busy", false),
+		Entry("behind statements of open transactions", true),
+	)
+
 	It("begins below an earlier owner's limit, whose last statements still run, and has all slots soon after", func() {
 		overlap := func(next func() control) (atServer, full float64) {
 			for i := range uint64(seeds) {
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -8,7 +8,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/dragonflypick/dragonflypick/admission"
-	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/logpos"
@@ -16,10 +15,11 @@
 	"github.com/dragonflypick/dragonflypick/query"
 )
 
-// actionCount is the number of values of query.Action.
-const actionCount = 3
-
-var _ = [1]int{}[pace.KindCount-bundle.RankCount*actionCount]
+// Constants of the hash of statements' kinds; 1<<kindBits is pace.KindCount.
+const (
+	kindBits       = 4
+	kindMultiplier = 0x9e3779b97f4a7c15
+)
 
 // PaceConfig asks for limits that follow how the member answers.
 type PaceConfig struct {
@@ -110,13 +110,22 @@
 func (a *pacer) observe(r *query.Request, o query.Reply, took time.Duration, running int) {
 	switch {
 	case o.Failure == nil:
-		k := pace.Kind(int(min(r.Rank, bundle.RankCount-1))*actionCount + int(min(r.Action, actionCount-1)))
-		a.handle(pace.Answered{Kind: k, Took: took, Running: running})
+		a.handle(pace.Answered{Kind: statementKind(r), Took: took, Running: running})
 	case o.Failure.Reason == query.Overloaded:
 		a.handle(pace.Busy{})
 	}
 }
 
+// statementKind returns the kind of a request's statement. Requests of one database
+// are of the same kind at all owners; those of others may be, too.
+func statementKind(r *query.Request) pace.Kind {
+	h := uint64(r.Action) | uint64(r.Rank)<<2
+	if r.Action != query.ActionCommit {
+		h |= uint64(r.MaxAge.Milliseconds()) << 4
+	}
+	return pace.Kind(h * kindMultiplier >> (64 - kindBits))
+}
+
 // reserveOpening reports whether a connection may be opened now, and counts it. It
 // always may without a pacer.
 func (a *pacer) reserveOpening() bool {
