--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -19,7 +19,8 @@
 	// times of statements are used without a bound.
 	paceMaxAge = 10 * time.Second
 	// paceEvery and limitedPaceEvery are how many responses are sent for each that
-	// tells the pace, while the member uses all slots and while it doesn't.
+	// tells the pace, while the member uses all slots and while it doesn't. The first
+	// is a multiple of the second.
 	paceEvery        = 16
 	limitedPaceEvery = 4
 	// maxKnownPaces bounds the members whose pace is known, including those that
@@ -82,16 +83,12 @@
 	if p == nil {
 		return
 	}
-	s, ok := p.Pace()
-	if !ok {
-		return
-	}
 	p.responses++
-	n := uint64(paceEvery)
-	if s.Limit < p.Member().Slots {
-		n = limitedPaceEvery
+	if p.responses%limitedPaceEvery != 0 {
+		return
 	}
-	if p.responses%n == 0 {
+	s, ok := p.Pace()
+	if ok && (s.Limit < p.Member().Slots || p.responses%paceEvery == 0) {
 		o.Pace = &s
 	}
 }
