pace: a higher limit that isn't used up stays; at least a third of the slots

A rapid property plays any history and then callers who ask for a fixed number; it fails without the change. The least limit is a third of the slots: one of four shows no difference between few and more.

--- a/pace/handle.go
+++ b/pace/handle.go
@@ -229,7 +229,8 @@
 	t := *p.trial
 	if !w.isFull() {
 		p.trial = nil
-		return p.change(t.from, Unused, w)
+		// A limit that isn't used up bounds nothing.
+		return p.change(max(p.limit, t.from), Unused, w)
 	}
 	x, _ := p.excess(&w)
 	p.trial = nil
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -82,7 +82,7 @@
 	fasterWeight = 0.2
 	slowerWeight = 0.1
 	// floorDivisor divides the slots into the least limit.
-	floorDivisor = 4
+	floorDivisor = 3
 	// minTook is the least time that an answer counts with, and maxWaitShare the
 	// greatest part of it that is taken for waiting.
 	minTook      = 50 * time.Microsecond
