--- a/pace/handle.go
+++ b/pace/handle.go
@@ -135,7 +135,7 @@
 	}
 	if p.trial != nil {
 		x, v := p.excess(w)
-		return math.Abs(x) > certainTrial*math.Sqrt(v)
+		return x > certainTrial*math.Sqrt(v) || -x > certainUniform*math.Sqrt(v)
 	}
 	return w.mean()-p.level-tolerance > certain*math.Sqrt(w.variance())
 }
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -35,11 +35,13 @@
 	minWindowAnswers    = 12
 	trialFactor         = 2
 	// certain is the number of standard errors beyond a threshold at which a window
-	// ends before it has all of its answers, but not before earlyAnswers; certainTrial
-	// is that of a trial.
-	certain      = 3
-	certainTrial = 2
-	earlyAnswers = 16
+	// ends before it has all of its answers, but not before earlyAnswers. Trials take
+	// certainTrial to show saturation, and certainUniform to show none: a server that
+	// keeps its slots in error is tried again and loses less.
+	certain        = 3
+	certainTrial   = 2
+	certainUniform = 1
+	earlyAnswers   = 16
 	// minSpread is the least standard deviation assumed for answers.
 	minSpread = 0.5
 	// fullShare is the least share of the answers in a window that were given while
