--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -40,6 +40,8 @@
 	lendCalls *prometheus.CounterVec
 	// teamLabels bounds the label team.
 	teamLabels teamLabels
+	// paceDecisions counts the decisions on members' limits.
+	paceDecisions *prometheus.CounterVec
 }
 
 // Purposes of the calls to the store.
@@ -98,6 +100,7 @@
 		unheldGroups: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "dragonflypick_groups_without_holder", Help: "Groups that have had a primary and no holder for a second.",
 		}),
+		paceDecisions: newPaceDecisions(),
 		copyAge: prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "dragonflypick_store_copy_age_seconds", Help: "Time since the local copy of the store was known to contain all changes; -1 if it never was.",
 		}, func() float64 {
@@ -113,7 +116,7 @@
 func (f *Daemon) Collectors() []prometheus.Collector {
 	l := append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.pool.Collectors()...)
 	return append(l, f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.denied,
-		f.metrics.admitted, f.metrics.refused, f.metrics.lent, f.metrics.lendCalls)
+		f.metrics.admitted, f.metrics.refused, f.metrics.lent, f.metrics.lendCalls, f.metrics.paceDecisions, paceCollector{f})
 }
 
 // CountDenied counts a denial.
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -195,7 +195,7 @@
 	y, stop := context.WithDeadline(x, deadline)
 	defer stop()
 	t := p.config.Now()
-	k, at, err := p.config.Dialer.Dial(y, p.config.Member, team)
+	k, at, err := p.openConn(y, team)
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
 		return p.addConn(&conn{Conn: k, id: o.Conn, team: team, prepared: map[string]bool{}}, o.Reason, t), nil
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -61,6 +61,8 @@
 	// Metrics counts the connections of all pools; nil counts them nowhere.
 	Metrics *Metrics
 	Log     hclog.Logger
+	// Pace makes the limits follow how the member answers; nil leaves them fixed.
+	Pace *PaceConfig
 }
 
 // Pool runs requests at one backend server. It is safe for concurrent use.
@@ -70,6 +72,8 @@
 	// that a connection is left for each slot.
 	slots        *gate.Gate
 	transactions *gate.Gate
+	// pacer is nil if the limits are fixed.
+	pacer *pacer
 
 	mu sync.Mutex
 	// set decides which connection a request uses; conns holds the open ones by ID.
@@ -77,10 +81,12 @@
 	conns map[uint64]*conn
 	// waiting holds a channel for the decisions on each request that waits for a
 	// connection, by ID. The channels are buffered, so that sending never blocks.
-	waiting   map[uint64]chan decision
-	lastID    uint64
-	ticker    *time.Timer
-	exchanged exchangeLog
+	waiting map[uint64]chan decision
+	lastID  uint64
+	ticker  *time.Timer
+	// openingLimit is the limit of openings that set was told; zero before the first.
+	openingLimit int
+	exchanged    exchangeLog
 	// txs holds the open transactions by name. abandoned holds the times at which
 	// transactions were abandoned before they were open.
 	txs       map[string]*tx
@@ -115,10 +121,13 @@
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics()
 	}
-	return &Pool{
-		config: c, slots: gate.New(s), transactions: gate.New(t), txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
+	g := gate.New(s)
+	p := &Pool{
+		config: c, slots: g, pacer: newPacer(c, n, g, s), transactions: gate.New(t), txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
 		set: teamconns.New(teamconns.Config{Connections: n, Slots: c.Member.Slots}), conns: map[uint64]*conn{}, waiting: map[uint64]chan decision{},
 	}
+	p.limitOpenings()
+	return p
 }
 
 // Member returns the backend server.
--- a/teamconns/set.go
+++ b/teamconns/set.go
@@ -64,6 +64,8 @@
 	retryAt time.Time
 	// forgetAt is the number of teams at which forgetTeams looks for some to forget.
 	forgetAt int
+	// openingLimit bounds the openings that run at once; zero if nothing else does.
+	openingLimit int
 	// greedy lets requests open a connection whenever none of their team is idle, in
 	// place of the least recently used one. Tests compare it with the other decisions.
 	greedy bool
@@ -113,6 +115,8 @@
 		s.setState(e.Conn, kept, now)
 	case Released:
 		s.release(e, now)
+	case Limited:
+		s.openingLimit = e.Openings
 	case IdleExpired:
 		o = s.expire(e, now)
 	}
@@ -168,9 +172,13 @@
 		}
 		why = OpenMore
 	}
-	if n, _ := s.openings(now); r.Team != "" && n >= s.maxOpenings() && !s.greedy {
+	n, _ := s.openings(now)
+	if r.Team != "" && n >= s.maxOpenings() && !s.greedy {
 		return s.yield(r)
 	}
+	if s.openingLimit > 0 && n >= s.openingLimit {
+		return nil
+	}
 	var o []Action
 	if len(s.conns) >= s.config.Connections {
 		if o = s.closeLeast(r.Team, now, CloseForOther); o == nil {
--- a/teamconns/teamconns.go
+++ b/teamconns/teamconns.go
@@ -66,6 +66,10 @@
 	Closed bool
 }
 
+// Limited bounds the openings that may run at once, in addition to the bound that
+// follows from the slots; zero removes the bound.
+type Limited struct{ Openings int }
+
 // Ticked reports that time has passed.
 type Ticked struct{}
 
@@ -79,6 +83,7 @@
 func (OpeningFailed) event() {}
 func (Kept) event()          {}
 func (Released) event()      {}
+func (Limited) event()       {}
 func (Ticked) event()        {}
 func (IdleExpired) event()   {}
 
--- a/teamconns/teamconns_test.go
+++ b/teamconns/teamconns_test.go
@@ -104,6 +104,15 @@
 		Expect(s.Handle(teamconns.Ticked{}, due)[0]).To(BeAssignableToTypeOf(teamconns.Open{}))
 	})
 
+	It("opens no more at once than it is told to, also for callers without a team", func() {
+		s.Handle(teamconns.Limited{Openings: 1}, t)
+		Expect(request("", "", t)[0]).To(BeAssignableToTypeOf(teamconns.Open{}))
+		Expect(request("", "", t)).To(BeEmpty())
+		Expect(request("red", "", t)).To(BeEmpty())
+		Expect(s.Handle(teamconns.Opened{Conn: 1}, t)).To(HaveLen(1))
+		Expect(s.Handle(teamconns.Limited{}, t)).To(HaveLen(1))
+	})
+
 	It("waits after the member has refused a connection, and makes room there", func() {
 		a := open("red", t)
 		release(a, "", t)
