assignment: owners follow what hosts can carry

Where a deployment asks for it, a member goes to the host with the least load for its weight among its first eight by rendezvous hashing. When a host leaves, fewer members of other hosts move than of its own.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -48,6 +48,11 @@
 	// duties is valid for the inputs dutiesFor.
 	duties    []string
 	dutiesFor inputs
+	// balanced is set if owners follow the load; owners is then valid for the inputs
+	// ownersFor.
+	balanced  bool
+	owners    map[string]membership.Host
+	ownersFor inputs
 	// unheldSince is since when each group has had a primary and no holder.
 	unheldSince map[string]time.Time
 }
@@ -154,7 +159,12 @@
 	if !ok {
 		return nil
 	}
-	return t.view.Successors(ViewMember(m), Candidates, now)
+	l := t.view.Successors(ViewMember(m), Candidates, now)
+	if !t.balanced || len(l) == 0 {
+		return l
+	}
+	h, _ := t.Owner(m, now)
+	return ownerFirst(h, l, Candidates)
 }
 
 // Rank returns how many hosts would take a group over before this one, or -1 if this
