fleet: reads go to the member that answers soonest

Reads carry how long their session's write has been known and how long they may wait for a replica's log; the replica's owner waits for the position instead of sending the read in hope. Owners report position, delay, queue, use and failures of members with answers and with the questions for the end of the log. A read that isn't answered in the expected time goes to a second member, within a budget. A read that no member can answer in time is refused at the entry. A holder of several groups hands one over to the host that it is assigned to.

Only with fleet.Features.UnevenMembers.

--- a/fleet/call.go
+++ b/fleet/call.go
@@ -19,7 +19,9 @@
 	if r.Stage == query.First {
 		q.Transaction = r.Session + "#" + strconv.FormatUint(f.attempts.Add(1), 36)
 	}
+	f.prepareSurvey(&q)
 	o := f.serveOrCall(x, h, &q, left)
+	f.observeAnswer(&q, &o)
 	o.Owner, o.Transaction = h.ID, q.Transaction
 	return o
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -20,10 +20,12 @@
 
 	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/boottime"
+	"github.com/dragonflypick/dragonflypick/budget"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/gossip"
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/outlier"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/pool"
 	"github.com/dragonflypick/dragonflypick/query"
@@ -155,6 +157,10 @@
 	// requests and open transactions have ended.
 	closingPools []*pool.Pool
 	loads        *loadTable
+	// outliers judges members by the reads of this daemon's callers; hedges is the
+	// budget of reads that are sent to a second member, by group.
+	outliers *outlier.Detector
+	hedges   *budget.Retry
 	// lastSeen is when each host last answered any call. lastPinged is when each
 	// holder was last pinged.
 	lastSeen   map[string]time.Time
@@ -195,9 +201,12 @@
 	f := &Daemon{
 		config: c, copy: m, failed: make(chan error, 1), registerAgain: make(chan struct{}, 1), sequences: map[string]uint64{}, metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
 		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
-		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
+		pools: map[string]*ownedPool{}, loads: newLoadTable(), outliers: outlier.New(), hedges: budget.NewRetry(hedgeBudget()), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 	}
 	f.table = assignment.New(c.Self.ID, f.view)
+	if c.Features.UnevenMembers {
+		f.table.Balance()
+	}
 	var err error
 	f.node, err = peer.New(peer.Config{
 		Listen: c.PeerListen, Secret: c.Secret, Self: c.Self, Log: c.Log.Named("peer"), HandleCall: f.handleCall,
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/placement"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/staleness"
 	"github.com/dragonflypick/dragonflypick/takeover"
@@ -30,6 +31,10 @@
 	confirmedAt time.Time
 	// lastReplicaRead is when a replica owned here last received a read.
 	lastReplicaRead time.Time
+	// seen tells since when this daemon has known the positions of its callers'
+	// commits. surveyedAt is when it last asked for reports on the members.
+	seen       placement.Seen
+	surveyedAt time.Time
 	// positionRequest is set while the end of the log is being requested from the
 	// holder, and closed when the request has ended.
 	positionRequest chan struct{}
@@ -146,7 +151,7 @@
 		o.TakeoverAllowed = f.mayTakeOver(r.Holder.ID)
 	}
 	if m, ok := f.table.AssumedPrimary(g.name); ok {
-		h, ok := f.view.Owner(assignment.ViewMember(m), time.Now())
+		h, ok := f.table.Owner(m, time.Now())
 		o.PreferredHolder = ok && h.ID == f.config.Self.ID
 	}
 	id, _ := g.Primary()
@@ -155,8 +160,10 @@
 		return o
 	}
 	o.PrimaryListed, o.PrimaryDraining = f.evictAt[id].IsZero(), m.Draining
-	if h, ok := f.view.Owner(assignment.ViewMember(m), time.Now()); ok && !m.Draining && m.FailureDomain != f.config.Self.FailureDomain {
+	if h, ok := f.table.Owner(m, time.Now()); ok && !m.Draining && m.FailureDomain != f.config.Self.FailureDomain {
 		o.NearerHostExists = topologyDistance(h, m) < topologyDistance(f.config.Self, m)
+	} else if ok && f.config.Features.UnevenMembers && !m.Draining {
+		o.NearerHostExists = f.strongerHostExists(h)
 	}
 	if p := f.pools[id]; p != nil {
 		n, t := p.Health()
@@ -207,6 +214,9 @@
 	defer f.mu.Unlock()
 	t := now()
 	l := f.loads.member(member)
+	if f.config.Features.UnevenMembers {
+		l.observeDelay(&g.history, p, t)
+	}
 	l.position, l.positionAt = p, t
 	if !g.ReportsLogEnd(member, t) {
 		return
--- /dev/null
+++ b/fleet/hedgedread.go
@@ -0,0 +1,123 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/budget"
+	"github.com/dragonflypick/dragonflypick/outlier"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+const (
+	// minHedgeDelay is the least time after which a read that isn't answered is sent
+	// to a second member. Few statements of a healthy member take longer.
+	minHedgeDelay = 250 * time.Millisecond
+	// hedgeDelayFactor times the predicted time is the usual delay.
+	hedgeDelayFactor = 3
+	// probeHedgeDelay is the delay for reads that are sent to an ejected member.
+	probeHedgeDelay = 150 * time.Millisecond
+	// promptReportAge and promptWait are the limits within which a report shows that
+	// a member can answer at once.
+	promptReportAge = time.Second
+	promptWait      = 50 * time.Millisecond
+)
+
+// hedgeBudget returns the limits of hedged reads: one in 20 reads of a group, and a
+// few at once when a member stops answering.
+func hedgeBudget() budget.RetryConfig { return budget.RetryConfig{Ratio: 0.05, Burst: 10, Rate: 1} }
+
+// hedgeReadAfter returns after which time a read is sent to a second member, or false if
+// that would be too late.
+func hedgeReadAfter(c placedTarget, r *query.Request, left time.Duration) (time.Duration, bool) {
+	if r.Stage != query.Single {
+		return 0, false
+	}
+	if c.Reason == probedRead {
+		return probeHedgeDelay, true
+	}
+	d := max(minHedgeDelay, hedgeDelayFactor*c.Cost)
+	return d, d < left*3/5
+}
+
+// runPlaced runs a read at the chosen member. If that doesn't answer in the expected
+// time, and the budget allows it, it also runs the read at another one and returns
+// the first success.
+func (f *Daemon) runPlaced(x context.Context, c placedTarget, r *query.Request, t time.Time, tried triedMembers) query.Response {
+	left := r.Remaining - time.Since(t)
+	delay, ok := hedgeReadAfter(c, r, left)
+	if !ok {
+		return f.executePlaced(x, c, r, t)
+	}
+	x, stop := context.WithCancel(x)
+	defer stop()
+	answers := make(chan query.Response, 2)
+	start := func(c placedTarget) {
+		f.spawn(func(context.Context) {
+			o := query.Response{Reply: query.Reply{Failure: lostFailure(r, "the read ended in a panic")}}
+			defer func() { answers <- o }()
+			o = f.executePlaced(x, c, r, t)
+		})
+	}
+	tried[c.member.ID] = time.Now().Add(left)
+	start(c)
+	late := time.After(delay)
+	var o query.Response
+	for pending, hedged := 1, false; pending > 0; {
+		select {
+		case o = <-answers:
+			pending--
+			if o.Failure == nil {
+				f.recordHedgeResult(r, hedged, o.Member != c.member.ID)
+				return o
+			}
+		case <-late:
+			if c.expectedPromptly() {
+				f.observeOutlier(c, outlier.Silent{Member: c.member.ID})
+			}
+			if h, ok := f.chooseHedge(r, tried, r.Remaining-time.Since(t)); ok {
+				hedged, pending = true, pending+1
+				tried[h.member.ID] = time.Now().Add(left)
+				start(h)
+			}
+		}
+	}
+	return o
+}
+
+// expectedPromptly reports whether the member was known to be able to answer at once,
+// so that its silence counts against it: the read waits neither for its log nor in
+// its queue, and not for the end of the group's log either.
+func (c placedTarget) expectedPromptly() bool {
+	return c.CatchUp <= 0 && c.reportAge < promptReportAge && c.report.Wait < promptWait
+}
+
+// chooseHedge chooses a second member for a read that isn't answered in time. There
+// is none if the budget is used up or no other member would answer in time: a read
+// that would only wait there adds to an overload.
+func (f *Daemon) chooseHedge(r *query.Request, tried triedMembers, left time.Duration) (placedTarget, bool) {
+	c, ok := f.choosePlace(r, tried, left, false)
+	if !ok || c.Cost > left/2 {
+		f.metrics.hedgedReads.WithLabelValues(hedgeNoMember).Inc()
+		return placedTarget{}, false
+	}
+	f.mu.Lock()
+	ok = f.hedges.Take(now(), r.Group)
+	f.mu.Unlock()
+	if !ok {
+		f.metrics.hedgedReads.WithLabelValues(hedgeNoBudget).Inc()
+		return placedTarget{}, false
+	}
+	f.metrics.hedgedReads.WithLabelValues(hedgeSent).Inc()
+	return c, true
+}
+
+// recordHedgeResult adds a success to the budget and counts a hedge that was faster.
+func (f *Daemon) recordHedgeResult(r *query.Request, hedged, won bool) {
+	f.mu.Lock()
+	f.hedges.RecordSuccess(r.Group, now())
+	f.mu.Unlock()
+	if hedged && won {
+		f.metrics.hedgedReads.WithLabelValues(hedgeWon).Inc()
+	}
+}
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -7,7 +7,6 @@
 	"errors"
 	"time"
 
-	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/peer"
@@ -117,7 +116,7 @@
 	m, ok := f.table.AssumedPrimary(g.name)
 	var h membership.Host
 	if ok {
-		h, ok = f.view.Owner(assignment.ViewMember(m), time.Now())
+		h, ok = f.table.Owner(m, time.Now())
 	}
 	c := g.Transfer(lease.Holder{ID: h.ID, Address: h.PeerAddress}, now())
 	f.mu.Unlock()
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/placement"
 )
 
 // Timing of the load reports of members.
@@ -35,6 +36,16 @@
 	// the boot-time clock. Only the member's owner records it.
 	position   logpos.Position
 	positionAt time.Time
+	// service and delay measure the member at its owner: how it serves statements
+	// and how late it applies commits.
+	service placement.Service
+	delay   placement.Lag
+	// report is the last report of the member's owner, timed by the boot-time clock.
+	report placement.Report
+	// advanced is closed when position advances; nil if nobody waits for that.
+	// probing is set while the member's position is being requested.
+	advanced chan struct{}
+	probing  bool
 }
 
 // positionMaxAge is how long a member's log is assumed not to have grown since
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -24,6 +24,7 @@
 	rewrites prometheus.Counter
 	// unheldGroups is the number of groups that have a primary and no holder.
 	unheldGroups prometheus.Gauge
+	placementMetrics
 	// copyAge is the time since the local copy of the store was known to be current.
 	copyAge prometheus.GaugeFunc
 }
@@ -45,6 +46,7 @@
 
 func newMetrics(c *storecopy.Copy) *metrics {
 	return &metrics{
+		placementMetrics: newPlacementMetrics(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_requests_total", Help: "Statements by rank and outcome.",
 		}, []string{"rank", "outcome"}),
@@ -80,7 +82,8 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge)
+	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge,
+		f.metrics.placements, f.metrics.catchUp, f.metrics.hedgedReads, f.metrics.outlierEvents)
 }
 
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
--- /dev/null
+++ b/fleet/placedread.go
@@ -0,0 +1,250 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/dragonflypick/dragonflypick/outlier"
+	"github.com/dragonflypick/dragonflypick/placement"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// maxPlacedAttempts bounds the attempts to find a member for one read.
+const maxPlacedAttempts = 9
+
+// probedRead is the reason of a read that is sent to an ejected member.
+const probedRead placement.Reason = "probe"
+
+// placedTarget is a member that was chosen for a read.
+type placedTarget struct {
+	readTarget
+	placement.Choice
+	primary bool
+	// report is what was known of the member, as of reportAge ago.
+	report    placement.Report
+	reportAge time.Duration
+	floorAge  time.Duration
+}
+
+// executePlacedRead sends a read to the member that is expected to answer soonest,
+// and to the others in turn if that fails. A read that no member can serve before its
+// deadline is refused at once.
+func (f *Daemon) executePlacedRead(x context.Context, r *query.Request, t time.Time) query.Response {
+	var o query.Response
+	tried := triedMembers{}
+	for range maxPlacedAttempts {
+		left := r.Remaining - time.Since(t)
+		if left <= 0 || x.Err() != nil {
+			break
+		}
+		c, ok := f.choosePlace(r, tried, left, true)
+		if !ok {
+			if d := tried.wait(time.Now()); d >= left || !sleep(x, max(d, minReplicaRetry)) {
+				break
+			}
+			continue
+		}
+		if c.hopeless() {
+			return f.refuseHopeless(c, r, left)
+		}
+		o = f.runPlaced(x, c, r, t, tried)
+		if !retryPlaced(r, o) {
+			return o
+		}
+		tried.failed(c.member.ID, o.Failure, time.Now())
+	}
+	if o.Failure == nil {
+		o.Reply = query.Refusal(query.Overloaded, "no member can serve the read now")
+	}
+	return o
+}
+
+// hopelessReportAge is how old a report may be by which a read is refused. After that a
+// read is sent, whose answer tells more.
+const hopelessReportAge = 250 * time.Millisecond
+
+// hopeless reports whether it is known that no member can answer in time.
+func (c placedTarget) hopeless() bool {
+	return c.Reason == placement.LastResort && c.reportAge < hopelessReportAge
+}
+
+// refuseHopeless refuses a read that no member can answer in time.
+func (f *Daemon) refuseHopeless(c placedTarget, r *query.Request, left time.Duration) query.Response {
+	o := query.Response{Reply: query.Refusal(query.Overloaded, "no member can serve the read in time")}
+	o.Failure.RetryAfter = min(max(c.Cost-left, minReplicaRetry), maxHopelessRetry)
+	f.config.Log.Debug("read refused", "id", r.ID, "group", r.Group, "member", c.member.ID, "expected-ms", c.Cost.Milliseconds(), "left-ms", left.Milliseconds(),
+		"wait-ms", c.report.Wait.Milliseconds(), "lag-ms", c.report.Lag.Milliseconds(), "report-age-ms", c.reportAge.Milliseconds())
+	return o
+}
+
+// maxHopelessRetry bounds the time after which the caller of a read that was refused is
+// to come back: what is known of members is no older than that.
+const maxHopelessRetry = time.Second
+
+// triedMembers holds for each member that has failed a read the time from which the
+// read may be sent there again.
+type triedMembers map[string]time.Time
+
+// failed records a failure; a member that says when to come back isn't asked sooner.
+func (l triedMembers) failed(member string, q *query.Failure, now time.Time) {
+	l[member] = now.Add(max(q.RetryAfter, holderRetryDelay))
+}
+
+// excludes reports whether the read isn't to be sent to a member yet.
+func (l triedMembers) excludes(member string, now time.Time) bool { return now.Before(l[member]) }
+
+// wait returns how long it takes until the first of the members may be tried again.
+func (l triedMembers) wait(now time.Time) time.Duration {
+	d := time.Duration(-1)
+	for _, t := range l {
+		if w := t.Sub(now); d < 0 || w < d {
+			d = w
+		}
+	}
+	return max(d, 0)
+}
+
+// retryPlaced reports whether a read that failed may be sent to another member. A
+// single read that a member failed has no effect and may run again.
+func retryPlaced(r *query.Request, o query.Response) bool {
+	if o.State == query.Failed {
+		return false
+	}
+	return retryElsewhere(o.Failure) || o.Failure != nil && r.Stage == query.Single && o.Failure.Reason == query.RunFailed
+}
+
+// choosePlace chooses a member for a read among those not yet tried. probe allows it
+// to be an ejected one.
+func (f *Daemon) choosePlace(r *query.Request, tried triedMembers, left time.Duration, probe bool) (placedTarget, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := now()
+	g := f.group(r.Group)
+	l, due := f.placementCandidates(g, r, tried, t)
+	q := placement.Read{Floor: r.Floor, FloorAge: g.seen.Age(r.Floor, t), MaxAge: r.MaxAge, Left: left}
+	targets := make([]placement.Candidate, len(l))
+	for i := range l {
+		targets[i] = l[i].candidate
+	}
+	c, ok := placement.Choose(q, targets, t, rand.Float64)
+	if !ok {
+		return placedTarget{}, false
+	}
+	if probe && due >= 0 && r.Stage == query.Single && left > minProbeTime && targets[due].CatchUp(q, t) <= 0 {
+		c = placement.Choice{Index: due, Cost: targets[due].Cost(0, t), Patience: minReplicaRetry, Reason: probedRead}
+		f.outliers.Handle(outlier.ProbeStarted{Member: targets[due].Member}, t)
+		f.metrics.outlierEvents.WithLabelValues(outlierProbed).Inc()
+	}
+	m := l[c.Index]
+	o := placedTarget{readTarget: m.readTarget, Choice: c, primary: m.candidate.Primary, report: m.candidate.Report, reportAge: t.Sub(m.candidate.Report.At), floorAge: q.FloorAge}
+	o.cost = c.Cost
+	role := roleReplica
+	if o.primary {
+		role = rolePrimary
+	}
+	f.metrics.placements.WithLabelValues(role, string(c.Reason)).Inc()
+	return o, true
+}
+
+// minProbeTime is the least time that a read must have left to be sent to an ejected
+// member: enough to be sent elsewhere if that doesn't answer.
+const minProbeTime = 800 * time.Millisecond
+
+// placementCandidate is a member that may be chosen.
+type placementCandidate struct {
+	readTarget
+	candidate placement.Candidate
+}
+
+// placementCandidates returns the members of a group that may serve a read, and the
+// index of one to which a probe is due, or -1; f.mu is held.
+func (f *Daemon) placementCandidates(g *group, r *query.Request, tried triedMembers, t time.Time) (o []placementCandidate, due int) {
+	due = -1
+	p, known := f.table.AssumedPrimary(g.name)
+	members := f.table.GroupMembers(g.name)
+	ids := make([]string, len(members))
+	for i, m := range members {
+		ids[i] = m.ID
+	}
+	standings := f.outliers.Standings(ids, t)
+	for i, m := range members {
+		primary := known && p.ID == m.ID
+		h, ok := f.ownerOf(m, primary)
+		if !ok || m.Draining || tried.excludes(m.ID, time.Now()) {
+			continue
+		}
+		l := f.loads.member(m.ID)
+		c := placement.Candidate{
+			Member: m.ID, Primary: primary, Slots: m.Slots, RTT: f.assumedRTT(h.Region, h.FailureDomain), InFlight: l.inFlight,
+			Share: standings[i].Share, Report: f.memberReport(g, m.ID, r.Rank, t),
+		}
+		if time.Since(l.unreachableAt) < unreachablePenalty {
+			c.RTT += unreachablePenalty
+		}
+		if standings[i].ProbeDue {
+			due = len(o)
+		}
+		o = append(o, placementCandidate{readTarget: readTarget{member: m, host: h}, candidate: c})
+	}
+	return o, due
+}
+
+// executePlaced runs a read at the owner of the chosen member and records what the
+// answer shows of the member.
+func (f *Daemon) executePlaced(x context.Context, c placedTarget, r *query.Request, t time.Time) query.Response {
+	q := *r
+	q.Member, q.Patience, q.FloorAge = c.member.ID, max(c.Patience, time.Millisecond), c.floorAge
+	f.mu.Lock()
+	l := f.loads.member(c.member.ID)
+	l.inFlight++
+	f.mu.Unlock()
+	o := f.executeAt(x, c.host, &q, r.Remaining-time.Since(t))
+	f.mu.Lock()
+	l.inFlight--
+	if o.Failure != nil && o.Member == "" && x.Err() == nil && (o.Failure.Reason == query.Unreachable || o.Failure.Reason == query.Moved) {
+		l.unreachableAt = time.Now()
+	}
+	if o.Member != "" {
+		l.report = l.report.Answered(o.QueueWait, o.Position, now())
+	}
+	f.mu.Unlock()
+	if x.Err() == nil {
+		f.observeOutcome(c, &o)
+	}
+	return o
+}
+
+// observeOutcome records the outcome of a read that its owner answered. A refusal by
+// the owner, or for lack of data, says nothing of the member.
+func (f *Daemon) observeOutcome(c placedTarget, o *query.Response) {
+	if o.Member == "" {
+		return
+	}
+	f.mu.Lock()
+	slot := f.memberReport(f.group(c.member.Group), c.member.ID, 0, now()).SlotTime
+	f.mu.Unlock()
+	switch {
+	case o.Failure == nil:
+		f.observeOutlier(c, outlier.Answered{Member: c.member.ID, Took: slot})
+	case o.Failure.Reason == query.Unreachable, o.Failure.Reason == query.RunFailed, o.Failure.Reason == query.Aborted, o.Failure.Reason == query.TimedOut:
+		f.observeOutlier(c, outlier.Failed{Member: c.member.ID})
+	}
+}
+
+// observeOutlier applies an event to the judgement of a member and logs a change.
+func (f *Daemon) observeOutlier(c placedTarget, e outlier.Event) {
+	f.mu.Lock()
+	d := f.outliers.Handle(e, now())
+	f.mu.Unlock()
+	l := f.config.Log.With("member", c.member.ID, "group", c.member.Group, "failures", c.report.Failures, "slot-ms", c.report.SlotTime.Milliseconds(),
+		"wait-ms", c.report.Wait.Milliseconds(), "report-age-ms", c.reportAge.Milliseconds())
+	switch d {
+	case outlier.Ejected:
+		f.metrics.outlierEvents.WithLabelValues(outlierEjected).Inc()
+		l.Info("member ejected from reads")
+	case outlier.Returned:
+		f.metrics.outlierEvents.WithLabelValues(outlierReturned).Inc()
+		l.Info("member returned to reads")
+	}
+}
--- a/fleet/position.go
+++ b/fleet/position.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/pool"
 	"github.com/dragonflypick/dragonflypick/query"
@@ -75,9 +76,10 @@
 	case h.ID == f.config.Self.ID:
 		p = f.heldGroupPosition(y, g.name)
 	default:
-		err = f.node.Call(y, h, methodPosition, positionParams{Group: g.name}, &p)
+		err = f.node.Call(y, h, methodPosition, positionParams{Group: g.name, Reports: f.reports(g.name, "", bundle.Background)}, &p)
 	}
 	stop()
+	f.observeReports(p.Reports)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err == nil && p.Known && h.ID != f.config.Self.ID {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -152,7 +152,10 @@
 func (f *Daemon) logLoad(p *pool.Pool) {
 	l := p.Load()
 	if l.WaitingStatements != [bundle.RankCount]int{} || l.WaitingTransactions != [bundle.RankCount]int{} {
-		f.config.Log.Info("member has waiting requests", "member", p.Member().ID, "group", p.Member().Group, "running", l.RunningStatements, "waiting", l.WaitingStatements, "opening", l.WaitingTransactions,
+		f.mu.Lock()
+		s := f.loads.member(p.Member().ID).service
+		f.mu.Unlock()
+		f.config.Log.Info("member has waiting requests", "slot-ms", s.SlotTime.Milliseconds(), "failures", s.Failures(now()), "member", p.Member().ID, "group", p.Member().Group, "running", l.RunningStatements, "waiting", l.WaitingStatements, "opening", l.WaitingTransactions,
 			"connections", l.Connections, "idle", l.IdleConnections, "transactions", l.OpenTransactions)
 	}
 }
@@ -220,7 +223,7 @@
 	for g := range f.replicaReads {
 		s, ok := g.history.Last()
 		r, _ := g.Record()
-		if n.Sub(g.lastReplicaRead) > replicaReadWindow {
+		if n.Sub(g.lastReplicaRead) > f.replicaWindow() {
 			delete(f.replicaReads, g)
 			continue
 		}
@@ -229,6 +232,7 @@
 		}
 		f.spawn(func(x context.Context) { f.requestPosition(x, g) })
 	}
+	f.refreshLaggingReplicas(n)
 }
 
 // markDraining marks this host as draining in its own view.
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/entry"
 	"github.com/dragonflypick/dragonflypick/membership"
@@ -167,6 +166,9 @@
 // executeRead sends a read to one member after the other, in the order of
 // predicted cost, until one serves it.
 func (f *Daemon) executeRead(x context.Context, r *query.Request, t time.Time) query.Response {
+	if f.config.Features.UnevenMembers {
+		return f.executePlacedRead(x, r, t)
+	}
 	var o query.Response
 	tried := map[string]int{}
 	for range maxReadAttempts {
@@ -260,7 +262,7 @@
 			return membership.Host{}, false
 		}
 	}
-	return f.view.Owner(assignment.ViewMember(m), time.Now())
+	return f.table.Owner(m, time.Now())
 }
 
 // assumedRTT returns the assumed round trip to a location.
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/pool"
@@ -31,11 +32,15 @@
 	Known    bool            `json:"known"`
 	Position logpos.Position `json:"position"`
 	Age      time.Duration   `json:"age"`
+	// Reports are the holder's reports on the group's members.
+	Reports []query.MemberReport `json:"reports,omitempty"`
 }
 
 // positionParams requests the end of a group's log from its holder.
 type positionParams struct {
 	Group string `json:"group"`
+	// Reports are the asker's reports on the group's members.
+	Reports []query.MemberReport `json:"reports,omitempty"`
 }
 
 // itemParams requests an item of the store.
@@ -57,7 +62,10 @@
 		if err := decodeParams(r, &p); err != nil {
 			return nil, err
 		}
-		return f.heldGroupPosition(x, p.Group), nil
+		f.observeReports(p.Reports)
+		o := f.heldGroupPosition(x, p.Group)
+		o.Reports = f.reports(p.Group, "", bundle.Background)
+		return o, nil
 	case methodExchange:
 		var p exchangeParams
 		if err := decodeParams(r, &p); err != nil {
@@ -97,14 +105,22 @@
 // serveRequest runs a request on a member that this host owns, or on the
 // primary of a group that it holds.
 func (f *Daemon) serveRequest(x context.Context, r *query.Request) query.Response {
+	var o query.Response
 	switch {
 	case r.Stage == query.Later || r.Stage == query.Abandon:
 		return f.serveInTransaction(x, r)
 	case r.Primary:
-		return f.servePrimary(x, r)
+		o = f.servePrimary(x, r)
 	default:
-		return f.serveRead(x, r)
+		o = f.serveRead(x, r)
 	}
+	switch {
+	case r.Survey:
+		o.Members = f.reports(r.Group, "", r.Rank)
+	case o.Failure != nil && o.Member != "":
+		o.Members = f.reports(r.Group, o.Member, r.Rank)
+	}
+	return o
 }
 
 // serveInTransaction runs a statement of a transaction that is open at this host,
@@ -207,21 +223,18 @@
 	if !ok {
 		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID}
 	}
+	o := query.Response{Member: m.ID}
+	w := f.checkLog(x, g, p, r, after)
 	q := *r
 	q.Remaining -= time.Since(t)
-	o := query.Response{Member: m.ID}
-	f.mu.Lock()
-	l := f.loads.member(m.ID)
-	lacks, at := l.lacks(after, now()), l.position
-	f.mu.Unlock()
-	if lacks {
+	if w.lacks {
 		o.Reply = query.Refusal(query.Lagging, "the member lacks "+after.String())
-		o.Position = at
+		o.Position, o.Failure.RetryAfter = w.position, w.retryAfter
 	} else {
 		o.Reply = p.Execute(x, &q, after, func() *query.Failure { return nil })
 	}
 	o.QueueWait = p.EstimateWait(r.Rank)
-	if o.Failure != nil && o.Failure.Reason == query.Lagging {
+	if o.Failure != nil && o.Failure.Reason == query.Lagging && w.retryAfter == 0 {
 		f.mu.Lock()
 		if t := g.history.CoveredUntil(o.Position); !t.IsZero() {
 			o.Failure.RetryAfter = max(n.Add(-r.MaxAge).Sub(t), 0)
@@ -231,6 +244,31 @@
 	return o
 }
 
+// logCheck tells whether a member's log lacks a position that a read requires.
+type logCheck struct {
+	lacks    bool
+	position logpos.Position
+	// retryAfter is when the log is expected to contain it, zero if unknown.
+	retryAfter time.Duration
+}
+
+// checkLog checks a member's log before a read is sent there, and waits for it as long
+// as the request allows.
+func (f *Daemon) checkLog(x context.Context, g *group, p *pool.Pool, r *query.Request, after logpos.Position) logCheck {
+	m := p.Member()
+	f.mu.Lock()
+	l := f.loads.member(m.ID)
+	w := logCheck{lacks: l.lacks(after, now()), position: l.position}
+	primary, _ := g.Primary()
+	f.mu.Unlock()
+	if r.Patience == 0 || primary == m.ID {
+		return w
+	}
+	w.retryAfter = f.awaitLog(x, p, r, after)
+	w.lacks = w.retryAfter > 0
+	return w
+}
+
 // memberPool returns the pool of a member, which is created if need be; f.mu is
 // held.
 func (f *Daemon) memberPool(m catalog.Member) *pool.Pool {
@@ -243,7 +281,8 @@
 		}
 		o = &ownedPool{Pool: pool.New(pool.Config{
 			Member: m, Connections: n, Dialer: f.config.Dialer, Now: now, Log: f.config.Log,
-			ObservePosition: func(p logpos.Position, sent time.Time) { f.observePosition(g, m.ID, p, sent) },
+			ObservePosition:  func(p logpos.Position, sent time.Time) { f.observePosition(g, m.ID, p, sent) },
+			ObserveStatement: f.statementObserver(m.ID),
 		})}
 		f.pools[m.ID] = o
 		f.config.Log.Info("member pool opened", "member", m.ID, "group", m.Group, "slots", m.Slots, "connections", n)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -57,6 +57,9 @@
 	// ObservePosition is called with the position in a reply and the time at which
 	// its step was sent.
 	ObservePosition func(p logpos.Position, sent time.Time)
+	// ObserveStatement is called with the time that a statement or commit took at the
+	// member, and whether the member failed it. It may be nil.
+	ObserveStatement func(took time.Duration, failed bool)
 	// Now reads the boot-time clock, which also advances while the process or host
 	// is suspended.
 	Now func() time.Time
@@ -189,5 +192,29 @@
 	if err == nil {
 		p.recordReply(o, t)
 	}
+	if p.config.ObserveStatement != nil {
+		p.observeStatement(s, o, p.config.Now().Sub(t), err)
+	}
 	return o, err
 }
+
+// observeStatement reports the outcome of a caller's statement or commit. A refusal
+// that is due to the statement or to the member's role isn't a failure of the
+// member.
+func (p *Pool) observeStatement(s query.Step, o query.Reply, took time.Duration, err error) {
+	switch s.(type) {
+	case query.RunStatement, query.EndTransaction:
+	default:
+		return
+	}
+	failed := err != nil
+	if err == nil && o.Failure != nil {
+		switch o.Failure.Reason {
+		case query.Overloaded, query.RunFailed, query.TimedOut:
+			failed = true
+		default:
+			return
+		}
+	}
+	p.config.ObserveStatement(took, failed)
+}
--- a/query/query.go
+++ b/query/query.go
@@ -206,6 +206,12 @@
 	Floor logpos.Position `json:"f"`
 	// MaxAge is the maximum age of data at a replica.
 	MaxAge time.Duration `json:"x,omitempty"`
+	// FloorAge is how long the entry has known Floor, and Patience how long the
+	// request may wait until a replica's log has reached it.
+	FloorAge time.Duration `json:"y,omitempty"`
+	Patience time.Duration `json:"z,omitempty"`
+	// Survey asks for reports on all members of the group.
+	Survey bool `json:"q,omitempty"`
 }
 
 // Response is the owner's answer to a request.
@@ -223,6 +229,8 @@
 	// Holder is the ID of the group's holder, to which the request is to be sent
 	// instead, if the reason is Moved.
 	Holder string `json:"h,omitempty"`
+	// Members are reports on members of the group.
+	Members []MemberReport `json:"l,omitempty"`
 }
 
 // Step is one request to a backend server.
--- a/staleness/staleness.go
+++ b/staleness/staleness.go
@@ -4,6 +4,7 @@
 package staleness
 
 import (
+	"math"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/logpos"
@@ -86,6 +87,20 @@
 	return logpos.Position{}, false
 }
 
+// Lag returns bounds on the time that a log which has reached p at now lags behind:
+// the age of the first sample that it lacks, zero if it lacks none, and the age of
+// the last one that it contains, math.MaxInt64 if it contains none.
+func (h *History) Lag(p logpos.Position, now time.Time) (least, most time.Duration) {
+	most = math.MaxInt64
+	for _, s := range h.samples {
+		if p.Less(s.Position) {
+			return now.Sub(s.At), max(most, now.Sub(s.At))
+		}
+		most = now.Sub(s.At)
+	}
+	return 0, most
+}
+
 // CoveredUntil returns the time up to which a log that has reached p contains all
 // commits, or zero if p is before the first sample.
 func (h *History) CoveredUntil(p logpos.Position) time.Time {
