fleet, placement: a read is refused only by recent reports of all members; specs

A read was refused at the entry also where a host had not answered lately, which says nothing about the member, and its caller was told to come back too soon to find room with its few tries.

A read to a replica of unknown position was sent in hope; the position is asked for first. Specs with fake members: waiting, refusing, a second member, probes; on the stand-in platform a replica that answers no reads, and staleness with reads that wait.

--- a/fleet/catchup.go
+++ b/fleet/catchup.go
@@ -28,7 +28,7 @@
 	for {
 		f.mu.Lock()
 		l, t := f.loads.member(p.Member().ID), now()
-		if !l.position.Less(after) || l.positionAt.IsZero() {
+		if !l.position.Less(after) {
 			if waited := t.Sub(start); waited > 0 && r.FloorAge > 0 && after == r.Floor {
 				l.delay.Observe(0, r.FloorAge+waited)
 			}
@@ -44,7 +44,7 @@
 		}
 		// A member that is overdue is expected to take as long again.
 		eta = max(eta, waited-due)
-		if eta > r.Patience-waited {
+		if known := !l.positionAt.IsZero(); known && eta > r.Patience-waited {
 			f.mu.Unlock()
 			return eta
 		}
--- a/fleet/placedread.go
+++ b/fleet/placedread.go
@@ -45,7 +45,7 @@
 			}
 			continue
 		}
-		if c.hopeless() {
+		if c.Hopeless {
 			return f.refuseHopeless(c, r, left)
 		}
 		o = f.runPlaced(x, c, r, t, tried)
@@ -60,27 +60,23 @@
 	return o
 }
 
-// hopelessReportAge is how old a report may be by which a read is refused. After that a
-// read is sent, whose answer tells more.
-const hopelessReportAge = 250 * time.Millisecond
-
-// hopeless reports whether it is known that no member can answer in time.
-func (c placedTarget) hopeless() bool {
-	return c.Reason == placement.LastResort && c.reportAge < hopelessReportAge
-}
-
 // refuseHopeless refuses a read that no member can answer in time.
 func (f *Daemon) refuseHopeless(c placedTarget, r *query.Request, left time.Duration) query.Response {
 	o := query.Response{Reply: query.Refusal(query.Overloaded, "no member can serve the read in time")}
-	o.Failure.RetryAfter = min(max(c.Cost-left, minReplicaRetry), maxHopelessRetry)
+	d := min(max(c.Cost-left, minHopelessRetry), maxHopelessRetry)
+	o.Failure.RetryAfter = d + rand.N(d/2)
 	f.config.Log.Debug("read refused", "id", r.ID, "group", r.Group, "member", c.member.ID, "expected-ms", c.Cost.Milliseconds(), "left-ms", left.Milliseconds(),
-		"wait-ms", c.report.Wait.Milliseconds(), "lag-ms", c.report.Lag.Milliseconds(), "report-age-ms", c.reportAge.Milliseconds())
+		"wait-ms", c.report.Wait.Milliseconds(), "lag-ms", c.report.Lag.Milliseconds(), "busy", c.report.Busy, "slot-ms", c.report.SlotTime.Milliseconds(), "catch-up-ms", c.CatchUp.Milliseconds(), "failures", c.report.Failures, "report-age-ms", c.reportAge.Milliseconds())
 	return o
 }
 
-// maxHopelessRetry bounds the time after which the caller of a read that was refused is
-// to come back: what is known of members is no older than that.
-const maxHopelessRetry = time.Second
+// Bounds of the time after which the caller of a read that was refused is to come back,
+// without jitter: soon enough for its aim, and not so soon that its few tries are used up
+// before the members have room.
+const (
+	minHopelessRetry = 300 * time.Millisecond
+	maxHopelessRetry = time.Second
+)
 
 // triedMembers holds for each member that has failed a read the time from which the
 // read may be sent there again.
--- /dev/null
+++ b/fleet/placedread_test.go
@@ -0,0 +1,231 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/outlier"
+	"github.com/dragonflypick/dragonflypick/placement"
+	"github.com/dragonflypick/dragonflypick/pool"
+	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/staleness"
+)
+
+// fakeMember is a member whose log reaches position 9 at a given time.
+type fakeMember struct {
+	mu      sync.Mutex
+	reaches time.Time
+	// hangs is how long a statement takes.
+	hangs time.Duration
+	// floors are the floors of the statements that it has received.
+	floors []logpos.Position
+}
+
+type fakeConn struct{ m *fakeMember }
+
+func (c fakeConn) Close() {}
+
+func (c fakeConn) RunStep(s query.Step, deadline time.Time) (query.Reply, error) {
+	c.m.mu.Lock()
+	hangs := c.m.hangs
+	o := query.Reply{State: query.Idle, Position: c.m.position()}
+	if r, ok := s.(query.RunStatement); ok {
+		c.m.floors = append(c.m.floors, r.Floor)
+		if o.Position.Less(r.Floor) {
+			o.Failure = &query.Failure{Reason: query.Lagging}
+		}
+	} else {
+		hangs = 0
+	}
+	c.m.mu.Unlock()
+	if left := time.Until(deadline); hangs > left {
+		time.Sleep(left)
+		return query.Reply{}, &query.Failure{Reason: query.Unreachable, Text: "timeout"}
+	}
+	time.Sleep(hangs)
+	return o, nil
+}
+
+// position returns the end of the member's log; m.mu is held.
+func (m *fakeMember) position() logpos.Position {
+	if time.Now().Before(m.reaches) {
+		return logpos.Position{Term: 1, Offset: 5}
+	}
+	return logpos.Position{Term: 1, Offset: 9}
+}
+
+// fakeMembers are the members by ID.
+type fakeMembers map[string]*fakeMember
+
+func (l fakeMembers) Dial(_ context.Context, m catalog.Member, _ string) (pool.Conn, logpos.Position, error) {
+	k := l[m.ID]
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return fakeConn{k}, k.position(), nil
+}
+
+// newPlacingDaemon returns a daemon that owns the replicas m and n of a group whose
+// primary p has no holder.
+func newPlacingDaemon(l fakeMembers) *Daemon {
+	f, err := New(Config{
+		Self: membership.Host{ID: "a", FailureDomain: "west-a", Region: "west"}, PeerListen: "127.0.0.1:0", Secret: "s", Store: &eraStore{}, Log: hclog.NewNullLogger(),
+		Dialer: l, Features: Features{UnevenMembers: true},
+	})
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(f.stop)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id := range l {
+		f.table.SetMember(catalog.Member{ID: id, Group: "g", FailureDomain: "west-a", Region: "west", Slots: 4})
+	}
+	f.table.SetMember(catalog.Member{ID: "p", Group: "g", FailureDomain: "west-b", Region: "west", Slots: 4, Primary: true, Draining: true})
+	// The end of the log is known for a while.
+	g, t := f.group("g"), now()
+	g.history.Add(staleness.Sample{Position: logpos.Position{Term: 1, Offset: 5}, At: t.Add(-200 * time.Millisecond)})
+	g.history.Add(staleness.Sample{Position: logpos.Position{Term: 1, Offset: 9}, At: t.Add(10 * time.Second)})
+	return f
+}
+
+func ownRead(left time.Duration) *query.Request {
+	return &query.Request{ID: "i", Group: "g", Session: "s", Remaining: left, MaxAge: 10100 * time.Millisecond, Floor: logpos.Position{Term: 1, Offset: 9}, Text: "READ x"}
+}
+
+var _ = Describe("a placed read", func() {
+	It("waits at the owner until the replica has the session's write, and isn't sent before", func() {
+		m := &fakeMember{reaches: time.Now().Add(200 * time.Millisecond)}
+		f := newPlacingDaemon(fakeMembers{"m": m})
+		t := time.Now()
+		o := f.executePlacedRead(context.Background(), ownRead(2*time.Second), t)
+		Expect(o.Failure).To(BeNil())
+		Expect(time.Since(t)).To(BeNumerically("~", 230*time.Millisecond, 120*time.Millisecond))
+		Expect(m.floors).To(HaveLen(1))
+	})
+
+	It("is refused by the owner before its patience ends if the replica is expected to take longer", func() {
+		m := &fakeMember{reaches: time.Now().Add(time.Hour)}
+		f := newPlacingDaemon(fakeMembers{"m": m})
+		f.mu.Lock()
+		l := f.loads.member("m")
+		l.position, l.positionAt = logpos.Position{Term: 1, Offset: 5}, now()
+		l.delay.Observe(20*time.Second, 20*time.Second)
+		f.mu.Unlock()
+		r := ownRead(2 * time.Second)
+		r.Member, r.Patience = "m", 300*time.Millisecond
+		t := time.Now()
+		o := f.serveRead(context.Background(), r)
+		Expect(o.Failure.Reason).To(Equal(query.Lagging))
+		Expect(o.Failure.RetryAfter).To(BeNumerically(">", 5*time.Second))
+		Expect(time.Since(t)).To(BeNumerically("<", 200*time.Millisecond))
+		Expect(m.floors).To(BeEmpty())
+	})
+
+	It("is answered by another member if the first one hangs, as long as the budget lasts", func() {
+		hanging, well := &fakeMember{hangs: time.Hour}, &fakeMember{}
+		f := newPlacingDaemon(fakeMembers{"m": hanging, "n": well})
+		f.observeReports([]query.MemberReport{{Member: "n", Position: logpos.Position{Term: 1, Offset: 9}, SlotMS: 90}})
+		f.observeReports([]query.MemberReport{{Member: "m", Position: logpos.Position{Term: 1, Offset: 9}, SlotMS: 1}})
+		t := time.Now()
+		o := f.executePlacedRead(context.Background(), ownRead(1500*time.Millisecond), t)
+		Expect(o.Failure).To(BeNil())
+		Expect(o.Member).To(Equal("n"))
+		Expect(time.Since(t)).To(BeNumerically("<", 900*time.Millisecond))
+		Expect(hanging.floors).To(HaveLen(1))
+	})
+
+	It("isn't sent twice without budget", func() {
+		f := newPlacingDaemon(fakeMembers{"m": {}, "n": {}})
+		for range 20 {
+			f.hedges.Take(now(), "g")
+		}
+		_, ok := f.chooseHedge(ownRead(time.Second), triedMembers{"m": time.Now().Add(time.Second)}, time.Second)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("goes to an ejected member as a probe only if it can be repeated and has time to go elsewhere", func() {
+		f := newPlacingDaemon(fakeMembers{"m": {}, "n": {}})
+		f.observeReports([]query.MemberReport{{Member: "m", Position: logpos.Position{Term: 1, Offset: 9}}, {Member: "n", Position: logpos.Position{Term: 1, Offset: 9}}})
+		past := now().Add(-1100 * time.Millisecond)
+		f.mu.Lock()
+		for range 9 {
+			f.outliers.Handle(outlier.Failed{Member: "m"}, past)
+		}
+		f.mu.Unlock()
+		r := ownRead(2 * time.Second)
+		r.Stage = query.First
+		c, _ := f.choosePlace(r, triedMembers{}, r.Remaining, true)
+		Expect(c.member.ID).To(Equal("n"))
+		r.Stage = query.Single
+		c, _ = f.choosePlace(r, triedMembers{}, 300*time.Millisecond, true)
+		Expect(c.member.ID).To(Equal("n"))
+		c, _ = f.choosePlace(r, triedMembers{}, r.Remaining, true)
+		Expect(c.member.ID).To(Equal("m"))
+		Expect(c.Reason).To(Equal(probedRead))
+		c, _ = f.choosePlace(r, triedMembers{}, r.Remaining, true)
+		Expect(c.member.ID).To(Equal("n"), "one probe at a time")
+	})
+
+	It("is refused at once, with a time to come back, if no member can serve it", func() {
+		m := &fakeMember{}
+		f := newPlacingDaemon(fakeMembers{"m": m})
+		f.observeReports([]query.MemberReport{{Member: "m", Position: logpos.Position{Term: 1, Offset: 9}, WaitMS: 3000}})
+		t := time.Now()
+		o := f.executePlacedRead(context.Background(), ownRead(time.Second), t)
+		Expect(o.Failure.Reason).To(Equal(query.Overloaded))
+		Expect(o.Failure.RetryAfter).To(BeNumerically(">=", minHopelessRetry))
+		Expect(time.Since(t)).To(BeNumerically("<", 100*time.Millisecond))
+		Expect(m.floors).To(BeEmpty())
+	})
+
+	It("isn't retried after an outcome that may have an effect, nor inside a transaction", func() {
+		fails := func(q query.Reason) query.Response {
+			return query.Response{Reply: query.Refusal(q, "")}
+		}
+		single, first := &query.Request{}, &query.Request{Stage: query.First}
+		Expect(retryPlaced(single, fails(query.RunFailed))).To(BeTrue())
+		Expect(retryPlaced(first, fails(query.RunFailed))).To(BeFalse())
+		Expect(retryPlaced(single, fails(query.Aborted))).To(BeFalse())
+		o := fails(query.Unreachable)
+		o.State = query.Failed
+		Expect(retryPlaced(single, o)).To(BeFalse())
+	})
+})
+
+var _ = Describe("reports on members", func() {
+	It("survive their encoding, and an older one doesn't replace a newer one", func() {
+		f := newPlacingDaemon(fakeMembers{"m": {}})
+		r := query.MemberReport{Member: "m", Position: logpos.Position{Term: 2, Offset: 7}, LagMS: 150, WaitMS: 20, SlotMS: 25, BusyPercent: 80, FailuresPercent: 10, AgeMS: 100}
+		b, err := json.Marshal(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(len(b)).To(BeNumerically("<", 50))
+		var o query.MemberReport
+		Expect(json.Unmarshal(b, &o)).To(Succeed())
+		Expect(o).To(Equal(r))
+		f.observeReports([]query.MemberReport{r, {Member: "unknown"}})
+		r.WaitMS, r.AgeMS = 900, 500
+		f.observeReports([]query.MemberReport{r})
+		l := f.reports("g", "", 0)
+		Expect(l).To(HaveLen(1))
+		Expect(l[0].WaitMS).To(Equal(int64(20)))
+	})
+
+	It("aren't told where no deployment asks for them", func() {
+		f := newTestDaemon()
+		f.mu.Lock()
+		f.table.SetMember(catalog.Member{ID: "m", Group: "g"})
+		f.loads.member("m").report = placement.Report{At: now()}
+		f.mu.Unlock()
+		Expect(f.reports("g", "", 0)).To(BeEmpty())
+		r := &query.Request{Group: "g"}
+		f.prepareSurvey(r)
+		Expect(r.Survey).To(BeFalse())
+	})
+})
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -25,6 +25,10 @@
 	// defaultSlotTime and defaultLag are assumed of a member without a report.
 	defaultSlotTime = 25 * time.Millisecond
 	defaultLag      = 250 * time.Millisecond
+	// hopelessWaitAge and hopelessLagAge are how old a report may be by which a read
+	// is refused. After that one is sent, whose answer tells more.
+	hopelessWaitAge = 250 * time.Millisecond
+	hopelessLagAge  = time.Second
 	// failureCost is the time that a read loses at a member that fails it.
 	failureCost = 400 * time.Millisecond
 	// minPatience is the least time for which a read waits for a replica's log, so
@@ -104,6 +108,8 @@
 	// member would have answered sooner.
 	Patience time.Duration
 	Reason   Reason
+	// Hopeless is set if recent reports show that no candidate answers in time.
+	Hopeless bool
 }
 
 // CatchUp predicts how long it takes until the candidate has the data for a read.
@@ -191,9 +197,24 @@
 	c := l[best.Index]
 	best.Patience = patience(r, c, best, next)
 	best.Reason = reason(r, c, best, lagging)
+	best.Hopeless = hopeless(r, l, now)
 	return best, true
 }
 
+// hopeless reports whether recent reports show that no candidate answers in time, by
+// its queue or by its lag; unanswered reads and long links don't show that.
+func hopeless(r Read, l []Candidate, now time.Time) bool {
+	for _, c := range l {
+		age := now.Sub(c.Report.At)
+		full := age < hopelessWaitAge && c.Report.Wait > r.Left
+		late := age < hopelessLagAge && c.CatchUp(r, now) > r.Left
+		if !full && !late {
+			return false
+		}
+	}
+	return len(l) > 0
+}
+
 // patience returns how long a read may wait for the log of the best candidate. next
 // is the cost of the second best one, negative if there is none.
 func patience(r Read, c Candidate, best Choice, next time.Duration) time.Duration {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -104,6 +104,24 @@
 		Expect(c.Index).To(Equal(1))
 	})
 
+	It("knows that nobody answers in time only by recent reports of all members", func() {
+		r := placement.Read{Floor: pos(9), MaxAge: 2500 * ms, Left: time.Second}
+		full := func(age time.Duration) []placement.Candidate { return candidates(2*time.Second, 10*time.Second, age) }
+		c, _ := placement.Choose(r, full(100*ms), start, noJitter)
+		Expect(c.Hopeless).To(BeTrue())
+		c, _ = placement.Choose(r, full(400*ms), start, noJitter)
+		Expect(c.Hopeless).To(BeFalse(), "the queue may be shorter by now")
+		l := full(100 * ms)
+		l[1].Report.Position = pos(9)
+		r.MaxAge = 20 * time.Second
+		c, _ = placement.Choose(r, l, start, noJitter)
+		Expect(c.Hopeless).To(BeFalse(), "the replica has the data")
+		l = full(100 * ms)
+		l[0].Report.Wait, l[0].RTT = 0, 2*time.Second
+		c, _ = placement.Choose(placement.Read{Floor: pos(9), MaxAge: 2500 * ms, Left: time.Second}, l, start, noJitter)
+		Expect(c.Hopeless).To(BeFalse(), "a host that didn't answer may answer now")
+	})
+
 	It("always chooses a candidate, and never one that has no share while another answers in time", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			var l []placement.Candidate
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -147,3 +147,17 @@
 	defer s.store.mu.Unlock()
 	return s.store.revision
 }
+
+// SetMute makes a replica of group i answer no read outside of transactions in time, or
+// answer again.
+func (s *Site) SetMute(i int, mute bool) {
+	g := s.groups[i]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if !m.primary {
+			m.mute = mute
+			return
+		}
+	}
+}
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -25,15 +25,21 @@
 	incarnation int
 	// replicationStopped is true if the member receives no entries.
 	replicationStopped bool
-	draining           bool
-	startedAt          int64
-	slots              chan struct{}
-	conns              map[net.Conn]bool
+	// mute is true if the member answers reads outside of transactions only after
+	// muteTime.
+	mute      bool
+	draining  bool
+	startedAt int64
+	slots     chan struct{}
+	conns     map[net.Conn]bool
 }
 
 // maxConnections is the maximum number of connections of a member.
 const maxConnections = 12
 
+// muteTime is longer than any statement may take.
+const muteTime = 2500 * time.Millisecond
+
 // backendSession is a daemon's connection to a member.
 type backendSession struct {
 	member   *member
@@ -251,6 +257,12 @@
 	s.member.slots <- struct{}{}
 	time.Sleep(at.config.StatementTime)
 	g.mu.Lock()
+	mute := s.member.mute && verb == "READ" && s.state == 'I'
+	g.mu.Unlock()
+	if mute {
+		time.Sleep(muteTime)
+	}
+	g.mu.Lock()
 	defer g.mu.Unlock()
 	<-s.member.slots
 	now := time.Now()
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	daemonfleet "github.com/dragonflypick/dragonflypick/fleet"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/platform"
 	"github.com/dragonflypick/dragonflypick/platformdaemon"
@@ -36,9 +37,10 @@
 
 // fleet is a set of daemons that run against a site.
 type fleet struct {
-	site    *site.Site
-	mu      sync.Mutex
-	daemons []*daemon
+	site     *site.Site
+	features daemonfleet.Features
+	mu       sync.Mutex
+	daemons  []*daemon
 }
 
 // nextPort is the next port to try. Ports below the kernel's ephemeral range stay
@@ -60,10 +62,13 @@
 	}
 }
 
-func newFleet(c site.Config, n int) *fleet {
+func newFleet(c site.Config, n int) *fleet { return newFleetWith(c, n, daemonfleet.Features{}) }
+
+// newFleetWith starts daemons whose deployment asks for features.
+func newFleetWith(c site.Config, n int, features daemonfleet.Features) *fleet {
 	at, err := site.New(c)
 	Expect(err).NotTo(HaveOccurred())
-	f := &fleet{site: at}
+	f := &fleet{site: at, features: features}
 	failureDomains := []string{"west-a", "west-b", "north-a"}
 	for i := range n {
 		f.start(fmt.Sprintf("n%d", i), failureDomains[i%3])
@@ -85,7 +90,7 @@
 	d := &daemon{done: make(chan error, 1), settings: platform.Settings{
 		Host: name, FailureDomain: failureDomain, Region: site.Regions[failureDomain], Regions: site.Regions,
 		CallerListen: freeAddress(), ReadinessListen: freeAddress(), PeerListen: freeAddress(), MetricsListen: freeAddress(),
-		StoreAddress: f.site.StoreAddress, PromotionAddress: f.site.PromotionAddress, GracePeriod: 3 * time.Second,
+		StoreAddress: f.site.StoreAddress, PromotionAddress: f.site.PromotionAddress, GracePeriod: 3 * time.Second, Features: f.features,
 	}}
 	x, stop := context.WithCancel(context.Background())
 	d.stop = stop
@@ -201,6 +206,27 @@
 		Expect(o.Served).To(BeNumerically(">", 300))
 	})
 
+	It("serve no read beyond its staleness limit while replicas lag and reads wait for their logs", func() {
+		f := newFleetWith(defaultConfig, 3, daemonfleet.Features{UnevenMembers: true})
+		f.site.SetLag(150 * time.Millisecond)
+		time.AfterFunc(1500*time.Millisecond, func() { f.site.SetLag(1500 * time.Millisecond) })
+		o := f.runLoad(7, 4*time.Second)
+		Expect(o.Served).To(BeNumerically(">", 400))
+		Expect(o.Refused).To(BeNumerically("<", o.Served/20))
+	})
+
+	It("lose few reads to a replica that answers none while its connections are well", func() {
+		play := func(features daemonfleet.Features) *site.LoadReport {
+			f := newFleetWith(defaultConfig, 3, features)
+			f.site.SetMute(0, true)
+			f.site.SetMute(1, true)
+			return f.runLoad(9, 5*time.Second)
+		}
+		off, on := play(daemonfleet.Features{}), play(daemonfleet.Features{UnevenMembers: true})
+		Expect(on.Refused).To(BeNumerically("<", off.Refused))
+		Expect(on.Served).To(BeNumerically(">", 3*off.Served/2))
+	})
+
 	It("keep transactions separate under overload", func() {
 		c := defaultConfig
 		c.StatementTime = 25 * time.Millisecond
