fleet, outlier: reports go to the holder once a second; what is known of a member ends with it

The questions for the end of the log carried reports four times a second both ways, also between regions. The slower of two attempts at a read keeps its own copy of the request, since it may outlive it.

--- a/fleet/group.go
+++ b/fleet/group.go
@@ -32,9 +32,11 @@
 	// lastReplicaRead is when a replica owned here last received a read.
 	lastReplicaRead time.Time
 	// seen tells since when this daemon has known the positions of its callers'
-	// commits. surveyedAt is when it last asked for reports on the members.
+	// commits. surveyedAt is when it last asked for reports on the members, and
+	// reportedAt when it last sent its own to the holder.
 	seen       placement.Seen
 	surveyedAt time.Time
+	reportedAt time.Time
 	// positionRequest is set while the end of the log is being requested from the
 	// holder, and closed when the request has ended.
 	positionRequest chan struct{}
--- a/fleet/hedgedread.go
+++ b/fleet/hedgedread.go
@@ -52,15 +52,8 @@
 	x, stop := context.WithCancel(x)
 	defer stop()
 	answers := make(chan query.Response, 2)
-	start := func(c placedTarget) {
-		f.spawn(func(context.Context) {
-			o := query.Response{Reply: query.Reply{Failure: lostFailure(r, "the read ended in a panic")}}
-			defer func() { answers <- o }()
-			o = f.executePlaced(x, c, r, t)
-		})
-	}
 	tried[c.member.ID] = time.Now().Add(left)
-	start(c)
+	f.startRead(x, c, *r, t, answers)
 	late := time.After(delay)
 	var o query.Response
 	for pending, hedged := 1, false; pending > 0; {
@@ -78,13 +71,23 @@
 			if h, ok := f.chooseHedge(r, tried, r.Remaining-time.Since(t)); ok {
 				hedged, pending = true, pending+1
 				tried[h.member.ID] = time.Now().Add(left)
-				start(h)
+				f.startRead(x, h, *r, t, answers)
 			}
 		}
 	}
 	return o
 }
 
+// startRead runs a read at a member and sends the answer to answers. It may outlive the
+// request, of which r is a copy.
+func (f *Daemon) startRead(x context.Context, c placedTarget, r query.Request, t time.Time, answers chan<- query.Response) {
+	f.spawn(func(context.Context) {
+		o := query.Response{Reply: query.Reply{Failure: lostFailure(&r, "the read ended in a panic")}}
+		defer func() { answers <- o }()
+		o = f.executePlaced(x, c, &r, t)
+	})
+}
+
 // expectedPromptly reports whether the member was known to be able to answer at once,
 // so that its silence counts against it: the read waits neither for its log nor in
 // its queue, and not for the end of the group's log either.
--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/outlier"
@@ -18,6 +20,7 @@
 	"github.com/dragonflypick/dragonflypick/pool"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/staleness"
+	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
 // fakeMember is a member whose log reaches position 9 at a given time.
@@ -55,6 +58,13 @@
 	return o, nil
 }
 
+// received returns the floors of the statements that the member has received.
+func (m *fakeMember) received() []logpos.Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.floors)
+}
+
 // position returns the end of the member's log; m.mu is held.
 func (m *fakeMember) position() logpos.Position {
 	if time.Now().Before(m.reaches) {
@@ -107,7 +117,7 @@
 		o := f.executePlacedRead(context.Background(), ownRead(2*time.Second), t)
 		Expect(o.Failure).To(BeNil())
 		Expect(time.Since(t)).To(BeNumerically("~", 230*time.Millisecond, 120*time.Millisecond))
-		Expect(m.floors).To(HaveLen(1))
+		Expect(m.received()).To(HaveLen(1))
 	})
 
 	It("is refused by the owner before its patience ends if the replica is expected to take longer", func() {
@@ -125,7 +135,7 @@
 		Expect(o.Failure.Reason).To(Equal(query.Lagging))
 		Expect(o.Failure.RetryAfter).To(BeNumerically(">", 5*time.Second))
 		Expect(time.Since(t)).To(BeNumerically("<", 200*time.Millisecond))
-		Expect(m.floors).To(BeEmpty())
+		Expect(m.received()).To(BeEmpty())
 	})
 
 	It("is answered by another member if the first one hangs, as long as the budget lasts", func() {
@@ -138,7 +148,7 @@
 		Expect(o.Failure).To(BeNil())
 		Expect(o.Member).To(Equal("n"))
 		Expect(time.Since(t)).To(BeNumerically("<", 900*time.Millisecond))
-		Expect(hanging.floors).To(HaveLen(1))
+		Expect(hanging.received()).To(HaveLen(1))
 	})
 
 	It("isn't sent twice without budget", func() {
@@ -182,7 +192,7 @@
 		Expect(o.Failure.Reason).To(Equal(query.Overloaded))
 		Expect(o.Failure.RetryAfter).To(BeNumerically(">=", minHopelessRetry))
 		Expect(time.Since(t)).To(BeNumerically("<", 100*time.Millisecond))
-		Expect(m.floors).To(BeEmpty())
+		Expect(m.received()).To(BeEmpty())
 	})
 
 	It("isn't retried after an outcome that may have an effect, nor inside a transaction", func() {
@@ -229,3 +239,25 @@
 		Expect(r.Survey).To(BeFalse())
 	})
 })
+
+var _ = Describe("a holder", func() {
+	It("hands over a group that belongs to another host of its failure domain only if it holds several or that one is much stronger", func() {
+		f := newPlacingDaemon(fakeMembers{})
+		f.config.Self.Weight = 0.134
+		other := membership.Host{ID: "b", FailureDomain: "west-a", Weight: 0.134}
+		strong := membership.Host{ID: "c", FailureDomain: "west-a", Weight: 0.8}
+		far := membership.Host{ID: "d", FailureDomain: "west-b", Weight: 0.8}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		hold := func(name string) {
+			f.group(name).Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder()}, Position: at(1)}}, now())
+		}
+		hold("g")
+		Expect(f.strongerHostExists(other)).To(BeFalse())
+		Expect(f.strongerHostExists(strong)).To(BeTrue())
+		Expect(f.strongerHostExists(far)).To(BeFalse())
+		Expect(f.strongerHostExists(f.config.Self)).To(BeFalse())
+		hold("h")
+		Expect(f.strongerHostExists(other)).To(BeTrue())
+	})
+})
--- a/fleet/position.go
+++ b/fleet/position.go
@@ -76,7 +76,7 @@
 	case h.ID == f.config.Self.ID:
 		p = f.heldGroupPosition(y, g.name)
 	default:
-		err = f.node.Call(y, h, methodPosition, positionParams{Group: g.name, Reports: f.reports(g.name, "", bundle.Background)}, &p)
+		err = f.node.Call(y, h, methodPosition, f.positionParams(g), &p)
 	}
 	stop()
 	f.observeReports(p.Reports)
@@ -92,6 +92,27 @@
 	}
 }
 
+// positionParams returns the parameters of a request for the end of the log. Every
+// surveyInterval it carries the reports on the group's members, and asks for the
+// holder's.
+func (f *Daemon) positionParams(g *group) positionParams {
+	o := positionParams{Group: g.name}
+	if !f.config.Features.UnevenMembers {
+		return o
+	}
+	f.mu.Lock()
+	t := now()
+	due := t.Sub(g.reportedAt) >= surveyInterval
+	if due {
+		g.reportedAt = t
+	}
+	f.mu.Unlock()
+	if due {
+		o.Survey, o.Reports = true, f.reports(g.name, "", bundle.Background)
+	}
+	return o
+}
+
 // heldGroupPosition returns the end of the log of a group that this host holds. It
 // probes the primary if the last known position is older than heldPositionMaxAge.
 func (f *Daemon) heldGroupPosition(x context.Context, name string) positionReply {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -94,6 +94,7 @@
 			delete(f.evictAt, id)
 			delete(f.sequences, id)
 			f.table.RemoveMember(id)
+			f.outliers.Forget(id)
 		}
 	}
 }
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -39,8 +39,10 @@
 // positionParams requests the end of a group's log from its holder.
 type positionParams struct {
 	Group string `json:"group"`
-	// Reports are the asker's reports on the group's members.
+	// Reports are the asker's reports on the group's members; Survey asks for the
+	// holder's.
 	Reports []query.MemberReport `json:"reports,omitempty"`
+	Survey  bool                 `json:"survey,omitempty"`
 }
 
 // itemParams requests an item of the store.
@@ -64,7 +66,9 @@
 		}
 		f.observeReports(p.Reports)
 		o := f.heldGroupPosition(x, p.Group)
-		o.Reports = f.reports(p.Group, "", bundle.Background)
+		if p.Survey {
+			o.Reports = f.reports(p.Group, "", bundle.Background)
+		}
 		return o, nil
 	case methodExchange:
 		var p exchangeParams
--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -130,14 +130,8 @@
 	return Unchanged
 }
 
-// Forget deletes the state of the members that keep doesn't name.
-func (d *Detector) Forget(keep func(member string) bool) {
-	for k := range d.members {
-		if !keep(k) {
-			delete(d.members, k)
-		}
-	}
-}
+// Forget deletes what is known of a member that has left.
+func (d *Detector) Forget(member string) { delete(d.members, member) }
 
 // Standings returns how the members of one group are to be used. At most half of
 // them are ejected, the worst ones.
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -261,6 +261,9 @@
 // answer tells no position.
 func (r Report) Answered(wait time.Duration, p logpos.Position, now time.Time) Report {
 	r = r.WithDefaults(!r.At.IsZero())
-	r.Wait, r.Position, r.At = wait, logpos.Max(r.Position, p), now
+	r.Wait, r.At = wait, now
+	if !p.IsZero() {
+		r.Position = p
+	}
 	return r
 }
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -17,7 +17,8 @@
 	// PreferredHolder is set if this host, rather than another, should hold the
 	// lease.
 	PreferredHolder bool
-	// NearerHostExists is set if another host is nearer to the primary.
+	// NearerHostExists is set if another host is nearer to the primary, or is to hold the
+	// group since it carries less.
 	NearerHostExists bool
 	// WorkPending is set while work that the host has started on the primary
 	// has not ended.
