--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -30,6 +30,7 @@
 	rewrites prometheus.Counter
 	// unheldGroups is the number of groups that have a primary and no holder.
 	unheldGroups prometheus.Gauge
+	placementMetrics
 	// copyAge is the time since the local copy of the store was known to be current.
 	copyAge prometheus.GaugeFunc
 	// admitted and refused count the operations of teams at this host, lent the tokens
@@ -74,6 +75,7 @@
 		lendCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_lend_calls_total", Help: "Calls of this host to the accountants of teams, by outcome.",
 		}, []string{"outcome"}),
+		placementMetrics: newPlacementMetrics(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_requests_total", Help: "Statements by rank and outcome.",
 		}, []string{"rank", "outcome"}),
@@ -116,7 +118,8 @@
 func (f *Daemon) Collectors() []prometheus.Collector {
 	l := append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.pool.Collectors()...)
 	return append(l, f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.denied,
-		f.metrics.admitted, f.metrics.refused, f.metrics.lent, f.metrics.lendCalls, f.metrics.paceDecisions, paceCollector{f})
+		f.metrics.admitted, f.metrics.refused, f.metrics.lent, f.metrics.lendCalls, f.metrics.paceDecisions, paceCollector{f},
+		f.metrics.placements, f.metrics.catchUp, f.metrics.hedgedReads, f.metrics.outlierEvents)
 }
 
 // CountDenied counts a denial.
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -146,6 +146,27 @@
 	}
 }
 
+// takeSpareToken uses a token that this host has left, for an operation of a team that
+// a second member receives. It returns true if the team's rate isn't bounded.
+func (f *Daemon) takeSpareToken(team string) bool {
+	c := f.Catalog()
+	if f.Limiter() == nil || c == nil || c.Teams[team].Rate <= 0 {
+		return true
+	}
+	for _, b := range f.orderedAccountants(c, team) {
+		f.rates.mu.Lock()
+		k, ok := b.Take(team, now())
+		if ok {
+			b.Spend(k, now())
+		}
+		f.rates.mu.Unlock()
+		if ok {
+			return true
+		}
+	}
+	return false
+}
+
 // orderedAccountants returns the loans from a team's accountants, the nearest one that
 // can be reached first.
 func (f *Daemon) orderedAccountants(c *catalog.Catalog, team string) []*borrower {
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"github.com/dragonflypick/dragonflypick/assignment"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/entry"
 	"github.com/dragonflypick/dragonflypick/membership"
@@ -182,6 +181,9 @@
 // executeRead sends a read to one member after the other, in the order of
 // predicted cost, until one serves it.
 func (f *Daemon) executeRead(x context.Context, r *query.Request, t time.Time) (o query.Response) {
+	if f.config.Features.UnevenMembers {
+		return f.executePlacedRead(x, r, t)
+	}
 	mayHaveRunBefore := false
 	defer func() { o.MayHaveRun = mayHaveRunBefore }()
 	tried := map[string]int{}
@@ -277,7 +279,7 @@
 			return membership.Host{}, false
 		}
 	}
-	return f.view.Owner(assignment.ViewMember(m), time.Now())
+	return f.table.Owner(m, time.Now())
 }
 
 // assumedRTT returns the assumed round trip to a location.
