admission: slot time by team, early refusal and scheduled returns

A team that sends many times its usual took the slots of other teams: accounts were sessions, and its urgent requests went before others' less urgent ones. The account of a queue is now the team, weighted by its rate, with its sessions taking turns below it; a team that uses over twice its share of the slots over all ranks is served after the others.

Requests waited until their deadline at members that had stopped to answer, and behind urgent work that arrived after them. With the pressure feature the queue refuses them when they can't get a slot in time, and tells each caller a time of its own to return.

Without teams and the feature nothing changes.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -49,6 +49,9 @@
 	// ArrivalOrder runs a caller's requests in order of arrival instead of by
 	// deadline.
 	ArrivalOrder bool
+	// EarlyRefusal is fixed by New. It refuses a waiting request once it is predicted to miss its
+	// deadline, not only at the deadline; see Queue.refuseHopeless.
+	EarlyRefusal bool
 }
 
 // Event is an input of Queue.Handle.
@@ -60,6 +63,12 @@
 	ID     uint64
 	Rank   bundle.Rank
 	Caller string
+	// Team is the caller's team, empty if it has none. Slot time is shared between
+	// teams, and within a team its callers take turns.
+	Team string
+	// Weight is the team's share of slot time relative to that of other teams; zero
+	// means 1.
+	Weight float64
 	// Deadline is the time by which the answer must have been sent.
 	Deadline time.Time
 	// InTransaction marks a request of an open transaction. It starts at once,
@@ -88,6 +97,14 @@
 // Ticked reports the current time, so that expired requests are refused.
 type Ticked struct{}
 
+// account returns the name of the account that is charged for the request.
+func (a Arrived) account() string {
+	if a.Team != "" {
+		return "team " + a.Team
+	}
+	return a.Caller
+}
+
 func (Arrived) event()    {}
 func (Finished) event()   {}
 func (Withdrawn) event()  {}
@@ -119,6 +136,9 @@
 	// Expired means that the request waited until it could no longer meet its
 	// deadline.
 	Expired Reason = "expired"
+	// Hopeless means that the request was refused while it waited, because it would
+	// have got a slot too late.
+	Hopeless Reason = "hopeless"
 )
 
 func (Start) action()  {}
@@ -142,6 +162,14 @@
 	credit [bundle.RankCount]time.Duration
 	// usage measures the mean number of slots that each rank has used recently.
 	usage [bundle.RankCount]slotMeter
+	// shares measures the teams' use of slots.
+	shares teamShares
+	// returns schedules when refused callers are to return.
+	returns returnSchedule
+	// hopelessAt is when the queue was last searched for requests to refuse early.
+	hopelessAt time.Time
+	// progressAt is when a request last ended in time, or started while none ran.
+	progressAt time.Time
 }
 
 // New returns an empty queue.
@@ -149,7 +177,7 @@
 	q := &Queue{config: c, waiting: map[uint64]*request{}, running: map[uint64]*request{}}
 	for i := range q.ranks {
 		q.ranks[i] = newRankQueue(c.ArrivalOrder)
-		q.slotTime[i] = initialSlotTime
+		q.slotTime[i], q.usage[i].fast = initialSlotTime, c.EarlyRefusal
 	}
 	return q
 }
@@ -164,6 +192,7 @@
 // Handle applies an event and returns the resulting actions, in order.
 func (q *Queue) Handle(e Event, now time.Time) []Action {
 	var o []Action
+	q.shares.update(q.config.Slots, now)
 	switch x := e.(type) {
 	case Arrived:
 		o = q.arrive(x, now)
@@ -172,11 +201,13 @@
 	case Withdrawn:
 		q.withdraw(x.ID)
 	case Configured:
+		x.Config.EarlyRefusal = q.config.EarlyRefusal
 		q.config = x.Config
 	case Ticked:
 	}
 	o = append(o, q.expire(now)...)
-	return append(o, q.fillSlots(now)...)
+	o = append(o, q.fillSlots(now)...)
+	return append(o, q.refuseHopeless(now)...)
 }
 
 func (q *Queue) arrive(x Arrived, now time.Time) []Action {
@@ -186,19 +217,19 @@
 		q.inTransaction[x.Rank] = append(q.inTransaction[x.Rank], r)
 		return nil
 	}
-	w := q.EstimateWait(x.Rank, x.Caller, now)
-	if !now.Before(x.Deadline) || w > 0 && now.Add(w+q.expectedSlotTime(r, now)).After(x.Deadline) {
+	w := q.predictWait(r, now)
+	if !now.Before(x.Deadline) || w > 0 && !q.likely(r, w, now) {
 		return []Action{q.newRefusal(r, w, now, Overloaded)}
 	}
 	l := q.ranks[x.Rank]
 	var o []Action
 	if l.len() >= q.maxWaiting() {
-		v := l.evictionCandidate(x.Caller)
+		v := l.evictionCandidate(r)
 		if v == nil {
 			return []Action{q.newRefusal(r, w, now, Overloaded)}
 		}
 		q.remove(v)
-		o = append(o, q.newRefusal(v, q.EstimateWait(v.Rank, v.Caller, now), now, Overloaded))
+		o = append(o, q.newRefusal(v, q.predictWait(v, now), now, Overloaded))
 	}
 	q.waiting[x.ID] = r
 	l.push(r)
@@ -222,16 +253,20 @@
 // Requests of callers that have used more slot time aren't counted, since the
 // new request would run before them.
 func (q *Queue) EstimateWait(r bundle.Rank, caller string, now time.Time) time.Duration {
+	return q.predictWait(&request{Arrived: Arrived{Rank: r, Caller: caller}}, now)
+}
+
+// predictWait is EstimateWait for a request that isn't queued.
+func (q *Queue) predictWait(x *request, now time.Time) time.Duration {
+	r := x.Rank
 	if q.config.Slots <= 0 {
 		return maxRetryAfter
 	}
 	if len(q.running) < q.slotLimit(r) && q.workAhead(r) == 0 {
 		return 0
 	}
-	own := time.Duration(q.ranks[r].countAhead(caller)+1) * q.slotTime[r]
-	above := q.workAhead(r)
-	rate := q.expectedSlots(r, now)
-	return min(time.Duration(float64(own+above)/rate), maxRetryAfter)
+	own := time.Duration(q.ranks[r].countAhead(x)+1) * q.slotTime[r]
+	return min(q.stall(now)+time.Duration(float64(own+q.workAheadOf(x))/q.expectedSlotsOf(x, now)), maxRetryAfter)
 }
 
 // slotLimit returns the number of slots that rank r may use beyond its share.
@@ -280,6 +315,9 @@
 // but at least a quarter of the predicted wait, plus jitter.
 func (q *Queue) newRefusal(r *request, wait time.Duration, now time.Time, why Reason) Refuse {
 	d := max(wait-max(r.Deadline.Sub(now), 0)/2, wait/4, minRetryAfter)
+	if q.config.EarlyRefusal {
+		return Refuse{ID: r.ID, RetryAfter: q.returns.assign(q, r, d, now), Reason: why}
+	}
 	d += time.Duration(r.Jitter * float64(d))
 	return Refuse{ID: r.ID, RetryAfter: min(d, maxRetryAfter), Reason: why}
 }
@@ -316,7 +354,7 @@
 				break
 			}
 			q.remove(r)
-			o = append(o, q.newRefusal(r, q.EstimateWait(r.Rank, r.Caller, now), now, Expired))
+			o = append(o, q.newRefusal(r, q.predictWait(r, now), now, Expired))
 		}
 	}
 	return o
--- a/admission/heap.go
+++ b/admission/heap.go
@@ -1,6 +1,9 @@
 package admission
 
-// requestHeap is a heap of one caller's requests by deadline, or by arrival.
+import "cmp"
+
+// requestHeap is a heap of one account's requests by turn, then by deadline or by
+// arrival.
 type requestHeap struct {
 	requests     []*request
 	arrivalOrder bool
@@ -8,12 +11,17 @@
 
 func (h *requestHeap) Len() int { return len(h.requests) }
 
-func (h *requestHeap) Less(i, j int) bool {
-	a, b := h.requests[i], h.requests[j]
-	if !h.arrivalOrder && !a.Deadline.Equal(b.Deadline) {
-		return a.Deadline.Before(b.Deadline)
+func (h *requestHeap) Less(i, j int) bool { return h.compare(h.requests[i], h.requests[j]) < 0 }
+
+// compare orders two requests by when they are to start.
+func (h *requestHeap) compare(a, b *request) int {
+	if d := cmp.Compare(a.turn, b.turn); d != 0 {
+		return d
+	}
+	if d := a.Deadline.Compare(b.Deadline); d != 0 && !h.arrivalOrder {
+		return d
 	}
-	return a.ID < b.ID
+	return cmp.Compare(a.ID, b.ID)
 }
 
 func (h *requestHeap) Swap(i, j int) {
@@ -70,7 +78,7 @@
 	return r
 }
 
-// accountHeap is a heap of callers by used slot time.
+// accountHeap is a heap of accounts by used slot time.
 type accountHeap []*account
 
 func (h accountHeap) Len() int { return len(h) }
--- /dev/null
+++ b/admission/hopeless.go
@@ -0,0 +1,104 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+const (
+	// hopelessInterval is the time between two searches for requests that will miss
+	// their deadline.
+	hopelessInterval = 10 * time.Millisecond
+	// stallFactor is how many times the mean slot time must pass without a request
+	// that ends in time before the slots count as stalled.
+	stallFactor = 8
+	// admitMargin is the fraction of its time left that a new request may be predicted
+	// to wait; giveUpMargin is the fraction of the predicted wait of a waiting request
+	// that must exceed its time left. Predictions assume that other ranks and accounts
+	// go on as they do: a request is admitted if it is likely to be served, and given
+	// up if it isn't any more.
+	admitMargin  = 0.75
+	giveUpMargin = 0.75
+)
+
+// stall predicts how long it takes until a slot becomes free while all of them are
+// held and no request has ended in time for unusually long, for example because the
+// backend server has stopped to answer: as long again.
+func (q *Queue) stall(now time.Time) time.Duration {
+	if !q.config.EarlyRefusal || len(q.running) < q.config.Slots {
+		return 0
+	}
+	d := now.Sub(q.progressAt)
+	for _, r := range q.running {
+		if d < stallFactor*q.slotTime[r.Rank] {
+			return 0
+		}
+	}
+	return min(d, maxRetryAfter)
+}
+
+// likely reports whether a new request that is predicted to wait for w is served in
+// time.
+func (q *Queue) likely(r *request, w time.Duration, now time.Time) bool {
+	left := r.Deadline.Sub(now) - q.expectedSlotTime(r, now)
+	if q.config.EarlyRefusal {
+		left = time.Duration(admitMargin * float64(left))
+	}
+	return w <= left
+}
+
+// refuseHopeless refuses waiting requests that are predicted to get a slot too late:
+// because slots are stalled, or because more urgent requests have arrived since. Their
+// callers may so be served elsewhere while there is time. The load that it answers are
+// bursts of more urgent work and backend servers that stop to answer; without it,
+// such requests are held until their deadline.
+func (q *Queue) refuseHopeless(now time.Time) []Action {
+	if !q.config.EarlyRefusal || now.Sub(q.hopelessAt) < hopelessInterval {
+		return nil
+	}
+	q.hopelessAt = now
+	var o []Action
+	s := q.stall(now)
+	for i, l := range q.ranks {
+		if l.len() == 0 {
+			continue
+		}
+		r := l.deadlines[0].Rank
+		perSlot := func(d time.Duration) time.Duration { return time.Duration(float64(d) / q.expectedSlots(r, now)) }
+		ahead := s + perSlot(q.workAhead(r))
+		for _, x := range l.inOrder(q.slotTime[i]) {
+			w := ahead + q.expectedSlotTime(x, now)
+			if s+time.Duration(giveUpMargin*float64(w-s)) <= x.Deadline.Sub(now) {
+				ahead += perSlot(q.slotTime[i])
+				continue
+			}
+			q.remove(x)
+			o = append(o, q.newRefusal(x, w, now, Hopeless))
+		}
+	}
+	return o
+}
+
+// inOrder returns the waiting requests in the order in which they would start if
+// each took the given slot time.
+func (l *rankQueue) inOrder(slotTime time.Duration) []*request {
+	type start struct {
+		at time.Duration
+		r  *request
+	}
+	o := make([]start, 0, l.len())
+	for _, a := range l.waiting {
+		h := requestHeap{requests: slices.Clone(a.waiting.requests), arrivalOrder: l.arrivalOrder}
+		slices.SortFunc(h.requests, h.compare)
+		for i, r := range h.requests {
+			o = append(o, start{a.served + time.Duration(float64(i)*float64(slotTime)/a.weight), r})
+		}
+	}
+	slices.SortStableFunc(o, func(x, y start) int { return cmp.Compare(x.at, y.at) })
+	p := make([]*request, len(o))
+	for i, x := range o {
+		p[i] = x.r
+	}
+	return p
+}
--- a/admission/rankqueue.go
+++ b/admission/rankqueue.go
@@ -20,33 +20,44 @@
 	// rankQueue.deadlines.
 	accountIndex int
 	rankIndex    int
+	// turn orders the requests of a team: its callers' first requests come before
+	// their second ones.
+	turn uint64
 }
 
-// account is one caller's state in a rankQueue. It is kept while the caller has
-// waiting or running requests, and until virtualTime reaches its slot time.
+// account is the state of one team, or of one caller without a team, in a
+// rankQueue. It is kept while requests wait or run, and until virtualTime reaches
+// its slot time.
 type account struct {
-	caller string
-	// served is the slot time that the caller has used. When the caller starts to
-	// wait, it is raised to virtualTime, so that idle time earns no credit.
+	name string
+	// weight is that of the newest request; it is positive.
+	weight float64
+	// served is the slot time that was used, divided by weight. When the first
+	// request starts to wait, it is raised to virtualTime, so that idle time earns
+	// no credit.
 	served  time.Duration
 	running int
 	waiting requestHeap
 	// index is the index in rankQueue.waiting, or -1 if no request waits.
 	index int
+	// turn is that of the request that was started last. lastTurns holds the turn
+	// of each caller's last request, if that is later; it is nil without a team.
+	turn      uint64
+	lastTurns map[string]uint64
 }
 
-// rankQueue holds the waiting requests of one rank and serves callers fairly by
+// rankQueue holds the waiting requests of one rank and serves accounts fairly by
 // used slot time.
 type rankQueue struct {
 	accounts map[string]*account
-	// waiting holds the callers with waiting requests, least served first.
+	// waiting holds the accounts with waiting requests, least served first.
 	waiting accountHeap
 	// deadlines holds all waiting requests, earliest deadline first.
 	deadlines deadlineHeap
-	// virtualTime is the used slot time of the least served waiting caller. It
+	// virtualTime is the served time of the least served waiting account. It
 	// never decreases.
 	virtualTime time.Duration
-	// arrivalOrder runs each caller's requests in order of arrival.
+	// arrivalOrder runs each account's requests in order of arrival.
 	arrivalOrder bool
 }
 
@@ -56,34 +67,63 @@
 
 func (l *rankQueue) len() int { return len(l.deadlines) }
 
-func (l *rankQueue) account(caller string) *account {
-	a, ok := l.accounts[caller]
+func (l *rankQueue) account(r *request) *account {
+	n := r.account()
+	a, ok := l.accounts[n]
 	if !ok {
-		a = &account{caller: caller, served: l.virtualTime, index: -1, waiting: requestHeap{arrivalOrder: l.arrivalOrder}}
-		l.accounts[caller] = a
+		a = &account{name: n, weight: 1, served: l.virtualTime, index: -1, waiting: requestHeap{arrivalOrder: l.arrivalOrder}}
+		if r.Team != "" {
+			a.lastTurns = map[string]uint64{}
+		}
+		l.accounts[n] = a
+	}
+	if r.Weight > 0 {
+		a.weight = r.Weight
 	}
 	return a
 }
 
 func (l *rankQueue) push(r *request) {
-	a := l.account(r.Caller)
+	a := l.account(r)
+	a.takeTurn(r)
 	heap.Push(&a.waiting, r)
 	heap.Push(&l.deadlines, r)
 	l.update(a)
 }
 
+// takeTurn sets the turn of a request of a team.
+func (a *account) takeTurn(r *request) {
+	if a.lastTurns == nil {
+		return
+	}
+	if len(a.lastTurns) > 2*len(a.waiting.requests)+minLastTurns {
+		for c, t := range a.lastTurns {
+			if t <= a.turn {
+				delete(a.lastTurns, c)
+			}
+		}
+	}
+	r.turn = max(a.lastTurns[r.Caller], a.turn) + 1
+	a.lastTurns[r.Caller] = r.turn
+}
+
+// minLastTurns is the size of account.lastTurns below which it isn't pruned.
+const minLastTurns = 32
+
 func (l *rankQueue) remove(r *request) {
-	a := l.accounts[r.Caller]
+	a := l.accounts[r.account()]
 	heap.Remove(&a.waiting, r.accountIndex)
 	heap.Remove(&l.deadlines, r.rankIndex)
 	l.update(a)
 }
 
-// charge adds to a caller's used slot time and its number of running requests.
-func (l *rankQueue) charge(caller string, d time.Duration, running int) {
-	a := l.account(caller)
-	a.served += d
+// charge adds to the used slot time of a request's account and to its number of
+// running requests.
+func (l *rankQueue) charge(r *request, d time.Duration, running int) {
+	a := l.account(r)
+	a.served += time.Duration(float64(d) / a.weight)
 	a.running += running
+	a.turn = max(a.turn, r.turn)
 	l.update(a)
 }
 
@@ -103,14 +143,29 @@
 		l.virtualTime = max(l.virtualTime, l.waiting[0].served)
 	}
 	if len(a.waiting.requests) == 0 && a.running == 0 && a.served <= l.virtualTime {
-		delete(l.accounts, a.caller)
+		delete(l.accounts, a.name)
 	}
 }
 
-// nextRequest returns the next request of the least served caller. The queue must
+// nextRequest returns the next request of the least served account. The queue must
 // not be empty.
 func (l *rankQueue) nextRequest() *request { return l.waiting[0].waiting.requests[0] }
 
+// nextExcept returns the next request of the least served account whose requests
+// aren't left out, or nil.
+func (l *rankQueue) nextExcept(leaveOut func(*request) bool) *request {
+	var best *account
+	for _, a := range l.waiting {
+		if (best == nil || a.served < best.served) && !leaveOut(a.waiting.requests[0]) {
+			best = a
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.waiting.requests[0]
+}
+
 // earliestDeadline returns the waiting request with the earliest deadline, or nil.
 func (l *rankQueue) earliestDeadline() *request {
 	if len(l.deadlines) == 0 {
@@ -119,33 +174,46 @@
 	return l.deadlines[0]
 }
 
-// countAhead returns how many waiting requests would run before a new one of the
-// caller. Callers take turns, so each waiting caller counts for as many requests
-// as this caller would have, up to the number of all waiting requests.
-func (l *rankQueue) countAhead(caller string) int {
-	n := 0
-	if a := l.accounts[caller]; a != nil {
-		n = len(a.waiting.requests)
+// countAhead returns how many waiting requests would run before a new one.
+// Accounts take turns, so each waiting account counts for as many requests as the
+// new one's would have, up to the number of all waiting requests.
+func (l *rankQueue) countAhead(r *request) int {
+	n := l.countWaiting(r)
+	if r.Team == "" {
+		return min((n+1)*max(len(l.waiting), 1)-1, len(l.deadlines))
+	}
+	w, o := max(r.Weight, minWeight), float64(n)
+	for _, a := range l.waiting {
+		if a.name != r.account() {
+			o += min(float64(n+1)*a.weight/w, float64(len(a.waiting.requests)))
+		}
 	}
-	return min((n+1)*max(len(l.waiting), 1)-1, len(l.deadlines))
+	return int(o)
+}
+
+// minWeight is the lower bound of a weight by which others are divided.
+const minWeight = 0.01
+
+// countWaiting returns how many requests of a request's account wait.
+func (l *rankQueue) countWaiting(r *request) int {
+	if a := l.accounts[r.account()]; a != nil {
+		return len(a.waiting.requests)
+	}
+	return 0
 }
 
 // evictionCandidate returns a request to evict from a full queue in favor of a new
-// one of the given caller: the last in the heap of the caller with the most
-// waiting requests. It returns nil unless that caller has at least two more
-// waiting requests than the given one.
-func (l *rankQueue) evictionCandidate(caller string) *request {
+// one: the last in the heap of the account with the most waiting requests for its
+// weight. It returns nil unless that account has at least two more waiting requests
+// than the new one's.
+func (l *rankQueue) evictionCandidate(r *request) *request {
 	var most *account
 	for _, a := range l.waiting {
-		if most == nil || len(a.waiting.requests) > len(most.waiting.requests) {
+		if most == nil || float64(len(a.waiting.requests))*most.weight > float64(len(most.waiting.requests))*a.weight {
 			most = a
 		}
 	}
-	n := 0
-	if a := l.accounts[caller]; a != nil {
-		n = len(a.waiting.requests)
-	}
-	if most == nil || len(most.waiting.requests) <= n+1 {
+	if most == nil || most.name == r.account() || len(most.waiting.requests) <= l.countWaiting(r)+1 {
 		return nil
 	}
 	w := most.waiting.requests
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -16,9 +16,12 @@
 			break
 		}
 		q.remove(r)
+		if len(q.running) == 0 {
+			q.progressAt = now
+		}
 		r.started, r.charged = now, q.slotTime[r.Rank]
 		q.running[r.ID] = r
-		q.ranks[r.Rank].charge(r.Caller, r.charged, 1)
+		q.ranks[r.Rank].charge(r, r.charged, 1)
 		if r.usesCredit {
 			q.credit[r.Rank] -= r.charged
 		}
@@ -28,7 +31,7 @@
 }
 
 // nextRequest returns the request to start next, or nil: first those of open
-// transactions, then those of lower ranks that have credit, then by rank.
+// transactions, then those of teams that aren't in excess, then all others.
 func (q *Queue) nextRequest() *request {
 	for _, l := range q.inTransaction {
 		if len(l) > 0 {
@@ -38,16 +41,42 @@
 	if len(q.running) >= q.config.Slots {
 		return nil
 	}
-	for i := bundle.RankCount - 1; i > 0; i-- {
-		if q.credit[i] > 0 && q.config.Shares[i] > 0 && q.ranks[i].len() > 0 {
-			r := q.ranks[i].nextRequest()
-			r.usesCredit = true
+	if len(q.shares.excess) > 0 {
+		if r := q.nextOutsideTx(true); r != nil {
 			return r
 		}
 	}
+	return q.nextOutsideTx(false)
+}
+
+// nextOutsideTx returns the request to start next of those outside of transactions,
+// or nil: first those of lower ranks that have credit, then by rank. With skipExcess
+// those of teams in excess are left out.
+func (q *Queue) nextOutsideTx(skipExcess bool) *request {
+	next := func(i int) *request {
+		l := q.ranks[i]
+		switch {
+		case l.len() == 0:
+			return nil
+		case skipExcess && q.shares.has(l.nextRequest()):
+			return l.nextExcept(q.shares.has)
+		default:
+			return l.nextRequest()
+		}
+	}
+	for i := bundle.RankCount - 1; i > 0; i-- {
+		if q.credit[i] > 0 && q.config.Shares[i] > 0 {
+			if r := next(int(i)); r != nil {
+				r.usesCredit = true
+				return r
+			}
+		}
+	}
 	for i := range q.ranks {
-		if q.ranks[i].len() > 0 && len(q.running) < q.slotLimit(bundle.Rank(i)) {
-			return q.ranks[i].nextRequest()
+		if len(q.running) < q.slotLimit(bundle.Rank(i)) {
+			if r := next(i); r != nil {
+				return r
+			}
 		}
 	}
 	return nil
@@ -59,14 +88,18 @@
 		return
 	}
 	delete(q.running, x.ID)
+	if now.Before(r.Deadline) {
+		q.progressAt = now
+	}
 	d := now.Sub(r.started)
 	if x.Declined {
-		q.ranks[r.Rank].charge(r.Caller, d-r.charged, -1)
+		q.ranks[r.Rank].charge(r, d-r.charged, -1)
 		return
 	}
 	q.slotTime[r.Rank] += time.Duration(slotTimeWeight * float64(min(d, maxSampleFactor*q.slotTime[r.Rank])-q.slotTime[r.Rank]))
 	q.usage[r.Rank].add(d, now)
-	q.ranks[r.Rank].charge(r.Caller, d-r.charged, -1)
+	q.shares.record(r, d, now)
+	q.ranks[r.Rank].charge(r, d-r.charged, -1)
 	if r.usesCredit {
 		q.credit[r.Rank] -= d - r.charged
 	}
@@ -77,14 +110,28 @@
 	}
 }
 
-// meterTimeConstant is the time constant of a meter's exponential decay.
-const meterTimeConstant = time.Second
+// Time constants of a meter's exponential decay.
+const (
+	meterTimeConstant = time.Second
+	// fastMeterTimeConstant follows a burst within a fraction of a statement's time
+	// limit.
+	fastMeterTimeConstant = 250 * time.Millisecond
+)
 
 // slotMeter measures the mean number of slots in use; the weight of older samples
 // decays exponentially.
 type slotMeter struct {
 	sum     float64
 	updated time.Time
+	// fast selects fastMeterTimeConstant.
+	fast bool
+}
+
+func (m *slotMeter) timeConstant() time.Duration {
+	if m.fast {
+		return fastMeterTimeConstant
+	}
+	return meterTimeConstant
 }
 
 func (m *slotMeter) add(d time.Duration, now time.Time) {
@@ -93,10 +140,10 @@
 }
 
 func (m *slotMeter) decayed(now time.Time) float64 {
-	return m.sum * math.Exp(-now.Sub(m.updated).Seconds()/meterTimeConstant.Seconds())
+	return m.sum * math.Exp(-now.Sub(m.updated).Seconds()/m.timeConstant().Seconds())
 }
 
 // average returns the mean number of slots in use.
 func (m *slotMeter) average(now time.Time) float64 {
-	return m.decayed(now) / meterTimeConstant.Seconds()
+	return m.decayed(now) / m.timeConstant().Seconds()
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -120,6 +120,8 @@
 	metrics  *metrics
 	catalog  atomic.Pointer[catalog.Catalog]
 	draining atomic.Bool
+	// meanTeamRate is that of the configuration last used by teamWeight.
+	meanTeamRate atomic.Pointer[meanRate]
 	// staleCopyAllowed is set once the store couldn't be read. Before that, a daemon
 	// without a copy doesn't take one that may name members which have left since.
 	staleCopyAllowed atomic.Bool
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -243,6 +243,7 @@
 		}
 		o = &ownedPool{Pool: pool.New(pool.Config{
 			Member: m, Connections: n, Dialer: f.config.Dialer, Now: now, Log: f.config.Log,
+			EarlyRefusal: f.config.Features.Pressure, TeamWeight: f.teamWeight,
 			ObservePosition: func(p logpos.Position, sent time.Time) { f.observePosition(g, m.ID, p, sent) },
 		})}
 		f.pools[m.ID] = o
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -40,6 +40,8 @@
 	mu     sync.Mutex
 	q      *admission.Queue
 	lastID uint64
+	// early is the EarlyRefusal of the configuration at the start.
+	early bool
 	// waiting holds a channel for the decision on each waiting request, by ID. The
 	// channels are buffered, so that sending never blocks.
 	waiting map[uint64]chan admission.Action
@@ -47,7 +49,7 @@
 
 // New returns a gate without requests.
 func New(c admission.Config) *Gate {
-	return &Gate{q: admission.New(c), waiting: map[uint64]chan admission.Action{}}
+	return &Gate{q: admission.New(c), early: c.EarlyRefusal, waiting: map[uint64]chan admission.Action{}}
 }
 
 // Slot is the slot of a request that was started.
@@ -80,8 +82,9 @@
 	default:
 	}
 	// The queue refuses an expired request only when it handles an event, so a
-	// Ticked event is sent at the deadline.
-	t := time.NewTimer(time.Until(a.Deadline))
+	// Ticked event is sent at the deadline. With EarlyRefusal it is also sent each
+	// time that half of the time left has passed.
+	t := time.NewTimer(tickDelay(a.Deadline, g.early))
 	defer t.Stop()
 	for {
 		select {
@@ -89,7 +92,7 @@
 			return g.slotOrError(a.ID, d)
 		case <-t.C:
 			g.handle(admission.Ticked{})
-			t.Reset(time.Millisecond)
+			t.Reset(tickDelay(a.Deadline, g.early))
 		case <-x.Done():
 			if d := g.withdraw(a.ID, w); d != nil {
 				return g.slotOrError(a.ID, d)
@@ -99,6 +102,18 @@
 	}
 }
 
+// minTickDelay is the least time between two Ticked events of a waiting request.
+const minTickDelay = 20 * time.Millisecond
+
+// tickDelay returns when a request that waits sends its next Ticked event.
+func tickDelay(deadline time.Time, early bool) time.Duration {
+	d := max(time.Until(deadline), time.Millisecond)
+	if !early {
+		return d
+	}
+	return min(d, max(d/2, minTickDelay))
+}
+
 // slotOrError returns the slot that a decision of the queue grants, or the error
 // that reports its refusal.
 func (g *Gate) slotOrError(id uint64, d admission.Action) (Slot, error) {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -60,7 +60,13 @@
 	// Now reads the boot-time clock, which also advances while the process or host
 	// is suspended.
 	Now func() time.Time
-	Log hclog.Logger
+	// EarlyRefusal refuses requests as soon as they can't be served in time; see
+	// admission.Config.
+	EarlyRefusal bool
+	// TeamWeight returns the share of a team relative to that of others; nil gives
+	// all the same.
+	TeamWeight func(team string) float64
+	Log        hclog.Logger
 }
 
 // Pool runs requests at one backend server. It is safe for concurrent use.
@@ -111,6 +117,7 @@
 	t := admission.Config{Slots: max(n-c.Member.Slots, 1)}
 	t.ReservedSlots = min(reservedTransactions, t.Slots-1)
 	for _, q := range []*admission.Config{&s, &t} {
+		q.EarlyRefusal = c.EarlyRefusal
 		q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
 	}
 	return &Pool{
