--- a/admission/admission.go
+++ b/admission/admission.go
@@ -76,6 +76,10 @@
 	// locks that its transaction holds. Limiting the open transactions also
 	// limits the number of these requests.
 	InTransaction bool
+	// Elsewhere is set if another backend server may serve the request when this one
+	// refuses it. Only such requests are refused early because slots are stalled: for
+	// others it is best to wait for the end.
+	Elsewhere bool
 	// Jitter is a random number from 0 to 1 that varies the retry-after interval.
 	Jitter float64
 }
@@ -94,6 +98,13 @@
 // Configured replaces the queue's configuration.
 type Configured struct{ Config Config }
 
+// RefusedElsewhere reports requests that were refused before they arrived. Their
+// callers return like those that the queue refuses.
+type RefusedElsewhere struct {
+	Rank  bundle.Rank
+	Count int
+}
+
 // Ticked reports the current time, so that expired requests are refused.
 type Ticked struct{}
 
@@ -105,11 +116,12 @@
 	return a.Caller
 }
 
-func (Arrived) event()    {}
-func (Finished) event()   {}
-func (Withdrawn) event()  {}
-func (Configured) event() {}
-func (Ticked) event()     {}
+func (Arrived) event()          {}
+func (Finished) event()         {}
+func (Withdrawn) event()        {}
+func (Configured) event()       {}
+func (Ticked) event()           {}
+func (RefusedElsewhere) event() {}
 
 // Action is an output of Queue.Handle, to be carried out by the caller.
 type Action interface{ action() }
@@ -203,6 +215,8 @@
 	case Configured:
 		x.Config.EarlyRefusal = q.config.EarlyRefusal
 		q.config = x.Config
+	case RefusedElsewhere:
+		q.returns.extend(q, x, now)
 	case Ticked:
 	}
 	o = append(o, q.expire(now)...)
@@ -266,7 +280,7 @@
 		return 0
 	}
 	own := time.Duration(q.ranks[r].countAhead(x)+1) * q.slotTime[r]
-	return min(q.stall(now)+time.Duration(float64(own+q.workAheadOf(x))/q.expectedSlotsOf(x, now)), maxRetryAfter)
+	return min(q.stall(x, now)+time.Duration(float64(own+q.workAheadOf(x))/q.expectedSlotsOf(x, now)), maxRetryAfter)
 }
 
 // slotLimit returns the number of slots that rank r may use beyond its share.
--- a/admission/hopeless.go
+++ b/admission/hopeless.go
@@ -22,11 +22,12 @@
 	giveUpMargin = 0.75
 )
 
-// stall predicts how long it takes until a slot becomes free while all of them are
+// stall predicts how long it takes until a request gets a slot while all of them are
 // held and no request has ended in time for unusually long, for example because the
-// backend server has stopped to answer: as long again.
-func (q *Queue) stall(now time.Time) time.Duration {
-	if !q.config.EarlyRefusal || len(q.running) < q.config.Slots {
+// backend server has stopped to answer: as long again. It is zero for a request that
+// can't be served elsewhere.
+func (q *Queue) stall(x *request, now time.Time) time.Duration {
+	if !q.config.EarlyRefusal || !x.Elsewhere || len(q.running) < q.config.Slots {
 		return 0
 	}
 	d := now.Sub(q.progressAt)
@@ -59,22 +60,21 @@
 	}
 	q.hopelessAt = now
 	var o []Action
-	s := q.stall(now)
 	for i, l := range q.ranks {
 		if l.len() == 0 {
 			continue
 		}
 		r := l.deadlines[0].Rank
 		perSlot := func(d time.Duration) time.Duration { return time.Duration(float64(d) / q.expectedSlots(r, now)) }
-		ahead := s + perSlot(q.workAhead(r))
+		ahead := perSlot(q.workAhead(r))
 		for _, x := range l.inOrder(q.slotTime[i]) {
-			w := ahead + q.expectedSlotTime(x, now)
-			if s+time.Duration(giveUpMargin*float64(w-s)) <= x.Deadline.Sub(now) {
+			s, w := q.stall(x, now), ahead+q.expectedSlotTime(x, now)
+			if s+time.Duration(giveUpMargin*float64(w)) <= x.Deadline.Sub(now) {
 				ahead += perSlot(q.slotTime[i])
 				continue
 			}
 			q.remove(x)
-			o = append(o, q.newRefusal(x, w, now, Hopeless))
+			o = append(o, q.newRefusal(x, s+w, now, Hopeless))
 		}
 	}
 	return o
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -155,7 +155,7 @@
 		}
 	}
 	a := admission.Arrived{
-		ID: id, Rank: s.rank, Caller: fmt.Sprint(s.team, "/", id%sessions), Team: s.team, Weight: s.weight, Deadline: start.Add(until), Jitter: p.random.Float64(),
+		ID: id, Rank: s.rank, Caller: fmt.Sprint(s.team, "/", id%sessions), Team: s.team, Weight: s.weight, Deadline: start.Add(until), Jitter: p.random.Float64(), Elsewhere: p.other != nil && q == p.q,
 	}
 	if p.sessionsOnly {
 		a.Team, a.Weight = "", 0
--- a/admission/share.go
+++ b/admission/share.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -97,6 +99,10 @@
 	return n
 }
 
+// TeamsInExcess returns the teams that use far more than their share of the slots,
+// sorted.
+func (q *Queue) TeamsInExcess() []string { return slices.Sorted(maps.Keys(q.shares.excess)) }
+
 // excessWork returns the total mean slot time of the requests above rank r that wait
 // for teams in excess.
 func (q *Queue) excessWork(r bundle.Rank) time.Duration {
--- a/fleet/call.go
+++ b/fleet/call.go
@@ -21,6 +21,7 @@
 	}
 	o := f.serveOrCall(x, h, &q, left)
 	o.Owner, o.Transaction = h.ID, q.Transaction
+	f.observePressure(r, &o)
 	return o
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -118,6 +118,7 @@
 	node     *peer.Node
 	copy     *storecopy.Copy
 	metrics  *metrics
+	room     *room
 	catalog  atomic.Pointer[catalog.Catalog]
 	draining atomic.Bool
 	// meanTeamRate is that of the configuration last used by teamWeight.
@@ -195,7 +196,7 @@
 	x, stop := context.WithCancel(context.Background())
 	m := storecopy.New()
 	f := &Daemon{
-		config: c, copy: m, failed: make(chan error, 1), registerAgain: make(chan struct{}, 1), sequences: map[string]uint64{}, metrics: newMetrics(m), ctx: x, stop: stop, view: membership.New(c.Self),
+		config: c, copy: m, failed: make(chan error, 1), registerAgain: make(chan struct{}, 1), sequences: map[string]uint64{}, metrics: newMetrics(m), room: newRoom(), ctx: x, stop: stop, view: membership.New(c.Self),
 		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 	}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -80,7 +80,7 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
-	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge)
+	return append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.room.gapCount, f.room.refusals)
 }
 
 // recordOutcome counts and logs the outcome of a request that arrived at t. Of the
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -51,7 +51,7 @@
 func (f *Daemon) Execute(x context.Context, r *query.Request, pin *entry.Pin) query.Response {
 	t := time.Now()
 	var o query.Response
-	if !f.contain("request", func() { o = f.route(x, r, pin, t) }) {
+	if !f.contain("request", func() { o = f.routeWithinRoom(x, r, pin, t) }) {
 		o = query.Response{Reply: query.Reply{Failure: lostFailure(r, "the request ended in a panic")}}
 	}
 	if o.Failure != nil && (o.Failure.Reason == query.Moved || o.Failure.Reason == query.Unreachable) {
@@ -113,6 +113,7 @@
 		if left <= 0 || n > 0 && left <= holderRetryDelay || x.Err() != nil {
 			if o.Failure == nil {
 				o.Reply = query.Refusal(query.Overloaded, "no holder of the group was found in time")
+				o.Unavailable = true
 			}
 			return o
 		}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -132,7 +132,7 @@
 		if !r.ReadOnly {
 			o.Reply = f.validateReply(g, r, o.Reply)
 		}
-		o.QueueWait = p.EstimateWait(r.Rank)
+		o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 		return o
 	}
 	return query.Response{Reply: query.Refusal(query.Aborted, "the transaction is not open here")}
@@ -164,6 +164,7 @@
 			o := query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder.ID}
 			if rec.Holder.ID == f.config.Self.ID {
 				o.Failure = &query.Failure{Reason: query.Overloaded, Text: "the primary is being replaced", RetryAfter: replacementRetryAfter}
+				o.Unavailable = true
 			}
 			return o
 		}
@@ -181,12 +182,12 @@
 	}
 	f.mu.Unlock()
 	if !ok {
-		return query.Response{Reply: query.Refusal(query.Overloaded, "the primary is not known")}
+		return query.Response{Reply: query.Refusal(query.Overloaded, "the primary is not known"), Unavailable: true}
 	}
 	q := *r
 	q.Remaining -= time.Since(t)
 	o := query.Response{Reply: f.validateReply(g, r, p.Execute(x, &q, logpos.Position{}, f.primaryGuard(g, r))), Member: m.ID}
-	o.QueueWait = p.EstimateWait(r.Rank)
+	o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 	return o
 }
 
@@ -205,7 +206,7 @@
 	f.mu.Unlock()
 	after, ok := f.readFloor(x, g, n.Add(-r.MaxAge), r.Floor)
 	if !ok {
-		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID}
+		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID, Unavailable: true}
 	}
 	q := *r
 	q.Remaining -= time.Since(t)
@@ -220,7 +221,7 @@
 	} else {
 		o.Reply = p.Execute(x, &q, after, func() *query.Failure { return nil })
 	}
-	o.QueueWait = p.EstimateWait(r.Rank)
+	o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 	if o.Failure != nil && o.Failure.Reason == query.Lagging {
 		f.mu.Lock()
 		if t := g.history.CoveredUntil(o.Position); !t.IsZero() {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -171,6 +171,26 @@
 	return g.q.EstimateWait(r, "", time.Now())
 }
 
+// RefusedElsewhere records requests of a rank that were refused before they arrived.
+func (g *Gate) RefusedElsewhere(r bundle.Rank, count int) {
+	g.handle(admission.RefusedElsewhere{Rank: r, Count: count})
+}
+
+// Returns returns the times within which refused callers are to return; see
+// admission.Queue.Returns.
+func (g *Gate) Returns() [bundle.RankCount]time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.Returns(time.Now())
+}
+
+// TeamsInExcess returns the teams that use far more than their share, sorted.
+func (g *Gate) TeamsInExcess() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.TeamsInExcess()
+}
+
 // Depth returns the number of waiting requests of each rank.
 func (g *Gate) Depth() [bundle.RankCount]int {
 	g.mu.Lock()
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -24,7 +24,7 @@
 	case query.Abandon:
 		return p.abandonTx(r)
 	default:
-		return p.runSingleOrFirst(x, r, floor, d, g)
+		return p.executeCounted(r, func() query.Reply { return p.runSingleOrFirst(x, r, floor, d, g) })
 	}
 }
 
@@ -57,7 +57,7 @@
 // acquireSlot waits for a slot. inTransaction is set for requests of open
 // transactions, which don't wait.
 func (p *Pool) acquireSlot(x context.Context, g *gate.Gate, r *query.Request, d time.Time, inTransaction bool) (gate.Slot, *query.Failure) {
-	a := admission.Arrived{Rank: r.Rank, Caller: r.Session, Team: r.Team, Deadline: d, InTransaction: inTransaction}
+	a := admission.Arrived{Rank: r.Rank, Caller: r.Session, Team: r.Team, Deadline: d, InTransaction: inTransaction, Elsewhere: !r.Primary && r.Stage != query.Later}
 	if r.Team != "" && p.config.TeamWeight != nil {
 		a.Weight = p.config.TeamWeight(r.Team)
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -76,6 +76,7 @@
 	// that a connection is left for each slot.
 	slots        *gate.Gate
 	transactions *gate.Gate
+	pressure     pressureGauge
 	// maxConnections is the maximum number of connections of this pool.
 	maxConnections int
 
--- a/query/query.go
+++ b/query/query.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/pressure"
 )
 
 // Statement is a statement of a caller.
@@ -223,6 +224,11 @@
 	// Holder is the ID of the group's holder, to which the request is to be sent
 	// instead, if the reason is Moved.
 	Holder string `json:"h,omitempty"`
+	// Unavailable is set if the group can't serve such requests now, wherever they are
+	// sent: it has no usable primary, or the end of its log isn't known.
+	Unavailable bool `json:"x,omitempty"`
+	// Pressure is set while the member is overloaded.
+	Pressure *pressure.State `json:"v,omitempty"`
 }
 
 // Step is one request to a backend server.
