--- a/gate/gate.go
+++ b/gate/gate.go
@@ -42,6 +42,8 @@
 	lastID uint64
 	// early is the EarlyRefusal of the configuration at the start.
 	early bool
+	// weight returns the weight of a team; nil gives all the same.
+	weight func(team string) float64
 	// waiting holds a channel for the decision on each waiting request, by ID. The
 	// channels are buffered, so that sending never blocks.
 	waiting map[uint64]chan admission.Action
@@ -52,6 +54,10 @@
 	return &Gate{q: admission.New(c), early: c.EarlyRefusal, waiting: map[uint64]chan admission.Action{}}
 }
 
+// ShareByWeight shares slot time between teams by a weight. It is called before the
+// first request.
+func (g *Gate) ShareByWeight(weight func(team string) float64) { g.weight = weight }
+
 // Slot is the slot of a request that was started.
 type Slot struct {
 	g  *Gate
@@ -65,11 +71,14 @@
 // no work; see admission.Finished.Declined.
 func (t Slot) ReleaseDeclined() { t.g.handle(admission.Finished{ID: t.id, Declined: true}) }
 
-// Acquire blocks until the request gets a slot. It sets the request's ID and
-// Jitter. The error is a *RefusedError, or a *WithdrawnError if the context
+// Acquire blocks until the request gets a slot. It sets the request's ID,
+// Jitter and Weight. The error is a *RefusedError, or a *WithdrawnError if the context
 // ended first.
 func (g *Gate) Acquire(x context.Context, a admission.Arrived) (Slot, error) {
 	w := make(chan admission.Action, 1)
+	if a.Team != "" && g.weight != nil {
+		a.Weight = g.weight(a.Team)
+	}
 	g.mu.Lock()
 	g.lastID++
 	a.ID, a.Jitter = g.lastID, rand.Float64()
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -33,7 +33,7 @@
 	if r.Stage != query.First {
 		return p.runSingle(x, r, floor, d, g)
 	}
-	n, f := p.acquireSlot(x, p.transactions, r, d, false)
+	n, f := acquireSlot(x, p.transactions, r, d, false)
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Idle}
 	}
@@ -56,12 +56,10 @@
 
 // acquireSlot waits for a slot. inTransaction is set for requests of open
 // transactions, which don't wait.
-func (p *Pool) acquireSlot(x context.Context, g *gate.Gate, r *query.Request, d time.Time, inTransaction bool) (gate.Slot, *query.Failure) {
-	a := admission.Arrived{Rank: r.Rank, Caller: r.Session, Team: r.Team, Deadline: d, InTransaction: inTransaction, Elsewhere: !r.Primary && r.Stage != query.Later}
-	if r.Team != "" && p.config.TeamWeight != nil {
-		a.Weight = p.config.TeamWeight(r.Team)
-	}
-	k, err := g.Acquire(x, a)
+func acquireSlot(x context.Context, g *gate.Gate, r *query.Request, d time.Time, inTransaction bool) (gate.Slot, *query.Failure) {
+	k, err := g.Acquire(x, admission.Arrived{
+		Rank: r.Rank, Caller: r.Session, Team: r.Team, Deadline: d, InTransaction: inTransaction, Elsewhere: !r.Primary && r.Stage != query.Later,
+	})
 	var e *gate.RefusedError
 	switch {
 	case err == nil:
@@ -85,7 +83,7 @@
 // runOutsideTx runs a request on a connection without an open transaction. It
 // returns the connection, or nil if the connection broke or none was available.
 func (p *Pool) runOutsideTx(x context.Context, r *query.Request, floor logpos.Position, d time.Time, g Guard) (query.Reply, *conn) {
-	n, f := p.acquireSlot(x, p.slots, r, d, false)
+	n, f := acquireSlot(x, p.slots, r, d, false)
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
@@ -180,7 +178,7 @@
 // runInTx runs a request on the connection of its transaction and reports whether
 // the connection broke.
 func (p *Pool) runInTx(x context.Context, c *conn, r *query.Request, d time.Time, g Guard) (query.Reply, bool) {
-	n, f := p.acquireSlot(x, p.slots, r, d, true)
+	n, f := acquireSlot(x, p.slots, r, d, true)
 	if f != nil {
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -121,9 +121,12 @@
 		q.EarlyRefusal = c.EarlyRefusal
 		q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
 	}
-	return &Pool{
+	p := &Pool{
 		config: c, slots: gate.New(s), transactions: gate.New(t), maxConnections: n, txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
 	}
+	p.slots.ShareByWeight(c.TeamWeight)
+	p.transactions.ShareByWeight(c.TeamWeight)
+	return p
 }
 
 // Member returns the backend server.
