--- a/admission/admission.go
+++ b/admission/admission.go
@@ -232,7 +232,7 @@
 		return nil
 	}
 	w := q.predictWait(r, now)
-	if !now.Before(x.Deadline) || w > 0 && !q.likely(r, w, now) {
+	if !now.Before(x.Deadline) || w > 0 && now.Add(w+q.expectedSlotTime(r, now)).After(x.Deadline) {
 		return []Action{q.newRefusal(r, w, now, Overloaded)}
 	}
 	l := q.ranks[x.Rank]
--- a/admission/hopeless.go
+++ b/admission/hopeless.go
@@ -13,12 +13,9 @@
 	// stallFactor is how many times the mean slot time must pass without a request
 	// that ends in time before the slots count as stalled.
 	stallFactor = 8
-	// admitMargin is the fraction of its time left that a new request may be predicted
-	// to wait; giveUpMargin is the fraction of the predicted wait of a waiting request
-	// that must exceed its time left. Predictions assume that other ranks and accounts
-	// go on as they do: a request is admitted if it is likely to be served, and given
-	// up if it isn't any more.
-	admitMargin  = 0.75
+	// giveUpMargin is the fraction of the predicted wait of a waiting request that must
+	// exceed its time left. Predictions assume that other ranks and accounts go on as
+	// they do: a request is given up if it isn't likely any more.
 	giveUpMargin = 0.75
 )
 
@@ -39,16 +36,6 @@
 	return min(d, maxRetryAfter)
 }
 
-// likely reports whether a new request that is predicted to wait for w is served in
-// time.
-func (q *Queue) likely(r *request, w time.Duration, now time.Time) bool {
-	left := r.Deadline.Sub(now) - q.expectedSlotTime(r, now)
-	if q.config.EarlyRefusal {
-		left = time.Duration(admitMargin * float64(left))
-	}
-	return w <= left
-}
-
 // refuseHopeless refuses waiting requests that are predicted to get a slot too late:
 // because slots are stalled, or because more urgent requests have arrived since. Their
 // callers may so be served elsewhere while there is time. The load that it answers are
