--- a/admission/hopeless.go
+++ b/admission/hopeless.go
@@ -19,21 +19,27 @@
 	giveUpMargin = 0.75
 )
 
-// stall predicts how long it takes until a request gets a slot while all of them are
-// held and no request has ended in time for unusually long, for example because the
-// backend server has stopped to answer: as long again. It is zero for a request that
-// can't be served elsewhere.
-func (q *Queue) stall(x *request, now time.Time) time.Duration {
-	if !q.config.EarlyRefusal || !x.Elsewhere || len(q.running) < q.config.Slots {
-		return 0
+// Stalled reports whether all slots are held and no request has ended in time for
+// unusually long, for example because the backend server has stopped to answer.
+func (q *Queue) Stalled(now time.Time) bool {
+	if len(q.running) < q.config.Slots {
+		return false
 	}
-	d := now.Sub(q.progressAt)
 	for _, r := range q.running {
-		if d < stallFactor*q.slotTime[r.Rank] {
-			return 0
+		if now.Sub(q.progressAt) < stallFactor*q.slotTime[r.Rank] {
+			return false
 		}
 	}
-	return min(d, maxRetryAfter)
+	return true
+}
+
+// stall predicts how long it takes until a stalled server gives a request a slot: as
+// long again as it is stalled. It is zero for a request that can't be served elsewhere.
+func (q *Queue) stall(x *request, now time.Time) time.Duration {
+	if !q.config.EarlyRefusal || !x.Elsewhere || !q.Stalled(now) {
+		return 0
+	}
+	return min(now.Sub(q.progressAt), maxRetryAfter)
 }
 
 // refuseHopeless refuses waiting requests that are predicted to get a slot too late:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -193,6 +193,14 @@
 	return g.q.Returns(time.Now())
 }
 
+// Stalled reports whether the backend server has stopped to answer; see
+// admission.Queue.Stalled.
+func (g *Gate) Stalled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.Stalled(time.Now())
+}
+
 // TeamsInExcess returns the teams that use far more than their share, sorted.
 func (g *Gate) TeamsInExcess() []string {
 	g.mu.Lock()
--- a/pool/pressure.go
+++ b/pool/pressure.go
@@ -75,7 +75,7 @@
 		p.slots.RefusedElsewhere(r, g.gauge.RefusedByEntries(r))
 	}
 	old := g.gauge.Levels()
-	g.gauge.Update(n)
+	g.gauge.Update(p.slots.Stalled(), n)
 	if l := g.gauge.Levels(); l.IsZero() != old.IsZero() {
 		p.config.Log.Info("member pressure changed", "member", p.config.Member.ID, "levels", l, "was", old, "waiting", p.slots.Depth())
 	}
--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -36,8 +36,8 @@
 )
 
 // highestLevels bound the levels of the ranks. What is left shows when there is room
-// again; urgent requests are mostly decided on by the queue.
-var highestLevels = Levels{bundle.Urgent: 0.5, bundle.Routine: 0.9, bundle.Background: 0.95}
+// again. Urgent requests are always decided on by the queue.
+var highestLevels = Levels{bundle.Routine: 0.9, bundle.Background: 0.95}
 
 // Levels holds for each rank the share of requests that entries refuse.
 type Levels [bundle.RankCount]float64
@@ -94,10 +94,15 @@
 // Due reports whether the levels are to be updated.
 func (g *Gauge) Due(now time.Time) bool { return now.Sub(g.updated) >= updateInterval }
 
-// Update changes the levels by what has happened since the last update.
-func (g *Gauge) Update(now time.Time) {
+// Update changes the levels by what has happened since the last update. While the
+// server is stalled its refusals don't count: it isn't overloaded but fails, and
+// requests that wait may be served when it recovers.
+func (g *Gauge) Update(stalled bool, now time.Time) {
 	g.updated = now
 	for r := range g.ranks {
+		if stalled {
+			g.ranks[r].refused = nil
+		}
 		l := g.ranks[r].next(g.levels[r])
 		if l < minLevel {
 			l = 0
--- a/pressure/pressure_test.go
+++ b/pressure/pressure_test.go
@@ -182,7 +182,7 @@
 				for r := range bundle.Rank(bundle.RankCount) {
 					p.handle(admission.RefusedElsewhere{Rank: r, Count: p.gauge.RefusedByEntries(r)})
 				}
-				p.gauge.Update(p.now())
+				p.gauge.Update(p.q.Stalled(p.now()), p.now())
 			}
 			p.levels = append(p.levels, p.gauge.Levels()[bundle.Background])
 		})
@@ -237,6 +237,21 @@
 		}
 	})
 
+	It("entries refuse no more because a server has failed", func() {
+		var g pressure.Gauge
+		for i := range 20 {
+			for j := range 10 {
+				g.Arrived(bundle.Background)
+				g.Refused(bundle.Background, fmt.Sprint(j))
+			}
+			g.Update(i >= 10, start.Add(time.Duration(i)*time.Second))
+			if i == 9 {
+				Expect(g.Levels()[bundle.Background]).To(BeNumerically(">", 0.5))
+			}
+		}
+		Expect(g.Levels()[bundle.Background]).To(BeNumerically("<", 0.05))
+	})
+
 	It("entries go on by asking while the owner doesn't answer, and refuse no more after a second", func() {
 		p := playBurst(true, 1)
 		p.cutFrom, p.cutTo = 3*time.Second, 10*time.Second
