--- a/admission/admission.go
+++ b/admission/admission.go
@@ -116,6 +116,17 @@
 	return a.Caller
 }
 
+// minWeight is the lower bound of a weight, by which used slot time is divided.
+const minWeight = 0.01
+
+// weight returns the weight in use.
+func (a Arrived) weight() float64 {
+	if a.Weight <= 0 {
+		return 1
+	}
+	return max(a.Weight, minWeight)
+}
+
 func (Arrived) event()          {}
 func (Finished) event()         {}
 func (Withdrawn) event()        {}
--- a/admission/load_test.go
+++ b/admission/load_test.go
@@ -1,6 +1,7 @@
 package admission_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -19,6 +20,7 @@
 	perSecond float64
 	work      time.Duration
 	limit     time.Duration
+	sessions  uint64
 	// retries is how often a caller comes back after a refusal, when it was asked to.
 	retries  int
 	from, to time.Duration
@@ -97,8 +99,8 @@
 	}
 }
 
-// sessions is the number of sessions of a team.
-const sessions = 20
+// defaultSessions is the number of sessions of a source that names none.
+const defaultSessions = 20
 
 // add schedules the requests of a source.
 func (p *player) add(s source) {
@@ -155,7 +157,7 @@
 		}
 	}
 	a := admission.Arrived{
-		ID: id, Rank: s.rank, Caller: fmt.Sprint(s.team, "/", id%sessions), Team: s.team, Weight: s.weight, Deadline: start.Add(until), Jitter: p.random.Float64(), Elsewhere: p.other != nil && q == p.q,
+		ID: id, Rank: s.rank, Caller: fmt.Sprint(s.team, "/", id%cmp.Or(s.sessions, defaultSessions)), Team: s.team, Weight: s.weight, Deadline: start.Add(until), Jitter: p.random.Float64(), Elsewhere: p.other != nil && q == p.q,
 	}
 	if p.sessionsOnly {
 		a.Team, a.Weight = "", 0
--- a/admission/rankqueue.go
+++ b/admission/rankqueue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -71,15 +72,13 @@
 	n := r.account()
 	a, ok := l.accounts[n]
 	if !ok {
-		a = &account{name: n, weight: 1, served: l.virtualTime, index: -1, waiting: requestHeap{arrivalOrder: l.arrivalOrder}}
+		a = &account{name: n, served: l.virtualTime, index: -1, waiting: requestHeap{arrivalOrder: l.arrivalOrder}}
 		if r.Team != "" {
 			a.lastTurns = map[string]uint64{}
 		}
 		l.accounts[n] = a
 	}
-	if r.Weight > 0 {
-		a.weight = r.Weight
-	}
+	a.weight = r.weight()
 	return a
 }
 
@@ -182,7 +181,7 @@
 	if r.Team == "" {
 		return min((n+1)*max(len(l.waiting), 1)-1, len(l.deadlines))
 	}
-	w, o := max(r.Weight, minWeight), float64(n)
+	w, o := r.weight(), float64(n)
 	for _, a := range l.waiting {
 		if a.name != r.account() {
 			o += min(float64(n+1)*a.weight/w, float64(len(a.waiting.requests)))
@@ -191,9 +190,6 @@
 	return int(o)
 }
 
-// minWeight is the lower bound of a weight by which others are divided.
-const minWeight = 0.01
-
 // countWaiting returns how many requests of a request's account wait.
 func (l *rankQueue) countWaiting(r *request) int {
 	if a := l.accounts[r.account()]; a != nil {
@@ -204,7 +200,7 @@
 
 // evictionCandidate returns a request to evict from a full queue in favor of a new
 // one: the last in the heap of the account with the most waiting requests for its
-// weight. It returns nil unless that account has at least two more waiting requests
+// weight, or the last of a team. It returns nil unless that account has at least two more waiting requests
 // than the new one's.
 func (l *rankQueue) evictionCandidate(r *request) *request {
 	var most *account
@@ -217,5 +213,8 @@
 		return nil
 	}
 	w := most.waiting.requests
+	if most.lastTurns != nil {
+		return slices.MaxFunc(w, most.waiting.compare)
+	}
 	return w[len(w)-1]
 }
--- a/admission/share.go
+++ b/admission/share.go
@@ -52,10 +52,7 @@
 		u = &teamUse{}
 		t.teams[r.Team] = u
 	}
-	u.weight = 1
-	if r.Weight > 0 {
-		u.weight = r.Weight
-	}
+	u.weight = r.weight()
 	u.add(d, now)
 }
 
--- a/admission/teams_test.go
+++ b/admission/teams_test.go
@@ -60,4 +60,70 @@
 		}
 		Expect(lossWithout/playedSeeds).To(BeNumerically(">", 0.02), "the mechanism isn't needed for this load")
 	})
+
+	It("share places for open transactions, which are charged whole, and lose few of theirs to one that opens far more", func() {
+		play := func(teams bool, seed uint64) float64 {
+			p := newPlayer(admission.Config{Slots: 20, Shares: [bundle.RankCount]float64{0, 0.1, 0.1}}, seed)
+			p.sessionsOnly = !teams
+			for i := range 10 {
+				t := source{team: fmt.Sprint("t", i), perSecond: 3, work: 400 * time.Millisecond, limit: 2 * time.Second, to: 10 * time.Second}
+				p.add(t)
+				if i == 0 {
+					t.perSecond, t.sessions, t.from, t.to = 60, 400, 2*time.Second, 8*time.Second
+					p.add(t)
+				}
+			}
+			return share(p.run(12*time.Second), func(k tallyKey) bool { return k.team != "t0" })
+		}
+		for seed := range uint64(playedSeeds) {
+			with, without := play(true, seed), play(false, seed)
+			AddReportEntry(fmt.Sprintf("seed %d: others' transactions %.4f, %.4f by session only", seed, with, without))
+			Expect(with).To(BeNumerically(">", 0.98))
+			Expect(with).To(BeNumerically(">=", without))
+		}
+	})
+
+	It("leave no slot unused because of a team in excess, and serve no fewer requests in all", func() {
+		for seed := range uint64(playedSeeds) {
+			p := newPlayer(memberConfig(), seed)
+			p.add(source{team: "alone", rank: bundle.Routine, perSecond: 400, work: 22 * time.Millisecond, limit: 800 * time.Millisecond, to: 4 * time.Second})
+			p.add(source{team: "small", rank: bundle.Routine, perSecond: 5, work: 22 * time.Millisecond, limit: 800 * time.Millisecond, to: 4 * time.Second})
+			m := p.run(6 * time.Second)
+			Expect(p.busy).To(BeNumerically(">", 5*3900*time.Millisecond), "5 slots for 4 s")
+			Expect(share(m, func(k tallyKey) bool { return k.team == "small" })).To(BeNumerically("==", 1), "seed %d", seed)
+		}
+	})
+
+	It("have their sessions take turns, and give up their own last request when the queue is full", func() {
+		c := memberConfig()
+		c.Slots, c.MaxWaiting = 1, 6
+		q := admission.New(c)
+		now := start
+		var refused, started []uint64
+		handle := func(e admission.Event) {
+			for _, a := range q.Handle(e, now) {
+				switch a := a.(type) {
+				case admission.Start:
+					started = append(started, a.ID)
+				case admission.Refuse:
+					refused = append(refused, a.ID)
+				}
+			}
+		}
+		arrive := func(id uint64, team, caller string) {
+			handle(admission.Arrived{ID: id, Team: team, Caller: caller, Deadline: start.Add(time.Minute)})
+		}
+		for id := range uint64(6) {
+			arrive(id+1, "hot", "busy")
+		}
+		arrive(7, "hot", "quiet")
+		arrive(8, "other", "c")
+		Expect(refused).To(Equal([]uint64{6}))
+		for range 3 {
+			now = now.Add(10 * time.Millisecond)
+			handle(admission.Finished{ID: started[len(started)-1]})
+		}
+		Expect(started[:2]).To(Equal([]uint64{1, 8}), "the other team first")
+		Expect(started).To(ContainElement(uint64(7)), "the quiet session before the busy one's rest")
+	})
 })
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -92,3 +92,23 @@
 		g.Expect(a.Running()).To(gomega.Equal(2))
 	})
 }
+
+func TestReadLeavesAStalledServerBeforeItsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		a := gate.New(admission.Config{Slots: 1, EarlyRefusal: true})
+		k, err := a.Acquire(t.Context(), arrival(time.Minute))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		begin := time.Now()
+		read := arrival(time.Second)
+		read.Elsewhere = true
+		_, err = a.Acquire(t.Context(), read)
+		var r *gate.RefusedError
+		g.Expect(errors.As(err, &r)).To(gomega.BeTrue())
+		g.Expect(r.Reason).To(gomega.Equal(admission.Hopeless))
+		g.Expect(time.Since(begin)).To(gomega.BeNumerically("<=", 510*time.Millisecond))
+		g.Expect(a.Stalled()).To(gomega.BeTrue())
+		k.Release()
+		g.Expect(a.Stalled()).To(gomega.BeFalse())
+	})
+}
