--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -164,7 +164,7 @@
 			o := query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder.ID}
 			if rec.Holder.ID == f.config.Self.ID {
 				o.Failure = &query.Failure{Reason: query.Overloaded, Text: "the primary is being replaced", RetryAfter: replacementRetryAfter}
-				o.Unavailable = true
+				o.Unavailable = f.config.Features.Pressure
 			}
 			return o
 		}
@@ -182,7 +182,7 @@
 	}
 	f.mu.Unlock()
 	if !ok {
-		return query.Response{Reply: query.Refusal(query.Overloaded, "the primary is not known"), Unavailable: true}
+		return query.Response{Reply: query.Refusal(query.Overloaded, "the primary is not known"), Unavailable: f.config.Features.Pressure}
 	}
 	q := *r
 	q.Remaining -= time.Since(t)
@@ -206,7 +206,7 @@
 	f.mu.Unlock()
 	after, ok := f.readFloor(x, g, n.Add(-r.MaxAge), r.Floor)
 	if !ok {
-		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID, Unavailable: true}
+		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID, Unavailable: f.config.Features.Pressure}
 	}
 	q := *r
 	q.Remaining -= time.Since(t)
