--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -169,7 +169,7 @@
 		if !r.ReadOnly {
 			o.Reply = f.validateReply(g, r, o.Reply)
 		}
-		o.QueueWait = p.EstimateWait(r.Rank)
+		o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 		return o
 	}
 	return query.Response{Reply: query.Refusal(query.Aborted, "the transaction is not open here")}
@@ -201,6 +201,7 @@
 			o := query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder.ID}
 			if rec.Holder.ID == f.config.Self.ID {
 				o.Failure = &query.Failure{Reason: query.Overloaded, Text: "the primary is being replaced", RetryAfter: replacementRetryAfter}
+				o.Unavailable = f.config.Features.Pressure
 			}
 			return o
 		}
@@ -218,12 +219,12 @@
 	}
 	f.mu.Unlock()
 	if !ok {
-		return query.Response{Reply: query.Refusal(query.Overloaded, "the primary is not known")}
+		return query.Response{Reply: query.Refusal(query.Overloaded, "the primary is not known"), Unavailable: f.config.Features.Pressure}
 	}
 	q := *r
 	q.Remaining -= time.Since(t)
 	o := query.Response{Reply: f.validateReply(g, r, p.Execute(x, &q, logpos.Position{}, f.primaryGuard(g, r))), Member: m.ID}
-	o.QueueWait = p.EstimateWait(r.Rank)
+	o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 	return o
 }
 
@@ -242,7 +243,7 @@
 	f.mu.Unlock()
 	after, ok := f.readFloor(x, g, n.Add(-r.MaxAge), r.Floor)
 	if !ok {
-		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID}
+		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID, Unavailable: f.config.Features.Pressure}
 	}
 	o := query.Response{Member: m.ID}
 	w := f.checkLog(x, g, p, r, after)
@@ -254,7 +255,7 @@
 	} else {
 		o.Reply = p.Execute(x, &q, after, func() *query.Failure { return nil })
 	}
-	o.QueueWait = p.EstimateWait(r.Rank)
+	o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 	if o.Failure != nil && o.Failure.Reason == query.Lagging && w.retryAfter == 0 {
 		f.mu.Lock()
 		if t := g.history.CoveredUntil(o.Position); !t.IsZero() {
@@ -302,6 +303,7 @@
 		}
 		o = &ownedPool{Pool: pool.New(pool.Config{
 			Member: m, Connections: n, Dialer: f.config.Dialer, Now: now, Metrics: f.metrics.pool, Pace: f.paceConfig(m), Log: f.config.Log,
+			EarlyRefusal: f.config.Features.Pressure, TeamWeight: f.teamWeight,
 			ObservePosition:  func(p logpos.Position, sent time.Time) { f.observePosition(g, m.ID, p, sent) },
 			ObserveStatement: f.statementObserver(m.ID),
 		})}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -40,6 +40,10 @@
 	mu     sync.Mutex
 	q      *admission.Queue
 	lastID uint64
+	// early is the EarlyRefusal of the configuration at the start.
+	early bool
+	// weight returns the weight of a team; nil gives all the same.
+	weight func(team string) float64
 	// waiting holds a channel for the decision on each waiting request, by ID. The
 	// channels are buffered, so that sending never blocks.
 	waiting map[uint64]chan admission.Action
@@ -47,9 +51,13 @@
 
 // New returns a gate without requests.
 func New(c admission.Config) *Gate {
-	return &Gate{q: admission.New(c), waiting: map[uint64]chan admission.Action{}}
+	return &Gate{q: admission.New(c), early: c.EarlyRefusal, waiting: map[uint64]chan admission.Action{}}
 }
 
+// ShareByWeight shares slot time between teams by a weight. It is called before the
+// first request.
+func (g *Gate) ShareByWeight(weight func(team string) float64) { g.weight = weight }
+
 // Slot is the slot of a request that was started.
 type Slot struct {
 	g  *Gate
@@ -63,11 +71,14 @@
 // no work; see admission.Finished.Declined.
 func (t Slot) ReleaseDeclined() { t.g.handle(admission.Finished{ID: t.id, Declined: true}) }
 
-// Acquire blocks until the request gets a slot. It sets the request's ID and
-// Jitter. The error is a *RefusedError, or a *WithdrawnError if the context
+// Acquire blocks until the request gets a slot. It sets the request's ID,
+// Jitter and Weight. The error is a *RefusedError, or a *WithdrawnError if the context
 // ended first.
 func (g *Gate) Acquire(x context.Context, a admission.Arrived) (Slot, error) {
 	w := make(chan admission.Action, 1)
+	if a.Team != "" && g.weight != nil {
+		a.Weight = g.weight(a.Team)
+	}
 	g.mu.Lock()
 	g.lastID++
 	a.ID, a.Jitter = g.lastID, rand.Float64()
@@ -80,8 +91,9 @@
 	default:
 	}
 	// The queue refuses an expired request only when it handles an event, so a
-	// Ticked event is sent at the deadline.
-	t := time.NewTimer(time.Until(a.Deadline))
+	// Ticked event is sent at the deadline. With EarlyRefusal it is also sent each
+	// time that half of the time left has passed.
+	t := time.NewTimer(tickDelay(a.Deadline, g.early))
 	defer t.Stop()
 	for {
 		select {
@@ -89,7 +101,7 @@
 			return g.slotOrError(a.ID, d)
 		case <-t.C:
 			g.handle(admission.Ticked{})
-			t.Reset(time.Millisecond)
+			t.Reset(tickDelay(a.Deadline, g.early))
 		case <-x.Done():
 			if d := g.withdraw(a.ID, w); d != nil {
 				return g.slotOrError(a.ID, d)
@@ -99,6 +111,18 @@
 	}
 }
 
+// minTickDelay is the least time between two Ticked events of a waiting request.
+const minTickDelay = 20 * time.Millisecond
+
+// tickDelay returns when a request that waits sends its next Ticked event.
+func tickDelay(deadline time.Time, early bool) time.Duration {
+	d := max(time.Until(deadline), time.Millisecond)
+	if !early {
+		return d
+	}
+	return min(d, max(d/2, minTickDelay))
+}
+
 // slotOrError returns the slot that a decision of the queue grants, or the error
 // that reports its refusal.
 func (g *Gate) slotOrError(id uint64, d admission.Action) (Slot, error) {
@@ -156,6 +180,34 @@
 	return g.q.EstimateWait(r, "", time.Now())
 }
 
+// RefusedElsewhere records requests of a rank that were refused before they arrived.
+func (g *Gate) RefusedElsewhere(r bundle.Rank, count int) {
+	g.handle(admission.RefusedElsewhere{Rank: r, Count: count})
+}
+
+// Returns returns the times within which refused callers are to return; see
+// admission.Queue.Returns.
+func (g *Gate) Returns() [bundle.RankCount]time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.Returns(time.Now())
+}
+
+// Stalled reports whether the backend server has stopped to answer; see
+// admission.Queue.Stalled.
+func (g *Gate) Stalled() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.Stalled(time.Now())
+}
+
+// TeamsInExcess returns the teams that use far more than their share, sorted.
+func (g *Gate) TeamsInExcess() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.q.TeamsInExcess()
+}
+
 // Depth returns the number of waiting requests of each rank.
 func (g *Gate) Depth() [bundle.RankCount]int {
 	g.mu.Lock()
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -25,7 +25,7 @@
 	case query.Abandon:
 		return p.abandonTx(r)
 	default:
-		return p.runSingleOrFirst(x, r, floor, d, g)
+		return p.executeCounted(r, func() query.Reply { return p.runSingleOrFirst(x, r, floor, d, g) })
 	}
 }
 
@@ -58,7 +58,9 @@
 // acquireSlot waits for a slot. inTransaction is set for requests of open
 // transactions, which don't wait.
 func acquireSlot(x context.Context, g *gate.Gate, r *query.Request, d time.Time, inTransaction bool) (gate.Slot, *query.Failure) {
-	k, err := g.Acquire(x, admission.Arrived{Rank: r.Rank, Caller: r.Session, Deadline: d, InTransaction: inTransaction})
+	k, err := g.Acquire(x, admission.Arrived{
+		Rank: r.Rank, Caller: r.Session, Team: r.Team, Deadline: d, InTransaction: inTransaction, Elsewhere: !r.Primary && r.Stage != query.Later,
+	})
 	var e *gate.RefusedError
 	switch {
 	case err == nil:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -63,9 +63,15 @@
 	Now func() time.Time
 	// Metrics counts the connections of all pools; nil counts them nowhere.
 	Metrics *Metrics
-	Log     hclog.Logger
 	// Pace makes the limits follow how the member answers; nil leaves them fixed.
 	Pace *PaceConfig
+	// EarlyRefusal refuses requests as soon as they can't be served in time; see
+	// admission.Config.
+	EarlyRefusal bool
+	// TeamWeight returns the share of a team relative to that of others; nil gives
+	// all the same.
+	TeamWeight func(team string) float64
+	Log        hclog.Logger
 }
 
 // Pool runs requests at one backend server. It is safe for concurrent use.
@@ -76,7 +82,8 @@
 	slots        *gate.Gate
 	transactions *gate.Gate
 	// pacer is nil if the limits are fixed.
-	pacer *pacer
+	pacer    *pacer
+	pressure pressureGauge
 
 	mu sync.Mutex
 	// set decides which connection a request uses; conns holds the open ones by ID.
@@ -119,6 +126,7 @@
 	t := admission.Config{Slots: max(n-c.Member.Slots, 1)}
 	t.ReservedSlots = min(reservedTransactions, t.Slots-1)
 	for _, q := range []*admission.Config{&s, &t} {
+		q.EarlyRefusal = c.EarlyRefusal
 		q.Shares[bundle.Routine], q.Shares[bundle.Background] = routineShare, backgroundShare
 	}
 	if c.Metrics == nil {
@@ -129,6 +137,8 @@
 		config: c, slots: g, pacer: newPacer(c, n, g, s), transactions: gate.New(t), txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
 		set: teamconns.New(teamconns.Config{Connections: n, Slots: c.Member.Slots}), conns: map[uint64]*conn{}, waiting: map[uint64]chan decision{},
 	}
+	p.slots.ShareByWeight(c.TeamWeight)
+	p.transactions.ShareByWeight(c.TeamWeight)
 	p.limitOpenings()
 	return p
 }
--- a/query/query.go
+++ b/query/query.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/pace"
+	"github.com/dragonflypick/dragonflypick/pressure"
 )
 
 // Statement is a statement of a caller.
@@ -237,6 +238,11 @@
 	Holder string `json:"h,omitempty"`
 	// Members are reports on members of the group.
 	Members []MemberReport `json:"l,omitempty"`
+	// Unavailable is set if the group can't serve such requests now, wherever they are
+	// sent: it has no usable primary, or the end of its log isn't known.
+	Unavailable bool `json:"x,omitempty"`
+	// Pressure is set while the member is overloaded.
+	Pressure *pressure.State `json:"y,omitempty"`
 }
 
 // Step is one request to a backend server.
