--- a/entry/entry.go
+++ b/entry/entry.go
@@ -143,10 +143,8 @@
 	if s.state == query.Failed {
 		return s.handleFailed(st)
 	}
-	if _, ok := st.(query.Rollback); !ok {
-		if f := s.updateTeam(x, st); f != nil {
-			return query.Reply{Failure: f}
-		}
+	if f := s.updateTeam(x, st); f != nil {
+		return query.Reply{Failure: f}
 	}
 	switch t := st.(type) {
 	case query.Begin:
--- a/entry/team.go
+++ b/entry/team.go
@@ -46,8 +46,11 @@
 
 // updateTeam sets the team for which a statement runs. If the key was withdrawn or
 // belongs to another team than when the open transaction began, it rolls the
-// transaction back and returns the failure of the statement.
+// transaction back and returns the failure of the statement. Every caller may roll back.
 func (s *Session) updateTeam(x context.Context, st query.Statement) *query.Failure {
+	if _, ok := st.(query.Rollback); ok {
+		return nil
+	}
 	d, open := s.tx.database, s.state == query.Open
 	if !open {
 		var f *query.Failure
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -103,12 +103,7 @@
 			_ = s.writer.Flush()
 			return
 		case f[0] == "START":
-			id := strings.Fields(t)
-			s.who = id[2]
-			m.site.checkName(s.who)
-			if id[1] != m.group.name || len(id) > 3 && id[3] != m.id {
-				fmt.Fprintf(s.writer, "ERROR WRONGNODE %s\r\n", m.id)
-				_ = s.writer.Flush()
+			if !s.start(strings.Fields(t)) {
 				return
 			}
 		case f[0] == "QUERY" && len(f) == 3:
@@ -130,6 +125,19 @@
 	}
 }
 
+// start takes note of the name in a START line, and reports whether the line names this
+// member and its group.
+func (s *backendSession) start(f []string) bool {
+	s.who = f[2]
+	s.member.site.checkName(s.who)
+	if f[1] == s.member.group.name && (len(f) <= 3 || f[3] == s.member.id) {
+		return true
+	}
+	fmt.Fprintf(s.writer, "ERROR WRONGNODE %s\r\n", s.member.id)
+	_ = s.writer.Flush()
+	return false
+}
+
 func (s *backendSession) sendError(code string) {
 	fmt.Fprintf(s.writer, "ERROR %s %s\r\n", code, s.member.id)
 	if s.state == 'T' {
