pace: fewer statements are tried only at members that have started or refused some

Change: a member is watched from its start, or a refusal, until it is in line with all slots; trials of fewer come only then. A new owner of another member begins with half the limit for one window, whatever that shows.

--- a/pace/handle.go
+++ b/pace/handle.go
@@ -158,6 +158,12 @@
 	above := s - p.level
 	due := s > tolerance && isDue(p.nextTrial, now, maxTrialInterval)
 	out := above > tolerance
+	if p.limit == p.config.Slots && s <= tolerance {
+		p.watched = false
+	}
+	if !p.watched {
+		return p.judgeUnwatched(w)
+	}
 	if (out || due) && w.isFull() && p.limit > p.floor() {
 		// The window that raised the suspicion is slower than the mean by choice.
 		if p.suspect || due || above-tolerance > certain*math.Sqrt(w.variance()) {
@@ -177,8 +183,20 @@
 	return p.change(min(p.limit+max(1, p.config.Slots/floorDivisor), p.config.Slots), InLine, w)
 }
 
+// judgeUnwatched decides on a window of a server that once was in line.
+func (p *Pace) judgeUnwatched(w window) *Change {
+	p.follow(w.mean() - p.level)
+	if p.limit == p.config.Slots {
+		return nil
+	}
+	return p.change(min(2*p.limit, p.config.Slots), InLine, w)
+}
+
 // judgeRise decides on a window while the server may be saturated by more.
 func (p *Pace) judgeRise(w window, now time.Time) *Change {
+	if !p.watched {
+		return p.judgeUnwatched(w)
+	}
 	above := w.mean() - p.level
 	if above > tolerance && w.isFull() && p.limit > p.floor() && isDue(p.nextTrial, now, maxTrialInterval) {
 		return p.startTrial(trial{from: p.limit, before: w}, max(p.floor(), (p.limit+1)/2), TryFewer)
@@ -277,7 +295,7 @@
 	if d := now.Sub(p.lastBusy); d >= 0 && d < busyInterval {
 		return nil
 	}
-	p.lastBusy, p.trial, p.starting = now, nil, false
+	p.lastBusy, p.trial, p.starting, p.watched = now, nil, false, true
 	w := p.window
 	p.window = window{started: now}
 	return p.change(max(p.floor(), p.limit/2), Refused, w)
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -9,8 +9,9 @@
 // A server that has started recently begins with the least limit, which doubles while
 // answers are in line with the usual time of their kind. Slowness alone doesn't lower
 // the limit, because a server that is slower for any number of statements does most
-// with all of its slots: while answers are out of line, fewer statements are tried, and
-// the limit remains low only if they are faster for it and slower again with more.
+// with all of its slots: while answers of a server that has started or refused
+// statements are out of line, fewer are tried, and the limit remains low only if they are
+// faster for it and slower again with more.
 //
 // The package reads no clock and does no I/O.
 package pace
@@ -199,6 +200,9 @@
 	// starting is set while a server that has started recently was always in line with
 	// the usual time, so that the limit rises without trials.
 	starting bool
+	// watched is set from the server's start, or a refusal of statements, until its
+	// answers are in line with all slots. Fewer statements are tried meanwhile only.
+	watched bool
 	// suspect is set while one window was out of line.
 	suspect bool
 	// knee is set while the limit is below the slots because more statements were
@@ -220,7 +224,7 @@
 	c.Slots, c.Connections = max(c.Slots, 1), max(c.Connections, 1)
 	p := &Pace{config: c, limit: c.Slots, trialInterval: minTrialInterval, nextTrial: now.Add(minTrialInterval), nextRise: now, hold: minHold}
 	if c.Cold > 0 || c.Fresh {
-		p.limit = p.floor()
+		p.limit, p.watched = p.floor(), true
 		p.knee, p.starting = p.limit < c.Slots, c.Known != nil
 	}
 	p.openings = newOpenings(c, now)
@@ -242,6 +246,7 @@
 		p.limit = min(max(s.Limit/2, p.floor()), p.limit)
 		p.knee = p.limit < p.config.Slots
 		p.starting = p.knee
+		p.watched = p.watched || s.Limit < p.config.Slots
 		p.level = min(max(float64(s.Level)/1000, -maxDeviation), maxDeviation)
 		p.recent = p.level
 	}
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -136,6 +136,14 @@
 		Entry("that a neighbor slows at times", condition(disturbed), nil, 0.9),
 	)
 
+	DescribeTable("gives a server that came back its slots although it is slower for good or at times", func(c condition) {
+		full := mean(c, 0, 20, nil, newFixed, throughputUntil(20))
+		Expect(mean(c, 0, 20, nil, newPacedControl(pace.Config{Fresh: true, Known: usual}), throughputUntil(20))).To(BeNumerically(">", 0.9*full))
+	},
+		Entry("for good", condition(func(float64, int, int) float64 { return 2 })),
+		Entry("at times", condition(disturbed)),
+	)
+
 	DescribeTable("doesn't take the wait at a full server for slowness", func(crowd bool) {
 		light := newPaced(pace.Config{})
 		m := &play{condition: warm, owners: []control{light}, perSecond: 60, random: rand.New(rand.NewPCG(98, 1))}
@@ -143,6 +151,7 @@
 		trials := 0
 		for i := range uint64(seeds) {
 			p := newPaced(pace.Config{Known: &pace.State{Usual: light.p.State().Usual}})
+			p.p.Handle(pace.Busy{}, at(0))
 			m := &play{condition: warm, owners: []control{p}, random: rand.New(rand.NewPCG(i, 1))}
 			if crowd {
 				m.owners[0] = crowded{p}
