--- a/entry/entry.go
+++ b/entry/entry.go
@@ -48,9 +48,9 @@
 // Limiter bounds the rate of a team's operations.
 type Limiter interface {
 	// Admit returns nil if an operation of a team on a database may start, perhaps after
-	// some time, or else why not. The returned function is to be called with the
-	// response to the operation's only or first statement.
-	Admit(x context.Context, team string, d catalog.Database) (func(*query.Response), *query.Failure)
+	// some time, or else why not. r is the operation's only or first statement; the
+	// returned function is to be called with the response to it.
+	Admit(x context.Context, r *query.Request, d catalog.Database) (func(*query.Response), *query.Failure)
 }
 
 // Entry opens sessions. It is safe for concurrent use.
@@ -276,7 +276,7 @@
 		return s.entry.config.Router.Execute(x, r, s.tx.pin)
 	}
 	t := time.Now()
-	settle, f := l.Admit(x, r.Team, d)
+	settle, f := l.Admit(x, r, d)
 	if f != nil {
 		return query.Response{Reply: query.Reply{Failure: f}}
 	}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -45,8 +45,8 @@
 	settled []*query.Response
 }
 
-func (l *limiter) Admit(_ context.Context, team string, _ catalog.Database) (func(*query.Response), *query.Failure) {
-	l.teams = append(l.teams, team)
+func (l *limiter) Admit(_ context.Context, q *query.Request, _ catalog.Database) (func(*query.Response), *query.Failure) {
+	l.teams = append(l.teams, q.Team)
 	return func(o *query.Response) { l.settled = append(l.settled, o) }, l.refuse
 }
 
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -141,7 +141,7 @@
 	if o.Failure == nil && (f.config.LogEvery == 0 || f.succeeded.Add(1)%f.config.LogEvery != 0) {
 		return
 	}
-	l := f.config.Log.With("id", r.ID, "session", r.Session, "group", r.Group, "rank", r.Rank.String(), "use", r.Stage, "action", r.Action,
+	l := f.config.Log.With("id", r.ID, "session", r.Session, "team", r.Team, "group", r.Group, "rank", r.Rank.String(), "use", r.Stage, "action", r.Action,
 		"primary", r.Primary, "floor", r.Floor.String(), "max-age-ms", r.MaxAge.Milliseconds(), "member", o.Member, "owner", o.Owner,
 		"position", o.Position.String(), "took-ms", d.Milliseconds(), "queue-ms", o.QueueWait.Milliseconds())
 	if o.Failure != nil {
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -103,8 +103,8 @@
 }
 
 // Admit implements entry.Limiter.
-func (f *Daemon) Admit(x context.Context, team string, d catalog.Database) (func(*query.Response), *query.Failure) {
-	c := f.Catalog()
+func (f *Daemon) Admit(x context.Context, q *query.Request, d catalog.Database) (func(*query.Response), *query.Failure) {
+	c, team := f.Catalog(), q.Team
 	if c == nil || c.Teams[team].Rate <= 0 || len(c.Groups) == 0 {
 		return func(*query.Response) {}, nil
 	}
@@ -112,7 +112,7 @@
 	defer stop()
 	b, k, r := f.acquireToken(x, c, c.Teams[team], d)
 	if r != nil {
-		f.recordRefusal(team, r)
+		f.recordRefusal(q, r)
 		return nil, &query.Failure{Reason: query.Overloaded, Text: refusalTexts[r.reason], RetryAfter: r.retryAfter}
 	}
 	f.metrics.admitted.WithLabelValues(f.teamLabel(team)).Inc()
--- a/fleet/rates_report.go
+++ b/fleet/rates_report.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/dragonflypick/dragonflypick/query"
 )
 
 // Bounds of what is reported of teams.
@@ -46,8 +48,8 @@
 }
 
 // recordRefusal counts and logs that an operation was not admitted.
-func (f *Daemon) recordRefusal(team string, r *refusal) {
-	l := f.teamLabel(team)
+func (f *Daemon) recordRefusal(q *query.Request, r *refusal) {
+	l := f.teamLabel(q.Team)
 	f.metrics.refused.WithLabelValues(l, r.reason).Inc()
 	f.rates.mu.Lock()
 	if f.rates.logged == nil {
@@ -66,12 +68,14 @@
 		c.at, c.count = t, 0
 	}
 	f.rates.mu.Unlock()
+	f.config.Log.Info("request failed", "id", q.ID, "session", q.Session, "team", q.Team, "group", q.Group, "rank", q.Rank.String(), "use", q.Stage, "action", q.Action, "reason", query.Overloaded,
+		"detail", refusalTexts[r.reason], "accounting-group", r.group, "mode", r.mode, "stock", r.grant.Stock, "outstanding", r.grant.Outstanding, "retry-after-ms", r.retryAfter.Milliseconds())
 	if !due {
 		return
 	}
 	f.mu.Lock()
 	h, known := f.holderHost(r.group, "")
 	f.mu.Unlock()
-	f.config.Log.Info("operations of a team refused", "team", team, "count", n, "reason", r.reason, "rate", r.grant.Limit.Rate, "burst", r.grant.Limit.Burst, "stock", r.grant.Stock, "outstanding", r.grant.Outstanding,
+	f.config.Log.Info("operations of a team refused", "team", q.Team, "count", n, "reason", r.reason, "rate", r.grant.Limit.Rate, "burst", r.grant.Limit.Burst, "stock", r.grant.Stock, "outstanding", r.grant.Outstanding,
 		"mode", r.mode, "accountant", h.ID, "accountant-reachable", known, "group", r.group, "copy-age-ms", f.copyAgeMillis(), "retry-after-ms", r.retryAfter.Milliseconds())
 }
--- a/fleet/rates_test.go
+++ b/fleet/rates_test.go
@@ -41,7 +41,7 @@
 		f.catalog.Store(&catalog.Catalog{Groups: groups(1), Teams: map[string]catalog.Team{"t": {Name: "t", Rate: 1, Burst: 1}, "free": {Name: "free"}}})
 	})
 	admit := func(team string) (func(*query.Response), *query.Failure) {
-		return f.Admit(context.Background(), team, d)
+		return f.Admit(context.Background(), &query.Request{Team: team}, d)
 	}
 
 	It("are bounded at the accountant, and a refusal tells when to come back", func() {
