fleet, placement: nearer members first, fewer second reads, and requests logged with why their member was chosen

Second reads: three at once for a group instead of ten, only to a member heard of within 2 s; the slower one isn't canceled, since a call that is given up makes its link suspect.

--- a/fleet/catchup.go
+++ b/fleet/catchup.go
@@ -114,16 +114,21 @@
 	lagProbeInterval = 500 * time.Millisecond
 	// lagWorthProbing is a delay for which reads avoid a replica.
 	lagWorthProbing = 400 * time.Millisecond
-	// reportWindow is how long reports on a replica are exchanged with the holder
-	// after the last read at it.
+	// reportWindow is how long reports on a replica that lags are exchanged with the
+	// holder after the last read at it.
 	reportWindow = 10 * time.Second
 )
 
 // replicaWindow returns for how long after a replica's last read its owner follows
-// the group's log.
-func (f *Daemon) replicaWindow() time.Duration {
-	if f.config.Features.UnevenMembers {
-		return reportWindow
+// the group's log; f.mu is held.
+func (f *Daemon) replicaWindow(g *group) time.Duration {
+	if !f.config.Features.UnevenMembers {
+		return replicaReadWindow
+	}
+	for id, p := range f.pools {
+		if p.Member().Group == g.name && f.loads.member(id).delay.Estimate > lagWorthProbing {
+			return reportWindow
+		}
 	}
 	return replicaReadWindow
 }
--- a/fleet/hedgedread.go
+++ b/fleet/hedgedread.go
@@ -17,6 +17,8 @@
 	hedgeDelayFactor = 3
 	// probeHedgeDelay is the delay for reads that are sent to an ejected member.
 	probeHedgeDelay = 150 * time.Millisecond
+	// hedgeReportAge is how old the report on a second member may be.
+	hedgeReportAge = 2 * time.Second
 	// promptReportAge and promptWait are the limits within which a report shows that
 	// a member can answer at once.
 	promptReportAge = time.Second
@@ -25,7 +27,9 @@
 
 // hedgeBudget returns the limits of hedged reads: one in 20 reads of a group, and a
 // few at once when a member stops answering.
-func hedgeBudget() budget.RetryConfig { return budget.RetryConfig{Ratio: 0.05, Burst: 10, Rate: 1} }
+func hedgeBudget() budget.RetryConfig {
+	return budget.RetryConfig{Ratio: 0.05, Burst: 3, Rate: 0.2}
+}
 
 // hedgeReadAfter returns after which time a read is sent to a second member, or false if
 // that would be too late.
@@ -49,8 +53,8 @@
 	if !ok {
 		return f.executePlaced(x, c, r, t)
 	}
-	x, stop := context.WithCancel(x)
-	defer stop()
+	// The slower attempt isn't canceled: a call that is given up makes its link
+	// suspect, and the answer tells something of the member.
 	answers := make(chan query.Response, 2)
 	tried[c.member.ID] = time.Now().Add(left)
 	f.startRead(x, c, *r, t, answers)
@@ -92,15 +96,16 @@
 // so that its silence counts against it: the read waits neither for its log nor in
 // its queue, and not for the end of the group's log either.
 func (c placedTarget) expectedPromptly() bool {
-	return c.CatchUp <= 0 && c.reportAge < promptReportAge && c.report.Wait < promptWait
+	return c.CatchUp <= 0 && c.reportAge >= 0 && c.reportAge < promptReportAge && c.report.Wait < promptWait
 }
 
 // chooseHedge chooses a second member for a read that isn't answered in time. There
-// is none if the budget is used up or no other member would answer in time: a read
-// that would only wait there adds to an overload.
+// is none if the budget is used up, or if no other member is known to answer in time: a
+// read that would only wait there adds to an overload, and where no member has been
+// heard of lately the links are to blame.
 func (f *Daemon) chooseHedge(r *query.Request, tried triedMembers, left time.Duration) (placedTarget, bool) {
 	c, ok := f.choosePlace(r, tried, left, false)
-	if !ok || c.Cost > left/2 {
+	if !ok || c.Cost > left/2 || c.reportAge < 0 || c.reportAge > hedgeReportAge {
 		f.metrics.hedgedReads.WithLabelValues(hedgeNoMember).Inc()
 		return placedTarget{}, false
 	}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -105,6 +105,9 @@
 	l := f.config.Log.With("id", r.ID, "session", r.Session, "group", r.Group, "rank", r.Rank.String(), "use", r.Stage, "action", r.Action,
 		"primary", r.Primary, "floor", r.Floor.String(), "max-age-ms", r.MaxAge.Milliseconds(), "member", o.Member, "owner", o.Owner,
 		"position", o.Position.String(), "took-ms", d.Milliseconds(), "queue-ms", o.QueueWait.Milliseconds())
+	if p := o.Placement; p != nil {
+		l = l.With("placement", p.Reason, "expected-ms", p.Expected.Milliseconds(), "catch-up-ms", p.CatchUp.Milliseconds(), "report-age-ms", p.ReportAge.Milliseconds())
+	}
 	if o.Failure != nil {
 		l.Info("request failed", "reason", w, "detail", o.Failure.Text, "retry-after-ms", o.Failure.RetryAfter.Milliseconds())
 		return
--- a/fleet/placedread.go
+++ b/fleet/placedread.go
@@ -11,7 +11,7 @@
 )
 
 // maxPlacedAttempts bounds the attempts to find a member for one read.
-const maxPlacedAttempts = 9
+const maxPlacedAttempts = 6
 
 // probedRead is the reason of a read that is sent to an ejected member.
 const probedRead placement.Reason = "probe"
@@ -21,7 +21,8 @@
 	readTarget
 	placement.Choice
 	primary bool
-	// report is what was known of the member, as of reportAge ago.
+	// report is what was known of the member, as of reportAge ago; that is negative if
+	// nothing was known.
 	report    placement.Report
 	reportAge time.Duration
 	floorAge  time.Duration
@@ -133,8 +134,10 @@
 		f.metrics.outlierEvents.WithLabelValues(outlierProbed).Inc()
 	}
 	m := l[c.Index]
-	o := placedTarget{readTarget: m.readTarget, Choice: c, primary: m.candidate.Primary, report: m.candidate.Report, reportAge: t.Sub(m.candidate.Report.At), floorAge: q.FloorAge}
-	o.cost = c.Cost
+	o := placedTarget{readTarget: m.readTarget, Choice: c, primary: m.candidate.Primary, report: m.candidate.Report, reportAge: -1, floorAge: q.FloorAge}
+	if !o.report.At.IsZero() {
+		o.reportAge = t.Sub(o.report.At)
+	}
 	role := roleReplica
 	if o.primary {
 		role = rolePrimary
@@ -208,6 +211,7 @@
 	if x.Err() == nil {
 		f.observeOutcome(c, &o)
 	}
+	o.Placement = &query.Placement{Reason: string(c.Reason), Expected: c.Cost, CatchUp: c.CatchUp, ReportAge: c.reportAge}
 	return o
 }
 
--- a/fleet/position.go
+++ b/fleet/position.go
@@ -113,6 +113,16 @@
 	return o
 }
 
+// answerPosition answers a request for the end of a group's log.
+func (f *Daemon) answerPosition(x context.Context, p positionParams) positionReply {
+	f.observeReports(p.Reports)
+	o := f.heldGroupPosition(x, p.Group)
+	if p.Survey {
+		o.Reports = f.reports(p.Group, "", bundle.Background)
+	}
+	return o
+}
+
 // heldGroupPosition returns the end of the log of a group that this host holds. It
 // probes the primary if the last known position is older than heldPositionMaxAge.
 func (f *Daemon) heldGroupPosition(x context.Context, name string) positionReply {
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -224,7 +224,7 @@
 	for g := range f.replicaReads {
 		s, ok := g.history.Last()
 		r, _ := g.Record()
-		if n.Sub(g.lastReplicaRead) > f.replicaWindow() {
+		if n.Sub(g.lastReplicaRead) > f.replicaWindow(g) {
 			delete(f.replicaReads, g)
 			continue
 		}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -8,7 +8,6 @@
 
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/pool"
@@ -64,12 +63,7 @@
 		if err := decodeParams(r, &p); err != nil {
 			return nil, err
 		}
-		f.observeReports(p.Reports)
-		o := f.heldGroupPosition(x, p.Group)
-		if p.Survey {
-			o.Reports = f.reports(p.Group, "", bundle.Background)
-		}
-		return o, nil
+		return f.answerPosition(x, p), nil
 	case methodExchange:
 		var p exchangeParams
 		if err := decodeParams(r, &p); err != nil {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -31,6 +31,9 @@
 	hopelessLagAge  = time.Second
 	// failureCost is the time that a read loses at a member that fails it.
 	failureCost = 400 * time.Millisecond
+	// maxJitter is added to costs at random. It is less than the difference between a
+	// member in the same failure domain and one in another: bytes between them cost.
+	maxJitter = 2 * time.Millisecond
 	// minPatience is the least time for which a read waits for a replica's log, so
 	// that a small error of the prediction doesn't cost a second round trip.
 	minPatience = 25 * time.Millisecond
@@ -175,7 +178,7 @@
 				continue
 			}
 			k := c.CatchUp(r, now)
-			cost := c.Cost(k, now) + time.Duration(random()*float64(c.slotTime(now))/2)
+			cost := c.Cost(k, now) + time.Duration(random()*float64(maxJitter))
 			lagging = lagging || k > 0
 			switch {
 			case best.Index < 0 || cost < best.Cost:
@@ -239,13 +242,6 @@
 	}
 }
 
-func (c Candidate) slotTime(now time.Time) time.Duration {
-	if now.Sub(c.Report.At) < reportMaxAge {
-		return c.Report.SlotTime
-	}
-	return defaultSlotTime
-}
-
 // WithDefaults returns the report with defaults for what its owner hasn't measured.
 func (r Report) WithDefaults(lagKnown bool) Report {
 	if !lagKnown {
--- a/query/query.go
+++ b/query/query.go
@@ -231,6 +231,19 @@
 	Holder string `json:"h,omitempty"`
 	// Members are reports on members of the group.
 	Members []MemberReport `json:"l,omitempty"`
+	// Placement is why the requesting daemon chose the member; nil if it had no choice.
+	Placement *Placement `json:"-"`
+}
+
+// Placement is why a member was chosen for a read.
+type Placement struct {
+	Reason string
+	// Expected is the predicted time until the answer. CatchUp is the part of it in
+	// which the member doesn't have the data yet.
+	Expected time.Duration
+	CatchUp  time.Duration
+	// ReportAge is the age of the report on the member, negative if there was none.
+	ReportAge time.Duration
 }
 
 // Step is one request to a backend server.
