pace: a limit below the slots isn't kept by answers that don't count

Cause: answers that waited behind statements of open transactions are ignored, so that a new owner's limit stayed at its first half, or a restarted member's at a third, while such statements filled the member.

Change: after 0.3 s without an answer that counts, the limit doubles. The rapid property fails without it.

--- a/pace/handle.go
+++ b/pace/handle.go
@@ -52,10 +52,13 @@
 }
 
 func (p *Pace) answered(x Answered, now time.Time) *Change {
-	// Answers that waited behind more than one other statement tell little.
-	if x.Kind >= KindCount || x.Running > p.config.Slots+1 {
+	if x.Kind >= KindCount {
 		return nil
 	}
+	// Answers that waited behind more than one other statement tell little.
+	if x.Running > p.config.Slots+1 {
+		return p.crowded(now)
+	}
 	c := p.expireWindow(now)
 	t := math.Log(p.withoutWait(x))
 	u := &p.usual[x.Kind]
@@ -88,6 +91,20 @@
 	}
 }
 
+// crowded raises the limit of a server whose answers don't count for crowdTime because
+// statements of open transactions fill it.
+func (p *Pace) crowded(now time.Time) *Change {
+	if p.trial != nil || p.limit == p.config.Slots {
+		return p.expireWindow(now)
+	}
+	if d := now.Sub(p.window.started); d >= 0 && d < crowdTime {
+		return nil
+	}
+	o := p.window
+	p.window = window{started: now}
+	return p.change(min(2*p.limit, p.config.Slots), Unused, o)
+}
+
 // withoutWait returns the time of an answer in seconds without the wait at the server
 // behind a statement beyond its slots.
 func (p *Pace) withoutWait(x Answered) float64 {
--- a/pace/pace.go
+++ b/pace/pace.go
@@ -75,6 +75,8 @@
 	// busyInterval is how long after a fall further refusals are ignored, which
 	// belong to the same overload.
 	busyInterval = 100 * time.Millisecond
+	// crowdTime is how long a limit below the slots is kept while no answer counts.
+	crowdTime = 300 * time.Millisecond
 	// knownAnswers is the number of answers after which a kind's usual time is known.
 	knownAnswers = 8
 	// usualWeight and recentWeight are the weights of a new answer in a kind's usual
@@ -222,7 +224,7 @@
 // New returns the pace of a server.
 func New(c Config, now time.Time) *Pace {
 	c.Slots, c.Connections = max(c.Slots, 1), max(c.Connections, 1)
-	p := &Pace{config: c, limit: c.Slots, trialInterval: minTrialInterval, nextTrial: now.Add(minTrialInterval), nextRise: now, hold: minHold}
+	p := &Pace{config: c, limit: c.Slots, window: window{started: now}, trialInterval: minTrialInterval, nextTrial: now.Add(minTrialInterval), nextRise: now, hold: minHold}
 	if c.Cold > 0 || c.Fresh {
 		p.limit, p.watched = p.floor(), true
 		p.knee, p.starting = p.limit < c.Slots, c.Known != nil
--- a/pace/pace_test.go
+++ b/pace/pace_test.go
@@ -322,6 +322,19 @@
 		})
 	})
 
+	It("isn't kept below its slots by answers that don't count", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			p, c, now := drawPace(t)
+			for range 1000 {
+				now = now.Add(20 * time.Millisecond)
+				p.Handle(pace.Answered{Kind: 1, Took: 20 * time.Millisecond, Running: c.Slots + 5}, now)
+			}
+			if p.Limit() < c.Slots {
+				t.Fatalf("limit %d of %d slots", p.Limit(), c.Slots)
+			}
+		})
+	})
+
 	It("takes any state that it tells", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			p, c, now := drawPace(t)
