fleet: a read that waits for a replica's log isn't held beyond its deadline

A read may wait up to two requests for the end of the log before it waits for the replica. The second wait had the time limit of the request's arrival, so that both together could exceed it. The time that the first one took is now subtracted.

--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -138,6 +138,28 @@
 		Expect(m.received()).To(BeEmpty())
 	})
 
+	It("isn't held beyond its deadline for the log if the end of the log was known late", func() {
+		f := newPlacingDaemon(fakeMembers{"m": {reaches: time.Now().Add(time.Hour)}})
+		w := make(chan struct{})
+		f.mu.Lock()
+		g := f.group("g")
+		g.history, g.positionRequest = staleness.History{}, w
+		f.mu.Unlock()
+		time.AfterFunc(400*time.Millisecond, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			g.history.Add(staleness.Sample{Position: logpos.Position{Term: 1, Offset: 9}, At: now().Add(10 * time.Second)})
+			g.positionRequest = nil
+			close(w)
+		})
+		r := ownRead(600 * time.Millisecond)
+		r.Member, r.Patience = "m", time.Minute
+		t := time.Now()
+		o := f.serveRead(context.Background(), r)
+		Expect(o.Failure.Reason).To(Equal(query.Lagging))
+		Expect(time.Since(t)).To(BeNumerically("<", 850*time.Millisecond))
+	})
+
 	It("is answered by another member if the first one hangs, as long as the budget lasts", func() {
 		hanging, well := &fakeMember{hangs: time.Hour}, &fakeMember{}
 		f := newPlacingDaemon(fakeMembers{"m": hanging, "n": well})
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -239,14 +239,15 @@
 	if !ok {
 		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID, Unavailable: f.config.Features.Pressure}
 	}
-	o := query.Response{Member: m.ID}
-	w := f.checkLog(x, g, p, r, after)
-	q := *r
+	o, q := query.Response{Member: m.ID}, *r
 	q.Remaining -= time.Since(t)
-	if w.lacks {
+	w := f.checkLog(x, g, p, &q, after)
+	q.Remaining = r.Remaining - time.Since(t)
+	switch {
+	case w.lacks:
 		o.Reply = query.Refusal(query.Lagging, "the member lacks "+after.String())
 		o.Position, o.Failure.RetryAfter = w.position, w.retryAfter
-	} else {
+	default:
 		o.Reply = p.Execute(x, &q, after, func() *query.Failure { return nil })
 	}
 	o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
