fleet: a read that waited for a replica's log uses the floor at the end of the wait

The floor was computed before the wait, which takes up to seconds. If the group gets a new primary meanwhile, a replica of the new term is after any position of the earlier one, also while it lacks the session's write: the read would have been served without it. The floor is now computed again, in the term that is known after the wait.

--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -27,6 +27,8 @@
 type fakeMember struct {
 	mu      sync.Mutex
 	reaches time.Time
+	// at is the end of the log instead, unless it is zero.
+	at logpos.Position
 	// hangs is how long a statement takes.
 	hangs time.Duration
 	// floors are the floors of the statements that it has received.
@@ -67,6 +69,9 @@
 
 // position returns the end of the member's log; m.mu is held.
 func (m *fakeMember) position() logpos.Position {
+	if !m.at.IsZero() {
+		return m.at
+	}
 	if time.Now().Before(m.reaches) {
 		return logpos.Position{Term: 1, Offset: 5}
 	}
@@ -138,6 +143,24 @@
 		Expect(m.received()).To(BeEmpty())
 	})
 
+	It("isn't served by a replica of a new term that lacks the session's write although it waited for a position of the earlier term", func() {
+		m := &fakeMember{at: logpos.Position{Term: 1, Offset: 5}}
+		f := newPlacingDaemon(fakeMembers{"m": m})
+		time.AfterFunc(100*time.Millisecond, func() {
+			f.mu.Lock()
+			f.group("g").history.Add(staleness.Sample{Position: logpos.Position{Term: 2, Offset: 10}, At: now().Add(10 * time.Second)})
+			f.mu.Unlock()
+			m.mu.Lock()
+			m.at = logpos.Position{Term: 2, Offset: 6}
+			m.mu.Unlock()
+		})
+		r := ownRead(2 * time.Second)
+		r.Member, r.Patience = "m", 2*time.Second
+		o := f.serveRead(context.Background(), r)
+		Expect(o.Failure).NotTo(BeNil())
+		Expect(o.Failure.Reason).To(Equal(query.Lagging))
+	})
+
 	It("isn't held beyond its deadline for the log if the end of the log was known late", func() {
 		f := newPlacingDaemon(fakeMembers{"m": {reaches: time.Now().Add(time.Hour)}})
 		w := make(chan struct{})
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -241,14 +241,14 @@
 	}
 	o, q := query.Response{Member: m.ID}, *r
 	q.Remaining -= time.Since(t)
-	w := f.checkLog(x, g, p, &q, after)
+	w := f.checkLog(x, g, p, &q, after, n)
 	q.Remaining = r.Remaining - time.Since(t)
 	switch {
 	case w.lacks:
 		o.Reply = query.Refusal(query.Lagging, "the member lacks "+after.String())
 		o.Position, o.Failure.RetryAfter = w.position, w.retryAfter
 	default:
-		o.Reply = p.Execute(x, &q, after, func() *query.Failure { return nil })
+		o.Reply = p.Execute(x, &q, w.floor, func() *query.Failure { return nil })
 	}
 	o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 	if o.Failure != nil && o.Failure.Reason == query.Lagging && w.retryAfter == 0 {
@@ -265,17 +265,19 @@
 type logCheck struct {
 	lacks    bool
 	position logpos.Position
+	// floor is the position that the read requires when it is sent.
+	floor logpos.Position
 	// retryAfter is when the log is expected to contain it, zero if unknown.
 	retryAfter time.Duration
 }
 
-// checkLog checks a member's log before a read is sent there, and waits for it as long
-// as the request allows.
-func (f *Daemon) checkLog(x context.Context, g *group, p *pool.Pool, r *query.Request, after logpos.Position) logCheck {
+// checkLog checks a member's log before a read that arrived at n is sent there, and
+// waits for it as long as the request allows.
+func (f *Daemon) checkLog(x context.Context, g *group, p *pool.Pool, r *query.Request, after logpos.Position, n time.Time) logCheck {
 	m := p.Member()
 	f.mu.Lock()
 	l := f.loads.member(m.ID)
-	w := logCheck{lacks: l.lacks(after, now()), position: l.position}
+	w := logCheck{lacks: l.lacks(after, now()), position: l.position, floor: after}
 	primary, _ := g.Primary()
 	f.mu.Unlock()
 	if r.Patience == 0 || primary == m.ID {
@@ -283,6 +285,13 @@
 	}
 	w.retryAfter = f.awaitLog(x, p, r, after)
 	w.lacks = w.retryAfter > 0
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// While the read waited, a promotion may have rolled back the end of the earlier
+	// term, after which a replica of the new term may lack what is before the floor.
+	if k, ok := g.history.Floor(n.Add(-r.MaxAge), r.Floor); ok {
+		w.floor = logpos.Max(after, k)
+	}
 	return w
 }
 
