--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -161,6 +161,24 @@
 		Expect(o.Failure.Reason).To(Equal(query.Lagging))
 	})
 
+	It("isn't sent to a member that began to drain while the read waited for its log", func() {
+		m := &fakeMember{reaches: time.Now().Add(200 * time.Millisecond)}
+		f := newPlacingDaemon(fakeMembers{"m": m})
+		time.AfterFunc(50*time.Millisecond, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			k, _ := f.table.Member("m")
+			k.Draining = true
+			f.table.SetMember(k)
+		})
+		r := ownRead(2 * time.Second)
+		r.Member, r.Patience = "m", 2*time.Second
+		o := f.serveRead(context.Background(), r)
+		Expect(o.Failure).NotTo(BeNil())
+		Expect(o.Failure.Reason).To(Equal(query.Moved))
+		Expect(m.received()).To(BeEmpty())
+	})
+
 	It("isn't held beyond its deadline for the log if the end of the log was known late", func() {
 		f := newPlacingDaemon(fakeMembers{"m": {reaches: time.Now().Add(time.Hour)}})
 		w := make(chan struct{})
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -244,6 +244,8 @@
 	w := f.checkLog(x, g, p, &q, after, n)
 	q.Remaining = r.Remaining - time.Since(t)
 	switch {
+	case w.leaves:
+		return query.Response{Reply: query.Refusal(query.Moved, "the member is not served here")}
 	case w.lacks:
 		o.Reply = query.Refusal(query.Lagging, "the member lacks "+after.String())
 		o.Position, o.Failure.RetryAfter = w.position, w.retryAfter
@@ -267,6 +269,8 @@
 	position logpos.Position
 	// floor is the position that the read requires when it is sent.
 	floor logpos.Position
+	// leaves is set if the member takes no new work any more.
+	leaves bool
 	// retryAfter is when the log is expected to contain it, zero if unknown.
 	retryAfter time.Duration
 }
@@ -292,6 +296,8 @@
 	if k, ok := g.history.Floor(n.Add(-r.MaxAge), r.Floor); ok {
 		w.floor = logpos.Max(after, k)
 	}
+	m, ok := f.table.Member(m.ID)
+	w.leaves = !ok || m.Draining || f.draining.Load()
 	return w
 }
 
