outlier: a member that is in use because another one is worse returns by its answers

At most half of a group is out; an ejected member beyond that is used for a quarter of its reads. It wasn't probed, and only probes returned members: it kept the quarter as long as the other one was out, and was then taken out itself, although all its answers were good. Good answers after the end of the ejection now count as probes do.

--- a/outlier/outlier.go
+++ b/outlier/outlier.go
@@ -119,7 +119,7 @@
 		}
 		m.took += time.Duration(tookWeight * float64(e.Took-m.took))
 		m.record(0, now)
-		return m.probeSucceeded()
+		return m.probeSucceeded(now)
 	case Failed:
 		return d.bad(e.Member, now)
 	case Silent:
@@ -179,12 +179,13 @@
 func (d *Detector) bad(id string, now time.Time) Change {
 	m := d.member(id)
 	m.record(1, now)
+	m.goodProbes = 0
 	switch {
 	case m.ejected && !m.probingSince.IsZero():
 		m.ejection = min(2*m.ejection, maxEjection)
-		m.ejectedUntil, m.goodProbes, m.probingSince = now.Add(m.ejection), 0, time.Time{}
+		m.ejectedUntil, m.probingSince = now.Add(m.ejection), time.Time{}
 	case !m.ejected && m.bad >= ejectedFrom:
-		m.ejected, m.goodProbes, m.probingSince = true, 0, time.Time{}
+		m.ejected, m.probingSince = true, time.Time{}
 		m.ejection = minEjection
 		m.ejectedUntil = now.Add(m.ejection)
 		return Ejected
@@ -210,9 +211,10 @@
 	return !now.Before(m.ejectedUntil) && (m.probingSince.IsZero() || now.Sub(m.probingSince) > probeTimeout)
 }
 
-// probeSucceeded records a good answer of an ejected member.
-func (m *member) probeSucceeded() Change {
-	if !m.ejected || m.probingSince.IsZero() {
+// probeSucceeded records a good answer of an ejected member: to a probe or, after the
+// end of the ejection, to any read, since a member that is in use isn't probed.
+func (m *member) probeSucceeded(now time.Time) Change {
+	if !m.ejected || m.probingSince.IsZero() && now.Before(m.ejectedUntil) {
 		return Unchanged
 	}
 	m.goodProbes++
--- a/outlier/outlier_test.go
+++ b/outlier/outlier_test.go
@@ -116,6 +116,28 @@
 		Expect(shares(d, t)[0]).To(BeNumerically(">", 0))
 	})
 
+	It("returns a member that is in use because another one is worse, although it isn't probed", func() {
+		d := outlier.New()
+		fail(d, "a", 9, start)
+		fail(d, "b", 4, start)
+		Expect(shares(d, start)).To(Equal([]float64{0, 0.25, 1}))
+		var c outlier.Change
+		for i := range 6 {
+			t := start.Add(2*time.Second + time.Duration(i)*100*ms)
+			c = max(c, d.Handle(outlier.Answered{Member: "b", Took: 20 * ms}, t))
+		}
+		Expect(c).To(Equal(outlier.Returned))
+		Expect(shares(d, start.Add(3*time.Second))).To(Equal([]float64{0, 1, 1}))
+	})
+
+	It("doesn't return a member by answers to reads from before its ejection", func() {
+		d := outlier.New()
+		fail(d, "a", 4, start)
+		for range 6 {
+			Expect(d.Handle(outlier.Answered{Member: "a", Took: 20 * ms}, start.Add(100*ms))).To(Equal(outlier.Unchanged))
+		}
+	})
+
 	It("sends another probe if one is lost", func() {
 		d := outlier.New()
 		fail(d, "a", 4, start)
