fleet: a read isn't refused as hopeless while a member that refused it may still serve it

The members that have just refused a read are excluded for a while, and the others alone decided whether it was hopeless: a read that a replica with room could have served 20 ms later was refused at once because the primary was full. It now waits for the excluded member if that is due before the deadline.

--- a/fleet/placedread.go
+++ b/fleet/placedread.go
@@ -41,15 +41,16 @@
 			break
 		}
 		c, ok := f.choosePlace(r, tried, left, true)
-		if !ok {
-			if d := tried.wait(time.Now()); d >= left || !sleep(x, max(d, minReplicaRetry)) {
+		if !ok || c.Hopeless {
+			d, excluded := tried.wait(time.Now())
+			if c.Hopeless && (!excluded || d >= left) {
+				return f.refuseHopeless(c, r, left)
+			}
+			if d >= left || !sleep(x, min(max(d, minReplicaRetry), left)) {
 				break
 			}
 			continue
 		}
-		if c.Hopeless {
-			return f.refuseHopeless(c, r, left)
-		}
 		o = f.runPlaced(x, c, r, t, tried)
 		mayHaveRunBefore = mayHaveRunBefore || o.MayHaveRun || mayHaveRun(o.Failure)
 		if !retryPlaced(r, o) {
@@ -93,15 +94,15 @@
 // excludes reports whether the read isn't to be sent to a member yet.
 func (l triedMembers) excludes(member string, now time.Time) bool { return now.Before(l[member]) }
 
-// wait returns how long it takes until the first of the members may be tried again.
-func (l triedMembers) wait(now time.Time) time.Duration {
-	d := time.Duration(-1)
-	for _, t := range l {
-		if w := t.Sub(now); d < 0 || w < d {
-			d = w
+// wait returns how long it takes until the next of the excluded members may be tried
+// again, or false if none is excluded.
+func (l triedMembers) wait(now time.Time) (d time.Duration, excluded bool) {
+	for id, t := range l {
+		if w := t.Sub(now); l.excludes(id, now) && (!excluded || w < d) {
+			d, excluded = w, true
 		}
 	}
-	return max(d, 0)
+	return d, excluded
 }
 
 // retryPlaced reports whether a read that failed may be sent to another member. A
--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -31,6 +31,8 @@
 	at logpos.Position
 	// hangs is how long a statement takes.
 	hangs time.Duration
+	// refuses is the failure of the first statement, if it isn't empty.
+	refuses query.Reason
 	// floors are the floors of the statements that it has received.
 	floors []logpos.Position
 }
@@ -45,7 +47,10 @@
 	o := query.Reply{State: query.Idle, Position: c.m.position()}
 	if r, ok := s.(query.RunStatement); ok {
 		c.m.floors = append(c.m.floors, r.Floor)
-		if o.Position.Less(r.Floor) {
+		switch {
+		case c.m.refuses != "":
+			o.Failure, c.m.refuses = &query.Failure{Reason: c.m.refuses}, ""
+		case o.Position.Less(r.Floor):
 			o.Failure = &query.Failure{Reason: query.Lagging}
 		}
 	} else {
@@ -258,6 +263,16 @@
 		Expect(m.received()).To(BeEmpty())
 	})
 
+	It("isn't refused at once if a member that has just refused it may serve it in time and the others are full", func() {
+		f := newPlacingDaemon(fakeMembers{"m": {refuses: query.Overloaded}, "n": {}})
+		f.observeReports([]query.MemberReport{
+			{Member: "n", Position: logpos.Position{Term: 1, Offset: 9}, WaitMS: 60000, SlotMS: 20}, {Member: "m", Position: logpos.Position{Term: 1, Offset: 9}, SlotMS: 20},
+		})
+		o := f.executePlacedRead(context.Background(), ownRead(2*time.Second), time.Now())
+		Expect(o.Failure).To(BeNil())
+		Expect(o.Member).To(Equal("m"))
+	})
+
 	It("isn't retried after an outcome that may have an effect, nor inside a transaction", func() {
 		fails := func(q query.Reason) query.Response {
 			return query.Response{Reply: query.Refusal(q, "")}
