fleet: a second member that refused a read isn't excluded until the deadline

The exclusion of the second member while its answer is due was never ended, so that a read which it had refused within milliseconds couldn't go there again; with no other member left it was held until the deadline.

--- a/fleet/hedgedread.go
+++ b/fleet/hedgedread.go
@@ -51,25 +51,28 @@
 	left := r.Remaining - time.Since(t)
 	delay, ok := hedgeReadAfter(c, r, left)
 	if !ok {
-		return f.executePlaced(x, c, r, t)
+		o := f.executePlaced(x, c, r, t)
+		tried.failed(c.member.ID, o.Failure, time.Now())
+		return o
 	}
 	// The slower attempt isn't canceled: a call that is given up makes its link
 	// suspect, and the answer tells something of the member.
-	answers := make(chan query.Response, 2)
+	answers := make(chan readAnswer, 2)
 	tried[c.member.ID] = time.Now().Add(left)
 	f.startRead(x, c, *r, t, answers)
 	late := time.After(delay)
 	var o query.Response
-	ran := false
 	for pending, hedged := 1, false; pending > 0; {
 		select {
-		case o = <-answers:
+		case a := <-answers:
 			pending--
-			ran = ran || mayHaveRun(o.Failure)
+			a.MayHaveRun = o.MayHaveRun || mayHaveRun(a.Failure)
+			o = a.Response
 			if o.Failure == nil {
-				f.recordHedgeResult(r, hedged, o.Member != c.member.ID)
+				f.recordHedgeResult(r, hedged, a.member != c.member.ID)
 				return o
 			}
+			tried.failed(a.member, o.Failure, time.Now())
 		case <-late:
 			if c.expectedPromptly() {
 				f.observeOutlier(c, outlier.Silent{Member: c.member.ID})
@@ -81,16 +84,21 @@
 			}
 		}
 	}
-	o.MayHaveRun = ran
 	return o
 }
 
+// readAnswer is the answer to a read that was sent to a member.
+type readAnswer struct {
+	member string
+	query.Response
+}
+
 // startRead runs a read at a member and sends the answer to answers. It may outlive the
 // request, of which r is a copy.
-func (f *Daemon) startRead(x context.Context, c placedTarget, r query.Request, t time.Time, answers chan<- query.Response) {
+func (f *Daemon) startRead(x context.Context, c placedTarget, r query.Request, t time.Time, answers chan<- readAnswer) {
 	f.spawn(func(context.Context) {
 		o := query.Response{Reply: query.Reply{Failure: lostFailure(&r, "the read ended in a panic")}}
-		defer func() { answers <- o }()
+		defer func() { answers <- readAnswer{c.member.ID, o} }()
 		o = f.executePlaced(x, c, &r, t)
 	})
 }
--- a/fleet/placedread.go
+++ b/fleet/placedread.go
@@ -56,7 +56,6 @@
 		if !retryPlaced(r, o) {
 			return o
 		}
-		tried.failed(c.member.ID, o.Failure, time.Now())
 	}
 	if o.Failure == nil {
 		o.Reply = query.Refusal(query.Overloaded, "no member can serve the read now")
@@ -86,8 +85,12 @@
 // read may be sent there again.
 type triedMembers map[string]time.Time
 
-// failed records a failure; a member that says when to come back isn't asked sooner.
+// failed records a failure, if there is one; a member that says when to come back isn't
+// asked sooner.
 func (l triedMembers) failed(member string, q *query.Failure, now time.Time) {
+	if q == nil {
+		return
+	}
 	l[member] = now.Add(max(q.RetryAfter, holderRetryDelay))
 }
 
--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -219,6 +219,19 @@
 		Expect(hanging.received()).To(HaveLen(1))
 	})
 
+	It("goes to a second member again that has refused it while the first one hung", func() {
+		hanging, refuses := &fakeMember{hangs: time.Hour}, &fakeMember{refuses: query.Overloaded}
+		f := newPlacingDaemon(fakeMembers{"m": hanging, "n": refuses})
+		f.observeReports([]query.MemberReport{{Member: "n", Position: logpos.Position{Term: 1, Offset: 9}, SlotMS: 90}})
+		f.observeReports([]query.MemberReport{{Member: "m", Position: logpos.Position{Term: 1, Offset: 9}, SlotMS: 1}})
+		tried, r, t := triedMembers{}, ownRead(time.Second), time.Now()
+		c, _ := f.choosePlace(r, tried, r.Remaining, false)
+		Expect(c.member.ID).To(Equal("m"))
+		Expect(f.runPlaced(context.Background(), c, r, t, tried).Failure).NotTo(BeNil())
+		Expect(refuses.received()).To(HaveLen(1))
+		Expect(tried["n"]).To(BeTemporally("<", t.Add(800*time.Millisecond)), "not excluded until the deadline")
+	})
+
 	It("isn't sent twice without budget", func() {
 		f := newPlacingDaemon(fakeMembers{"m": {}, "n": {}})
 		for range 20 {
