fleet: a placed read that a member has run isn't answered as not run

A read that one member failed is sent to another one. If that refused it, or none was left, the caller was told of the refusal, which says that the read hasn't run. The failure of the member that has run it now remains the answer.

--- a/fleet/hedgedread.go
+++ b/fleet/hedgedread.go
@@ -66,13 +66,13 @@
 		select {
 		case a := <-answers:
 			pending--
-			a.MayHaveRun = o.MayHaveRun || mayHaveRun(a.Failure)
-			o = a.Response
-			if o.Failure == nil {
+			if a.Failure == nil {
 				f.recordHedgeResult(r, hedged, a.member != c.member.ID)
-				return o
+				return a.Response
 			}
-			tried.failed(a.member, o.Failure, time.Now())
+			tried.failed(a.member, a.Failure, time.Now())
+			a.MayHaveRun = o.MayHaveRun || mayHaveRun(a.Failure)
+			o = a.afterFailure(o.Failure)
 		case <-late:
 			if c.expectedPromptly() {
 				f.observeOutlier(c, outlier.Silent{Member: c.member.ID})
@@ -93,6 +93,16 @@
 	query.Response
 }
 
+// afterFailure returns the answer to a read that another member has failed before: a
+// refusal doesn't replace the failure of a member that has run the read, since it would
+// say that the read hasn't run.
+func (a readAnswer) afterFailure(before *query.Failure) query.Response {
+	if before != nil && !before.Reason.NotRun() && a.Failure != nil && a.Failure.Reason.NotRun() {
+		a.Failure = before
+	}
+	return a.Response
+}
+
 // startRead runs a read at a member and sends the answer to answers. It may outlive the
 // request, of which r is a copy.
 func (f *Daemon) startRead(x context.Context, c placedTarget, r query.Request, t time.Time, answers chan<- readAnswer) {
--- a/fleet/placedread.go
+++ b/fleet/placedread.go
@@ -33,7 +33,12 @@
 // deadline is refused at once.
 func (f *Daemon) executePlacedRead(x context.Context, r *query.Request, t time.Time) (o query.Response) {
 	mayHaveRunBefore := false
-	defer func() { o.MayHaveRun = o.MayHaveRun || mayHaveRunBefore }()
+	// failed is the failure of a member that has run the read.
+	var failed *query.Failure
+	defer func() {
+		o = readAnswer{Response: o}.afterFailure(failed)
+		o.MayHaveRun = o.MayHaveRun || mayHaveRunBefore
+	}()
 	tried := triedMembers{}
 	for range maxPlacedAttempts {
 		left := r.Remaining - time.Since(t)
@@ -56,6 +61,9 @@
 		if !retryPlaced(r, o) {
 			return o
 		}
+		if o.Failure.Reason == query.RunFailed {
+			failed = o.Failure
+		}
 	}
 	if o.Failure == nil {
 		o.Reply = query.Refusal(query.Overloaded, "no member can serve the read now")
--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -31,8 +31,10 @@
 	at logpos.Position
 	// hangs is how long a statement takes.
 	hangs time.Duration
-	// refuses is the failure of the first statement, if it isn't empty.
+	// refuses is the failure of the first statement, if it isn't empty; refused is then
+	// called, if it isn't nil.
 	refuses query.Reason
+	refused func()
 	// floors are the floors of the statements that it has received.
 	floors []logpos.Position
 }
@@ -50,6 +52,9 @@
 		switch {
 		case c.m.refuses != "":
 			o.Failure, c.m.refuses = &query.Failure{Reason: c.m.refuses}, ""
+			if c.m.refused != nil {
+				c.m.refused()
+			}
 		case o.Position.Less(r.Floor):
 			o.Failure = &query.Failure{Reason: query.Lagging}
 		}
@@ -286,6 +291,23 @@
 		Expect(o.Member).To(Equal("m"))
 	})
 
+	It("isn't said not to have run if a member failed it and the others refuse it", func() {
+		fails := &fakeMember{refuses: query.RunFailed}
+		f := newPlacingDaemon(fakeMembers{"m": fails, "n": {at: logpos.Position{Term: 1, Offset: 5}}})
+		f.observeReports([]query.MemberReport{{Member: "m", Position: logpos.Position{Term: 1, Offset: 9}, SlotMS: 1}})
+		fails.refused = func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			k, _ := f.table.Member("m")
+			k.Draining = true
+			f.table.SetMember(k)
+		}
+		o := f.executePlacedRead(context.Background(), ownRead(500*time.Millisecond), time.Now())
+		Expect(fails.received()).To(HaveLen(1))
+		Expect(o.Failure).NotTo(BeNil())
+		Expect(o.Failure.Reason.NotRun()).To(BeFalse())
+	})
+
 	It("isn't retried after an outcome that may have an effect, nor inside a transaction", func() {
 		fails := func(q query.Reason) query.Response {
 			return query.Response{Reply: query.Refusal(q, "")}
