fleet: nothing is kept of a member that has left

The load and the report of each member that was ever known stayed in memory, and an answer that came after the member's end made the outlier detector begin anew with it.

--- a/fleet/load.go
+++ b/fleet/load.go
@@ -75,6 +75,9 @@
 	return l
 }
 
+// forget deletes the load of a member that has left.
+func (t *loadTable) forget(member string) { delete(t.byMember, member) }
+
 // cost predicts how long a read waits at a member, without the round trip.
 // maxAge is the accepted age of the data; it is negative for a primary, whose data
 // are always current.
--- a/fleet/placedread.go
+++ b/fleet/placedread.go
@@ -249,6 +249,10 @@
 // observeOutlier applies an event to the judgement of a member and logs a change.
 func (f *Daemon) observeOutlier(c placedTarget, e outlier.Event) {
 	f.mu.Lock()
+	if _, ok := f.table.Member(c.member.ID); !ok {
+		f.mu.Unlock()
+		return
+	}
 	d := f.outliers.Handle(e, now())
 	f.mu.Unlock()
 	l := f.config.Log.With("member", c.member.ID, "group", c.member.Group, "failures", c.report.Failures, "slot-ms", c.report.SlotTime.Milliseconds(),
--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -340,6 +340,22 @@
 		Expect(l[0].WaitMS).To(Equal(int64(20)))
 	})
 
+	It("end with their member, also if the answer to a read arrives later", func() {
+		f := newPlacingDaemon(fakeMembers{"m": {}})
+		f.observeReports([]query.MemberReport{{Member: "m"}})
+		Expect(f.loads.byMember).To(HaveKey("m"))
+		f.mu.Lock()
+		f.evictAt["m"] = time.Now().Add(-time.Second)
+		f.mu.Unlock()
+		f.evictRemovedMembers()
+		late := placedTarget{readTarget: readTarget{member: catalog.Member{ID: "m", Group: "g"}}}
+		for range 9 {
+			f.observeOutlier(late, outlier.Failed{Member: "m"})
+		}
+		Expect(f.loads.byMember).NotTo(HaveKey("m"))
+		Expect(f.outliers.Standings([]string{"m", "n"}, now())[0].Share).To(BeEquivalentTo(1), "nothing is kept of a member that has left")
+	})
+
 	It("aren't told where no deployment asks for them", func() {
 		f := newTestDaemon()
 		f.mu.Lock()
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -95,6 +95,7 @@
 			delete(f.sequences, id)
 			f.table.RemoveMember(id)
 			f.outliers.Forget(id)
+			f.loads.forget(id)
 		}
 	}
 }
