--- a/fleet/placedread.go
+++ b/fleet/placedread.go
@@ -255,6 +255,9 @@
 	}
 	d := f.outliers.Handle(e, now())
 	f.mu.Unlock()
+	if d == outlier.Unchanged {
+		return
+	}
 	l := f.config.Log.With("member", c.member.ID, "group", c.member.Group, "failures", c.report.Failures, "slot-ms", c.report.SlotTime.Milliseconds(),
 		"wait-ms", c.report.Wait.Milliseconds(), "report-age-ms", c.reportAge.Milliseconds())
 	switch d {
