--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -112,7 +112,7 @@
 
 // recordPace records a member's pace; f.mu is held.
 func (f *Daemon) recordPace(m catalog.Member, s pace.State) {
-	if len(f.paces) >= maxKnownPaces {
+	if _, ok := f.paces[m.ID]; !ok && len(f.paces) >= maxKnownPaces {
 		for id := range f.paces {
 			if _, ok := f.table.Member(id); !ok {
 				delete(f.paces, id)
