--- a/gap/gap.go
+++ b/gap/gap.go
@@ -9,6 +9,7 @@
 package gap
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -48,6 +49,7 @@
 func (t *Table) Blocked(k Key, since, now time.Time) {
 	g := t.gaps[k]
 	if g == nil || now.Sub(g.lastAt) > forgetAfter {
+		t.forget(now)
 		g = &gapState{since: since}
 		t.gaps[k] = g
 	}
@@ -59,14 +61,15 @@
 
 // Count forgets old gaps and returns the number of the others.
 func (t *Table) Count(now time.Time) int {
-	for k, g := range t.gaps {
-		if now.Sub(g.lastAt) > forgetAfter {
-			delete(t.gaps, k)
-		}
-	}
+	t.forget(now)
 	return len(t.gaps)
 }
 
+// forget deletes the gaps that are assumed to have ended.
+func (t *Table) forget(now time.Time) {
+	maps.DeleteFunc(t.gaps, func(_ Key, g *gapState) bool { return now.Sub(g.lastAt) > forgetAfter })
+}
+
 // ReturnAfter returns when a caller is to return that the gap has kept from being
 // served, or false if no gap is known. jitter is a random number from 0 to 1.
 func (t *Table) ReturnAfter(k Key, r bundle.Rank, jitter float64, now time.Time) (time.Duration, bool) {
--- a/gap/gap_test.go
+++ b/gap/gap_test.go
@@ -146,6 +146,15 @@
 		Expect(t.Count(start.Add(13 * time.Second))).To(BeZero())
 	})
 
+	It("isn't kept after its group has gone", func() {
+		t := gap.New()
+		for i := range 100 {
+			at := start.Add(time.Duration(i) * time.Second)
+			t.Blocked(gap.Key{Group: fmt.Sprint(i)}, at, at)
+		}
+		Expect(t.Count(start)).To(BeNumerically("<", 10), "counted as of the beginning, when none is old")
+	})
+
 	It("asks more urgent callers to return first, and none before as much time as it has lasted", func() {
 		rapid.Check(GinkgoT(), func(r *rapid.T) {
 			t := gap.New()
--- a/pressure/pressure_test.go
+++ b/pressure/pressure_test.go
@@ -262,4 +262,12 @@
 			}
 		}
 	})
+
+	It("the levels of groups that have gone aren't kept", func() {
+		t, s := pressure.NewTable(), pressure.State{Levels: pressure.Levels{bundle.Background: 0.5}}
+		t.Observe("g", s, start)
+		t.Observe("h", s, start.Add(2*time.Second))
+		Expect(t.Level("g", bundle.Background, start)).To(BeZero())
+		Expect(t.Level("h", bundle.Background, start.Add(2*time.Second))).To(BeEquivalentTo(0.5))
+	})
 })
--- a/pressure/table.go
+++ b/pressure/table.go
@@ -1,6 +1,7 @@
 package pressure
 
 import (
+	"maps"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -53,6 +54,9 @@
 		delete(t.primaries, group)
 		return
 	}
+	if _, ok := t.primaries[group]; !ok {
+		maps.DeleteFunc(t.primaries, func(_ string, o told) bool { return now.Sub(o.at) > maxAge })
+	}
 	t.primaries[group] = told{s, now}
 }
 
