fleet: the second read of a probe needs no budget

A real read probes an ejected member, and goes elsewhere if that doesn't answer within 150 ms. It only did while the budget of second reads lasted, which the silence before the ejection uses up: the caller of the probe then waited for the bad member until the deadline. Probes are bounded by the times of ejections.

--- a/fleet/hedgedread.go
+++ b/fleet/hedgedread.go
@@ -25,8 +25,8 @@
 	promptWait      = 50 * time.Millisecond
 )
 
-// hedgeBudget returns the limits of hedged reads: one in 20 reads of a group, and a
-// few at once when a member stops answering.
+// hedgeBudget returns the limits of hedged reads without probes: one in 20 reads of a
+// group, and a few at once when a member stops answering.
 func hedgeBudget() budget.RetryConfig {
 	return budget.RetryConfig{Ratio: 0.05, Burst: 3, Rate: 0.2}
 }
@@ -77,7 +77,7 @@
 			if c.expectedPromptly() {
 				f.observeOutlier(c, outlier.Silent{Member: c.member.ID})
 			}
-			if h, ok := f.chooseHedge(r, tried, r.Remaining-time.Since(t)); ok {
+			if h, ok := f.chooseHedge(r, tried, r.Remaining-time.Since(t), c.Reason == probedRead); ok {
 				hedged, pending = true, pending+1
 				tried[h.member.ID] = time.Now().Add(left)
 				f.startRead(x, h, *r, t, answers)
@@ -123,15 +123,16 @@
 // chooseHedge chooses a second member for a read that isn't answered in time. There
 // is none if the budget is used up, or if no other member is known to answer in time: a
 // read that would only wait there adds to an overload, and where no member has been
-// heard of lately the links are to blame.
-func (f *Daemon) chooseHedge(r *query.Request, tried triedMembers, left time.Duration) (placedTarget, bool) {
+// heard of lately the links are to blame. A probe, which was sent to a bad member, needs
+// no budget.
+func (f *Daemon) chooseHedge(r *query.Request, tried triedMembers, left time.Duration, probe bool) (placedTarget, bool) {
 	c, ok := f.choosePlace(r, tried, left, false)
 	if !ok || c.Cost > left/2 || c.reportAge < 0 || c.reportAge > hedgeReportAge {
 		f.metrics.hedgedReads.WithLabelValues(hedgeNoMember).Inc()
 		return placedTarget{}, false
 	}
 	f.mu.Lock()
-	ok = f.hedges.Take(now(), r.Group)
+	ok = probe || f.hedges.Take(now(), r.Group)
 	f.mu.Unlock()
 	if !ok || !f.takeSpareToken(r.Team) {
 		f.metrics.hedgedReads.WithLabelValues(hedgeNoBudget).Inc()
--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -242,10 +242,29 @@
 		for range 20 {
 			f.hedges.Take(now(), "g")
 		}
-		_, ok := f.chooseHedge(ownRead(time.Second), triedMembers{"m": time.Now().Add(time.Second)}, time.Second)
+		_, ok := f.chooseHedge(ownRead(time.Second), triedMembers{"m": time.Now().Add(time.Second)}, time.Second, false)
 		Expect(ok).To(BeFalse())
 	})
 
+	It("isn't held by the ejected member that it probes although the budget is used up", func() {
+		hanging := &fakeMember{hangs: time.Hour}
+		f := newPlacingDaemon(fakeMembers{"m": hanging, "n": {}})
+		f.observeReports([]query.MemberReport{{Member: "m", Position: logpos.Position{Term: 1, Offset: 9}}, {Member: "n", Position: logpos.Position{Term: 1, Offset: 9}}})
+		past := now().Add(-1100 * time.Millisecond)
+		f.mu.Lock()
+		for range 9 {
+			f.outliers.Handle(outlier.Failed{Member: "m"}, past)
+		}
+		for range 20 {
+			f.hedges.Take(now(), "g")
+		}
+		f.mu.Unlock()
+		o := f.executePlacedRead(context.Background(), ownRead(2*time.Second), time.Now())
+		Expect(o.Failure).To(BeNil())
+		Expect(o.Member).To(Equal("n"))
+		Expect(hanging.received()).To(HaveLen(1), "the probe")
+	})
+
 	It("goes to an ejected member as a probe only if it can be repeated and has time to go elsewhere", func() {
 		f := newPlacingDaemon(fakeMembers{"m": {}, "n": {}})
 		f.observeReports([]query.MemberReport{{Member: "m", Position: logpos.Position{Term: 1, Offset: 9}}, {Member: "n", Position: logpos.Position{Term: 1, Offset: 9}}})
