--- a/pool/pressure.go
+++ b/pool/pressure.go
@@ -14,8 +14,9 @@
 type pressureGauge struct {
 	mu    sync.Mutex
 	gauge pressure.Gauge
-	// excess holds the teams in excess that were last logged.
-	excess []string
+	// excess holds the teams in excess that were logged at loggedAt.
+	excess   []string
+	loggedAt time.Time
 }
 
 // account returns the name under which a request's refusals are counted.
@@ -79,14 +80,19 @@
 	if l := g.gauge.Levels(); l.IsZero() != old.IsZero() {
 		p.config.Log.Info("member pressure changed", "member", p.config.Member.ID, "levels", l, "was", old, "waiting", p.slots.Depth())
 	}
-	if e := p.slots.TeamsInExcess(); !slices.Equal(e, g.excess) {
+	if e := p.slots.TeamsInExcess(); !slices.Equal(e, g.excess) && n.Sub(g.loggedAt) >= excessLogInterval {
 		p.config.Log.Info("teams over their share of a member", "member", p.config.Member.ID, "teams", e[:min(len(e), maxLoggedTeams)], "count", len(e))
-		g.excess = e
+		g.excess, g.loggedAt = e, n
 	}
 }
 
-// maxLoggedTeams bounds the teams that a log line names.
-const maxLoggedTeams = 5
+const (
+	// maxLoggedTeams bounds the teams that a log line names.
+	maxLoggedTeams = 5
+	// excessLogInterval is the least time between two lines about the teams in excess,
+	// among which a team near the limit is every other moment.
+	excessLogInterval = time.Second
+)
 
 // PressureLevels returns the share of each rank's requests that entries are told to
 // refuse.
