pressure: a level falls also while nothing arrives

A level fell by one step for each update, and updates come with answers. After an idle time the first answer told entries a level of the last burst, by which they refused background work of an idle server for some hundred ms. It now falls by one step for each interval that has passed.

--- a/pressure/pressure.go
+++ b/pressure/pressure.go
@@ -12,6 +12,7 @@
 package pressure
 
 import (
+	"math"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -98,12 +99,13 @@
 // server is stalled its refusals don't count: it isn't overloaded but fails, and
 // requests that wait may be served when it recovers.
 func (g *Gauge) Update(stalled bool, now time.Time) {
+	intervals := max(now.Sub(g.updated)/updateInterval, 1)
 	g.updated = now
 	for r := range g.ranks {
 		if stalled {
 			g.ranks[r].refused = nil
 		}
-		l := g.ranks[r].next(g.levels[r])
+		l := g.ranks[r].next(g.levels[r], float64(intervals))
 		if l < minLevel {
 			l = 0
 		}
@@ -111,8 +113,8 @@
 	}
 }
 
-// next returns the next level.
-func (g *rankGauge) next(level float64) float64 {
+// next returns the next level, a number of intervals after the last one.
+func (g *rankGauge) next(level, intervals float64) float64 {
 	all, most := 0, 0
 	for _, n := range g.refused {
 		all += n
@@ -126,7 +128,7 @@
 	g.wanted += rateWeight * (arrived/(1-level) - g.wanted)
 	g.arrived, g.started, g.refused = 0, 0, nil
 	if common == 0 {
-		return level * release
+		return level * math.Pow(release, intervals)
 	}
 	to := 1 - g.starts/((1-targetRefused)*max(g.wanted, 1))
 	return level + smoothing*(max(to, 0)-level)
--- a/pressure/pressure_test.go
+++ b/pressure/pressure_test.go
@@ -263,6 +263,21 @@
 		}
 	})
 
+	It("a level falls while no requests arrive, and isn't told to the next one", func() {
+		var g pressure.Gauge
+		for i := range 20 {
+			for j := range 10 {
+				g.Arrived(bundle.Background)
+				g.Refused(bundle.Background, fmt.Sprint(j))
+			}
+			g.Update(false, start.Add(time.Duration(i)*100*time.Millisecond))
+		}
+		Expect(g.Levels()[bundle.Background]).To(BeNumerically(">", 0.5))
+		g.Arrived(bundle.Background)
+		g.Update(false, start.Add(5*time.Second))
+		Expect(g.Levels().IsZero()).To(BeTrue())
+	})
+
 	It("the levels of groups that have gone aren't kept", func() {
 		t, s := pressure.NewTable(), pressure.State{Levels: pressure.Levels{bundle.Background: 0.5}}
 		t.Observe("g", s, start)
