--- a/fleet/pace.go
+++ b/fleet/pace.go
@@ -44,7 +44,7 @@
 	}
 	c := &pool.PaceConfig{Observe: f.countPaceDecision}
 	if m.StartMillis > 0 {
-		c.Fresh = time.Since(time.UnixMilli(m.StartMillis)) < freshAge
+		c.Fresh = time.Since(time.UnixMilli(m.StartMillis)).Abs() < freshAge
 	}
 	c.Known = f.knownPaceOf(m, now())
 	return c
