fleet, assignment: the reports of a cold member aren't changes of the member

A member's record tells how much longer it is cold, in every deployment. Each of its reports thereby counted as a change of the member: every host wrote a log line and computed its duties and the owners again. The time is now kept only where the pace is asked for, and nothing is computed from it.

--- a/assignment/assignment.go
+++ b/assignment/assignment.go
@@ -90,17 +90,21 @@
 
 // SetMember adds or updates a member.
 func (t *Table) SetMember(m catalog.Member) {
-	if old, ok := t.members[m.ID]; ok {
-		if old == m {
-			return
-		}
+	old, ok := t.members[m.ID]
+	if old == m {
+		return
+	}
+	if ok {
 		t.removeFromGroup(old)
 	}
 	t.members[m.ID] = m
 	l := append(slices.Clone(t.groupMembers[m.Group]), m)
 	slices.SortFunc(l, func(a, b catalog.Member) int { return strings.Compare(a.ID, b.ID) })
 	t.groupMembers[m.Group] = l
-	t.version++
+	// Nothing is computed from how long a member remains cold, which changes often.
+	if old.ColdRemaining = m.ColdRemaining; old != m {
+		t.version++
+	}
 }
 
 // RemoveMember removes a member, if it is known.
--- a/fleet/pace_test.go
+++ b/fleet/pace_test.go
@@ -1,14 +1,18 @@
 package fleet
 
 import (
+	"bytes"
+	"strings"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/pace"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
 )
 
 var _ = Describe("pace of members", func() {
@@ -77,6 +81,38 @@
 		Expect(f.paces["m"].state.Limit).To(Equal(4), "kept when the pool was closed, and not learned since")
 	})
 
+	It("of a cold member makes no log line of each report, and is kept only where it is asked for", func() {
+		var b bytes.Buffer
+		cold := func(on bool) time.Duration {
+			b.Reset()
+			f := newTestDaemon()
+			f.config.Log, f.config.Features.UnevenMembers = hclog.New(&hclog.LoggerOptions{Output: &b}), on
+			f.config.Decoder = Decoder{MemberPrefix: "members/", Member: func(_ string, v []byte) (catalog.Member, uint64, error) {
+				return catalog.Member{ID: "m", Group: "g", ColdRemaining: time.Duration(v[0]) * time.Second}, 0, nil
+			}}
+			for i := range byte(9) {
+				f.applyMember(store.Item{Key: "members/m", Value: []byte{9 - i}})
+			}
+			m, _ := f.table.Member("m")
+			Expect(strings.Count(b.String(), "member updated")).To(Equal(1))
+			return m.ColdRemaining
+		}
+		Expect(cold(false)).To(BeZero())
+		Expect(cold(true)).To(Equal(time.Second))
+	})
+
+	It("of a new pool isn't that of a member that has just started if the clock was set back", func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		started := func(ago time.Duration) bool {
+			return f.paceConfig(catalog.Member{ID: "n", Group: "g", StartMillis: time.Now().Add(-ago).UnixMilli()}).Fresh
+		}
+		Expect(started(2 * time.Second)).To(BeTrue())
+		Expect(started(-time.Second)).To(BeTrue())
+		Expect(started(time.Minute)).To(BeFalse())
+		Expect(started(-time.Hour)).To(BeFalse())
+	})
+
 	It("is known of a bounded number of members", func() {
 		f.mu.Lock()
 		defer f.mu.Unlock()
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -215,8 +215,12 @@
 	}
 	delete(f.evictAt, id)
 	f.sequences[id] = sequence
-	if old != m {
-		f.table.SetMember(m)
+	if !f.config.Features.UnevenMembers {
+		m.ColdRemaining = 0
+	}
+	f.table.SetMember(m)
+	// The remaining time changes with each report of a cold member.
+	if old.ColdRemaining = m.ColdRemaining; old != m {
 		f.config.Log.Info("member updated", "member", id, "group", m.Group, "failure-domain", m.FailureDomain, "draining", m.Draining, "primary", m.Primary, "born", m.StartMillis)
 	}
 }
