--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -89,6 +89,15 @@
 		return f.writeForPeer(x, w)
 	case methodPing:
 		return struct{}{}, nil
+	default:
+		return f.handleAccountCall(r)
+	}
+}
+
+// handleAccountCall handles a call from another daemon that is about the accounts of
+// teams.
+func (f *Daemon) handleAccountCall(r *jsonrpc2.Request) (any, error) {
+	switch r.Method {
 	case methodLend:
 		var c allowance.Call
 		if err := decodeParams(r, &c); err != nil {
