--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -119,7 +119,7 @@
 	l := append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.pool.Collectors()...)
 	return append(l, f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.denied,
 		f.metrics.admitted, f.metrics.refused, f.metrics.lent, f.metrics.lendCalls, f.metrics.paceDecisions, paceCollector{f},
-		f.metrics.placements, f.metrics.catchUp, f.metrics.hedgedReads, f.metrics.outlierEvents, f.room.gapCount, f.room.refusals)
+		f.metrics.placements, f.metrics.catchUp, f.metrics.hedgedReads, f.metrics.outlierEvents, f.room.gapCount, f.room.refusals, pressureCollector{f})
 }
 
 // CountDenied counts a denial.
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/entry"
 	"github.com/dragonflypick/dragonflypick/gap"
@@ -142,3 +143,29 @@
 	}
 	return &meanRate{catalog: c, rate: s / float64(max(n, 1))}
 }
+
+var pressureLevel = prometheus.NewDesc("dragonflypick_member_pressure_level", "Share of the requests for a member owned by this host that entries are told to refuse, by rank.", []string{"member", "rank"}, nil)
+
+// pressureCollector collects the levels of the members that this host owns.
+type pressureCollector struct{ f *Daemon }
+
+// Describe implements prometheus.Collector.
+func (c pressureCollector) Describe(o chan<- *prometheus.Desc) { o <- pressureLevel }
+
+// Collect implements prometheus.Collector.
+func (c pressureCollector) Collect(o chan<- prometheus.Metric) {
+	if !c.f.config.Features.Pressure {
+		return
+	}
+	c.f.mu.Lock()
+	l := map[string]pressure.Levels{}
+	for id, p := range c.f.pools {
+		l[id] = p.PressureLevels()
+	}
+	c.f.mu.Unlock()
+	for id, k := range l {
+		for r, x := range k {
+			o <- prometheus.MustNewConstMetric(pressureLevel, prometheus.GaugeValue, x, id, bundle.Rank(r).String())
+		}
+	}
+}
--- a/fleet/room_test.go
+++ b/fleet/room_test.go
@@ -5,6 +5,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/catalog"
@@ -54,4 +55,20 @@
 		f.observeGap(r, o, time.Now())
 		Expect(o.Failure.RetryAfter).To(BeZero())
 	})
+
+	It("shows the levels of the members that this host owns", func() {
+		f := newTestDaemon()
+		f.config.Features.Pressure = true
+		f.mu.Lock()
+		f.memberPool(catalog.Member{ID: "m", Group: "g", Slots: 4})
+		f.mu.Unlock()
+		collect := func() int {
+			o := make(chan prometheus.Metric, 2*bundle.RankCount)
+			pressureCollector{f}.Collect(o)
+			return len(o)
+		}
+		Expect(collect()).To(BeEquivalentTo(bundle.RankCount))
+		f.config.Features.Pressure = false
+		Expect(collect()).To(BeZero())
+	})
 })
