fleet: a group isn't given back and forth between hosts whose views differ

The owner by balance depends on all hosts and primaries in view. Where a link between a third host and one of two is cut for long, each of the two may take the other for the owner of a group, and both hand it over after 2 s, each time with a gap in its work. A host now hands a group over again after 10 s at the earliest, and twice as long after each handover.

--- a/fleet/balance.go
+++ b/fleet/balance.go
@@ -1,10 +1,39 @@
 package fleet
 
-import "github.com/dragonflypick/dragonflypick/membership"
+import (
+	"time"
 
-// strongerFactor is by how much a host has to be stronger than this one to be given
-// the only group that this one holds.
-const strongerFactor = 2
+	"github.com/dragonflypick/dragonflypick/membership"
+)
+
+const (
+	// strongerFactor is by how much a host has to be stronger than this one to be given
+	// the only group that this one holds.
+	strongerFactor = 2
+	// minHandoverPause and maxHandoverPause bound the time between two handovers of a
+	// group by this host, which doubles with each.
+	minHandoverPause = 10 * time.Second
+	maxHandoverPause = 2 * time.Minute
+)
+
+// handovers bounds how often a host hands a group over so that its failure domain is
+// balanced. Two hosts that see different hosts, for example because a link between a
+// third one and one of them is cut, may each take the other for the owner.
+type handovers struct {
+	at    time.Time
+	pause time.Duration
+}
+
+// due reports whether the group may be handed over.
+func (h *handovers) due(t time.Time) bool { return h.at.IsZero() || t.Sub(h.at) >= h.pause }
+
+// record records a handover.
+func (h *handovers) record(t time.Time) {
+	if t.Sub(h.at) > 2*maxHandoverPause {
+		h.pause = 0
+	}
+	h.at, h.pause = t, min(max(2*h.pause, minHandoverPause), maxHandoverPause)
+}
 
 // strongerHostExists reports whether a group that this host holds is to be held by
 // its owner in the same failure domain: this host holds several groups, or the owner
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -45,6 +45,8 @@
 	seen       placement.Seen
 	surveyedAt time.Time
 	reportedAt time.Time
+	// handovers are those of the group by this host.
+	handovers handovers
 	// positionRequest is set while the end of the log is being requested from the
 	// holder, and closed when the request has ended.
 	positionRequest chan struct{}
@@ -175,7 +177,7 @@
 	if h, ok := f.table.Owner(m, time.Now()); ok && !m.Draining && m.FailureDomain != f.config.Self.FailureDomain {
 		o.NearerHostExists = topologyDistance(h, m) < topologyDistance(f.config.Self, m)
 	} else if ok && f.config.Features.UnevenMembers && !m.Draining {
-		o.NearerHostExists = f.strongerHostExists(h)
+		o.NearerHostExists = g.handovers.due(now()) && f.strongerHostExists(h)
 	}
 	if p := f.pools[id]; p != nil {
 		n, t := p.Health()
--- a/fleet/lease.go
+++ b/fleet/lease.go
@@ -130,7 +130,11 @@
 		return
 	}
 	f.config.Log.Info("group lease transfer requested", "group", g.name, "to", h.ID, "revision", c.Revision)
-	f.compareAndSwap(x, g, c)
+	if f.compareAndSwap(x, g, c) {
+		f.mu.Lock()
+		g.handovers.record(now())
+		f.mu.Unlock()
+	}
 }
 
 // releaseGroupLease removes this host from the previous holders in the group's
--- a/fleet/report_test.go
+++ b/fleet/report_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"encoding/json"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/dragonflypick/dragonflypick/outlier"
 	"github.com/dragonflypick/dragonflypick/placement"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -84,4 +86,35 @@
 		hold("h")
 		Expect(f.strongerHostExists(other)).To(BeTrue())
 	})
+
+	It("doesn't give a group back and forth with a host that sees other hosts", func() {
+		f := newPlacingDaemon(fakeMembers{"m": {}})
+		f.config.Store, f.config.Self.Weight = &puttingStore{}, 1
+		strong := membership.Host{ID: "c", PeerAddress: "127.0.0.1:1", FailureDomain: "west-a", Region: "west", Weight: 10}
+		f.updateView(membership.ListReceived{Hosts: []membership.Host{f.config.Self, strong}})
+		f.mu.Lock()
+		g := f.group("g")
+		// handsOver makes this host the holder and reports whether another one is to be.
+		handsOver := func(revision uint64) bool {
+			g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder(), Primary: "m"}, Position: at(revision)}}, now())
+			return f.hostState(g).NearerHostExists
+		}
+		Expect(handsOver(1)).To(BeTrue())
+		f.mu.Unlock()
+		f.transferGroupLease(context.Background(), g)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		Expect(g.Holder().ID).To(Equal("c"))
+		Expect(handsOver(101)).To(BeFalse(), "it has come back at once")
+		g.handovers.at = now().Add(-minHandoverPause)
+		Expect(handsOver(102)).To(BeTrue())
+		g.handovers.record(now())
+		g.handovers.at = now().Add(-minHandoverPause)
+		Expect(handsOver(103)).To(BeFalse(), "the pause doubles")
+	})
 })
+
+// puttingStore is a store in which all writes succeed.
+type puttingStore struct{ eraStore }
+
+func (s *puttingStore) Put(context.Context, store.Write) (store.Position, error) { return at(100), nil }
