pool: a closed pool closes connections given to callers that have left

A request that was given an idle connection, and whose caller left before it used it, put it back as idle also when the pool had been closed meanwhile. Nothing closes the idle connections of a closed pool, so that one stayed open at the member until that dropped it.

--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -131,7 +131,7 @@
 	for len(w) > 0 {
 		switch a := (<-w).action.(type) {
 		case teamconns.Use:
-			p.handle(teamconns.Released{Conn: a.Conn, Values: valuesKey(p.conns[a.Conn].values)})
+			p.release(p.conns[a.Conn], false)
 		case teamconns.Open:
 			p.handle(teamconns.OpeningFailed{Conn: a.Conn})
 		}
@@ -250,6 +250,11 @@
 func (p *Pool) releaseConn(c *conn, broken bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.release(c, broken)
+}
+
+// release is releaseConn; p.mu is held.
+func (p *Pool) release(c *conn, broken bool) {
 	closed := broken || p.closed
 	if closed {
 		delete(p.conns, c.id)
