allowance: a borrower takes tickets of teams that it has forgotten

An operation that finds no token asks for one in a second critical section. If the host was suspended for 10 s between the two, another call could drop the state of the team meanwhile, and the operation panicked with the lock of the rates held.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -157,6 +157,21 @@
 	return false
 }
 
+var _ = Describe("Borrower", func() {
+	It("takes a ticket whose team was forgotten since its operation arrived, because the host was suspended", func() {
+		b, t := allowance.NewBorrower("g", "b"), time.Unix(100, 0)
+		b.Take(team, t)
+		t = t.Add(time.Minute)
+		b.Take("other", t)
+		b.Wait(&allowance.Ticket{Team: "other"})
+		c, _ := b.Call(t)
+		b.Fail(c)
+		b.Wait(&allowance.Ticket{Team: team})
+		c, _ = b.Call(t)
+		Expect(c.Items).To(ContainElement(HaveField("Team", team)))
+	})
+})
+
 func TestLoanExpiresAtBorrowerFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		there := time.Duration(rapid.IntRange(0, 900).Draw(t, "there")) * time.Millisecond
--- a/allowance/borrower.go
+++ b/allowance/borrower.go
@@ -97,13 +97,19 @@
 
 // Take returns a token for an operation that arrives, or false if it has to wait.
 func (b *Borrower) Take(team string, now time.Time) (Token, bool) {
+	p := b.purse(team)
+	p.countOperation(now)
+	return p.take(now)
+}
+
+// purse returns the state of a team.
+func (b *Borrower) purse(team string) *purse {
 	p := b.purses[team]
 	if p == nil {
-		p = &purse{spent: map[uint64]int{}, returned: map[uint64]int{}, countFrom: now}
+		p = &purse{spent: map[uint64]int{}, returned: map[uint64]int{}}
 		b.purses[team] = p
 	}
-	p.countOperation(now)
-	return p.take(now)
+	return p
 }
 
 // take removes a token that may be used now.
@@ -142,9 +148,9 @@
 	return max(n-len(p.lots), 0)
 }
 
-// Wait adds a ticket. Its team has been the argument of Take.
+// Wait adds a ticket.
 func (b *Borrower) Wait(t *Ticket) {
-	p := b.purses[t.Team]
+	p := b.purse(t.Team)
 	p.limit = t.Limit
 	p.waiting = append(p.waiting, t)
 }
