fleet: the daemon ends if a panic leaves the rates of teams locked

The check after a panic looked at the lock of hosts and groups only. With the lock of the rates held, all operations of teams with a rate would wait for it for good, without a deadline, on a host that looks alive.

--- a/fleet/contain_test.go
+++ b/fleet/contain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
 	"testing"
 	"time"
 
@@ -62,16 +63,19 @@
 		Entry("read", query.Request{Primary: true, Remaining: time.Second}, query.Overloaded),
 	)
 
-	It("that leaves the daemon's state locked ends the daemon", func() {
+	DescribeTable("that leaves the daemon's state locked ends the daemon", func(mutex func(*Daemon) *sync.Mutex) {
 		f := newTestDaemon()
 		Expect(f.contain("test", func() {
-			f.mu.Lock()
+			mutex(f).Lock()
 			panic("locked")
 		})).To(BeFalse())
 		var err error
 		Expect(f.failed).To(Receive(&err))
 		Expect(contain.IsPanic(err)).To(BeTrue())
-	})
+	},
+		Entry("hosts and groups", func(f *Daemon) *sync.Mutex { return &f.mu }),
+		Entry("rates of teams", func(f *Daemon) *sync.Mutex { return &f.rates.mu }),
+	)
 })
 
 // FuzzCall checks that no call of another daemon panics.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -347,7 +347,7 @@
 	if err == nil {
 		return true
 	}
-	for t := time.Now(); !f.mu.TryLock(); {
+	for t := time.Now(); f.locked(); {
 		if time.Since(t) > lockTimeout {
 			f.config.Log.Error("daemon ends: its state is locked after a panic", "work", work)
 			select {
@@ -358,7 +358,17 @@
 		}
 		sleep(f.ctx, time.Millisecond)
 	}
-	f.mu.Unlock()
+	return false
+}
+
+// locked reports whether the daemon's state is locked.
+func (f *Daemon) locked() bool {
+	for _, m := range []*sync.Mutex{&f.mu, &f.rates.mu} {
+		if !m.TryLock() {
+			return true
+		}
+		m.Unlock()
+	}
 	return false
 }
 
