fleet: a borrower follows one redirection to an accountant

After a change of a group's holder the old and the new one name each other until the new one has its record. A borrower with waiting operations called the two by turns without a pause, as fast as they answered.

--- a/fleet/borrow.go
+++ b/fleet/borrow.go
@@ -91,7 +91,8 @@
 
 // askForTokens sends a call to an accountant and handles the reply. It returns the host
 // to which the next call is to be sent, if the accountant is another one; hint is the
-// one that the previous reply named.
+// one that the previous reply named. A second host in a row that names another one isn't
+// believed: after a change of the holder two hosts may name each other for seconds.
 func (f *Daemon) askForTokens(x context.Context, b *borrower, h membership.Host, c allowance.Call, hint string) string {
 	o, err := f.callLend(x, h, c)
 	f.rates.mu.Lock()
@@ -102,7 +103,7 @@
 		b.Fail(c)
 		b.refuseAll(&refusal{reason: refusedUnreachable, retryAfter: unknownRetryAfter})
 		return ""
-	case o.Holder != "" && o.Holder != hint && o.Holder != h.ID:
+	case o.Holder != "" && hint == "" && o.Holder != h.ID:
 		f.metrics.lendCalls.WithLabelValues("moved").Inc()
 		b.Fail(c)
 		return o.Holder
--- a/fleet/rates_test.go
+++ b/fleet/rates_test.go
@@ -14,6 +14,7 @@
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/store"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -141,6 +142,21 @@
 		Expect(o.Grants[0].Count).To(BeZero())
 	})
 
+	It("end the search for an accountant at two hosts that name each other", func() {
+		f.updateView(membership.ListReceived{Hosts: []membership.Host{f.config.Self, {ID: "b"}}})
+		f.applyRecord(store.Item{Key: groupPrefix + "g0", Value: []byte(`{"holder":{"id":"b"},"epoch":1}`), Position: at(1)}, time.Time{})
+		b := f.orderedAccountants(f.Catalog(), "t")[0]
+		ask := func(hint string) string {
+			b.Take("t", now())
+			b.Wait(&allowance.Ticket{Team: "t"})
+			c, ok := b.Call(now())
+			Expect(ok).To(BeTrue())
+			return f.askForTokens(context.Background(), b, f.config.Self, c, hint)
+		}
+		Expect(ask("")).To(Equal("b"))
+		Expect(ask("a")).To(BeEmpty(), "b has named this host")
+	})
+
 	It("label at most a fixed number of teams", func() {
 		for i := range 2 * maxTeamLabels {
 			f.teamLabel(fmt.Sprint(i))
