--- a/standin/site/store.go
+++ b/standin/site/store.go
@@ -53,17 +53,6 @@
 	copies []storeCopy
 }
 
-// StoreCalls are the numbers of calls that the store has received, by kind.
-type StoreCalls struct{ Gets, Ranges, Watches, Transactions, LeaseGrants, LeaseRenewals int }
-
-// Since returns the calls since an earlier count.
-func (c StoreCalls) Since(o StoreCalls) StoreCalls {
-	return StoreCalls{
-		Gets: c.Gets - o.Gets, Ranges: c.Ranges - o.Ranges, Watches: c.Watches - o.Watches,
-		Transactions: c.Transactions - o.Transactions, LeaseGrants: c.LeaseGrants - o.LeaseGrants, LeaseRenewals: c.LeaseRenewals - o.LeaseRenewals,
-	}
-}
-
 // storeCopy is the state of the store at a time.
 type storeCopy struct {
 	at       time.Time
@@ -184,16 +173,6 @@
 	k.down, k.loseAnswers = down, loseAnswers
 }
 
-// counted returns a handler that counts the calls in n.
-func (k *store) counted(n *int, h http.HandlerFunc) http.HandlerFunc {
-	return func(w http.ResponseWriter, r *http.Request) {
-		k.mu.Lock()
-		*n++
-		k.mu.Unlock()
-		h(w, r)
-	}
-}
-
 func (k *store) handler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /api/kv-key", k.counted(&k.calls.Gets, k.handleGet))
