allowance: idle accounts that began after a change of the groups are dropped

Such an account kept the time until which other accountants might lend, and counted as not full for good: it stayed until the end of the tenure, also for teams that no configuration names any more.

--- a/allowance/account.go
+++ b/allowance/account.go
@@ -195,7 +195,7 @@
 
 // full reports whether the account is as good as a new one.
 func (a *account) full(b Bounds) bool {
-	return a.outstanding == 0 && a.stock >= b.terms(Full, a.limit).most && a.movedUntil.IsZero()
+	return a.outstanding == 0 && a.stock >= b.terms(Full, a.limit).most && !a.mintedAt.Before(a.movedUntil)
 }
 
 func earlier(a, b time.Time) time.Time {
--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -157,6 +157,28 @@
 	return false
 }
 
+var _ = Describe("Ledger", func() {
+	It("drops idle accounts, also those that began after a change of the groups", func() {
+		l, start := allowance.NewLedger("a", usualBounds), time.Unix(100, 0)
+		observe := func(t time.Time) {
+			l.Observe(allowance.Standing{Holder: "a", Epoch: 1, Holds: true, ConfirmedAt: t, First: true}, t)
+		}
+		observe(start)
+		teams := func(string) (allowance.Limit, bool) { return allowance.Limit{Rate: 10, Burst: 10, Slack: 20}, true }
+		for n, moved := range map[string]time.Time{team: {}, "moved": start.Add(allowance.MovedTime)} {
+			l.Lend(allowance.Call{Host: "b", Number: 1, Items: []allowance.Item{{Team: n, Waiting: 1}}}, teams, moved, start)
+		}
+		t := start
+		for t.Before(start.Add(2 * time.Minute)) {
+			t = t.Add(time.Second)
+			observe(t)
+		}
+		h := l.Close(2, t)
+		Expect(h.Complete).To(BeTrue())
+		Expect(h.Accounts).To(BeEmpty())
+	})
+})
+
 var _ = Describe("Borrower", func() {
 	It("takes a ticket whose team was forgotten since its operation arrived, because the host was suspended", func() {
 		b, t := allowance.NewBorrower("g", "b"), time.Unix(100, 0)
