fleet: a host that runs alone serves a configuration that it learns by a watch

A configuration that names teams is confirmed by the store only when the whole store is read, or by exchanges. A host without others that had read the store before the operator wrote the first configuration, or while it was invalid, refused all callers and wasn't ready until it was restarted. The answers to watches confirm it now, too.

--- a/fleet/confirm_test.go
+++ b/fleet/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -13,6 +14,16 @@
 	"github.com/dragonflypick/dragonflypick/storecopy"
 )
 
+// watchedStore is a store in which items have changed.
+type watchedStore struct {
+	eraStore
+	items []store.Item
+}
+
+func (s *watchedStore) Watch(context.Context, string, store.Position, time.Duration) ([]store.Item, store.Position, error) {
+	return s.items, s.items[len(s.items)-1].Position, nil
+}
+
 var _ = Describe("teams", func() {
 	key := catalog.DigestKey("k1")
 	// configure applies a configuration in which team a holds the given key; without a
@@ -63,6 +74,20 @@
 		Expect(f.CallerCatalog()).To(BeNil())
 	})
 
+	It("serves callers of a host that runs alone once the operator has written the first configuration", func() {
+		f := newTestDaemon()
+		f.config.Store = &watchedStore{items: []store.Item{{Key: "c", Position: at(2)}}}
+		f.config.Decoder.ConfigurationKey = "c"
+		f.config.Decoder.Configuration = func([]byte) (*catalog.Catalog, error) {
+			return &catalog.Catalog{Version: 1, Teams: map[string]catalog.Team{"a": {Name: "a"}}}, nil
+		}
+		f.copy.Apply(storecopy.Update{Position: at(1), CurrentAt: now(), Complete: true}, time.Now())
+		f.observeConfirmation(fromStore)
+		Expect(f.watchOnce(context.Background())).To(Succeed())
+		Expect(f.Catalog()).NotTo(BeNil())
+		Expect(f.CallerCatalog()).NotTo(BeNil())
+	})
+
 	It("keeps and passes on no configuration with keys in it", func() {
 		f := newTestDaemon()
 		f.config.Decoder.ConfigurationKey = "c"
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -123,6 +123,8 @@
 		return err
 	}
 	f.applyUpdate(storecopy.Update{Items: f.redact(l), Position: p, CurrentAt: t}, fromStore)
+	f.observeStoreEra()
+	f.observeConfirmation(fromStore)
 	return nil
 }
 
