--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -33,14 +33,7 @@
 	placementMetrics
 	// copyAge is the time since the local copy of the store was known to be current.
 	copyAge prometheus.GaugeFunc
-	// admitted and refused count the operations of teams at this host, lent the tokens
-	// that it lends, and lendCalls its calls to accountants.
-	admitted  *prometheus.CounterVec
-	refused   *prometheus.CounterVec
-	lent      *prometheus.CounterVec
-	lendCalls *prometheus.CounterVec
-	// teamLabels bounds the label team.
-	teamLabels teamLabels
+	rateMetrics
 	// paceDecisions counts the decisions on members' limits.
 	paceDecisions *prometheus.CounterVec
 }
@@ -62,20 +55,7 @@
 
 func newMetrics(c *storecopy.Copy) *metrics {
 	return &metrics{
-		teamLabels: teamLabels{values: map[string]bool{}},
-		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "dragonflypick_team_admitted_total", Help: "Operations of teams with a rate that were let in at this host.",
-		}, []string{"team"}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "dragonflypick_team_refused_total", Help: "Operations of teams with a rate that were refused at this host, by reason.",
-		}, []string{"team", "reason"}),
-		lent: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "dragonflypick_team_lent_total", Help: "Tokens that this host has lent as the accountant of teams.",
-		}, []string{"team"}),
-		lendCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "dragonflypick_lend_calls_total", Help: "Calls of this host to the accountants of teams, by outcome.",
-		}, []string{"outcome"}),
-		placementMetrics: newPlacementMetrics(),
+		rateMetrics: newRateMetrics(), placementMetrics: newPlacementMetrics(),
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_requests_total", Help: "Statements by rank and outcome.",
 		}, []string{"rank", "outcome"}),
--- a/fleet/rates_report.go
+++ b/fleet/rates_report.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/dragonflypick/dragonflypick/query"
 )
 
@@ -18,6 +20,36 @@
 	refusalLogInterval = 2 * time.Second
 )
 
+// rateMetrics are the metrics of the rates of teams.
+type rateMetrics struct {
+	// admitted and refused count the operations of teams at this host, lent the tokens
+	// that it lends, and lendCalls its calls to accountants.
+	admitted  *prometheus.CounterVec
+	refused   *prometheus.CounterVec
+	lent      *prometheus.CounterVec
+	lendCalls *prometheus.CounterVec
+	// teamLabels bounds the label team.
+	teamLabels teamLabels
+}
+
+func newRateMetrics() rateMetrics {
+	return rateMetrics{
+		teamLabels: teamLabels{values: map[string]bool{}},
+		admitted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_team_admitted_total", Help: "Operations of teams with a rate that were let in at this host.",
+		}, []string{"team"}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_team_refused_total", Help: "Operations of teams with a rate that were refused at this host, by reason.",
+		}, []string{"team", "reason"}),
+		lent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_team_lent_total", Help: "Tokens that this host has lent as the accountant of teams.",
+		}, []string{"team"}),
+		lendCalls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_lend_calls_total", Help: "Calls of this host to the accountants of teams, by outcome.",
+		}, []string{"outcome"}),
+	}
+}
+
 // teamLabels holds the values of the label team that are in use.
 type teamLabels struct {
 	sync.Mutex
