teamconns: the drawn test fails if a request is told to yield twice

The pool sends decisions with its lock held into channels that have room for one Yield; a second one would block the pool for good. Fails with the check of request.yielded removed.

--- a/teamconns/model_test.go
+++ b/teamconns/model_test.go
@@ -16,6 +16,8 @@
 	now     time.Time
 	lastID  uint64
 	waiting map[uint64]string
+	// yielded are the requests that were told to yield.
+	yielded map[uint64]bool
 	// teams holds the team of each connection; opening, busy and idle are disjoint.
 	teams   map[uint64]string
 	opening []uint64
@@ -25,7 +27,7 @@
 }
 
 func newModel(c teamconns.Config) *model {
-	return &model{set: teamconns.New(c), config: c, now: time.Unix(1000, 0), waiting: map[uint64]string{}, teams: map[uint64]string{}}
+	return &model{set: teamconns.New(c), config: c, now: time.Unix(1000, 0), waiting: map[uint64]string{}, yielded: map[uint64]bool{}, teams: map[uint64]string{}}
 }
 
 func (m *model) step(t *rapid.T) {
@@ -98,9 +100,10 @@
 			m.takeIdle(a.Conn, "a connection is closed that isn't idle")
 			delete(m.teams, a.Conn)
 		case teamconns.Yield:
-			if _, ok := m.waiting[a.Request]; !ok {
-				m.problem = "a request yields that doesn't wait"
+			if _, ok := m.waiting[a.Request]; !ok || m.yielded[a.Request] {
+				m.problem = "a request yields that doesn't wait, or yields again"
 			}
+			m.yielded[a.Request] = true
 		}
 	}
 	if len(m.teams) > m.config.Connections || len(m.teams) != m.set.Len() || len(m.idle) != m.set.Idle() {
