teamconns: connections are exchanged while the member is full

After a member had refused a connection because others held too many, one idle connection was closed and nothing opened for 250 ms: an owner that had taken the member over changed four connections a second among 85 teams until those of the earlier owner had gone. Connections are now opened in place of idle ones of other teams meanwhile; if that is refused as well, the delay holds as before. Callers without a team wait as before.

--- a/teamconns/load_test.go
+++ b/teamconns/load_test.go
@@ -66,3 +66,33 @@
 	Entry("while a small team is hot", hotLoad, 0.9, 1.0),
 	Entry("after all connections were lost", coldLoad, 1.0, 1.0),
 )
+
+var _ = DescribeTable("at a member of which others hold most connections for a while, most callers are served in time, and fewer are if no idle connections are exchanged",
+	func(rate, least, most float64) {
+		c := teamconns.Config{Connections: memberConnections, Slots: memberSlots}
+		prompt := func(n func(teamconns.Config) *teamconns.Set) float64 {
+			served, requests := 0, 0
+			for seed := range uint64(5) {
+				m := newSimulation(seed, n(c))
+				m.others = memberConnections - 18
+				m.after(3*time.Second, func() { m.others = 0 })
+				m.load(0, 5*time.Second, rate, m.team)
+				o := m.run(5 * time.Second)
+				Expect(m.problem).To(BeEmpty())
+				requests += o.requests
+				for _, d := range o.all {
+					if d < 800*time.Millisecond {
+						served++
+					}
+				}
+			}
+			return float64(served) / float64(requests)
+		}
+		on, off := prompt(teamconns.New), prompt(teamconns.NewWithoutExchange)
+		GinkgoWriter.Printf("%.0f requests/s: served within 800 ms %.3f, without the exchange %.3f\n", rate, on, off)
+		Expect(on).To(BeNumerically(">", least))
+		Expect(off).To(BeNumerically("<", most))
+	},
+	Entry("at a third of its capacity", 150.0, 0.95, 0.5),
+	Entry("at three quarters of its capacity", 300.0, 0.8, 0.5),
+)
--- a/teamconns/set.go
+++ b/teamconns/set.go
@@ -11,8 +11,9 @@
 	assumedOpeningTime = 10 * time.Millisecond
 	// timeWeight is the weight of a measured time in its mean.
 	timeWeight = 0.2
-	// fullRetryDelay is how long no connection is opened after the member refused
-	// one because it had reached its limit. The member closes broken ones after 3 s.
+	// fullRetryDelay is how long no further connection is opened after the member
+	// refused one because it had reached its limit. The member closes broken ones after
+	// 3 s.
 	fullRetryDelay = 250 * time.Millisecond
 	// minTick is the shortest time until a Ticked event.
 	minTick = 100 * time.Microsecond
@@ -40,6 +41,9 @@
 	state  connState
 	// since is when the connection was last released, or since when it runs a statement.
 	since time.Time
+	// exchanged is set if the connection was opened in place of an idle one at a member
+	// that had refused others.
+	exchanged bool
 }
 
 type request struct {
@@ -60,8 +64,9 @@
 	openingTime time.Duration
 	// statementTime is the mean time that a connection runs a statement.
 	statementTime time.Duration
-	// retryAt is the end of fullRetryDelay.
-	retryAt time.Time
+	// retryAt is the end of fullRetryDelay. Until then connections are only opened in
+	// place of idle ones, and not before exchangeAt if such an opening was refused, too.
+	retryAt, exchangeAt time.Time
 	// forgetAt is the number of teams at which forgetTeams looks for some to forget.
 	forgetAt int
 	// openingLimit bounds the openings that run at once; zero if nothing else does.
@@ -106,11 +111,7 @@
 		s.openingTime += time.Duration(timeWeight * float64(e.Took-s.openingTime))
 		s.setState(e.Conn, running, now)
 	case OpeningFailed:
-		s.remove(e.Conn, now)
-		if e.Full {
-			s.retryAt = now.Add(fullRetryDelay)
-			o = s.closeLeast("", now, CloseFull)
-		}
+		o = s.failOpening(e, now)
 	case Kept:
 		s.setState(e.Conn, kept, now)
 	case Released:
@@ -162,7 +163,8 @@
 		s.use(c, now)
 		return []Action{Use{Request: r.ID, Conn: c.id}}
 	}
-	if now.Before(s.retryAt) {
+	full := now.Before(s.retryAt)
+	if full && (r.Team == "" || now.Before(s.exchangeAt)) {
 		return nil
 	}
 	why := OpenFirst
@@ -180,19 +182,34 @@
 		return nil
 	}
 	var o []Action
-	if len(s.conns) >= s.config.Connections {
+	if full || len(s.conns) >= s.config.Connections {
 		if o = s.closeLeast(r.Team, now, CloseForOther); o == nil {
 			return nil
 		}
 	}
 	s.stopWaiting(r.ID, now)
 	s.lastID++
-	c := &conn{id: s.lastID, team: r.Team, state: opening, since: now}
+	c := &conn{id: s.lastID, team: r.Team, state: opening, since: now, exchanged: full}
 	s.conns = append(s.conns, c)
 	s.team(r.Team, now).opened(s.busyOf(r.Team), now)
 	return append(o, Open{Request: r.ID, Conn: c.id, Reason: why})
 }
 
+// failOpening handles that a connection could not be opened.
+func (s *Set) failOpening(e OpeningFailed, now time.Time) []Action {
+	i := s.index(e.Conn)
+	exchanged := i >= 0 && s.conns[i].exchanged
+	s.remove(e.Conn, now)
+	if !e.Full {
+		return nil
+	}
+	s.retryAt = now.Add(fullRetryDelay)
+	if exchanged {
+		s.exchangeAt = s.retryAt
+	}
+	return s.closeLeast("", now, CloseFull)
+}
+
 // neededOften reports whether a further connection of a team is expected to save its
 // requests more waiting than the time that it takes to open it.
 func (s *Set) neededOften(team string, now time.Time) bool {
--- a/teamconns/simulation_test.go
+++ b/teamconns/simulation_test.go
@@ -60,6 +60,8 @@
 	// pending holds the requests at the set by ID; teams the team of each connection.
 	pending map[uint64]*simRequest
 	teams   map[uint64]int
+	// others is the number of connections that others hold at the member.
+	others  int
 	weights []float64
 	ticks   map[time.Time]bool
 	result  simResult
@@ -201,6 +203,10 @@
 }
 
 func (m *simulation) open(r *simRequest, c uint64) {
+	if len(m.teams)+m.others >= memberConnections {
+		m.after(time.Millisecond, func() { m.refuse(r, c) })
+		return
+	}
 	m.teams[c] = r.team
 	m.result.openings++
 	m.result.openingTime += openingTime
@@ -211,6 +217,21 @@
 	})
 }
 
+// refuse ends an opening because the member is full. The request has a place again and
+// waits for another connection.
+func (m *simulation) refuse(r *simRequest, c uint64) {
+	if r.yielded {
+		r.yielded = false
+		m.places--
+	}
+	delete(m.pending, r.id)
+	m.seq++
+	r.id = uint64(m.seq)
+	m.pending[r.id] = r
+	m.handle(teamconns.OpeningFailed{Conn: c, Full: true})
+	m.handle(teamconns.Requested{ID: r.id, Team: strconv.Itoa(r.team)})
+}
+
 // start runs a request on a connection.
 func (m *simulation) start(r *simRequest, c uint64) {
 	if m.teams[c] != r.team {
--- a/teamconns/teamconns_test.go
+++ b/teamconns/teamconns_test.go
@@ -124,6 +124,23 @@
 		Expect(s.Handle(teamconns.Ticked{}, due)).To(HaveLen(1))
 	})
 
+	It("opens connections in place of idle ones while the member is full, until that is refused, too", func() {
+		a, b := open("red", t), open("green", t)
+		c := request("blue", "", t)[0].(teamconns.Open).Conn
+		s.Handle(teamconns.OpeningFailed{Conn: c, Full: true}, t)
+		Expect(request("blue", "", t)).To(BeEmpty())
+		Expect(request("", "", t)).To(BeEmpty())
+		o := release(a, "", t)
+		Expect(o[0]).To(Equal(teamconns.Close{Conn: a, Reason: teamconns.CloseForOther}))
+		c = o[1].(teamconns.Open).Conn
+		now := t.Add(10 * time.Millisecond)
+		s.Handle(teamconns.OpeningFailed{Conn: c, Full: true}, now)
+		Expect(request("yellow", "", now)).To(BeEmpty())
+		Expect(release(b, "", now)).To(BeEmpty())
+		o = s.Handle(teamconns.Ticked{}, now.Add(250*time.Millisecond))
+		Expect(o[0]).To(BeAssignableToTypeOf(teamconns.Open{}))
+	})
+
 	It("opens connections for callers without a team as long as there is room, and closes none of their own", func() {
 		for range 3 {
 			Expect(request("", "", t)[0]).To(BeAssignableToTypeOf(teamconns.Open{}))
