--- a/fleet/contain_test.go
+++ b/fleet/contain_test.go
@@ -14,9 +14,11 @@
 
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/contain"
+	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/store"
+	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
 var _ = Describe("a panic", func() {
@@ -82,14 +84,17 @@
 func FuzzCall(f *testing.F) {
 	d, err := New(Config{
 		Self: membership.Host{ID: "a", FailureDomain: "west-a", Region: "west"}, PeerListen: "127.0.0.1:0", Secret: "s",
-		Store: &conflictStore{}, Log: hclog.NewNullLogger(),
+		Store: &conflictStore{}, Log: hclog.NewNullLogger(), Features: Features{Rates: &RateBounds{Window: 5 * time.Second, Overage: 0.1, Slack: 20}},
 	})
 	if err != nil {
 		f.Fatal(err)
 	}
 	f.Cleanup(d.stop)
-	for _, p := range []string{"null", "{}", "[]", `"x"`, `{"group":"g"}`, `{"Group":"g","Stage":2,"Action":1,"Primary":true,"Remaining":1}`, `{"revision":18446744073709551615}`, `{"key":""}`, `{"Template":{"Text":""},"Stage":3}`} {
-		for _, m := range []string{methodExecute, methodPosition, methodExchange, methodWrite, methodPing, "other"} {
+	d.catalog.Store(&catalog.Catalog{Groups: map[string]catalog.Group{"g": {Name: "g"}}, Teams: map[string]catalog.Team{"t": {Name: "t", Rate: 1, Burst: 1}}})
+	d.era = eraState{known: true, first: true}
+	d.group("g").Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: d.selfHolder(), Epoch: 1}, Position: at(1), RequestedAt: now()}}, now())
+	for _, p := range []string{"null", "{}", "[]", `"x"`, `{"group":"g"}`, `{"Group":"g","Stage":2,"Action":1,"Primary":true,"Remaining":1}`, `{"revision":18446744073709551615}`, `{"key":""}`, `{"Template":{"Text":""},"Stage":3}`, `{"g":"g","h":"b","n":1,"i":[{"t":"t","w":9,"a":1,"s":[{"c":1,"n":1}]},{"t":"unknown","l":{"r":1,"b":-1},"w":1}]}`, `{"g":"g","e":2}`} {
+		for _, m := range []string{methodExecute, methodPosition, methodExchange, methodWrite, methodPing, methodLend, methodClose, "other"} {
 			f.Add(m, []byte(p))
 		}
 	}
