fleet, entry: decisions apart from what they set off

Where a read goes, whether a token is in stock, whether a request is refused for pressure and who holds a group were decided in functions that also started probes, counted, took tokens or claimed returns, so that nobody could ask for the decision alone. Each is split: decidePlace, readTargets, nearestAccountants, recentRefusal, decidePressure, findHolder, SetDatabaseFields decide; the callers act as before.

cheapestTarget gets its random numbers from the caller; its test passes them.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -93,6 +93,9 @@
 	return t, ok
 }
 
+// RequiresTeam reports whether only callers with a team may use a database.
+func (c *Catalog) RequiresTeam(d Database) bool { return len(c.Teams) > 0 && !d.Anonymous }
+
 // Member is a backend server.
 type Member struct {
 	// ID identifies the member for its lifetime.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -309,9 +309,8 @@
 			return d, f
 		}
 	}
-	r.Group, r.Team, r.Session, r.Rank, r.Remaining = d.Group, s.current.Name, s.id, d.Rank, d.StatementTimeout
-	r.Values, r.Floor, r.MaxAge = s.values, s.floor, d.MaxAge
-	r.Primary = d.Consistency == catalog.PrimaryReads || r.Action == query.ActionWrite
+	r.Team, r.Session, r.Values, r.Floor = s.current.Name, s.id, s.values, s.floor
+	SetDatabaseFields(r, d)
 	if s.state == query.Open {
 		r.Stage, r.BeginID, r.ReadOnly = query.Later, s.tx.beginID, s.tx.readOnly
 		r.Primary = !s.tx.readOnly || d.Consistency == catalog.PrimaryReads
@@ -319,10 +318,17 @@
 			r.Stage = query.First
 		}
 	}
+	return d, nil
+}
+
+// SetDatabaseFields sets the fields of a request outside of transactions that depend on
+// its database.
+func SetDatabaseFields(r *query.Request, d catalog.Database) {
+	r.Group, r.Rank, r.Remaining, r.MaxAge = d.Group, d.Rank, d.StatementTimeout, d.MaxAge
+	r.Primary = d.Consistency == catalog.PrimaryReads || r.Action == query.ActionWrite
 	if d.Consistency == catalog.BoundedStaleness {
 		r.Floor = logpos.Position{}
 	}
-	return d, nil
 }
 
 // updateTx updates the open transaction with the outcome of a statement.
--- a/entry/team.go
+++ b/entry/team.go
@@ -38,7 +38,7 @@
 		return catalog.Team{}, nil
 	}
 	t, ok := c.TeamOf(s.key)
-	if !ok && !d.Anonymous {
+	if !ok && c.RequiresTeam(d) {
 		return t, &query.Failure{Reason: query.Denied, Text: "the key belongs to no team"}
 	}
 	return t, nil
--- a/fleet/borrow.go
+++ b/fleet/borrow.go
@@ -36,7 +36,7 @@
 	if len(b.usedUp) >= maxUsedUp {
 		maps.DeleteFunc(b.usedUp, func(_ string, u *usedUp) bool { return t.After(u.returnAt) })
 	}
-	b.usedUp[r.Ticket.Team] = &usedUp{until: t.Add(min(usedUpTime, f.grant.RetryAfter)), refusal: f, returnAt: t.Add(r.RetryAfter)}
+	b.usedUp[r.Ticket.Team] = &usedUp{at: t, until: t.Add(min(usedUpTime, f.grant.RetryAfter)), refusal: f, returnAt: t.Add(r.RetryAfter)}
 }
 
 // maxUsedUp is the number of refused teams from which the old refusals are dropped.
@@ -58,13 +58,10 @@
 	defer f.endCalls(b)
 	hint := ""
 	for x.Err() == nil {
-		f.mu.Lock()
-		h, ok := f.holderHost(b.group, hint)
-		isolated := f.isolated() && h.ID != f.config.Self.ID
-		f.mu.Unlock()
+		h, ok, cutOff := f.findHolder(b.group, hint)
 		f.rates.mu.Lock()
 		switch {
-		case isolated:
+		case cutOff:
 			b.refuseAll(&refusal{reason: refusedCutOff, retryAfter: isolatedRetryAfter})
 		case !ok:
 			b.refuseAll(&refusal{reason: refusedUnreachable, retryAfter: unknownRetryAfter})
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -122,11 +123,11 @@
 		f.mu.Unlock()
 		f.applyRecord(store.Item{Key: groupPrefix + "g", Value: []byte(`{"holder":{"id":"b"},"primary":"m"}`), Position: at(1)}, time.Time{})
 		r := &query.Request{Group: "g", MaxAge: time.Second}
-		c, ok := f.cheapestTarget(r, nil)
+		c, ok := f.cheapestTarget(r, nil, rand.Float64)
 		Expect(ok).To(BeTrue())
 		Expect(c.host.ID).To(Equal("b"))
 		f.updateView(membership.LinkFailed{ID: "b"})
-		_, ok = f.cheapestTarget(r, nil)
+		_, ok = f.cheapestTarget(r, nil, rand.Float64)
 		Expect(ok).To(BeFalse())
 	})
 
--- a/fleet/placedread.go
+++ b/fleet/placedread.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/bundle"
 	"github.com/dragonflypick/dragonflypick/outlier"
 	"github.com/dragonflypick/dragonflypick/placement"
 	"github.com/dragonflypick/dragonflypick/query"
@@ -66,13 +67,17 @@
 // refuseHopeless refuses a read that no member can answer in time.
 func (f *Daemon) refuseHopeless(c placedTarget, r *query.Request, left time.Duration) query.Response {
 	o := query.Response{Reply: query.Refusal(query.Overloaded, "no member can serve the read in time")}
-	d := min(max(c.Cost-left, minHopelessRetry), maxHopelessRetry)
+	d := hopelessRetry(c.Cost, left)
 	o.Failure.RetryAfter = d + rand.N(d/2)
 	f.config.Log.Debug("read refused", "id", r.ID, "group", r.Group, "member", c.member.ID, "expected-ms", c.Cost.Milliseconds(), "left-ms", left.Milliseconds(),
 		"wait-ms", c.report.Wait.Milliseconds(), "lag-ms", c.report.Lag.Milliseconds(), "busy", c.report.Busy, "slot-ms", c.report.SlotTime.Milliseconds(), "catch-up-ms", c.CatchUp.Milliseconds(), "failures", c.report.Failures, "report-age-ms", c.reportAge.Milliseconds())
 	return o
 }
 
+func hopelessRetry(cost, left time.Duration) time.Duration {
+	return min(max(cost-left, minHopelessRetry), maxHopelessRetry)
+}
+
 // Bounds of the time after which the caller of a read that was refused is to come back,
 // without jitter: soon enough for its aim, and not so soon that its few tries are used up
 // before the members have room.
@@ -120,31 +125,50 @@
 	defer f.mu.Unlock()
 	t := now()
 	g := f.group(r.Group)
-	l, due := f.placementCandidates(g, r, tried, t)
-	q := placement.Read{Floor: r.Floor, FloorAge: g.seen.Age(r.Floor, t), MaxAge: r.MaxAge, Left: left}
+	l, due := f.placementCandidates(g, r, tried, t, f.memberReport)
+	if !probe {
+		due = -1
+	}
+	o, ok := decidePlace(l, due, r, f.placementRead(g, r, left, t), t, rand.Float64)
+	if !ok {
+		return o, false
+	}
+	if o.Reason == probedRead {
+		f.outliers.Handle(outlier.ProbeStarted{Member: o.member.ID}, t)
+		f.metrics.outlierEvents.WithLabelValues(outlierProbed).Inc()
+	}
+	role := roleReplica
+	if o.primary {
+		role = rolePrimary
+	}
+	f.metrics.placements.WithLabelValues(role, string(o.Reason)).Inc()
+	return o, true
+}
+
+// placementRead returns what matters of a read for its placement; f.mu is held.
+func (f *Daemon) placementRead(g *group, r *query.Request, left time.Duration, t time.Time) placement.Read {
+	return placement.Read{Floor: r.Floor, FloorAge: g.seen.Age(r.Floor, t), MaxAge: r.MaxAge, Left: left}
+}
+
+// decidePlace chooses one of the candidates for a read. due is the index of one to which
+// a probe is due, or -1. It changes nothing.
+func decidePlace(l []placementCandidate, due int, r *query.Request, q placement.Read, t time.Time, random func() float64) (placedTarget, bool) {
 	targets := make([]placement.Candidate, len(l))
 	for i := range l {
 		targets[i] = l[i].candidate
 	}
-	c, ok := placement.Choose(q, targets, t, rand.Float64)
+	c, ok := placement.Choose(q, targets, t, random)
 	if !ok {
 		return placedTarget{}, false
 	}
-	if probe && due >= 0 && r.Stage == query.Single && left > minProbeTime && targets[due].CatchUp(q, t) <= 0 {
+	if due >= 0 && r.Stage == query.Single && q.Left > minProbeTime && targets[due].CatchUp(q, t) <= 0 {
 		c = placement.Choice{Index: due, Cost: targets[due].Cost(0, t), Patience: minReplicaRetry, Reason: probedRead}
-		f.outliers.Handle(outlier.ProbeStarted{Member: targets[due].Member}, t)
-		f.metrics.outlierEvents.WithLabelValues(outlierProbed).Inc()
 	}
 	m := l[c.Index]
 	o := placedTarget{readTarget: m.readTarget, Choice: c, primary: m.candidate.Primary, report: m.candidate.Report, reportAge: -1, floorAge: q.FloorAge}
 	if !o.report.At.IsZero() {
 		o.reportAge = t.Sub(o.report.At)
 	}
-	role := roleReplica
-	if o.primary {
-		role = rolePrimary
-	}
-	f.metrics.placements.WithLabelValues(role, string(c.Reason)).Inc()
 	return o, true
 }
 
@@ -158,9 +182,13 @@
 	candidate placement.Candidate
 }
 
+// reportFunc returns what is known of a member.
+type reportFunc func(g *group, member string, rank bundle.Rank, t time.Time) placement.Report
+
 // placementCandidates returns the members of a group that may serve a read, and the
-// index of one to which a probe is due, or -1; f.mu is held.
-func (f *Daemon) placementCandidates(g *group, r *query.Request, tried triedMembers, t time.Time) (o []placementCandidate, due int) {
+// index of one to which a probe is due, or -1. report is memberReport or peekReport; f.mu
+// is held.
+func (f *Daemon) placementCandidates(g *group, r *query.Request, tried triedMembers, t time.Time, report reportFunc) (o []placementCandidate, due int) {
 	due = -1
 	p, known := f.table.AssumedPrimary(g.name)
 	members := f.table.GroupMembers(g.name)
@@ -178,7 +206,7 @@
 		l := f.loads.member(m.ID)
 		c := placement.Candidate{
 			Member: m.ID, Primary: primary, Slots: m.Slots, RTT: f.assumedRTT(h.Region, h.FailureDomain), InFlight: l.inFlight,
-			Share: standings[i].Share, Report: f.memberReport(g, m.ID, r.Rank, t),
+			Share: standings[i].Share, Report: report(g, m.ID, r.Rank, t),
 		}
 		if time.Since(l.unreachableAt) < unreachablePenalty {
 			c.RTT += unreachablePenalty
--- a/fleet/rates.go
+++ b/fleet/rates.go
@@ -68,8 +68,8 @@
 
 // usedUp is an accountant's refusal of a team.
 type usedUp struct {
-	// until is when the accountant may be asked again.
-	until time.Time
+	// at is when the accountant refused; until is when it may be asked again.
+	at, until time.Time
 	// refusal is what callers are told; returnAt is when the next one may come back.
 	refusal  refusal
 	returnAt time.Time
@@ -105,7 +105,7 @@
 // Admit implements entry.Limiter.
 func (f *Daemon) Admit(x context.Context, q *query.Request, d catalog.Database) (func(*query.Response), *query.Failure) {
 	c, team := f.Catalog(), q.Team
-	if c == nil || c.Teams[team].Rate <= 0 || len(c.Groups) == 0 {
+	if c == nil || !isLimited(c, team) {
 		return func(*query.Response) {}, nil
 	}
 	x, stop := context.WithTimeout(x, d.StatementTimeout/admissionFraction)
@@ -119,10 +119,28 @@
 	return func(o *query.Response) { f.settleToken(b, k, o) }, nil
 }
 
+// isLimited reports whether the operations of a team are bounded by its rate.
+func isLimited(c *catalog.Catalog, team string) bool {
+	return c.Teams[team].Rate > 0 && len(c.Groups) > 0
+}
+
+// refusals are those of a team's accountants: of them that have used up the team's rate
+// the one with the earliest return, and the last one of those that can't tell.
+type refusals struct{ rate, unknown *refusal }
+
+func (l *refusals) add(r *refusal) {
+	switch {
+	case r.reason != refusedRate:
+		l.unknown = r
+	case l.rate == nil || r.retryAfter < l.rate.retryAfter:
+		l.rate = r
+	}
+}
+
 // acquireToken returns a token of the first accountant of a team that lends one.
 func (f *Daemon) acquireToken(x context.Context, c *catalog.Catalog, t catalog.Team, d catalog.Database) (*borrower, allowance.Token, *refusal) {
 	for {
-		var first, unknown *refusal
+		var refused refusals
 		l := f.orderedAccountants(c, t.Name)
 		for _, b := range l {
 			o := f.awaitToken(x, b, allowance.Ticket{Team: t.Name, Limit: f.shareOf(t, len(l)), Patience: d.TargetLatency / patienceFraction})
@@ -131,17 +149,15 @@
 				return b, o.token, nil
 			case r.reason == refusedCutOff || x.Err() == context.Canceled:
 				return nil, o.token, r
-			case r.reason != refusedRate:
-				unknown = r
-			case first == nil || r.retryAfter < first.retryAfter:
-				first = r
+			default:
+				refused.add(r)
 			}
 		}
 		switch {
-		case first != nil:
-			return nil, allowance.Token{}, f.claimReturn(t.Name, first)
+		case refused.rate != nil:
+			return nil, allowance.Token{}, f.claimReturn(t.Name, refused.rate)
 		case !sleep(x, admissionRetryDelay):
-			return nil, allowance.Token{}, unknown
+			return nil, allowance.Token{}, refused.unknown
 		}
 	}
 }
@@ -167,9 +183,9 @@
 	return false
 }
 
-// orderedAccountants returns the loans from a team's accountants, the nearest one that
-// can be reached first.
-func (f *Daemon) orderedAccountants(c *catalog.Catalog, team string) []*borrower {
+// nearestAccountants returns the groups of a team's accountants, that of the nearest one
+// that can be reached first.
+func (f *Daemon) nearestAccountants(c *catalog.Catalog, team string) []string {
 	names := accountingGroups(c, team)
 	cost := map[string]time.Duration{}
 	f.mu.Lock()
@@ -184,6 +200,13 @@
 	}
 	f.mu.Unlock()
 	slices.SortStableFunc(names, func(a, b string) int { return int(cost[a] - cost[b]) })
+	return names
+}
+
+// orderedAccountants returns the loans from a team's accountants in the order of
+// nearestAccountants.
+func (f *Daemon) orderedAccountants(c *catalog.Catalog, team string) []*borrower {
+	names := f.nearestAccountants(c, team)
 	f.rates.mu.Lock()
 	defer f.rates.mu.Unlock()
 	o := make([]*borrower, 0, len(names))
@@ -202,12 +225,12 @@
 func (f *Daemon) awaitToken(x context.Context, b *borrower, k allowance.Ticket) admission {
 	f.rates.mu.Lock()
 	t, ok := b.Take(k.Team, now())
-	u := b.usedUp[k.Team]
+	u, refused := b.recentRefusal(k.Team, now())
 	f.rates.mu.Unlock()
 	switch {
 	case ok:
 		return admission{token: t}
-	case u != nil && now().Before(u.until):
+	case refused:
 		r := u.refusal
 		r.remembered = true
 		return admission{refusal: &r}
@@ -225,6 +248,18 @@
 	return o
 }
 
+// recentRefusal returns the refusal for which the accountant isn't asked for a team; the
+// daemon's rates.mu is held.
+func (b *borrower) recentRefusal(team string, t time.Time) (*usedUp, bool) {
+	u := b.usedUp[team]
+	return u, u != nil && t.Before(u.until)
+}
+
+// nextReturn returns after which time the next caller may come back.
+func (u *usedUp) nextReturn(t time.Time) time.Duration {
+	return allowance.BoundRetryAfter(max(u.returnAt.Sub(t), 0) + u.refusal.grant.Spacing)
+}
+
 // waitForOutcome waits until a ticket gets a token or is refused.
 func (f *Daemon) waitForOutcome(x context.Context, b *borrower, k *allowance.Ticket) admission {
 	x, stop := context.WithTimeout(x, accountantTimeout)
@@ -281,7 +316,7 @@
 		return r
 	}
 	t := now()
-	r.retryAfter = allowance.BoundRetryAfter(max(u.returnAt.Sub(t), 0) + r.grant.Spacing)
+	r.retryAfter = u.nextReturn(t)
 	u.returnAt = t.Add(r.retryAfter)
 	return r
 }
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -22,31 +22,34 @@
 	maxReports = 8
 )
 
-// ownReport returns a report on a member whose pool is open at this host; f.mu is
-// held.
-func (f *Daemon) ownReport(g *group, member string, rank bundle.Rank, t time.Time) (placement.Report, bool) {
+// ownReport returns a report on a member whose pool is open at this host, and the
+// member's delay as of now; f.mu is held.
+func (f *Daemon) ownReport(g *group, member string, rank bundle.Rank, t time.Time) (placement.Report, placement.Lag, bool) {
 	p := f.pools[member]
 	l := f.loads.member(member)
 	if p == nil || l.positionAt.IsZero() || t.Sub(l.positionAt) > reportTTL {
-		return placement.Report{}, false
+		return placement.Report{}, placement.Lag{}, false
 	}
 	// The delay of a member that receives nothing grows without any answer of it.
 	least, _ := g.history.Lag(l.position, l.positionAt)
-	l.delay.Observe(least, math.MaxInt64)
+	d := l.delay
+	d.Observe(least, math.MaxInt64)
 	r := placement.Report{
-		Position: l.position, Lag: l.delay.Estimate, Wait: p.EstimateWait(rank), SlotTime: l.service.SlotTime,
+		Position: l.position, Lag: d.Estimate, Wait: p.EstimateWait(rank), SlotTime: l.service.SlotTime,
 		Busy: l.service.Running(t) / float64(max(p.Member().Slots, 1)), Failures: l.service.Failures(t), At: t,
 	}
-	return r.WithDefaults(l.delay.Known), true
+	return r.WithDefaults(d.Known), d, true
 }
 
 // memberReport returns what is known here of a member, by its owner's last report
 // unless this host owns it; f.mu is held.
 func (f *Daemon) memberReport(g *group, member string, rank bundle.Rank, t time.Time) placement.Report {
-	if r, ok := f.ownReport(g, member, rank, t); ok {
+	l := f.loads.member(member)
+	if r, d, ok := f.ownReport(g, member, rank, t); ok {
+		l.delay = d
 		return r
 	}
-	return f.loads.member(member).report
+	return l.report
 }
 
 // reports returns the reports on a group's members that are recent enough to be
--- a/fleet/room.go
+++ b/fleet/room.go
@@ -64,16 +64,23 @@
 	if !r.Primary {
 		return nil
 	}
-	f.room.mu.Lock()
-	defer f.room.mu.Unlock()
-	v := f.room.pressure.Decide(pressure.Request{Group: r.Group, Rank: r.Rank, Chance: rand.Float64(), Jitter: rand.Float64()}, time.Now())
+	v := f.decidePressure(r, rand.Float64)
 	if !v.Refuse {
 		return nil
 	}
 	f.room.refusals.WithLabelValues(r.Rank.String()).Inc()
-	return &query.Failure{
-		Reason: query.Overloaded, Text: "the primary is overloaded, level " + strconv.FormatFloat(v.Level, 'f', 2, 64), RetryAfter: v.RetryAfter,
-	}
+	return &query.Failure{Reason: query.Overloaded, Text: pressureText(v), RetryAfter: v.RetryAfter}
+}
+
+// decidePressure decides whether a request for a primary is refused.
+func (f *Daemon) decidePressure(r *query.Request, random func() float64) pressure.Verdict {
+	f.room.mu.Lock()
+	defer f.room.mu.Unlock()
+	return f.room.pressure.Decide(pressure.Request{Group: r.Group, Rank: r.Rank, Chance: random(), Jitter: random()}, time.Now())
+}
+
+func pressureText(v pressure.Verdict) string {
+	return "the primary is overloaded, level " + strconv.FormatFloat(v.Level, 'f', 2, 64)
 }
 
 // observePressure records what an answer tells about a group's primary.
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -130,11 +130,8 @@
 			}
 			return o
 		}
-		f.mu.Lock()
-		h, ok := f.holderHost(r.Group, hint)
-		isolated := f.isolated()
-		f.mu.Unlock()
-		if isolated && h.ID != f.config.Self.ID {
+		h, ok, cutOff := f.findHolder(r.Group, hint)
+		if cutOff {
 			o.Failure = &query.Failure{Reason: query.Overloaded, Text: "this daemon is cut off from the others", RetryAfter: isolatedRetryAfter}
 			return o
 		}
@@ -153,6 +150,15 @@
 	}
 }
 
+// findHolder returns the host that holds a group, as holderHost does, and whether this
+// daemon is cut off from it.
+func (f *Daemon) findHolder(name, hint string) (h membership.Host, known, cutOff bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h, known = f.holderHost(name, hint)
+	return h, known, f.isolated() && h.ID != f.config.Self.ID
+}
+
 // holderHost returns the host with ID hint if this daemon's view contains it, else
 // the host that holds the group according to its record; f.mu is held.
 func (f *Daemon) holderHost(name, hint string) (membership.Host, bool) {
@@ -193,7 +199,7 @@
 		if left <= 0 || x.Err() != nil {
 			break
 		}
-		c, ok := f.cheapestTarget(r, tried)
+		c, ok := f.cheapestTarget(r, tried, rand.Float64)
 		if !ok {
 			if !sleep(x, min(holderRetryDelay, left)) {
 				break
@@ -238,18 +244,29 @@
 }
 
 // cheapestTarget returns the member with the least predicted cost for a read
-// among those not yet tried, with up to 1 ms of jitter.
-func (f *Daemon) cheapestTarget(r *query.Request, tried map[string]int) (readTarget, bool) {
+// among those not yet tried.
+func (f *Daemon) cheapestTarget(r *query.Request, tried map[string]int, random func() float64) (readTarget, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	n := time.Now()
-	g := f.group(r.Group)
 	var best readTarget
+	for _, c := range f.readTargets(r, tried, random) {
+		if best.member.ID == "" || c.cost < best.cost {
+			best = c
+		}
+	}
+	return best, best.member.ID != ""
+}
+
+// readTargets returns the members not yet tried that may serve a read, with their
+// predicted costs and up to 1 ms of jitter; f.mu is held.
+func (f *Daemon) readTargets(r *query.Request, tried map[string]int, random func() float64) []readTarget {
+	n := time.Now()
+	var o []readTarget
 	for _, m := range f.table.GroupMembers(r.Group) {
 		if m.Draining || tried[m.ID] > 0 {
 			continue
 		}
-		p, known := f.table.AssumedPrimary(g.name)
+		p, known := f.table.AssumedPrimary(r.Group)
 		primary := known && p.ID == m.ID
 		h, ok := f.ownerOf(m, primary)
 		if !ok {
@@ -260,12 +277,10 @@
 			age = -1
 		}
 		c := f.assumedRTT(h.Region, h.FailureDomain) + f.loads.member(m.ID).cost(m.Slots, age, n)
-		c += time.Duration(rand.Int64N(int64(time.Millisecond)))
-		if best.member.ID == "" || c < best.cost {
-			best = readTarget{member: m, host: h, cost: c}
-		}
+		c += time.Duration(random() * float64(time.Millisecond))
+		o = append(o, readTarget{member: m, host: h, cost: c})
 	}
-	return best, best.member.ID != ""
+	return o
 }
 
 // ownerOf returns the host that owns a member, for a primary the group's holder. A
