explanation, fleet: where a request would go now, and why

GET /explain on the operators' listener answers with the steps of the decision, their inputs with ages, the target or the refusal, and what would have to change.

--- a/allowance/allowance_test.go
+++ b/allowance/allowance_test.go
@@ -209,3 +209,31 @@
 		Entry("cut off", fault{kind: "cut-off", host: -1, at: 6 * time.Second, last: 6 * time.Second, fails: true}),
 	)
 })
+
+var _ = Describe("A borrower's stock", func() {
+	It("is the number of tokens that Take returns, and looking at it takes none", func() {
+		rapid.Check(GinkgoT(), func(r *rapid.T) {
+			start := time.Unix(100, 0)
+			b := allowance.NewBorrower("g", "b")
+			b.Take(team, start)
+			b.Wait(&allowance.Ticket{Team: team})
+			c, _ := b.Call(start)
+			b.Answer(c, allowance.Reply{Mode: allowance.Full, Grants: []allowance.Grant{{
+				Team: team, Count: rapid.IntRange(0, 4).Draw(r, "count"), Promised: rapid.IntRange(0, 4).Draw(r, "promised"),
+				Delay: 30 * time.Millisecond, Spacing: 20 * time.Millisecond,
+			}}}, start)
+			t := start.Add(time.Duration(rapid.IntRange(0, 700).Draw(r, "ms")) * time.Millisecond)
+			n := b.Stock(team, t)
+			Expect(b.Stock(team, t)).To(Equal(n))
+			taken := 0
+			for {
+				if _, ok := b.Take(team, t); !ok {
+					break
+				}
+				taken++
+			}
+			Expect(taken).To(Equal(n))
+			Expect(b.Stock("other", t)).To(BeZero())
+		})
+	})
+})
--- a/allowance/borrower.go
+++ b/allowance/borrower.go
@@ -121,6 +121,23 @@
 	return Token{}, false
 }
 
+// Stock returns the number of a team's tokens that may be used now, and takes none.
+func (b *Borrower) Stock(team string, now time.Time) int {
+	p, n := b.purses[team], 0
+	if p == nil {
+		return 0
+	}
+	for _, t := range p.lots {
+		if t.UsableAt.After(now) {
+			break
+		}
+		if t.Usable(now) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *purse) countOperation(now time.Time) {
 	p.usedAt = now
 	if d := now.Sub(p.countFrom); d >= rateWindow {
--- a/fleet/report.go
+++ b/fleet/report.go
@@ -52,6 +52,14 @@
 	return l.report
 }
 
+// peekReport is memberReport without any effect on later reports; f.mu is held.
+func (f *Daemon) peekReport(g *group, member string, rank bundle.Rank, t time.Time) placement.Report {
+	if r, _, ok := f.ownReport(g, member, rank, t); ok {
+		return r
+	}
+	return f.loads.member(member).report
+}
+
 // reports returns the reports on a group's members that are recent enough to be
 // passed on; only those on member if that isn't empty.
 func (f *Daemon) reports(name, member string, rank bundle.Rank) []query.MemberReport {
--- a/gap/gap.go
+++ b/gap/gap.go
@@ -67,6 +67,15 @@
 	return len(t.gaps)
 }
 
+// Since returns for how long a gap has been known, or false if none is.
+func (t *Table) Since(k Key, now time.Time) (time.Duration, bool) {
+	g := t.gaps[k]
+	if g == nil || now.Sub(g.lastAt) > forgetAfter {
+		return 0, false
+	}
+	return now.Sub(g.since), true
+}
+
 // ReturnAfter returns when a caller is to return that the gap has kept from being
 // served, or false if no gap is known. jitter is a random number from 0 to 1.
 func (t *Table) ReturnAfter(k Key, r bundle.Rank, jitter float64, now time.Time) (time.Duration, bool) {
--- a/gap/gap_test.go
+++ b/gap/gap_test.go
@@ -143,6 +143,11 @@
 		d, known := t.ReturnAfter(key, bundle.Urgent, 0, start.Add(9*time.Second))
 		Expect(known).To(BeTrue())
 		Expect(d).To(Equal(250 * time.Millisecond))
+		d, known = t.Since(key, start.Add(10*time.Second))
+		Expect(known).To(BeTrue())
+		Expect(d).To(Equal(time.Second))
+		_, known = t.Since(key, start.Add(13*time.Second))
+		Expect(known).To(BeFalse())
 		Expect(t.Count(start.Add(13 * time.Second))).To(BeZero())
 	})
 
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -20,6 +21,7 @@
 
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/entry"
+	"github.com/dragonflypick/dragonflypick/explanation"
 	"github.com/dragonflypick/dragonflypick/fleet"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/platform"
@@ -104,7 +106,7 @@
 		return platform.ServeReadiness(y, c.Settings.ReadinessListen, func() bool { return !draining.Load() && f.Ready() })
 	})
 	g.Go(func() error { return closeIdleWhileCutOff(y, c, f, k) })
-	g.Go(func() error { return serveMetrics(y, c.Settings.MetricsListen, f) })
+	g.Go(func() error { return platform.ServeHTTP(y, c.Settings.MetricsListen, operatorHandler(f)) })
 	g.Go(func() error {
 		select {
 		case <-x.Done():
@@ -195,8 +197,12 @@
 	<-y.Done()
 }
 
-func serveMetrics(x context.Context, listen string, f *fleet.Daemon) error {
+// operatorHandler serves operators: metrics, and explanations of decisions.
+func operatorHandler(f *fleet.Daemon) http.Handler {
 	r := prometheus.NewRegistry()
 	r.MustRegister(f.Collectors()...)
-	return platform.ServeHTTP(x, listen, promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	m := http.NewServeMux()
+	m.Handle("/", promhttp.HandlerFor(r, promhttp.HandlerOpts{}))
+	m.Handle("GET "+explanation.Path, explanation.Handler(f.Explain))
+	return m
 }
--- a/pressure/table.go
+++ b/pressure/table.go
@@ -66,6 +66,9 @@
 	return s.Levels[r]
 }
 
+// ToldAt returns when the levels of a group's primary were told, zero if none are known.
+func (t *Table) ToldAt(group string) time.Time { return t.primaries[group].at }
+
 // Decide returns whether the entry refuses a request.
 func (t *Table) Decide(r Request, now time.Time) Verdict {
 	v := Verdict{Level: t.Level(r.Group, r.Rank, now)}
--- a/standin/site/team_test.go
+++ b/standin/site/team_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflypick/dragonflypick/explanation"
 	"github.com/dragonflypick/dragonflypick/standin/site"
 )
 
@@ -71,6 +73,24 @@
 	}
 }
 
+// expectExplained expects the first daemon to explain a read of a team, and to show nothing
+// of another one.
+func (f *fleet) expectExplained(team, other int) {
+	q := explanation.Query{Database: "g0-own", Kind: explanation.Read, Team: f.site.TeamName(team)}
+	r, err := http.Get("http://" + f.daemons[0].settings.MetricsListen + explanation.Path + "?" + q.Values().Encode())
+	Expect(err).NotTo(HaveOccurred())
+	defer r.Body.Close()
+	b, err := io.ReadAll(r.Body)
+	Expect(err).NotTo(HaveOccurred())
+	var e explanation.Explanation
+	Expect(json.Unmarshal(b, &e)).To(Succeed())
+	Expect(e.Decision.Outcome).To(Equal(explanation.Sent))
+	Expect(e.Candidates).To(HaveLen(3))
+	Expect(string(b)).To(ContainSubstring(f.site.TeamName(team)))
+	Expect(string(b)).NotTo(ContainSubstring(f.site.TeamName(other)))
+	Expect(string(b)).NotTo(ContainSubstring(strings.TrimSuffix(site.ClientKey(0), "0")))
+}
+
 var _ = Describe("teams", func() {
 	It("run on connections in their name while keys are withdrawn, moved and given back, and no key is told", func() {
 		f := newFleet(teamsConfig, 3)
@@ -82,6 +102,7 @@
 		Expect(o.Served).To(BeNumerically(">", 500))
 		Expect(o.Denied).To(BeNumerically(">", 50))
 		Expect(o.InDoubt + o.Disconnected).To(BeZero())
+		f.expectExplained(5, 4)
 		f.expectNoKeys()
 	})
 
