--- a/command/root/root.go
+++ b/command/root/root.go
@@ -5,6 +5,7 @@
 	"github.com/dragonflypick/dragonflypick/command"
 	"github.com/dragonflypick/dragonflypick/command/bundle"
 	"github.com/dragonflypick/dragonflypick/command/completion"
+	"github.com/dragonflypick/dragonflypick/command/explain"
 	"github.com/dragonflypick/dragonflypick/command/factory"
 	"github.com/dragonflypick/dragonflypick/command/serve"
 	"github.com/dragonflypick/dragonflypick/command/status"
@@ -16,7 +17,7 @@
 	return &command.Command{
 		Name: "dragonflypick", Short: "Database proxy with session consistency",
 		Commands: []*command.Command{
-			serve.NewCmdServe(f, nil), bundle.NewCmdBundle(f), status.NewCmdStatus(f, nil),
+			serve.NewCmdServe(f, nil), bundle.NewCmdBundle(f), status.NewCmdStatus(f, nil), explain.NewCmdExplain(f, nil),
 			completion.NewCmdCompletion(f, nil), version.NewCmdVersion(f),
 		},
 	}
