lease: only what a process finds at its start counts as its predecessor's

Now only the holders that the first known record names are; a later one at the same address may have started after this process.

--- a/lease/lease.go
+++ b/lease/lease.go
@@ -196,6 +196,9 @@
 		s.observeRestored(x.Record)
 		return
 	}
+	if !s.recordKnown {
+		s.endPredecessors(x.Record)
+	}
 	s.observeDisplacements(x.Record, now)
 	old := s.record
 	held := s.recordKnown && old.Holder.ID == s.self.ID && (old.Epoch == x.Record.Epoch || old.Era < x.Record.Era)
@@ -211,7 +214,7 @@
 	}
 	if !held {
 		for _, h := range x.Record.PreviousHolders {
-			if !s.endedProcesses[h.ID] && !s.isPredecessor(h) {
+			if !s.endedProcesses[h.ID] {
 				s.unfinishedUntil[h.ID] = s.displacedAt[h.ID].Add(Validity + inFlightTime)
 			}
 		}
@@ -325,16 +328,21 @@
 	return o
 }
 
-// Succeeds reports whether a process at this one's address, which has therefore ended,
-// holds the lease.
+// Succeeds reports whether the lease is held by a process that has ended, since this one
+// has started at its address.
 func (s *Lease) Succeeds() bool {
-	return s.recordKnown && !s.restored && s.isPredecessor(s.record.Holder)
+	return s.recordKnown && !s.restored && s.endedProcesses[s.record.Holder.ID] && s.record.Holder.Address == s.self.Address
 }
 
-// isPredecessor reports whether a process listened on this one's address: two can't do
-// so at a time.
-func (s *Lease) isPredecessor(h Holder) bool {
-	return h.ID != s.self.ID && h.Address != "" && h.Address == s.self.Address
+// endPredecessors records that the processes at this one's address that the first known
+// record names have ended: two can't listen there at a time. A process that a later
+// record names may have started there after this one.
+func (s *Lease) endPredecessors(r Record) {
+	for _, h := range append([]Holder{r.Holder}, r.PreviousHolders...) {
+		if h.ID != s.self.ID && h.Address != "" && h.Address == s.self.Address {
+			s.endedProcesses[h.ID] = true
+		}
+	}
 }
 
 // ConfirmDue reports whether the record must be requested from the store now.
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -177,6 +177,13 @@
 		Expect(g.UnfinishedHolders(start)).To(Equal([]lease.Holder{{ID: "c", Address: "h:2"}}))
 	})
 
+	It("leaves a lease alone that another process acquires at its address later", func() {
+		g := takeover.New(self)
+		observeRecord(g, lease.Record{Holder: before}, 4)
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "d", Address: "h:1"}, Epoch: 1, PreviousHolders: []lease.Holder{before}}, 5)
+		Expect(g.NextAction(takeover.HostState{Registered: true}, start)).To(BeNil())
+	})
+
 	It("leaves a lease alone whose holder has no known address", func() {
 		g := takeover.New(lease.Holder{ID: "b"})
 		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}}, 4)
