peer: a read of a closed stream ends with its session

The connection under a session ends the reads of its streams by a past deadline before it closes, but a stream that was closed while being read had left that list. Now closing a stream sets the deadline, too.

--- a/peer/session.go
+++ b/peer/session.go
@@ -109,8 +109,10 @@
 	conn *sessionConn
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. It also ends a read, which sessionConn.Close can't do any
+// more.
 func (s *sessionStream) Close() error {
+	_ = s.SetReadDeadline(time.Unix(1, 0))
 	s.conn.mu.Lock()
 	delete(s.conn.streams, s)
 	s.conn.mu.Unlock()
--- a/peer/session_test.go
+++ b/peer/session_test.go
@@ -30,6 +30,17 @@
 // TestReadsEndWithTheirSession checks that closing a session ends the reads of
 // its streams although the session's receive loop can't end.
 func TestReadsEndWithTheirSession(t *testing.T) {
+	testReadsEnd(t, func(net.Conn) error { return nil })
+}
+
+// TestReadOfAClosedStreamEndsWithItsSession guards against a busy loop of a stream that
+// was closed while it was being read.
+func TestReadOfAClosedStreamEndsWithItsSession(t *testing.T) {
+	testReadsEnd(t, net.Conn.Close)
+}
+
+// testReadsEnd closes a session whose stream is being read, after prepare.
+func testReadsEnd(t *testing.T, prepare func(stream net.Conn) error) {
 	g := gomega.NewWithT(t)
 	a, b := net.Pipe()
 	defer func() { _, _ = a.Close(), b.Close() }()
@@ -50,6 +61,8 @@
 		read <- err
 		return nil
 	})
+	time.Sleep(20 * time.Millisecond)
+	g.Expect(prepare(s)).To(gomega.Succeed())
 	r.Go(client.Close)
 	g.Eventually(read, 2*time.Second).Should(gomega.Receive(gomega.HaveOccurred()))
 	g.Expect(client.IsClosed()).To(gomega.BeTrue())
