admission, pool: a lost answer holds no slot, and a lost read is given up soon

A member that loses a part of its answers stood idle while its slots were held by requests whose answers never came: each for the statement's 0.8 s.

A running request counts as late, and holds no slot, once 4 later ones have ended and it has run for 3 times the mean; as overdue at 8 and 8. The connection of an overdue read is closed, so that it is run again; writes and commits wait for their answer as before. If all slots may be lost, one more request at a time shows whether the server still answers.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -24,6 +24,9 @@
 	// requests that were running while a process or host was suspended don't cause
 	// others to be refused.
 	maxSampleFactor = 8
+	// unansweredSampleFactor is maxSampleFactor for a request that ended at its deadline,
+	// probably without an answer.
+	unansweredSampleFactor = 2
 	// deadlineDivisor caps the slot time expected for a request at this fraction
 	// (1/deadlineDivisor) of its time to the deadline, so that after a few slow
 	// statements a rank's requests aren't all refused.
@@ -178,6 +181,10 @@
 	// waiting and running hold all waiting and all started requests by ID.
 	waiting map[uint64]*request
 	running map[uint64]*request
+	// started counts the requests that were started, and late those of running that are
+	// late.
+	started uint64
+	late    int
 	// slotTime is the moving average of the slot time of each rank's requests.
 	slotTime [bundle.RankCount]time.Duration
 	// credit is the slot time that each rank may use before higher ranks are
@@ -191,8 +198,9 @@
 	returns returnSchedule
 	// hopelessAt is when the queue was last searched for requests to refuse early.
 	hopelessAt time.Time
-	// progressAt is when a request last ended in time, or started while none ran.
-	progressAt time.Time
+	// progressAt is when a request last ended in time, or started while none ran, and
+	// answeredAt when one last ended in time.
+	progressAt, answeredAt time.Time
 }
 
 // New returns an empty queue.
@@ -220,7 +228,7 @@
 	case Arrived:
 		o = q.arrive(x, now)
 	case Finished:
-		q.finish(x, now)
+		o = q.finish(x, now)
 	case Withdrawn:
 		q.withdraw(x.ID)
 	case Configured:
@@ -287,7 +295,7 @@
 	if q.config.Slots <= 0 {
 		return maxRetryAfter
 	}
-	if len(q.running) < q.slotLimit(r) && q.workAhead(r) == 0 {
+	if q.occupied(now) < q.slotLimit(r) && q.workAhead(r) == 0 {
 		return 0
 	}
 	own := time.Duration(q.ranks[r].countAhead(x)+1) * q.slotTime[r]
--- a/admission/rankqueue.go
+++ b/admission/rankqueue.go
@@ -21,6 +21,12 @@
 	// rankQueue.deadlines.
 	accountIndex int
 	rankIndex    int
+	// order is the number of requests that were started before it, and overtaken how many
+	// that were started after it have ended.
+	order     uint64
+	overtaken int
+	// late and overdue are set if the answer may be, and if it probably is lost.
+	late, overdue bool
 	// turn orders the requests of a team: its callers' first requests come before
 	// their second ones.
 	turn uint64
--- a/admission/slots.go
+++ b/admission/slots.go
@@ -11,7 +11,7 @@
 func (q *Queue) fillSlots(now time.Time) []Action {
 	var o []Action
 	for {
-		r := q.nextRequest()
+		r := q.nextRequest(now)
 		if r == nil {
 			break
 		}
@@ -19,7 +19,8 @@
 		if len(q.running) == 0 {
 			q.progressAt = now
 		}
-		r.started, r.charged = now, q.slotTime[r.Rank]
+		r.started, r.charged, r.order = now, q.slotTime[r.Rank], q.started
+		q.started++
 		q.running[r.ID] = r
 		q.ranks[r.Rank].charge(r, r.charged, 1)
 		if r.usesCredit {
@@ -32,27 +33,27 @@
 
 // nextRequest returns the request to start next, or nil: first those of open
 // transactions, then those of teams that aren't in excess, then all others.
-func (q *Queue) nextRequest() *request {
+func (q *Queue) nextRequest(now time.Time) *request {
 	for _, l := range q.inTransaction {
 		if len(l) > 0 {
 			return l[0]
 		}
 	}
-	if len(q.running) >= q.config.Slots {
+	if q.occupied(now) >= q.config.Slots {
 		return nil
 	}
 	if len(q.shares.excess) > 0 {
-		if r := q.nextOutsideTx(true); r != nil {
+		if r := q.nextOutsideTx(true, now); r != nil {
 			return r
 		}
 	}
-	return q.nextOutsideTx(false)
+	return q.nextOutsideTx(false, now)
 }
 
 // nextOutsideTx returns the request to start next of those outside of transactions,
 // or nil: first those of lower ranks that have credit, then by rank. With skipExcess
 // those of teams in excess are left out.
-func (q *Queue) nextOutsideTx(skipExcess bool) *request {
+func (q *Queue) nextOutsideTx(skipExcess bool, now time.Time) *request {
 	next := func(i int) *request {
 		l := q.ranks[i]
 		switch {
@@ -73,7 +74,7 @@
 		}
 	}
 	for i := range q.ranks {
-		if len(q.running) < q.slotLimit(bundle.Rank(i)) {
+		if q.occupied(now) < q.slotLimit(bundle.Rank(i)) {
 			if r := next(i); r != nil {
 				return r
 			}
@@ -82,21 +83,33 @@
 	return nil
 }
 
-func (q *Queue) finish(x Finished, now time.Time) {
+func (q *Queue) finish(x Finished, now time.Time) []Action {
 	r, ok := q.running[x.ID]
 	if !ok {
-		return
+		return nil
 	}
 	delete(q.running, x.ID)
 	if now.Before(r.Deadline) {
-		q.progressAt = now
+		q.progressAt, q.answeredAt = now, now
+	}
+	if r.late {
+		q.late--
 	}
 	d := now.Sub(r.started)
-	if x.Declined {
+	switch {
+	case r.overdue:
+		// The server has used the slot for others meanwhile.
+		q.ranks[r.Rank].charge(r, 0, -1)
+		return nil
+	case x.Declined:
 		q.ranks[r.Rank].charge(r, d-r.charged, -1)
-		return
+		return nil
+	}
+	f := time.Duration(maxSampleFactor)
+	if !now.Before(r.Deadline) {
+		f = unansweredSampleFactor
 	}
-	q.slotTime[r.Rank] += time.Duration(slotTimeWeight * float64(min(d, maxSampleFactor*q.slotTime[r.Rank])-q.slotTime[r.Rank]))
+	q.slotTime[r.Rank] += time.Duration(slotTimeWeight * float64(min(d, f*q.slotTime[r.Rank])-q.slotTime[r.Rank]))
 	q.usage[r.Rank].add(d, now)
 	q.shares.record(r, d, now)
 	q.ranks[r.Rank].charge(r, d-r.charged, -1)
@@ -108,6 +121,7 @@
 			q.credit[i] = min(q.credit[i]+time.Duration(q.config.Shares[i]*float64(d)), maxCredit)
 		}
 	}
+	return q.countOvertaken(r, now)
 }
 
 // Time constants of a meter's exponential decay.
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -47,11 +47,14 @@
 	// waiting holds a channel for the decision on each waiting request, by ID. The
 	// channels are buffered, so that sending never blocks.
 	waiting map[uint64]chan admission.Action
+	// onOverdue holds functions that are called when started requests become overdue, by
+	// ID.
+	onOverdue map[uint64]func()
 }
 
 // New returns a gate without requests.
 func New(c admission.Config) *Gate {
-	return &Gate{q: admission.New(c), early: c.EarlyRefusal, waiting: map[uint64]chan admission.Action{}}
+	return &Gate{q: admission.New(c), early: c.EarlyRefusal, waiting: map[uint64]chan admission.Action{}, onOverdue: map[uint64]func(){}}
 }
 
 // ShareByWeight shares slot time between teams by a weight. It is called before the
@@ -67,6 +70,19 @@
 // Release releases the slot.
 func (t Slot) Release() { t.g.handle(admission.Finished{ID: t.id}) }
 
+// OnOverdue makes f be called, at most once and without any lock, if the answer to the
+// request is probably lost; see admission.Overdue. The returned function ends this.
+func (t Slot) OnOverdue(f func()) (stop func()) {
+	t.g.mu.Lock()
+	defer t.g.mu.Unlock()
+	t.g.onOverdue[t.id] = f
+	return func() {
+		t.g.mu.Lock()
+		defer t.g.mu.Unlock()
+		delete(t.g.onOverdue, t.id)
+	}
+}
+
 // ReleaseDeclined releases the slot of a request for which the backend server did
 // no work; see admission.Finished.Declined.
 func (t Slot) ReleaseDeclined() { t.g.handle(admission.Finished{ID: t.id, Declined: true}) }
@@ -152,8 +168,19 @@
 
 func (g *Gate) handle(e admission.Event) {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.deliver(g.q.Handle(e, time.Now()))
+	l := g.q.Handle(e, time.Now())
+	g.deliver(l)
+	var overdue []func()
+	for _, a := range l {
+		if o, ok := a.(admission.Overdue); ok && g.onOverdue[o.ID] != nil {
+			overdue = append(overdue, g.onOverdue[o.ID])
+			delete(g.onOverdue, o.ID)
+		}
+	}
+	g.mu.Unlock()
+	for _, f := range overdue {
+		f()
+	}
 }
 
 // deliver sends the queue's decisions to the waiting requests; g.mu is held.
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -20,11 +20,13 @@
 	Dial(x context.Context, m catalog.Member, team string) (Conn, logpos.Position, error)
 }
 
-// Conn is a connection to a backend server. It is not safe for concurrent use.
+// Conn is a connection to a backend server. It is not safe for concurrent use, except for
+// Close.
 type Conn interface {
 	// RunStep runs one step. After an error the connection can't be used any more,
 	// and it is unknown whether the step was run.
 	RunStep(s query.Step, deadline time.Time) (query.Reply, error)
+	// Close ends a step that is being run. It may be called again.
 	Close()
 }
 
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/admission"
@@ -94,7 +95,9 @@
 		k.giveUp()
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
+	stop := p.cutOverdueRead(k.slot, c, r)
 	o, broken := p.runOn(c, r, floor, d, g)
+	stop()
 	if o.Failure != nil && o.Failure.Reason.NotRun() {
 		k.giveUp()
 	} else {
@@ -107,6 +110,31 @@
 	return o, c
 }
 
+// cutOverdueRead closes the connection of a read whose answer is probably lost, so that
+// the caller needn't wait until its deadline to have it run again. Other work may have
+// taken effect, and waits on. The returned function ends this.
+func (p *Pool) cutOverdueRead(n gate.Slot, c *conn, r *query.Request) (stop func()) {
+	if r.Action != query.ActionRead {
+		return func() {}
+	}
+	var mu sync.Mutex
+	ended := false
+	cancel := n.OnOverdue(func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !ended {
+			p.config.Log.Info("overdue read cut", "member", p.config.Member.ID, "id", r.ID, "transaction", r.Transaction)
+			c.Close()
+		}
+	})
+	return func() {
+		cancel()
+		mu.Lock()
+		defer mu.Unlock()
+		ended = true
+	}
+}
+
 // runOn runs a request on a connection and reports whether the connection broke.
 func (p *Pool) runOn(c *conn, r *query.Request, floor logpos.Position, d time.Time, g Guard) (query.Reply, bool) {
 	if f := g(); f != nil {
@@ -186,6 +214,7 @@
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
 	defer n.Release()
+	defer p.cutOverdueRead(n, c, r)()
 	if f := g(); f != nil {
 		return query.Reply{Failure: f, State: query.Failed}, false
 	}
