takeover: hosts of another region take over later and hand back sooner

Now such a host leaves a takeover to nearer ones for 300 ms, and hands the group back after 400 ms instead of 2 s.

--- a/fleet/group.go
+++ b/fleet/group.go
@@ -173,6 +173,7 @@
 	if !ok {
 		return o
 	}
+	o.FarFromPrimary = m.Region != f.config.Self.Region
 	o.PrimaryListed, o.PrimaryDraining = f.evictAt[id].IsZero(), m.Draining
 	if h, ok := f.table.Owner(m, time.Now()); ok && !m.Draining && m.FailureDomain != f.config.Self.FailureDomain {
 		o.NearerHostExists = topologyDistance(h, m) < topologyDistance(f.config.Self, m)
--- a/model/platform_daemon.go
+++ b/model/platform_daemon.go
@@ -197,6 +197,7 @@
 	h, ok := d.owner(m)
 	f.PreferredHolder = ok && h.ID == d.host.ID
 	f.NearerHostExists = ok && d.Location.FailureDomain != m.Location.FailureDomain && h.FailureDomain == m.Location.FailureDomain
+	f.FarFromPrimary = d.Location.Region != m.Location.Region
 	f.PrimaryListed, f.PrimaryDraining = true, m.Draining
 	f.PrimaryHealth = &takeover.ConnectionHealth{Failures: d.primaryFailures, LastReply: d.lastPrimaryReply}
 	return f
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -20,6 +20,9 @@
 	// NearerHostExists is set if another host is nearer to the primary, or is to hold the
 	// group since it carries less.
 	NearerHostExists bool
+	// FarFromPrimary is set if this host is in another region than the primary, so that
+	// each statement takes the round trip between regions.
+	FarFromPrimary bool
 	// WorkPending is set while work that the host has started on the primary
 	// has not ended.
 	WorkPending bool
@@ -114,11 +117,24 @@
 		return nil
 	case known && !g.lease.Restored() && !f.TakeoverAllowed:
 		return nil
+	case f.FarFromPrimary && known && !g.farTakeoverDue(now):
+		return nil
 	default:
 		return AcquireLease{}
 	}
 }
 
+// farTakeoverDue reports whether a host of another region may take the lease over: not
+// right after it could do so, or could do so again, since nearer hosts may have started
+// that it doesn't know of yet.
+func (g *Group) farTakeoverDue(now time.Time) bool {
+	if now.Sub(g.farAskedAt) > farTakeoverDelay {
+		g.farSince = now
+	}
+	g.farAskedAt = now
+	return now.Sub(g.farSince) >= farTakeoverDelay
+}
+
 // holderAction returns the action that the holder must take now, or nil.
 func (g *Group) holderAction(f HostState, now time.Time) Action {
 	switch {
@@ -165,6 +181,9 @@
 	if g.nearerSince.IsZero() {
 		g.nearerSince = now
 	}
+	if f.FarFromPrimary {
+		return now.Sub(g.nearerSince) > farTransferDelay
+	}
 	return now.Sub(g.nearerSince) > transferDelay
 }
 
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -33,6 +33,10 @@
 	// before the lease is transferred to it, so that a short suspicion of a
 	// host doesn't move the lease.
 	transferDelay = 2 * time.Second
+	// farTransferDelay is the same from a host of another region than the primary's, and
+	// farTakeoverDelay how long such a host leaves a takeover to nearer ones.
+	farTransferDelay = 400 * time.Millisecond
+	farTakeoverDelay = 300 * time.Millisecond
 )
 
 // targetPending is the Target in the record while a promotion may be requested.
@@ -128,6 +132,9 @@
 	// nearerSince is since when another host has been nearer to the primary;
 	// zero if none is.
 	nearerSince time.Time
+	// farSince is since when this host, which is far from the primary, could take the
+	// lease over, and farAskedAt when that was last so.
+	farSince, farAskedAt time.Time
 }
 
 // New returns the empty state of a group on the host self.
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -126,6 +126,14 @@
 		Expect(g.NextAction(f, start.Add(3*time.Second))).To(Equal(takeover.TransferLease{}))
 	})
 
+	It("is to transfer the lease sooner if this host is in another region than the primary", func() {
+		g, f := newHolder(), healthyState()
+		f.NearerHostExists, f.FarFromPrimary = true, true
+		Expect(g.NextAction(f, start)).To(BeNil())
+		f.PrimaryHealth.LastReply = start.Add(500 * time.Millisecond)
+		Expect(g.NextAction(f, start.Add(500*time.Millisecond))).To(Equal(takeover.TransferLease{}))
+	})
+
 	It("is none once the lease has expired", func() {
 		g := newHolder()
 		Expect(g.MaySendWork(start.Add(lease.Validity - 1))).To(BeTrue())
@@ -160,6 +168,29 @@
 	})
 })
 
+var _ = Describe("a host of another region than the primary's", func() {
+	f := takeover.HostState{Registered: true, TakeoverAllowed: true, PreferredHolder: true, FarFromPrimary: true}
+
+	It("leaves a takeover to nearer hosts at first", func() {
+		g := takeover.New(lease.Holder{ID: "b"})
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}}, 4)
+		for t := time.Duration(0); t < 300*time.Millisecond; t += 80 * time.Millisecond {
+			Expect(g.NextAction(f, start.Add(t))).To(BeNil())
+		}
+		Expect(g.NextAction(f, start.Add(320*time.Millisecond))).To(Equal(takeover.AcquireLease{}))
+	})
+
+	It("waits again if a nearer one was live meanwhile", func() {
+		g := takeover.New(lease.Holder{ID: "b"})
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}}, 4)
+		Expect(g.NextAction(f, start)).To(BeNil())
+		o := f
+		o.PreferredHolder = false
+		Expect(g.NextAction(o, start.Add(200*time.Millisecond))).To(BeNil())
+		Expect(g.NextAction(f, start.Add(400*time.Millisecond))).To(BeNil())
+	})
+})
+
 var _ = Describe("a process that has started at the holder's address", func() {
 	self, before := lease.Holder{ID: "b", Address: "h:1"}, lease.Holder{ID: "a", Address: "h:1"}
 
