pool: statements in transit don't leave a distant member's slots idle

Now the pool measures how long a request holds a slot without being served, and sends as many more statements as keep the slots busy. Near members get one beyond their slots, as before.

--- a/pool/conn.go
+++ b/pool/conn.go
@@ -39,6 +39,9 @@
 	team     string
 	values   []query.Value
 	prepared map[string]bool
+	// took is how long the last step took, and roundTrip the last one that needed no slot
+	// of the member; zero if none was run for the present request.
+	took, roundTrip time.Duration
 }
 
 // valuesKey identifies session values.
@@ -69,7 +72,7 @@
 	if c.prepared[n] {
 		return query.Reply{}, nil
 	}
-	o, err := c.RunStep(query.PrepareTemplate{Name: n, Template: *r.Template}, deadline)
+	o, err := c.runSetUpStep(query.PrepareTemplate{Name: n, Template: *r.Template}, deadline)
 	if err == nil && o.Failure == nil {
 		c.prepared[n] = true
 	}
@@ -78,7 +81,7 @@
 
 func (c *conn) setValues(v []query.Value, deadline time.Time) (query.Reply, error) {
 	if len(c.values) > 0 {
-		o, err := c.RunStep(query.ResetSession{}, deadline)
+		o, err := c.runSetUpStep(query.ResetSession{}, deadline)
 		if err != nil || o.Failure != nil {
 			return o, err
 		}
@@ -86,7 +89,7 @@
 	}
 	c.values = nil
 	for _, x := range v {
-		o, err := c.RunStep(query.SetValue{Value: x}, deadline)
+		o, err := c.runSetUpStep(query.SetValue{Value: x}, deadline)
 		if err != nil || o.Failure != nil {
 			return o, err
 		}
@@ -94,3 +97,13 @@
 	}
 	return query.Reply{}, nil
 }
+
+// runSetUpStep runs a step that needs no slot of the member.
+func (c *conn) runSetUpStep(s query.Step, deadline time.Time) (query.Reply, error) {
+	t := time.Now()
+	o, err := c.RunStep(s, deadline)
+	if err == nil {
+		c.roundTrip = time.Since(t)
+	}
+	return o, err
+}
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -95,9 +95,14 @@
 		k.giveUp()
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
+	t := p.config.Now()
+	c.roundTrip = 0
 	stop := p.cutOverdueRead(k.slot, c, r)
 	o, broken := p.runOn(c, r, floor, d, g)
 	stop()
+	if held := p.config.Now().Sub(t); o.Failure == nil {
+		p.limit.observe(held, c.took, c.roundTrip)
+	}
 	if o.Failure != nil && o.Failure.Reason.NotRun() {
 		k.giveUp()
 	} else {
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -7,9 +7,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
-	"github.com/dragonflypick/dragonflypick/admission"
 	"github.com/dragonflypick/dragonflypick/catalog"
-	"github.com/dragonflypick/dragonflypick/gate"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/pace"
 	"github.com/dragonflypick/dragonflypick/query"
@@ -36,45 +34,30 @@
 type pacer struct {
 	config PaceConfig
 	member catalog.Member
-	slots  *gate.Gate
+	limit  *slotLimit
 	log    hclog.Logger
 	now    func() time.Time
 
 	mu   sync.Mutex
 	pace *pace.Pace
-	// gateConfig is the configuration of slots for the limit in force.
-	gateConfig admission.Config
 	// direction is the sign of the last change of the limit.
 	direction int
 }
 
-// newPacer returns a pacer, or nil if the pool's limits are fixed. slots has the
-// configuration s.
-func newPacer(c Config, connections int, slots *gate.Gate, s admission.Config) *pacer {
+// newPacer returns a pacer, or nil if the pool's limits are fixed.
+func newPacer(c Config, connections int, l *slotLimit) *pacer {
 	if c.Pace == nil {
 		return nil
 	}
 	m := c.Member
 	a := &pacer{
-		config: *c.Pace, member: m, slots: slots, log: c.Log, now: c.Now, gateConfig: s,
+		config: *c.Pace, member: m, limit: l, log: c.Log, now: c.Now,
 		pace: pace.New(pace.Config{Slots: m.Slots, Connections: connections, Cold: m.ColdRemaining, Fresh: c.Pace.Fresh, Known: c.Pace.Known}, c.Now()),
 	}
-	a.configureGate()
+	l.setPaced(a.pace.Limit())
 	return a
 }
 
-// configureGate gives the gate the limit in force; a.mu is held.
-func (a *pacer) configureGate() {
-	n := a.pace.Limit()
-	if n >= a.member.Slots {
-		n = a.member.Slots + queuedStatements
-	}
-	if n != a.gateConfig.Slots {
-		a.gateConfig.Slots = n
-		a.slots.Configure(a.gateConfig)
-	}
-}
-
 func (a *pacer) handle(e pace.Event) {
 	a.mu.Lock()
 	c := a.pace.Handle(e, a.now())
@@ -82,7 +65,7 @@
 		a.mu.Unlock()
 		return
 	}
-	a.configureGate()
+	a.limit.setPaced(a.pace.Limit())
 	d := 0
 	switch {
 	case c.To > c.From:
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -81,6 +81,7 @@
 	// that a connection is left for each slot.
 	slots        *gate.Gate
 	transactions *gate.Gate
+	limit        *slotLimit
 	// pacer is nil if the limits are fixed.
 	pacer    *pacer
 	pressure pressureGauge
@@ -122,7 +123,7 @@
 // New returns a pool without connections.
 func New(c Config) *Pool {
 	n := max(c.Connections-reservedConnections, 2)
-	s := admission.Config{Slots: c.Member.Slots + queuedStatements}
+	var s admission.Config
 	t := admission.Config{Slots: max(n-c.Member.Slots, 1)}
 	t.ReservedSlots = min(reservedTransactions, t.Slots-1)
 	for _, q := range []*admission.Config{&s, &t} {
@@ -132,9 +133,9 @@
 	if c.Metrics == nil {
 		c.Metrics = NewMetrics()
 	}
-	g := gate.New(s)
+	l := newSlotLimit(c.Member.Slots, n, s)
 	p := &Pool{
-		config: c, slots: g, pacer: newPacer(c, n, g, s), transactions: gate.New(t), txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
+		config: c, slots: l.gate, limit: l, pacer: newPacer(c, n, l), transactions: gate.New(t), txs: map[string]*tx{}, abandoned: map[string]time.Time{}, lastReply: c.Now(),
 		set: teamconns.New(teamconns.Config{Connections: n, Slots: c.Member.Slots}), conns: map[uint64]*conn{}, waiting: map[uint64]chan decision{},
 	}
 	p.slots.ShareByWeight(c.TeamWeight)
@@ -211,8 +212,12 @@
 		o, err = c.RunStep(s, deadline)
 		return err
 	})
+	c.took = p.config.Now().Sub(t)
 	if err == nil {
 		p.recordReply(o, t)
+		if needsNoSlot(s) {
+			c.roundTrip = c.took
+		}
 	}
 	if p.config.ObserveStatement != nil {
 		p.observeStatement(s, o, p.config.Now().Sub(t), err)
