peer: calls between regions are compressed

Most of what crosses the thin links between regions are statements and their answers as JSON. A link's new stream type is only opened towards another region.

--- a/peer/dial.go
+++ b/peer/dial.go
@@ -21,10 +21,15 @@
 	n.mu.Lock()
 	self := n.config.Self
 	n.mu.Unlock()
-	if err := sendHello(c, n.config.Secret, self, expectedID(h)); err != nil {
+	compresses, err := sendHello(c, n.config.Secret, self, expectedID(h))
+	if err != nil {
 		_ = c.Close()
 		return nil, nil, err
 	}
+	kind, newStream := streamControl, jsonrpc2.NewPlainObjectStream
+	if compresses && h.Region != "" && h.Region != self.Region {
+		kind, newStream = streamCompressedControl, newCompressedStream
+	}
 	s, err := newSession(n.countBytes(c, h.Region), clientSession)
 	if err != nil {
 		_ = c.Close()
@@ -32,7 +37,7 @@
 	}
 	t, err := s.openStream()
 	if err == nil {
-		_, err = t.Write([]byte{streamControl})
+		_, err = t.Write([]byte{kind})
 	}
 	if err != nil {
 		_ = s.Close()
@@ -41,7 +46,7 @@
 	d := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "calls go the other way"}
 	})
-	return s, jsonrpc2.NewConn(n.ctx, jsonrpc2.NewPlainObjectStream(t), d, n.logger()), nil
+	return s, jsonrpc2.NewConn(n.ctx, newStream(t), d, n.logger()), nil
 }
 
 // ShowsEnd reports whether the failure of a call shows that the daemon has ended:
--- a/peer/hello.go
+++ b/peer/hello.go
@@ -25,6 +25,8 @@
 // challenge is the first line of a connection; the accepting daemon sends it.
 type challenge struct {
 	Nonce []byte `json:"nonce"`
+	// Compresses is set if the daemon accepts streams of compressed calls.
+	Compresses bool `json:"compresses,omitempty"`
 }
 
 // hello is the dialing daemon's reply: its host and its proof that it has the
@@ -72,7 +74,7 @@
 		return h.Host, Error.Wrap(err)
 	}
 	n := newNonce()
-	if err := writeLine(c, challenge{Nonce: n}); err != nil {
+	if err := writeLine(c, challenge{Nonce: n, Compresses: true}); err != nil {
 		return h.Host, err
 	}
 	if err := readLine(c, &h); err != nil {
@@ -92,31 +94,32 @@
 }
 
 // sendHello runs the dialing daemon's side of the handshake: it sends its proof
-// of the secret and checks the accepting daemon's proof.
-func sendHello(c net.Conn, secret string, self membership.Host, wantedID string) error {
+// of the secret and checks the accepting daemon's proof. It returns whether that daemon
+// accepts streams of compressed calls.
+func sendHello(c net.Conn, secret string, self membership.Host, wantedID string) (compresses bool, err error) {
 	if err := c.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
-		return Error.Wrap(err)
+		return false, Error.Wrap(err)
 	}
 	var a challenge
 	if err := readLine(c, &a); err != nil {
-		return err
+		return false, err
 	}
 	h := hello{Host: self, WantedID: wantedID, Nonce: newNonce()}
 	h.Proof = newProof(secret, "call", a.Nonce, h.Nonce, []byte(self.ID))
 	if err := writeLine(c, h); err != nil {
-		return err
+		return false, err
 	}
 	var w welcome
 	if err := readLine(c, &w); err != nil {
-		return err
+		return false, err
 	}
 	if w.ActualID != "" && hmac.Equal(w.Proof, newProof(secret, "other", h.Nonce, a.Nonce, []byte(w.ActualID))) {
-		return Error.Wrap(&WrongHostError{Host: w.ActualID})
+		return false, Error.Wrap(&WrongHostError{Host: w.ActualID})
 	}
 	if !hmac.Equal(w.Proof, newProof(secret, "answer", h.Nonce, a.Nonce)) {
-		return Error.Wrap(&ProtocolError{Reason: "the daemon's proof of the shared secret is wrong"})
+		return false, Error.Wrap(&ProtocolError{Reason: "the daemon's proof of the shared secret is wrong"})
 	}
-	return Error.Wrap(c.SetDeadline(time.Time{}))
+	return a.Compresses, Error.Wrap(c.SetDeadline(time.Time{}))
 }
 
 func writeLine(c net.Conn, v any) error {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -38,8 +38,9 @@
 
 // The first byte of a stream is its type.
 const (
-	streamControl   = byte('c')
-	streamStatement = byte('s')
+	streamControl           = byte('c')
+	streamCompressedControl = byte('z')
+	streamStatement         = byte('s')
 )
 
 // Config holds a node's settings.
@@ -223,7 +224,11 @@
 	switch b[0] {
 	case streamStatement:
 		n.config.HandleStream(x, NewStream(t))
-	case streamControl:
+	case streamControl, streamCompressedControl:
+		newStream := jsonrpc2.NewPlainObjectStream
+		if b[0] == streamCompressedControl {
+			newStream = newCompressedStream
+		}
 		h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(x context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 			s.use.calls.Add(1)
 			defer s.use.calls.Add(-1)
@@ -235,7 +240,7 @@
 			})
 			return o, err
 		}))
-		c := jsonrpc2.NewConn(x, jsonrpc2.NewPlainObjectStream(t), h, n.logger())
+		c := jsonrpc2.NewConn(x, newStream(t), h, n.logger())
 		<-c.DisconnectNotify()
 	default:
 		_ = t.Close()
