--- a/peer/compressed_test.go
+++ b/peer/compressed_test.go
@@ -60,7 +60,8 @@
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		var o any
 		s := newCompressedStream(&memoryStream{*bytes.NewBuffer(b)})
-		for s.ReadObject(&o) == nil {
+		for err := error(nil); err == nil; {
+			err = s.ReadObject(&o)
 		}
 	})
 }
