fleet: a request is refused at once when its group can't get a holder

Now the entry refuses it at once, as not run, with when to come back. A request for the end of the log is given up after 0.35 s instead of 0.7 s.

--- a/fleet/borrow.go
+++ b/fleet/borrow.go
@@ -58,12 +58,12 @@
 	defer f.endCalls(b)
 	hint := ""
 	for x.Err() == nil {
-		h, ok, cutOff := f.findHolder(b.group, hint)
+		h, found := f.findHolder(b.group, hint)
 		f.rates.mu.Lock()
 		switch {
-		case cutOff:
+		case found == holderOutOfReach:
 			b.refuseAll(&refusal{reason: refusedCutOff, retryAfter: isolatedRetryAfter})
-		case !ok:
+		case found != holderFound:
 			b.refuseAll(&refusal{reason: refusedUnreachable, retryAfter: unknownRetryAfter})
 		}
 		c, ok := b.Call(now())
--- a/fleet/explain.go
+++ b/fleet/explain.go
@@ -140,8 +140,8 @@
 // peekAccountant returns what is known of an accountant of a team, and the refusal that
 // an operation gets without the accountant being asked, if any. It takes no token.
 func (f *Daemon) peekAccountant(group, team string) (explanation.Accountant, *refusal) {
-	h, known, cutOff := f.findHolder(group, "")
-	a := explanation.Accountant{Group: group, Host: h.ID, Reachable: known && !cutOff, RefusedMS: -1}
+	h, found := f.findHolder(group, "")
+	a := explanation.Accountant{Group: group, Host: h.ID, Reachable: found == holderFound, RefusedMS: -1}
 	t := now()
 	f.rates.mu.Lock()
 	defer f.rates.mu.Unlock()
@@ -154,9 +154,9 @@
 		}
 	}
 	switch {
-	case cutOff:
+	case found == holderOutOfReach:
 		return a, &refusal{reason: refusedCutOff, retryAfter: isolatedRetryAfter}
-	case !known:
+	case found != holderFound:
 		return a, &refusal{reason: refusedUnreachable, retryAfter: unknownRetryAfter}
 	}
 	return a, nil
--- a/fleet/explainroute.go
+++ b/fleet/explainroute.go
@@ -12,19 +12,22 @@
 // explainPrimary adds the steps of a request that only the primary may run, and returns
 // where it would go.
 func (f *Daemon) explainPrimary(e *explanation.Explanation, r *query.Request) explanation.Decision {
-	h, known, cutOff := f.findHolder(r.Group, "")
+	h, found := f.findHolder(r.Group, "")
 	p := f.describePrimary(r)
-	p.Holder, p.Reachable = h.ID, known && !cutOff
+	p.Holder, p.Reachable = h.ID, found == holderFound
 	e.Primary = p
 	if f.config.Features.Pressure {
 		e.Steps = append(e.Steps, f.explainPressure(p, r))
 	}
 	s := explanation.Step{Name: explanation.StepHolder, Verdict: explanation.Passes, RetryAfterMS: gapReturnMS(e)}
 	switch {
-	case cutOff:
+	case found == holderOutOfReach:
 		s.Verdict, s.Reason, s.RetryAfterMS = explanation.Refuses, "this daemon is cut off from the others", isolatedRetryAfter.Milliseconds()
 		s.Change = "this daemon reaches the others; until then another daemon may serve"
-	case !known:
+	case found == holderLost:
+		s.Verdict, s.Reason, s.RetryAfterMS = explanation.Refuses, "the holder of group "+r.Group+" doesn't answer, and the store can't be reached", lostRetryAfter.Milliseconds()
+		s.Change = "this daemon reaches the store, or one that does; until then another daemon may serve"
+	case found == holderUnknown:
 		s.Verdict, s.Reason = explanation.Waits, "no reachable holder of group "+r.Group+" is known"
 		s.Change = "a reachable host holds the group within the database's timeout"
 	case h.ID == f.config.Self.ID && !p.Serving:
--- a/fleet/position.go
+++ b/fleet/position.go
@@ -20,8 +20,9 @@
 	// log. It does so for replicaReadWindow after the last read at the replica.
 	positionInterval  = 250 * time.Millisecond
 	replicaReadWindow = 3 * time.Second
-	// positionTimeout bounds one request for the end of the log.
-	positionTimeout = 700 * time.Millisecond
+	// positionTimeout bounds one request for the end of the log, which takes a few round
+	// trips between regions. Reads wait for it.
+	positionTimeout = 350 * time.Millisecond
 )
 
 // readFloor returns the position that a replica must hold to serve a read, or
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -10,6 +10,7 @@
 	"github.com/dragonflypick/dragonflypick/entry"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/storecopy"
 )
 
 // Timing and limits of routing.
@@ -31,6 +32,9 @@
 	// because this daemon is cut off; the caller should retry through another
 	// daemon.
 	isolatedRetryAfter = 500 * time.Millisecond
+	// lostRetryAfter is the least retry-after interval of a request whose group can't get
+	// a holder before the store is back; outages take seconds.
+	lostRetryAfter = 500 * time.Millisecond
 	// Assumed round trips to a host, by its location.
 	sameDomainRTT  = 500 * time.Microsecond
 	sameRegionRTT  = 4 * time.Millisecond
@@ -130,15 +134,17 @@
 			}
 			return o
 		}
-		h, ok, cutOff := f.findHolder(r.Group, hint)
-		if !ok {
+		h, why := f.findHolder(r.Group, hint)
+		switch why {
+		case holderUnknown:
 			f.exchangeSoon()
-		}
-		if cutOff {
+		case holderOutOfReach:
 			o.Failure = &query.Failure{Reason: query.Overloaded, Text: "this daemon is cut off from the others", RetryAfter: isolatedRetryAfter}
 			return o
-		}
-		if ok {
+		case holderLost:
+			o.Failure = &query.Failure{Reason: query.Overloaded, Text: "the group has no holder, and the store can't be reached", RetryAfter: lostRetryAfter + rand.N(lostRetryAfter)}
+			return o
+		case holderFound:
 			o = f.executeAt(x, h, r, left)
 			mayHaveRunBefore = mayHaveRunBefore || mayHaveRun(o.Failure)
 			if o.Failure == nil || o.Failure.Reason != query.Moved && o.Failure.Reason != query.Unreachable {
@@ -153,13 +159,35 @@
 	}
 }
 
-// findHolder returns the host that holds a group, as holderHost does, and whether this
-// daemon is cut off from it.
-func (f *Daemon) findHolder(name, hint string) (h membership.Host, known, cutOff bool) {
+// holderSearch is the result of looking for a group's holder.
+type holderSearch int
+
+const (
+	holderFound holderSearch = iota
+	// holderUnknown means that another one may become known soon.
+	holderUnknown
+	// holderOutOfReach means that this daemon is cut off from all others.
+	holderOutOfReach
+	// holderLost means that the holder doesn't answer, and that this daemon can't learn of
+	// another one, since it hears nothing of the store.
+	holderLost
+)
+
+// findHolder looks for the host that holds a group, as holderHost does.
+func (f *Daemon) findHolder(name, hint string) (membership.Host, holderSearch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	h, known = f.holderHost(name, hint)
-	return h, known, f.isolated() && h.ID != f.config.Self.ID
+	h, known := f.holderHost(name, hint)
+	switch {
+	case f.isolated() && h.ID != f.config.Self.ID:
+		return h, holderOutOfReach
+	case known:
+		return h, holderFound
+	}
+	if age, ok := f.copy.Age(now()); ok && storecopy.IsLate(f.currentOverlay(), age) {
+		return h, holderLost
+	}
+	return h, holderUnknown
 }
 
 // holderHost returns the host with ID hint if this daemon's view contains it, else
--- a/storecopy/source.go
+++ b/storecopy/source.go
@@ -84,9 +84,13 @@
 // ShouldWatch reports whether the daemon has to watch the store itself. age is that
 // of its copy.
 func (s *Source) ShouldWatch(o gossip.Overlay, age time.Duration) bool {
-	return o.Watches || age > maxAge(o.Level)
+	return o.Watches || IsLate(o, age)
 }
 
+// IsLate reports whether a copy of the given age isn't kept up to date: neither the store
+// nor an upstream has told anything for longer than changes take to arrive.
+func IsLate(o gossip.Overlay, age time.Duration) bool { return age > maxAge(o.Level) }
+
 // Upstream returns the host to fetch changes from next, or false if there is none.
 func (s *Source) Upstream(o gossip.Overlay) (membership.Host, bool) {
 	if len(o.Upstreams) == 0 {
