fleet, peer: silent hosts are noticed after 0.6 s instead of 1 s

A host that is only slow loses its groups to another one that acts for the same primary, which is safe.

--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -21,6 +21,9 @@
 	// suspectCheckInterval is how often a host that another daemon suspects is
 	// checked at most.
 	suspectCheckInterval = 2 * time.Second
+	// pingTimeout is how long a silent host has to answer a ping, ten round trips to
+	// another region. Until then its groups are without a holder.
+	pingTimeout = 600 * time.Millisecond
 	// minExchangeInterval is the least time between two exchanges for which requests
 	// wait.
 	minExchangeInterval = 50 * time.Millisecond
@@ -251,7 +254,7 @@
 // pingHost checks whether a host's process still answers, and marks it as not
 // reachable otherwise.
 func (f *Daemon) pingHost(x context.Context, h membership.Host) {
-	y, stop := context.WithTimeout(x, controlTimeout)
+	y, stop := context.WithTimeout(x, pingTimeout)
 	defer stop()
 	err := f.node.Call(y, h, methodPing, nil, nil)
 	if err == nil {
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -31,7 +31,7 @@
 	dialTimeout = 500 * time.Millisecond
 	// writeTimeout bounds a write and the answer to a ping; a link that takes
 	// longer is closed.
-	writeTimeout = time.Second
+	writeTimeout = 600 * time.Millisecond
 	// idleTimeout is the time after which an unused link is closed.
 	idleTimeout = 20 * time.Second
 )
