--- a/pool/execute.go
+++ b/pool/execute.go
@@ -128,6 +128,7 @@
 		mu.Lock()
 		defer mu.Unlock()
 		if !ended {
+			p.config.Metrics.overdueReads.Inc()
 			p.config.Log.Info("overdue read cut", "member", p.config.Member.ID, "id", r.ID, "transaction", r.Transaction)
 			c.Close()
 		}
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -5,6 +5,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/teamconns"
 )
 
@@ -22,23 +23,58 @@
 // use.
 type Metrics struct {
 	opened, closed, failed *prometheus.CounterVec
+	// steps counts what the members ran, and stepSeconds how long that took, by step.
+	steps, stepSeconds *prometheus.CounterVec
+	// overdueReads counts the reads that were given up since their answer was probably
+	// lost.
+	overdueReads prometheus.Counter
 }
 
 // NewMetrics returns metrics at zero.
 func NewMetrics() *Metrics {
-	v := func(name, help string) *prometheus.CounterVec {
-		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{"reason"})
+	labeled := func(label, name, help string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
 	}
+	v := func(name, help string) *prometheus.CounterVec { return labeled("reason", name, help) }
 	return &Metrics{
-		opened: v("dragonflypick_member_connections_opened_total", "Connections opened to members, by why the request didn't use an open one."),
-		closed: v("dragonflypick_member_connections_closed_total", "Idle connections to members that were closed, by reason."),
-		failed: v("dragonflypick_member_connections_failed_total", "Connections to members that could not be opened, by reason."),
+		opened:      v("dragonflypick_member_connections_opened_total", "Connections opened to members, by why the request didn't use an open one."),
+		closed:      v("dragonflypick_member_connections_closed_total", "Idle connections to members that were closed, by reason."),
+		failed:      v("dragonflypick_member_connections_failed_total", "Connections to members that could not be opened, by reason."),
+		steps:       labeled("step", "dragonflypick_member_steps_total", "Steps that members of this daemon ran, by step."),
+		stepSeconds: labeled("step", "dragonflypick_member_step_seconds_total", "Time that the steps took at members, waiting there included, by step. Statements and commits take a slot."),
+		overdueReads: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "dragonflypick_member_overdue_reads_total", Help: "Reads given up before their deadline since their answer was probably lost.",
+		}),
 	}
 }
 
 // Collectors returns the collectors to register with a metrics server.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.opened, m.closed, m.failed}
+	return []prometheus.Collector{m.opened, m.closed, m.failed, m.steps, m.stepSeconds, m.overdueReads}
+}
+
+// countStep counts a step that a member ran.
+func (m *Metrics) countStep(s query.Step, took time.Duration) {
+	n := stepName(s)
+	m.steps.WithLabelValues(n).Inc()
+	m.stepSeconds.WithLabelValues(n).Add(took.Seconds())
+}
+
+// stepName returns the name of a step in metrics.
+func stepName(s query.Step) string {
+	switch s := s.(type) {
+	case query.RunStatement:
+		return "statement"
+	case query.BeginTransaction:
+		return "begin"
+	case query.EndTransaction:
+		if s.Commit {
+			return "commit"
+		}
+		return "rollback"
+	default:
+		return "set-up"
+	}
 }
 
 func (m *Metrics) countOpeningFailed(full bool) {
--- a/pool/overdue_test.go
+++ b/pool/overdue_test.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/zeebo/errs"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
@@ -46,10 +47,27 @@
 	return c.Conn.RunStep(s, d)
 }
 
+// sum returns the sum of a metric over its labels.
+func sum(m *pool.Metrics, name string) (o float64) {
+	r := prometheus.NewRegistry()
+	r.MustRegister(m.Collectors()...)
+	l, err := r.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, f := range l {
+		if f.GetName() == name {
+			for _, x := range f.GetMetric() {
+				o += x.GetCounter().GetValue()
+			}
+		}
+	}
+	return o
+}
+
 var _ = DescribeTable("a statement whose answer is lost, while others are answered", func(a query.Action, want query.Reason, soon bool) {
 	const limit = 2 * time.Second
+	m := pool.NewMetrics()
 	p := pool.New(pool.Config{
-		Member: catalog.Member{ID: "m", Slots: 2}, Connections: 10, Dialer: silentMember{&member{limit: 10, statementTime: 2 * time.Millisecond}}, Now: time.Now,
+		Metrics: m, Member: catalog.Member{ID: "m", Slots: 2}, Connections: 10, Dialer: silentMember{&member{limit: 10, statementTime: 2 * time.Millisecond}}, Now: time.Now,
 		ObservePosition: func(logpos.Position, time.Time) {}, Log: hclog.NewNullLogger(),
 	})
 	t := time.Now()
@@ -71,6 +89,13 @@
 	Expect(o.Failure.Reason).To(Equal(want))
 	Expect(took < limit/2).To(Equal(soon))
 	Expect(p.Busy()).To(BeZero())
+	given := 0.0
+	if soon {
+		given = 1
+	}
+	Expect(sum(m, "dragonflypick_member_overdue_reads_total")).To(Equal(given))
+	Expect(sum(m, "dragonflypick_member_steps_total")).To(BeNumerically(">", 10))
+	Expect(sum(m, "dragonflypick_member_step_seconds_total")).To(BeNumerically(">", took.Seconds()))
 },
 	Entry("is given up soon if it is a read, which can run again", query.ActionRead, query.Unreachable, true),
 	Entry("is waited for until its deadline if it is a write", query.ActionWrite, query.InDoubt, false),
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -213,6 +213,7 @@
 		return err
 	})
 	c.took = p.config.Now().Sub(t)
+	p.config.Metrics.countStep(s, c.took)
 	if err == nil {
 		p.recordReply(o, t)
 		if needsNoSlot(s) {
