takeover, fleet: requests are refused at once while a failed primary can't be replaced

A holder must wait 11.5 s for a previous holder that it can't reach before it may replace the primary. Now it checks a silent primary in turn with the previous holder, and refuses what can't be served before that wait ends, as not run, with when to come back; a primary that answers again is used at once.

--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -216,11 +216,15 @@
 	}
 	id, _ := g.Primary()
 	m, ok := f.table.Member(id)
+	blocked := f.primaryBlockedFor(g, id)
 	var p *pool.Pool
 	if ok {
 		p = f.memberPool(m)
 	}
 	f.mu.Unlock()
+	if blocked > r.Remaining-time.Since(t) {
+		return blockedResponse(m.ID, blocked)
+	}
 	if !ok {
 		return query.Response{Reply: query.Refusal(query.Overloaded, "the primary is not known"), Unavailable: f.config.Features.Pressure}
 	}
@@ -231,6 +235,26 @@
 	return o
 }
 
+// primaryBlockedFor returns for how long a primary that has failed can't be replaced yet,
+// zero if it hasn't failed or can be replaced; f.mu is held.
+func (f *Daemon) primaryBlockedFor(g *group, id string) time.Duration {
+	_, ok := f.table.Member(id)
+	t := now()
+	u := g.BlockedUntil(ok && f.evictAt[id].IsZero(), t)
+	if u.IsZero() || g.Holder().ID != f.config.Self.ID {
+		return 0
+	}
+	return u.Sub(t)
+}
+
+// blockedResponse refuses a request for a primary that has failed and can't be replaced
+// before the request's deadline.
+func blockedResponse(member string, blocked time.Duration) query.Response {
+	o := query.Response{Reply: query.Refusal(query.Overloaded, "the primary has failed, and an earlier holder of the group may still use it"), Member: member}
+	o.Failure.RetryAfter, o.QueueWait = blocked+replacementRetryAfter, blocked
+	return o
+}
+
 // serveRead runs a read on the member that the request names.
 func (f *Daemon) serveRead(x context.Context, r *query.Request) query.Response {
 	t, n := time.Now(), now()
@@ -242,8 +266,15 @@
 		f.mu.Unlock()
 		return query.Response{Reply: query.Refusal(query.Moved, "the member is not served here")}
 	}
+	blocked := time.Duration(0)
+	if id, _ := g.Primary(); id == m.ID {
+		blocked = f.primaryBlockedFor(g, id)
+	}
 	p := f.memberPool(m)
 	f.mu.Unlock()
+	if blocked > r.Remaining {
+		return blockedResponse(m.ID, blocked)
+	}
 	after, ok := f.readFloor(x, g, n.Add(-r.MaxAge), r.Floor)
 	if !ok {
 		return query.Response{Reply: query.Refusal(query.Lagging, "the end of the log is not known"), Member: m.ID, Unavailable: f.config.Features.Pressure}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -345,6 +345,18 @@
 	}
 }
 
+// UnfinishedUntil returns until when previous holders may still send work to the primary,
+// zero if none may.
+func (s *Lease) UnfinishedUntil(now time.Time) time.Time {
+	var o time.Time
+	for _, h := range s.UnfinishedHolders(now) {
+		if t := s.unfinishedUntil[h.ID]; t.After(o) {
+			o = t
+		}
+	}
+	return o
+}
+
 // ConfirmDue reports whether the record must be requested from the store now.
 func (s *Lease) ConfirmDue(now time.Time) bool {
 	return s.recordKnown && !s.restored && s.record.Holder.ID == s.self.ID && !now.Before(s.confirmAt)
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -147,7 +147,7 @@
 	case g.primaryUnrecorded(), !g.primaryUnusable && g.lease.SettleDue(now):
 		return RecordPrimary{}
 	case len(g.lease.UnfinishedHolders(now)) > 0:
-		return PollPreviousHolders{}
+		return g.waitingAction(f, now)
 	case g.primaryUnusable:
 		return ReplacePrimary{Reason: PrimaryUnusable}
 	case f.PrimaryDraining:
@@ -164,6 +164,32 @@
 	return nil
 }
 
+// waitingAction returns the next action while previous holders may still send work to the
+// primary: in turn, whether one of them has ended, and whether a silent primary answers.
+func (g *Group) waitingAction(f HostState, now time.Time) Action {
+	if h := f.PrimaryHealth; h != nil {
+		switch {
+		case now.Sub(h.LastReply) < silenceBeforeProbe:
+			g.failedProbes = 0
+		case !g.probedLast:
+			g.probedLast = true
+			return ProbePrimary{}
+		}
+	}
+	g.probedLast = false
+	return PollPreviousHolders{}
+}
+
+// BlockedUntil returns until when the holder can't replace a primary that has failed,
+// since a previous holder may still send work to it; zero if the primary hasn't failed, or
+// can be replaced. A request whose deadline is earlier can't be served.
+func (g *Group) BlockedUntil(primaryListed bool, now time.Time) time.Time {
+	if primaryListed && !g.primaryUnusable && g.failedProbes < MaxFailedProbes {
+		return time.Time{}
+	}
+	return g.lease.UnfinishedUntil(now)
+}
+
 // primaryUnrecorded reports whether the record lacks the current primary or its
 // term, or holds them as uncertain.
 func (g *Group) primaryUnrecorded() bool {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -129,6 +129,8 @@
 	// failedProbes counts the fresh connections to the primary that failed in a
 	// row.
 	failedProbes int
+	// probedLast is set if waitingAction has last returned ProbePrimary.
+	probedLast bool
 	// nearerSince is since when another host has been nearer to the primary;
 	// zero if none is.
 	nearerSince time.Time
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -118,6 +118,28 @@
 		}, takeover.PollPreviousHolders{}),
 	)
 
+	It("is to check a silent primary while a previous holder may still use it, in turn with that holder", func() {
+		g, f := newHolder(), healthyState()
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "b"}, Epoch: 1}, 2)
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Epoch: 2, PreviousHolders: []lease.Holder{{ID: "b"}}, Primary: "p", Term: 1}, 3)
+		g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("p", 1, 5)}}, start)
+		f.PrimaryHealth.LastReply = start.Add(-time.Second)
+		Expect(g.NextAction(f, start)).To(Equal(takeover.ProbePrimary{}))
+		Expect(g.NextAction(f, start)).To(Equal(takeover.PollPreviousHolders{}))
+		Expect(g.NextAction(f, start)).To(Equal(takeover.ProbePrimary{}))
+		Expect(g.BlockedUntil(true, start)).To(BeZero())
+		for range takeover.MaxFailedProbes {
+			g.Handle(takeover.PrimaryProbed{Failed: true}, start)
+		}
+		Expect(g.BlockedUntil(true, start).Sub(start)).To(BeNumerically(">", 10*time.Second))
+		f.PrimaryHealth.LastReply = start
+		g.NextAction(f, start)
+		Expect(g.BlockedUntil(true, start)).To(BeZero(), "the primary answers again")
+		Expect(g.BlockedUntil(false, start).Sub(start)).To(BeNumerically(">", 10*time.Second))
+		g.Handle(takeover.LeaseEvent{Event: lease.ProcessEnded{ProcessID: "b"}}, start)
+		Expect(g.BlockedUntil(false, start)).To(BeZero(), "it can be replaced")
+	})
+
 	It("is to transfer the lease once another host has been nearer for 3 s", func() {
 		g, f := newHolder(), healthyState()
 		f.NearerHostExists = true
