admission: open transactions that rest keep their places

Read in review of the lost answers: the queue of open transactions runs the same code, so that transactions of callers who rest counted as late, and more were opened than leave a connection for each slot. Only a member's queue of statements asks for it now (Config.LostAnswers); the queue's model checks it both ways, without it as strictly as before.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -52,6 +52,9 @@
 	// ArrivalOrder runs a caller's requests in order of arrival instead of by
 	// deadline.
 	ArrivalOrder bool
+	// LostAnswers lets a request whose answer may be lost take no slot; see Overdue. It is
+	// for requests that take about as long as others, not for open transactions.
+	LostAnswers bool
 	// EarlyRefusal is fixed by New. It refuses a waiting request once it is predicted to miss its
 	// deadline, not only at the deadline; see Queue.refuseHopeless.
 	EarlyRefusal bool
--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -43,12 +43,18 @@
 	startedAt map[uint64]time.Time
 	order     map[uint64]int
 	overtaken map[uint64]int
+	// lostAnswers is Config.LostAnswers.
+	lostAnswers bool
 }
 
-// mayStart reports whether a request outside of transactions may start: a slot is free,
-// not counting requests that four later ones have overtaken, or all slots are held for
-// longer than eight times the least slot time that is assumed.
+// mayStart reports whether a request outside of transactions may start: a slot is free. If
+// answers may be lost, requests that four later ones have overtaken don't count, and one
+// more may start while all slots are held for longer than eight times the least slot time
+// that is assumed.
 func (m *model) mayStart() bool {
+	if !m.lostAnswers {
+		return len(m.running) < 3
+	}
 	taken, fresh := 0, 0
 	for id := range m.running {
 		if m.overtaken[id] >= 4 {
@@ -110,8 +116,14 @@
 }
 
 func (m *model) check() {
-	if m.q.Running() != len(m.running) {
-		m.t.Fatalf("%d requests running, but the queue counts %d", len(m.running), m.q.Running())
+	outsideTx := 0
+	for _, r := range m.running {
+		if !r.InTransaction {
+			outsideTx++
+		}
+	}
+	if outsideTx > 3 && !m.lostAnswers || m.q.Running() != len(m.running) {
+		m.t.Fatalf("%d requests outside of transactions running in 3 slots", outsideTx)
 	}
 	var n [bundle.RankCount]int
 	inTx := 0
@@ -175,9 +187,11 @@
 }
 
 var _ = Describe("a queue", func() {
-	It("never exceeds its slots, leaves no slot free while urgent or routine requests wait, and ends each request exactly once", func() {
+	DescribeTable("never exceeds its slots, leaves no slot free while urgent or routine requests wait, and ends each request exactly once", func(lostAnswers bool) {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
-			m := &model{t: t, q: admission.New(config()), now: start, waiting: map[uint64]admission.Arrived{}, running: map[uint64]admission.Arrived{}, ended: map[uint64]bool{}, startedAt: map[uint64]time.Time{}, order: map[uint64]int{}, overtaken: map[uint64]int{}}
+			c := config()
+			c.LostAnswers = lostAnswers
+			m := &model{t: t, lostAnswers: lostAnswers, q: admission.New(c), now: start, waiting: map[uint64]admission.Arrived{}, running: map[uint64]admission.Arrived{}, ended: map[uint64]bool{}, startedAt: map[uint64]time.Time{}, order: map[uint64]int{}, overtaken: map[uint64]int{}}
 			t.Repeat(map[string]func(*rapid.T){"arrive": m.arrive, "arrive-more": m.arrive, "finish": m.finish, "withdraw": m.withdraw, "pass": m.advance})
 			for len(m.running) > 0 {
 				for id := uint64(1); id <= m.next; id++ {
@@ -192,7 +206,10 @@
 				t.Fatalf("%d requests left waiting after their deadlines", len(m.waiting))
 			}
 		})
-	})
+	},
+		Entry("counting requests", false),
+		Entry("leaving out those whose answers may be lost", true),
+	)
 
 	It("starts urgent requests first, reserves a slot from background requests, and gives each rank its share", func() {
 		q := admission.New(config())
--- a/admission/overdue.go
+++ b/admission/overdue.go
@@ -29,6 +29,9 @@
 // one would hold a slot until the deadline, while the server is idle. A late request
 // takes no slot any more; if the server still works on it, the next one waits there.
 func (q *Queue) countOvertaken(ended *request, now time.Time) []Action {
+	if !q.config.LostAnswers {
+		return nil
+	}
 	var o []Action
 	for _, r := range q.running {
 		if r.overdue || r.order >= ended.order {
@@ -58,7 +61,7 @@
 // server still answers.
 func (q *Queue) occupied(now time.Time) int {
 	n := len(q.running) - q.late
-	if n < q.config.Slots || now.Sub(q.answeredAt) > progressTime {
+	if !q.config.LostAnswers || n < q.config.Slots || now.Sub(q.answeredAt) > progressTime {
 		return n
 	}
 	for _, r := range q.running {
--- a/admission/overdue_test.go
+++ b/admission/overdue_test.go
@@ -13,7 +13,9 @@
 var _ = Describe("a member that loses a fifth of its answers", func() {
 	It("serves nearly all reads in time, though each lost answer would hold a slot for 0.8 s", func() {
 		for seed := range uint64(playedSeeds) {
-			p := newPlayer(memberConfig(), seed)
+			c := memberConfig()
+			c.LostAnswers = true
+			p := newPlayer(c, seed)
 			p.lost = 0.2
 			p.add(source{rank: bundle.Background, perSecond: 120, work: 12 * time.Millisecond, limit: 800 * time.Millisecond, to: 5 * time.Second})
 			o := total(p.run(8 * time.Second))
--- a/pool/overdue_test.go
+++ b/pool/overdue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -100,3 +101,25 @@
 	Entry("is given up soon if it is a read, which can run again", query.ActionRead, query.Unreachable, true),
 	Entry("is waited for until its deadline if it is a write", query.ActionWrite, query.InDoubt, false),
 )
+
+var _ = It("Transactions that rest keep their places while others come and go", func() {
+	m := &member{limit: 10, statementTime: time.Millisecond}
+	p := newPool(m, 2, 8)
+	open := func(name string) bool {
+		r := request(name, name, query.First, query.ActionRead)
+		r.Remaining = 50 * time.Millisecond
+		return p.Execute(context.Background(), r, logpos.Position{}, allow).Failure == nil
+	}
+	Expect(open("rests-1")).To(BeTrue())
+	Expect(open("rests-2")).To(BeTrue())
+	time.Sleep(50 * time.Millisecond)
+	for i := range 20 {
+		n := "short-" + strconv.Itoa(i)
+		Expect(open(n)).To(BeTrue())
+		Expect(p.Execute(context.Background(), request(n, n, query.Later, query.ActionCommit), logpos.Position{}, allow).Failure).To(BeNil())
+	}
+	// Of six connections, four are for open transactions.
+	Expect(open("third")).To(BeTrue())
+	Expect(open("fourth")).To(BeTrue())
+	Expect(open("fifth")).To(BeFalse())
+})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -123,7 +123,7 @@
 // New returns a pool without connections.
 func New(c Config) *Pool {
 	n := max(c.Connections-reservedConnections, 2)
-	var s admission.Config
+	s := admission.Config{LostAnswers: true}
 	t := admission.Config{Slots: max(n-c.Member.Slots, 1)}
 	t.ReservedSlots = min(reservedTransactions, t.Slots-1)
 	for _, q := range []*admission.Config{&s, &t} {
