--- a/fleet/exchange.go
+++ b/fleet/exchange.go
@@ -24,9 +24,6 @@
 	// pingTimeout is how long a silent host has to answer a ping, ten round trips to
 	// another region. Until then its groups are without a holder.
 	pingTimeout = 600 * time.Millisecond
-	// minExchangeInterval is the least time between two exchanges for which requests
-	// wait.
-	minExchangeInterval = 50 * time.Millisecond
 )
 
 // exchangeParams requests the items that changed after a position of the store.
@@ -101,22 +98,6 @@
 	return nil
 }
 
-// exchangeSoon fetches changes of the store before the next round, because a request
-// waits for one.
-func (f *Daemon) exchangeSoon() {
-	f.mu.Lock()
-	n := time.Now()
-	u, ok := f.source.Upstream(f.currentOverlay())
-	due := ok && n.Sub(f.exchangedSoonAt) >= minExchangeInterval
-	if due {
-		f.exchangedSoonAt = n
-	}
-	f.mu.Unlock()
-	if due {
-		f.startExchange(u, true)
-	}
-}
-
 // randomSeed returns the address of a seed other than this host.
 func (f *Daemon) randomSeed() (string, bool) {
 	l := slices.DeleteFunc(slices.Clone(f.config.Seeds), func(s string) bool { return s == f.config.Self.PeerAddress })
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -149,8 +149,6 @@
 	failed chan error
 	// registerAgain receives a value when the store has lost the record of this host.
 	registerAgain chan struct{}
-	// groupsChanged receives a value when the next task of a group may have become due.
-	groupsChanged chan struct{}
 
 	mu   sync.Mutex
 	view *membership.View
@@ -186,8 +184,6 @@
 	// watcher is the last result of isWatcher.
 	watcher bool
 	overlay gossip.OverlayCache
-	// exchangedSoonAt is when exchangeSoon last started an exchange.
-	exchangedSoonAt time.Time
 	// exchanging and pinging hold the IDs of the hosts with which an exchange is
 	// under way, and that are being pinged.
 	exchanging map[string]bool
@@ -222,7 +218,7 @@
 	x, stop := context.WithCancel(context.Background())
 	m := storecopy.New()
 	f := &Daemon{
-		config: c, copy: m, failed: make(chan error, 1), registerAgain: make(chan struct{}, 1), groupsChanged: make(chan struct{}, 1), sequences: map[string]uint64{}, metrics: newMetrics(m), room: newRoom(), ctx: x, stop: stop, view: membership.New(c.Self),
+		config: c, copy: m, failed: make(chan error, 1), registerAgain: make(chan struct{}, 1), sequences: map[string]uint64{}, metrics: newMetrics(m), room: newRoom(), ctx: x, stop: stop, view: membership.New(c.Self),
 		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
 		pools: map[string]*ownedPool{}, loads: newLoadTable(), paces: map[string]knownPace{}, outliers: outlier.New(), hedges: budget.NewRetry(hedgeBudget()), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
 	}
@@ -322,7 +318,6 @@
 	if !c {
 		return
 	}
-	f.checkGroupsSoon()
 	switch e := e.(type) {
 	case membership.LinkFailed:
 		f.config.Log.Info("host not reachable", "host", e.ID)
--- a/fleet/position.go
+++ b/fleet/position.go
@@ -74,7 +74,6 @@
 	y, stop := context.WithTimeout(x, positionTimeout)
 	switch {
 	case !ok:
-		f.exchangeSoon()
 	case h.ID == f.config.Self.ID:
 		p = f.heldGroupPosition(y, g.name)
 	default:
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -33,20 +33,16 @@
 func (f *Daemon) reconcile(x context.Context) error {
 	t := time.NewTicker(tickInterval)
 	defer t.Stop()
-	for n := 0; ; {
+	for n := 0; ; n++ {
 		select {
 		case <-x.Done():
 			return nil
-		case <-f.groupsChanged:
-			f.startGroupTasks()
-			continue
 		case <-t.C:
 		}
 		if n%idleCheckTicks == 0 {
 			f.endIdleTransactions()
 			f.reportUnheldGroups()
 		}
-		n++
 		f.observeStoreEra()
 		f.evictRemovedMembers()
 		f.startGroupTasks()
@@ -56,14 +52,6 @@
 	}
 }
 
-// checkGroupsSoon makes the next tasks of the groups start without waiting for a tick.
-func (f *Daemon) checkGroupsSoon() {
-	select {
-	case f.groupsChanged <- struct{}{}:
-	default:
-	}
-}
-
 // pingHolders pings the silent holders of the groups that this host would take
 // over, and the hosts that would do so before it.
 func (f *Daemon) pingHolders() {
--- a/fleet/route.go
+++ b/fleet/route.go
@@ -136,8 +136,6 @@
 		}
 		h, why := f.findHolder(r.Group, hint)
 		switch why {
-		case holderUnknown:
-			f.exchangeSoon()
 		case holderOutOfReach:
 			o.Failure = &query.Failure{Reason: query.Overloaded, Text: "this daemon is cut off from the others", RetryAfter: isolatedRetryAfter}
 			return o
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -99,7 +99,6 @@
 	}
 	f.applyUpdate(storecopy.Update{Items: f.redact(l), Position: p, CurrentAt: t, Complete: true}, fromStore)
 	f.observeConfirmation(fromStore)
-	f.checkGroupsSoon()
 	f.config.Log.Info("store read", "position", p.String(), "items", len(l))
 	return nil
 }
@@ -314,7 +313,6 @@
 	f.mu.Lock()
 	f.hostLease = l
 	f.mu.Unlock()
-	f.checkGroupsSoon()
 	return f.writeHostRecord(x)
 }
 
