--- a/model/platform_takeover.go
+++ b/model/platform_takeover.go
@@ -31,10 +31,7 @@
 		}
 		d.swapRecord(c, func(bool) { done() })
 	case takeover.DiscoverPrimary:
-		d.pollMembers(nil, func(l []takeover.MemberStatus) {
-			d.group.Handle(takeover.MembersPolled{Statuses: l}, d.world.now)
-			done()
-		})
+		d.discoverPrimary(done)
 	case takeover.TransferLease:
 		h, ok := d.owner(d.knownPrimary())
 		if !ok || h.ID == d.host.ID {
@@ -134,6 +131,30 @@
 	}
 }
 
+// discoverPrimary polls the members and determines the primary as soon as the answers
+// suffice; later ones are handled by themselves.
+func (d *PlatformDaemon) discoverPrimary(done func()) {
+	var l []takeover.MemberStatus
+	discovered := false
+	for _, m := range d.world.Members {
+		d.requestStatus(m, func(s query.Status, ok bool) {
+			a := takeover.MemberStatus{Member: m.catalogMember(), Status: s}
+			if !ok {
+				a.Err = errNoAnswer
+			}
+			if discovered {
+				d.group.Handle(takeover.MemberAnswered{MemberStatus: a}, d.world.now)
+				return
+			}
+			if l = append(l, a); len(l) == len(d.world.Members) || d.group.MayDiscover(l, len(d.world.Members)) {
+				discovered = true
+				d.group.Handle(takeover.MembersPolled{Statuses: l}, d.world.now)
+				done()
+			}
+		})
+	}
+}
+
 // requestStatus requests a member's status on a new connection.
 func (d *PlatformDaemon) requestStatus(m *PlatformMember, done func(query.Status, bool)) {
 	delete(d.connections, m.Name+" status")
