--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -52,34 +52,55 @@
 	f.mu.Lock()
 	m := f.table.GroupMembers(g.name)
 	f.mu.Unlock()
-	c := make(chan takeover.MemberStatus, len(m))
-	for _, m := range m {
+	c := f.requestStatuses(m)
+	l, ok := f.awaitStatuses(x, g, c, len(m))
+	if !ok {
+		return
+	}
+	if n := len(m) - len(l); n > 0 {
+		f.spawn(func(x context.Context) { f.observeLateStatuses(x, g, c, n) })
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g.Handle(takeover.MembersPolled{Statuses: l}, now())
+	r, _ := g.Record()
+	id, term := g.Primary()
+	f.config.Log.Info("primary discovery finished", "group", g.name, "found", g.PrimaryDiscovered(), "usable", g.PrimaryUsable(), "member", id, "term", term, "pending", r.Target, "uncertain", r.PrimaryUncertain, "position", g.RecordPosition().String(), "answers", len(l), "took-ms", now().Sub(t).Milliseconds())
+}
+
+// requestStatuses requests the status of each member; the channel receives them all.
+func (f *Daemon) requestStatuses(l []catalog.Member) <-chan takeover.MemberStatus {
+	c := make(chan takeover.MemberStatus, len(l))
+	for _, m := range l {
 		f.spawn(func(x context.Context) {
-			s, err := f.memberStatus(x, m)
-			c <- takeover.MemberStatus{Member: m, Status: s, Err: err}
+			s := takeover.MemberStatus{Member: m, Err: Error.Wrap(context.Canceled)}
+			// Also after a panic, which ends only this task.
+			defer func() { c <- s }()
+			s.Status, s.Err = f.memberStatus(x, m)
 		})
 	}
+	return c
+}
+
+// awaitStatuses returns the statuses of count members, or those that suffice to discover
+// the primary; false if the context ends first.
+func (f *Daemon) awaitStatuses(x context.Context, g *group, c <-chan takeover.MemberStatus, count int) ([]takeover.MemberStatus, bool) {
 	var l []takeover.MemberStatus
-	for enough := false; !enough && len(l) < len(m); {
+	for len(l) < count {
 		select {
 		case s := <-c:
 			l = append(l, s)
 		case <-x.Done():
-			return
+			return nil, false
 		}
 		f.mu.Lock()
-		enough = g.MayDiscover(l, len(m))
+		enough := g.MayDiscover(l, count)
 		f.mu.Unlock()
+		if enough {
+			break
+		}
 	}
-	if n := len(m) - len(l); n > 0 {
-		f.spawn(func(x context.Context) { f.observeLateStatuses(x, g, c, n) })
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	g.Handle(takeover.MembersPolled{Statuses: l}, now())
-	r, _ := g.Record()
-	id, term := g.Primary()
-	f.config.Log.Info("primary discovery finished", "group", g.name, "found", g.PrimaryDiscovered(), "usable", g.PrimaryUsable(), "member", id, "term", term, "pending", r.Target, "uncertain", r.PrimaryUncertain, "position", g.RecordPosition().String(), "answers", len(l), "took-ms", now().Sub(t).Milliseconds())
+	return l, true
 }
 
 // observeLateStatuses handles the n statuses that discoverPrimary didn't wait for.
