--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -59,8 +59,11 @@
 	ended                         chan struct{}
 }
 
-// zones maps the zones to their regions.
-var zones = map[string]string{"west-a": "west", "west-b": "west", "west-c": "west"}
+// zones are the zones of the members and daemons, regions the region of each.
+var (
+	zones   = []string{"west-a", "west-b", "north-a"}
+	regions = map[string]string{"west-a": "west", "west-b": "west", "north-a": "north"}
+)
 
 func (s *site) broken(format string, a ...any) {
 	s.event("BROKEN "+format, a...)
@@ -101,7 +104,7 @@
 	var routes, list []map[string]any
 	for i := range services {
 		n := "svc" + strconv.Itoa(i)
-		g, err := newGroup(n, set, s.store, []string{"west-a", "west-b", "west-c"}, r.event)
+		g, err := newGroup(n, set, s.store, zones, r.event)
 		if err != nil {
 			return nil, err
 		}
@@ -166,7 +169,7 @@
 
 // addHosts prepares a daemon in each zone.
 func (s *site) addHosts() error {
-	for _, z := range []string{"west-a", "west-b", "west-c"} {
+	for _, z := range zones {
 		p, err := freePorts(4)
 		if err != nil {
 			return err
@@ -184,8 +187,8 @@
 serves: ["front", "control"]
 ip: "127.0.0.1"
 zone: %q
-region: "west"
-zones: {"west-a": "west", "west-b": "west", "west-c": "west"}
+region: %q
+zones: {"west-a": "west", "west-b": "west", "north-a": "north"}
 listen_addresses:
   front: %q
   readiness_address: %q
@@ -208,7 +211,7 @@
 
 // startHost starts a daemon with the command of the deploy file.
 func (s *site) startHost(h *host, bootstrap bool) error {
-	t := fmt.Sprintf(settingsText, h.name, h.zone, h.front, h.ready, h.control, h.metric, h.metric, s.hosts[0].control, bootstrap, s.address, s.cloud)
+	t := fmt.Sprintf(settingsText, h.name, h.zone, regions[h.zone], h.front, h.ready, h.control, h.metric, h.metric, s.hosts[0].control, bootstrap, s.address, s.cloud)
 	if err := os.WriteFile(h.settings, []byte(t), 0o600); err != nil {
 		return err
 	}
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -72,10 +72,12 @@
 	lastRecord string
 	storeCut   bool
 	frontsCut  bool
-	slots      chan struct{}
-	waiting    int
-	conns      map[net.Conn]bool
-	advanced   chan struct{}
+	// deaf is set while the member receives no commits.
+	deaf     bool
+	slots    chan struct{}
+	waiting  int
+	conns    map[net.Conn]bool
+	advanced chan struct{}
 }
 
 func newGroup(name string, s settings, k *store, zones []string, event func(string, ...any)) (*group, error) {
@@ -246,7 +248,7 @@
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			// What a primary has sent arrives although it crashed meanwhile.
-			if o.running && !o.primary && o.term == term && len(o.log) < n {
+			if o.running && !o.deaf && !o.primary && o.term == term && len(o.log) < n {
 				o.receive(m.log[:n])
 			}
 		})
@@ -298,6 +300,23 @@
 	m.g.event("%s crashes, its log ends at %s", m.id, m.log[len(m.log)-1].position())
 }
 
+// setDeaf makes a replica receive no commits, or receive them again.
+func (m *member) setDeaf(deaf bool) {
+	m.g.mu.Lock()
+	defer m.g.mu.Unlock()
+	m.deaf = deaf
+	m.g.event("%s receives nothing: %v", m.id, deaf)
+}
+
+// partition cuts a member off from the store and the daemons, or ends that. The others
+// get no answer meanwhile.
+func (m *member) partition(cut bool) {
+	m.g.mu.Lock()
+	defer m.g.mu.Unlock()
+	m.storeCut, m.frontsCut = cut, cut
+	m.g.event("partition of %s: %v", m.id, cut)
+}
+
 func (m *member) restart() {
 	m.g.mu.Lock()
 	defer m.g.mu.Unlock()
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -3,11 +3,12 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
 // scenarios are the cases by name.
-var scenarios = map[string]func(*record) (*site, error){"one": one}
+var scenarios = map[string]func(*record) (*site, error){"one": one, "lost": lost}
 
 // drawnWork returns a function that draws times with a mean and a largest value.
 func drawnWork(mean, most time.Duration) func() time.Duration {
@@ -18,13 +19,23 @@
 	}
 }
 
-func noDistance(_, _ *member) time.Duration { return 500 * time.Microsecond }
+// distance returns the time that a message takes between two members.
+func distance(from, to *member) time.Duration {
+	switch {
+	case regions[from.zone] != regions[to.zone]:
+		return 30 * time.Millisecond
+	case from.zone != to.zone:
+		return 900 * time.Microsecond
+	default:
+		return 100 * time.Microsecond
+	}
+}
 
 // tankerbook returns the figures of the deployment of that name.
 func tankerbook() settings {
 	return settings{
 		slots: 5, queue: 24, connections: 60, opening: 12 * time.Millisecond, applyLag: 8 * time.Millisecond, promotion: time.Second,
-		beat: 1200 * time.Millisecond, work: drawnWork(33*time.Millisecond, 82*time.Millisecond), distance: noDistance,
+		beat: 1200 * time.Millisecond, work: drawnWork(33*time.Millisecond, 82*time.Millisecond), distance: distance,
 	}
 }
 
@@ -64,3 +75,49 @@
 	}
 	return s, nil
 }
+
+// lost partitions a replica from all machines. Meanwhile the other one receives nothing,
+// and the primary crashes.
+func lost(r *record) (*site, error) {
+	set := tankerbook()
+	set.syncReplicas = 1
+	s, err := newSite(r, set, 1)
+	if err != nil {
+		return s, err
+	}
+	if err := s.start(); err != nil {
+		return s, err
+	}
+	g := s.groups[0]
+	end := s.load(48, func(i int, done <-chan struct{}) { s.writes(i, g, "db0", done) })
+	defer end()
+	time.Sleep(5 * time.Second)
+	p, a, c := g.members[0], g.members[1], g.members[2]
+	if s.trouble {
+		s.event("%s is partitioned from all machines for 12 s, its link to the primary works", a.id)
+		a.partition(true)
+		time.AfterFunc(12*time.Second, func() { a.partition(false) })
+		time.Sleep(3 * time.Second)
+		c.setDeaf(true)
+		time.AfterFunc(6500*time.Millisecond, func() { c.setDeaf(false) })
+		time.Sleep(5 * time.Second)
+		p.crash()
+		time.AfterFunc(7*time.Second, p.restart)
+	}
+	time.Sleep(14 * time.Second)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n, first := 0, ""
+	for id, e := range g.commits {
+		t := g.promotedAt[e.term+1]
+		if log := g.promoted[e.term+1]; log != nil && e.acknowledged.Before(t) && !e.acknowledged.IsZero() && !slices.Contains(log, e) {
+			n++
+			first = id + " (" + e.position() + ")"
+			r.event("%s was acknowledged and is lost: %s", id, e.position())
+		}
+	}
+	if n > 0 {
+		s.broken("LOST: %d acknowledged commits, one of them %s, aren't in the log of the member that was promoted", n, first)
+	}
+	return s, nil
+}
