--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -27,6 +27,7 @@
 	code     string
 	state    string
 	position string
+	rows     []string
 }
 
 func (c *client) close() {
@@ -68,6 +69,8 @@
 		switch {
 		case len(f) == 0:
 			return answer{code: "closed"}
+		case f[0] == "ROW":
+			a.rows = append(a.rows, strings.TrimSuffix(strings.TrimPrefix(l, "ROW "), "\r\n"))
 		case f[0] == "COMPLETE":
 			a.success = true
 		case f[0] == "ERROR":
@@ -89,7 +92,7 @@
 		return id, answer{code: "closed"}
 	}
 	a := c.read()
-	c.s.event("%s %s -> success %v %s %s %s, %d ms", id, text, a.success, a.code, a.state, a.position, time.Since(t).Milliseconds())
+	c.s.event("%s %q -> success %v %s %s %s, %d ms", id, text, a.success, a.code, a.state, a.position, time.Since(t).Milliseconds())
 	return id, a
 }
 
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -52,6 +52,10 @@
 	// promoted holds the member that was promoted and its log at that time, by term.
 	promoted map[int][]*entry
 	event    func(format string, a ...any)
+	// received is called with each statement that reaches a member without its AFTER,
+	// and row returns the row for a read; both may be nil.
+	received func(m *member, id, text string)
+	row      func(key string) string
 }
 
 // member is a database.
@@ -461,6 +465,9 @@
 		_, _ = fmt.Sscanf(p, "%d.%d", &term, &number)
 		text = t
 	}
+	if g.received != nil {
+		g.received(m, id, text)
+	}
 	word, rest, _ := strings.Cut(text, " ")
 	if s.state == 'E' && word != "ROLLBACK" && word != "COMMIT" {
 		return s.fail("MALFORMED")
@@ -569,7 +576,11 @@
 		return s.fail("READONLY")
 	case word == "READ":
 		defer g.mu.Unlock()
-		return "ROW " + m.value(key) + "\r\n" + s.signed()
+		v := m.value(key)
+		if g.row != nil {
+			v = g.row(key)
+		}
+		return "ROW " + v + "\r\n" + s.signed()
 	case s.state == 'T':
 		defer g.mu.Unlock()
 		s.ids, s.keys = append(s.ids, id), append(s.keys, key)
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"errors"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"time"
 )
 
 // scenarios are the cases by name.
-var scenarios = map[string]func(*record) (*site, error){"one": one, "lost": lost}
+var scenarios = map[string]func(*record) (*site, error){"one": one, "lost": lost, "text": text}
 
 // drawnWork returns a function that draws times with a mean and a largest value.
 func drawnWork(mean, most time.Duration) func() time.Duration {
@@ -121,3 +124,56 @@
 	}
 	return s, nil
 }
+
+// text sends statements whose data, and reads rows whose text, are in ISO 8859-1: bytes
+// that are no UTF-8.
+func text(r *record) (*site, error) {
+	s, err := newSite(r, tankerbook(), 1)
+	if err != nil {
+		return s, err
+	}
+	g := s.groups[0]
+	data := "Gr\xfcn-gel\xe9"
+	if !s.trouble {
+		data = "Gr\u00fcn-gel\u00e9"
+	}
+	var mu sync.Mutex
+	sent := map[string]string{}
+	g.received = func(m *member, id, text string) {
+		mu.Lock()
+		t, ok := sent[id]
+		mu.Unlock()
+		if !ok {
+			return
+		}
+		s.event("%s receives %s %q", m.id, id, text)
+		if t != text {
+			s.broken("UNASKED: %s ran %s with changed text: sent %q, received %q", m.id, id, t, text)
+		}
+	}
+	g.row = func(string) string { return data }
+	if err := s.start(); err != nil {
+		return s, err
+	}
+	for i, h := range s.hosts {
+		c := &client{s: s, name: fmt.Sprintf("t%d", i)}
+		if !c.open(h.front, "db0") {
+			return s, errors.New("no session at " + h.name)
+		}
+		for n := range 5 {
+			for _, t := range []string{fmt.Sprintf("WRITE k%d%d %s", i, n, data), fmt.Sprintf("READ k%d%d", i, n)} {
+				mu.Lock()
+				sent[fmt.Sprintf("%s-%d", c.name, c.n+1)] = t
+				mu.Unlock()
+				id, a := c.query(t, 2*time.Second)
+				for _, row := range a.rows {
+					if row != data {
+						s.broken("MIXED: the answer to %s has another row: the member sent %q, the client got %q", id, data, row)
+					}
+				}
+			}
+		}
+		c.close()
+	}
+	return s, nil
+}
