--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -56,6 +56,8 @@
 	// and row returns the row for a read; both may be nil.
 	received func(m *member, id, text string)
 	row      func(key string) string
+	// executed is called with the kind and the shape that an EXECUTE runs; it may be nil.
+	executed func(m *member, id, shape string)
 }
 
 // member is a database.
@@ -515,6 +517,9 @@
 		if !ok {
 			return s.fail("UNKNOWN")
 		}
+		if g.executed != nil {
+			g.executed(m, id, v)
+		}
 		word, _, _ = strings.Cut(v, " ")
 		rest = a
 	}
--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -11,7 +11,7 @@
 )
 
 // scenarios are the cases by name.
-var scenarios = map[string]func(*record) (*site, error){"one": one, "lost": lost, "text": text}
+var scenarios = map[string]func(*record) (*site, error){"one": one, "lost": lost, "text": text, "prepared": prepared}
 
 // drawnWork returns a function that draws times with a mean and a largest value.
 func drawnWork(mean, most time.Duration) func() time.Duration {
@@ -177,3 +177,50 @@
 	}
 	return s, nil
 }
+
+// prepared has two clients prepare different shapes that have the same XXH64 hash, or with
+// TROUBLE=0 different ones.
+func prepared(r *record) (*site, error) {
+	s, err := newSite(r, tankerbook(), 1)
+	if err != nil {
+		return s, err
+	}
+	shapes := []string{
+		"WRITE select-slot-by-yard-and-contractor-for-the-week-of-a-spreading-",
+		"WRITE select-+dRPs)Dtyard-and-contractor-for-sjQxCvNF-of-a-spreading-",
+	}
+	if !s.trouble {
+		shapes[1] = "WRITE select-another-yard-and-contractor-for-the-week-of-a-spreading-"
+	}
+	g := s.groups[0]
+	var mu sync.Mutex
+	expected := map[string]string{}
+	g.executed = func(m *member, id, shape string) {
+		mu.Lock()
+		defer mu.Unlock()
+		s.event("%s runs %s with the shape %q", m.id, id, shape)
+		if expected[id] != shape {
+			s.broken("PINNED: %s ran %s with the shape %q, but its client prepared %q", m.id, id, shape, expected[id])
+		}
+	}
+	if err := s.start(); err != nil {
+		return s, err
+	}
+	for i, h := range s.hosts {
+		for j, shape := range shapes {
+			c := &client{s: s, name: fmt.Sprintf("p%d%d", i, j)}
+			if !c.open(h.front, "db0") {
+				return s, errors.New("no session at " + h.name)
+			}
+			c.query("PREPARE s1 "+shape, 2*time.Second)
+			for n := range 5 {
+				mu.Lock()
+				expected[fmt.Sprintf("%s-%d", c.name, c.n+1)] = shape
+				mu.Unlock()
+				c.query(fmt.Sprintf("EXECUTE s1 k%d%d%d v", i, j, n), 2*time.Second)
+			}
+			c.close()
+		}
+	}
+	return s, nil
+}
