--- a/review/standin/scenarios.go
+++ b/review/standin/scenarios.go
@@ -191,7 +191,7 @@
 	var readOnly atomic.Bool
 	var reads, stale int
 	sent := map[string]time.Time{}
-	g.read = func(m *member, id, key string) {
+	g.read = func(m *member, id string) {
 		mu.Lock()
 		t, ok := sent[id]
 		mu.Unlock()
