pool, fleet: work that is under way when a primary's pool is killed ends with it

Cause: Pool.Kill closed the connections of the transactions that were registered at that moment. A transaction whose first statement was running was registered afterwards, a running single write never, and a connection that was being opened went on. The check before each step didn't ask whether the member is still the primary.

Change: Kill marks the pool, and closes each connection with a transaction or a write under the same lock. Requests register before they send anything, transactions before they are kept, and a killed pool refuses both, and later commits, as not run. primaryUse checks the member and its term before a step and after a reply about a change. A pool whose member was the primary is killed when another one is, whoever promoted it.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -212,6 +212,9 @@
 type ownedPool struct {
 	*pool.Pool
 	lastUsed time.Time
+	// primaryTerm is the latest term in which the member was used as the primary; zero
+	// if it wasn't.
+	primaryTerm uint64
 	// responses counts the responses to other hosts.
 	responses uint64
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -155,12 +155,13 @@
 			g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: lease.Record{Holder: f.selfHolder()}, Position: at(1), RequestedAt: requested}}, now())
 		}
 		observeRecord(now().Add(-2 * lease.Validity))
-		o := f.validateReply(g, &r, done)
+		u := &primaryUse{daemon: f, group: g, request: &r}
+		o := u.validate(done)
 		Expect(o.Failure).NotTo(BeNil())
 		Expect(o.Failure.Reason).To(Equal(want))
 		Expect(o.Signature).To(BeEmpty())
 		observeRecord(now())
-		Expect(f.validateReply(g, &r, done)).To(Equal(done))
+		Expect(u.validate(done)).To(Equal(done))
 	},
 		Entry("to a read", query.Request{Primary: true}, query.Aborted),
 		Entry("to a write", query.Request{Primary: true, Action: query.ActionWrite}, query.InDoubt),
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -245,41 +245,56 @@
 	}
 }
 
-// validateReply returns a reply of the primary, or a failure if the reply
-// arrived after this host's lease of the group had ended: another holder may
-// have replaced the primary since the request was sent.
-func (f *Daemon) validateReply(g *group, r *query.Request, o query.Reply) query.Reply {
+// primaryUse is the use of a member as a group's primary for one request.
+type primaryUse struct {
+	daemon  *Daemon
+	group   *group
+	request *query.Request
+	member  string
+	// term is the primary's term when the request was last allowed to be sent.
+	term uint64
+}
+
+// guard is the check that runs right before a step is sent to the member: whether this
+// host may still use it as the primary.
+func (u *primaryUse) guard() *query.Failure {
+	f := u.daemon
 	f.mu.Lock()
-	ok := g.MayFinishTransactions(now())
+	defer f.mu.Unlock()
+	t := now()
+	ok := u.group.MaySendWork(t)
+	if u.request.Stage == query.Later {
+		ok = u.group.MayFinishTransactions(t)
+	}
+	id, term := u.group.Primary()
+	if !ok || id != u.member {
+		return &query.Failure{Reason: query.Moved, Text: "the primary or its holder has changed"}
+	}
+	u.term = term
+	return nil
+}
+
+// validate returns a reply of the member, or a failure if it can't be relied on: it
+// arrived after this host's lease of the group had ended, so that another holder may have
+// replaced the primary since the request was sent; or it tells of a change of data, and
+// the member isn't the primary of that term any more.
+func (u *primaryUse) validate(o query.Reply) query.Reply {
+	f, r := u.daemon, u.request
+	f.mu.Lock()
+	ok := u.group.MayFinishTransactions(now())
+	id, term := u.group.Primary()
 	f.mu.Unlock()
-	if ok || o.Failure != nil {
+	same := id == u.member && term == u.term || r.Action == query.ActionRead
+	if ok && same || o.Failure != nil {
 		return o
 	}
 	why := &query.Failure{Reason: query.Aborted, Text: "the answer came after the holder's time"}
 	if r.Action == query.ActionCommit || r.Action == query.ActionWrite && r.Stage == query.Single {
 		why.Reason = query.InDoubt
 	}
-	f.config.Log.Warn("reply of the primary discarded: it arrived after the end of the group lease", "group", g.name, "id", r.ID, "reason", why.Reason)
+	f.config.Log.Warn("reply of the primary discarded", "group", u.group.name, "id", r.ID, "reason", why.Reason, "member", u.member, "term", u.term, "primary", id, "primary-term", term, "lease-valid", ok)
 	if o.State == query.Open {
 		o.State = query.Failed
 	}
 	return query.Reply{Failure: why, State: o.State}
 }
-
-// primaryGuard returns the check that runs right before a step is sent to the
-// primary: whether this host may still use it.
-func (f *Daemon) primaryGuard(g *group, r *query.Request) func() *query.Failure {
-	return func() *query.Failure {
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		t := now()
-		ok := g.MaySendWork(t)
-		if r.Stage == query.Later {
-			ok = g.MayFinishTransactions(t)
-		}
-		if !ok {
-			return &query.Failure{Reason: query.Moved, Text: "the primary's holder has changed"}
-		}
-		return nil
-	}
-}
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -117,6 +117,9 @@
 		case m.StartMillis != c.StartMillis || m.Slots != c.Slots:
 			f.retirePool(id, o, "member changed")
 			o.Kill()
+		case f.primaryReplaced(o):
+			f.retirePool(id, o, "primary replaced")
+			o.Kill()
 		case f.primaryHeldElsewhere(id):
 			f.retirePool(id, o, "primary of a group held elsewhere")
 		case n.Sub(o.lastUsed) > poolIdleTime && !f.holdsPrimary(id):
@@ -183,6 +186,14 @@
 	return g.Holder().ID == f.config.Self.ID && id == member
 }
 
+// primaryReplaced reports whether a pool's member was used as the primary of its group and
+// another one, or the same in a later term, is primary now; f.mu is held.
+func (f *Daemon) primaryReplaced(o *ownedPool) bool {
+	m := o.Member()
+	id, term := f.group(m.Group).Primary()
+	return o.primaryTerm != 0 && term != 0 && (id != m.ID || term != o.primaryTerm)
+}
+
 // primaryHeldElsewhere reports whether a member is the primary of a group that
 // another host holds, which needs all the member's connections; f.mu is held.
 func (f *Daemon) primaryHeldElsewhere(member string) bool {
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -164,13 +164,12 @@
 		if p.Member().ID != r.Member || !p.HasTransaction(r.Transaction) {
 			continue
 		}
-		guard := func() *query.Failure { return nil }
-		if !r.ReadOnly {
-			guard = f.primaryGuard(g, r)
-		}
-		o := query.Response{Reply: p.Execute(x, r, logpos.Position{}, guard), Member: p.Member().ID}
-		if !r.ReadOnly {
-			o.Reply = f.validateReply(g, r, o.Reply)
+		o := query.Response{Member: p.Member().ID}
+		if r.ReadOnly {
+			o.Reply = p.Execute(x, r, logpos.Position{}, func() *query.Failure { return nil })
+		} else {
+			u := &primaryUse{daemon: f, group: g, request: r, member: o.Member}
+			o.Reply = u.validate(p.Execute(x, r, logpos.Position{}, u.guard))
 		}
 		o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 		return o
@@ -214,12 +213,13 @@
 		}
 		f.mu.Lock()
 	}
-	id, _ := g.Primary()
+	id, term := g.Primary()
 	m, ok := f.table.Member(id)
 	blocked := f.primaryBlockedFor(g, id)
 	var p *pool.Pool
 	if ok {
 		p = f.memberPool(m)
+		f.pools[id].primaryTerm = term
 	}
 	f.mu.Unlock()
 	if blocked > r.Remaining-time.Since(t) {
@@ -230,7 +230,8 @@
 	}
 	q := *r
 	q.Remaining -= time.Since(t)
-	o := query.Response{Reply: f.validateReply(g, r, p.Execute(x, &q, logpos.Position{}, f.primaryGuard(g, r))), Member: m.ID}
+	u := &primaryUse{daemon: f, group: g, request: r, member: m.ID}
+	o := query.Response{Reply: u.validate(p.Execute(x, &q, logpos.Position{}, u.guard)), Member: m.ID}
 	o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 	return o
 }
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -256,6 +256,7 @@
 // release is releaseConn; p.mu is held.
 func (p *Pool) release(c *conn, broken bool) {
 	closed := broken || p.closed
+	c.endOnKill = false
 	if closed {
 		delete(p.conns, c.id)
 		c.Close()
@@ -288,16 +289,40 @@
 	p.handle(teamconns.IdleExpired{Before: later, TeamsBefore: later})
 }
 
-// Kill closes the pool and also the connections of open transactions.
+// startWork registers a request that is about to run on a connection, so that Kill ends
+// it, unless it is a read outside of transactions. It refuses the request if the pool has
+// been killed.
+func (p *Pool) startWork(c *conn, r *query.Request) *query.Failure {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.killed {
+		return movedFailure()
+	}
+	c.endOnKill = r.Stage == query.First || r.Action != query.ActionRead
+	return nil
+}
+
+// Kill closes the pool and ends all transactions and writes: those that are open or
+// running, and those that start later. No reply of the member to them is read after it has
+// returned. Running reads outside of transactions continue.
 func (p *Pool) Kill() {
 	p.Close()
 	p.mu.Lock()
-	l := make([]*tx, 0, len(p.txs))
-	for _, t := range p.txs {
-		l = append(l, t)
-	}
-	p.mu.Unlock()
-	for _, t := range l {
-		t.c.Close()
+	defer p.mu.Unlock()
+	p.killed = true
+	n := 0
+	for _, c := range p.conns {
+		if c.endOnKill {
+			c.Close()
+			n++
+		}
 	}
+	p.config.Log.Info("member connections ended", "member", p.config.Member.ID, "transactions", len(p.txs), "ended", n, "left", len(p.conns)-n)
+}
+
+// isKilled reports whether the pool has been killed.
+func (p *Pool) isKilled() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.killed
 }
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -39,6 +39,9 @@
 	team     string
 	values   []query.Value
 	prepared map[string]bool
+	// endOnKill is set while the connection runs work that Pool.Kill ends; Pool.mu guards
+	// it.
+	endOnKill bool
 	// took is how long the last step took, and roundTrip the last one that needed no slot
 	// of the member; zero if none was run for the present request.
 	took, roundTrip time.Duration
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -95,6 +95,11 @@
 		k.giveUp()
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
+	if f := p.startWork(c, r); f != nil {
+		k.giveUp()
+		p.releaseConn(c, false)
+		return query.Reply{Failure: f, State: query.Idle}, nil
+	}
 	t := p.config.Now()
 	c.roundTrip = 0
 	stop := p.cutOverdueRead(k.slot, c, r)
@@ -179,11 +184,12 @@
 }
 
 // keepTx registers an open transaction with its connection. It returns false if
-// the transaction was abandoned before its first statement had ended.
+// the transaction was abandoned, or the pool killed, before its first statement had ended.
 func (p *Pool) keepTx(r *query.Request, c *conn, ticket gate.Slot) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, ok := p.abandoned[r.Transaction]; ok {
+	if _, ok := p.abandoned[r.Transaction]; ok || p.killed {
+		p.config.Log.Info("transaction not kept", "member", p.config.Member.ID, "id", r.ID, "transaction", r.Transaction, "abandoned", ok, "killed", p.killed)
 		return false
 	}
 	p.handle(teamconns.Kept{Conn: c.id})
@@ -204,6 +210,10 @@
 	if t.ended {
 		return query.Refusal(query.Aborted, "the transaction has ended")
 	}
+	if p.isKilled() {
+		p.endTx(r.Transaction, t, false, true)
+		return query.Reply{Failure: &query.Failure{Reason: query.Aborted, Text: "the transaction was rolled back, since its member may not be used any more"}, State: query.Failed}
+	}
 	o, broken := p.runInTx(x, t.c, r, d, g)
 	t.lastUsed = time.Now()
 	if o.State != query.Open || broken || r.Action == query.ActionCommit {
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -103,6 +103,9 @@
 	txs       map[string]*tx
 	abandoned map[string]time.Time
 	closed    bool
+	// killed is set once Kill has been called. No transaction is registered, and nothing
+	// is sent to the member, afterwards.
+	killed bool
 	// failures counts failed attempts to open a connection since the last reply.
 	failures  int
 	lastReply time.Time
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -38,6 +38,10 @@
 	// breaks instead of returning an answer.
 	statementTime time.Duration
 	drop          atomic.Bool
+	// commits counts the commits that were received. openTime is how long opening a
+	// connection takes.
+	commits  atomic.Int64
+	openTime time.Duration
 	// refuse makes the member refuse statements without ending their transaction.
 	refuse atomic.Bool
 	// mismatched lists statements that ran with a session value other than their
@@ -50,6 +54,7 @@
 }
 
 func (m *member) Dial(_ context.Context, _ catalog.Member, team string) (pool.Conn, logpos.Position, error) {
+	time.Sleep(m.openTime)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.open >= m.limit {
@@ -82,6 +87,9 @@
 }
 
 func (c *conn) RunStep(s query.Step, _ time.Time) (query.Reply, error) {
+	if c.closed.Load() {
+		return query.Reply{}, errs.New("connection closed")
+	}
 	switch s := s.(type) {
 	case query.ResetSession:
 		clear(c.values)
@@ -91,6 +99,9 @@
 		c.state = query.Open
 	case query.EndTransaction:
 		c.state = query.Idle
+		if s.Commit {
+			c.m.commits.Add(1)
+		}
 	case query.RunStatement:
 		if c.m.refuse.Load() {
 			return query.Reply{State: c.state, Failure: &query.Failure{Reason: query.Overloaded}}, nil
@@ -119,6 +130,8 @@
 	c.m.mu.Unlock()
 	if c.m.drop.Load() {
 		c.Close()
+	}
+	if c.closed.Load() {
 		return errs.New("connection lost")
 	}
 	return nil
@@ -126,6 +139,11 @@
 
 func allow() *query.Failure { return nil }
 
+// run runs a request without a floor.
+func run(p *pool.Pool, r *query.Request) query.Reply {
+	return p.Execute(context.Background(), r, logpos.Position{}, allow)
+}
+
 func newPool(m *member, slots, connections int) *pool.Pool {
 	return pool.New(pool.Config{
 		Member: catalog.Member{ID: "m", Slots: slots}, Connections: connections, Dialer: m, Now: time.Now,
@@ -141,10 +159,6 @@
 }
 
 var _ = Describe("Pool", func() {
-	run := func(p *pool.Pool, r *query.Request) query.Reply {
-		return p.Execute(context.Background(), r, logpos.Position{}, allow)
-	}
-
 	It("runs each statement with its own session values, within the slots and without the reserved connections", func() {
 		m := &member{limit: 10, statementTime: time.Millisecond}
 		p := newPool(m, 3, 10)
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -34,6 +34,33 @@
 	}
 }
 
+// CutPrimaryFromStore removes the record of the primary of group i from the store, to which
+// the member reports nothing until the returned function is called.
+func (s *Site) CutPrimaryFromStore(i int) (restore func()) {
+	g := s.groups[i]
+	g.mu.Lock()
+	m := g.newestPrimary()
+	g.mu.Unlock()
+	return s.cutFromStore(m)
+}
+
+// cutFromStore removes a member's record until the returned function is called.
+func (s *Site) cutFromStore(m *member) (restore func()) {
+	g := m.group
+	g.mu.Lock()
+	m.cutFromStore = true
+	g.mu.Unlock()
+	s.store.mu.Lock()
+	s.store.remove("servers/" + m.id)
+	s.store.mu.Unlock()
+	return func() {
+		g.mu.Lock()
+		m.cutFromStore = false
+		g.mu.Unlock()
+		s.publishMembers(g)
+	}
+}
+
 // PutMemberEntry writes an entry among those of the members, as another writer might. No
 // member refreshes or removes it.
 func (s *Site) PutMemberEntry(id string, value []byte) {
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -27,11 +27,13 @@
 	replicationStopped bool
 	// mute is true if the member answers reads outside of transactions only after
 	// muteTime.
-	mute      bool
-	draining  bool
-	startedAt int64
-	slots     chan struct{}
-	conns     map[net.Conn]bool
+	mute     bool
+	draining bool
+	// cutFromStore is true if the member's reports don't reach the store.
+	cutFromStore bool
+	startedAt    int64
+	slots        chan struct{}
+	conns        map[net.Conn]bool
 }
 
 // maxConnections is the maximum number of connections of a member.
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -136,6 +136,9 @@
 	state, role := "ready", "replica"
 	m.group.mu.Lock()
 	defer m.group.mu.Unlock()
+	if m.cutFromStore {
+		return
+	}
 	if m.draining {
 		state = "draining"
 	}
