takeover, fleet: a member is promoted only if it has every acknowledged commit

Cause: which replicas may hold an acknowledged commit was taken from the store's list of the moment. A replica whose record had lapsed counted as none, although it went on receiving and acknowledging; and what had been acknowledged was not compared with the candidate's position.

The holder knows a position that every acknowledged commit has reached, since each acknowledgment passes through the holder; a replica that has reached it is safe, whoever is silent. Otherwise fewer members than a commit waits for may be missing, by the set that the group's record keeps. All work at the old primary ends, and nothing is passed on, before the member is chosen for good. Meanwhile requests are refused at once; log, explain and a metric tell why. sync_replicas 0 accepts the loss.

--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -60,14 +60,22 @@
 	}
 }
 
+// syncReplicas returns how many replicas must have a commit of a group before it is
+// acknowledged, or false if no configuration is known.
+func (f *Daemon) syncReplicas(g *group) (int, bool) {
+	k := f.Catalog()
+	if k == nil {
+		return 0, false
+	}
+	return k.Groups[g.name].SyncReplicas, true
+}
+
 // selectPromotionTarget returns the member to promote. In a planned replacement it
 // waits up to catchUpTimeout for a replica to hold the primary's complete log.
 func (f *Daemon) selectPromotionTarget(x context.Context, g *group, old string, planned bool) (takeover.MemberStatus, bool) {
 	t := time.Now()
-	c := takeover.SelectionInput{OldPrimary: old, Planned: planned, Nearer: f.nearer}
-	if k := f.Catalog(); k != nil {
-		c.SyncReplicas = k.Groups[g.name].SyncReplicas
-	}
+	n, _ := f.syncReplicas(g)
+	c := takeover.SelectionInput{OldPrimary: old, Planned: planned, Nearer: f.nearer, SyncReplicas: n}
 	skip := old
 	if planned {
 		skip = ""
@@ -81,12 +89,32 @@
 		}
 		f.mu.Lock()
 		a, r := g.SelectCandidate(c)
+		b, loses := g.DescribeBlock(c), g.MayLoseCommits(c, a)
 		f.mu.Unlock()
-		if r != takeover.CandidateCatchingUp {
-			return a, r == takeover.CandidateReady
+		switch r {
+		case takeover.CandidateReady:
+			f.logSelection(g, n, a, b, loses)
+			return a, true
+		case takeover.CandidateUnsafe, takeover.NoCandidate:
+			if n > 0 {
+				f.blockReplacement(g, b)
+			}
+			return a, false
 		}
 		if !sleep(x, statusPollInterval) {
 			return takeover.MemberStatus{}, false
 		}
 	}
 }
+
+// logSelection logs the member that is to be promoted. syncReplicas is 0 with members on
+// record if an operator has changed it, to go on although commits may be lost.
+func (f *Daemon) logSelection(g *group, syncReplicas int, a takeover.MemberStatus, b takeover.Block, loses bool) {
+	l := []any{"group", g.name, "member", a.Member.ID, "position", a.Status.Received.String(), "needed", b.Needed.String(), "missing", b.Missing}
+	switch {
+	case syncReplicas > 0:
+		f.config.Log.Info("member selected for promotion", l...)
+	case loses:
+		f.config.Log.Warn("member selected for promotion although acknowledged commits may be lost: commits wait for no replica any more", l...)
+	}
+}
--- a/fleet/explainroute.go
+++ b/fleet/explainroute.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/explanation"
@@ -30,6 +31,7 @@
 	case found == holderUnknown:
 		s.Verdict, s.Reason = explanation.Waits, "no reachable holder of group "+r.Group+" is known"
 		s.Change = "a reachable host holds the group within the database's timeout"
+	case h.ID == f.config.Self.ID && f.explainBlock(r.Group, &s):
 	case h.ID == f.config.Self.ID && !p.Serving:
 		s.Verdict, s.Reason = explanation.Waits, "the primary is being replaced, or the group's lease is not confirmed"
 		s.RetryAfterMS = max(s.RetryAfterMS, replacementRetryAfter.Milliseconds())
@@ -42,6 +44,22 @@
 	return explanation.Decision{Member: p.Member, Host: h.ID, Reason: "primary"}
 }
 
+// explainBlock tells that and why a group's primary has failed and can't be replaced, if
+// so.
+func (f *Daemon) explainBlock(group string, s *explanation.Step) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g := f.group(group)
+	if !f.replacementBlocked(g) {
+		return false
+	}
+	b, _ := g.Blocked(now())
+	s.Verdict, s.RetryAfterMS = explanation.Refuses, blockedReplacementRetryAfter.Milliseconds()
+	s.Reason = "the primary has failed; the furthest member that answers (" + b.Candidate + " at " + b.Position.String() + ") may lack acknowledged commits, needed is " + b.Needed.String()
+	s.Change = "the primary or one of the members " + strings.Join(b.Missing, ", ") + " answers again; or an operator accepts the loss, by a configuration in which the group's commits wait for no replica"
+	return true
+}
+
 // describeQueue tells what the queue at the primary's owner decides, and by what was last
 // told of it.
 func describeQueue(p *explanation.Report, r *query.Request) string {
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -148,6 +148,8 @@
 		return f.pingPreviousHolders
 	case takeover.RecordPrimary:
 		return f.recordPrimary
+	case takeover.RecordMembers:
+		return f.recordMembers
 	case takeover.ProbePrimary:
 		return f.probePrimary
 	case takeover.ReplacePrimary:
@@ -168,6 +170,9 @@
 		h, ok := f.table.Owner(m, time.Now())
 		o.PreferredHolder = ok && h.ID == f.config.Self.ID
 	}
+	if n, ok := f.syncReplicas(g); ok && n > 0 {
+		o.Members = f.listedMembers(g)
+	}
 	id, _ := g.Primary()
 	m, ok := f.table.Member(id)
 	if !ok {
@@ -277,14 +282,14 @@
 // validate returns a reply of the member, or a failure if it can't be relied on: it
 // arrived after this host's lease of the group had ended, so that another holder may have
 // replaced the primary since the request was sent; or it tells of a change of data, and
-// the member isn't the primary of that term any more.
+// the member isn't the primary of that term any more, or is being replaced.
 func (u *primaryUse) validate(o query.Reply) query.Reply {
 	f, r := u.daemon, u.request
 	f.mu.Lock()
 	ok := u.group.MayFinishTransactions(now())
 	id, term := u.group.Primary()
+	same := id == u.member && term == u.term && u.group.PassesReplies() || r.Action == query.ActionRead
 	f.mu.Unlock()
-	same := id == u.member && term == u.term || r.Action == query.ActionRead
 	if ok && same || o.Failure != nil {
 		return o
 	}
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -62,7 +62,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	g.Handle(takeover.MembersPolled{Statuses: l}, now())
+	g.Handle(takeover.MembersPolled{Statuses: l, RequestedAt: t}, now())
 	r, _ := g.Record()
 	id, term := g.Primary()
 	f.config.Log.Info("primary discovery finished", "group", g.name, "found", g.PrimaryDiscovered(), "usable", g.PrimaryUsable(), "member", id, "term", term, "pending", r.Target, "uncertain", r.PrimaryUncertain, "position", g.RecordPosition().String(), "answers", len(l), "took-ms", now().Sub(t).Milliseconds())
@@ -178,22 +178,8 @@
 	g.Handle(takeover.ReplacementStarted{}, t)
 	f.mu.Unlock()
 	f.config.Log.Info("primary replacement started", "group", g.name, "member", old, "term", term, "why", why)
-	var w errgroup.Group
-	var intended bool
-	w.Go(func() error {
-		intended = f.recordIntent(x, g)
-		return nil
-	})
-	if why == takeover.PrimaryDraining {
-		f.awaitTransactions(x, old)
-	}
-	n, ok := f.selectPromotionTarget(x, g, old, why == takeover.PrimaryDraining)
-	_ = w.Wait()
-	if !ok && intended {
-		f.recordPrimary(x, g)
-	}
-	if ok = ok && intended; ok {
-		f.killPool(old)
+	n, ok := f.preparePromotion(x, g, old, why == takeover.PrimaryDraining)
+	if ok {
 		ok = f.promoteMember(x, g, n)
 	}
 	f.mu.Lock()
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -189,29 +189,46 @@
 	return query.Response{Reply: query.Reply{State: query.Idle}}
 }
 
+// awaitPrimary waits until work may be sent to a group's primary, as long as a request that
+// arrived at t may wait. It returns false with the refusal if that isn't so in time; f.mu
+// is held, but not all the while.
+func (f *Daemon) awaitPrimary(x context.Context, g *group, r *query.Request, t time.Time) (query.Response, bool) {
+	for !g.MaySendWork(now()) || f.replacementBlocked(g) {
+		rec, _ := g.Record()
+		held := rec.Holder.ID == f.config.Self.ID
+		left := r.Remaining - time.Since(t)
+		switch {
+		case f.replacementBlocked(g):
+			id, _ := g.Primary()
+			o := blockedReplacementResponse(id)
+			o.Unavailable = f.config.Features.Pressure
+			return o, false
+		case !held:
+			return query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder.ID}, false
+		case left <= holderRetryDelay:
+			o := query.Response{Reply: query.Refusal(query.Overloaded, "the primary is being replaced"), Holder: rec.Holder.ID}
+			o.Failure.RetryAfter, o.Unavailable = replacementRetryAfter, f.config.Features.Pressure
+			return o, false
+		}
+		f.mu.Unlock()
+		awake := sleep(x, holderRetryDelay)
+		f.mu.Lock()
+		if !awake {
+			return query.Response{Reply: query.Refusal(query.Overloaded, "the daemon that asked is gone")}, false
+		}
+	}
+	return query.Response{}, true
+}
+
 // servePrimary runs a request at the primary if this host holds the group. It
 // waits while the primary is not available.
 func (f *Daemon) servePrimary(x context.Context, r *query.Request) query.Response {
 	t := time.Now()
 	f.mu.Lock()
 	g := f.group(r.Group)
-	for !g.MaySendWork(now()) {
-		rec, _ := g.Record()
-		left := r.Remaining - time.Since(t)
-		if rec.Holder.ID != f.config.Self.ID || left <= holderRetryDelay {
-			f.mu.Unlock()
-			o := query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder.ID}
-			if rec.Holder.ID == f.config.Self.ID {
-				o.Failure = &query.Failure{Reason: query.Overloaded, Text: "the primary is being replaced", RetryAfter: replacementRetryAfter}
-				o.Unavailable = f.config.Features.Pressure
-			}
-			return o
-		}
+	if o, ok := f.awaitPrimary(x, g, r, t); !ok {
 		f.mu.Unlock()
-		if !sleep(x, holderRetryDelay) {
-			return query.Response{Reply: query.Refusal(query.Overloaded, "the daemon that asked is gone")}
-		}
-		f.mu.Lock()
+		return o
 	}
 	id, term := g.Primary()
 	m, ok := f.table.Member(id)
--- a/lease/record.go
+++ b/lease/record.go
@@ -15,6 +15,15 @@
 	Address string `json:"address"`
 }
 
+// Member is one process of a backend server.
+type Member struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	// StartMillis is its start time in Unix milliseconds. A later process of the same ID
+	// has lost its log.
+	StartMillis int64 `json:"born,omitempty"`
+}
+
 // Record is the record of a database group in the store.
 type Record struct {
 	// Holder is the process that holds the lease.
@@ -39,6 +48,11 @@
 	// PrimaryUncertain is set if Primary and Term come from a record of an earlier
 	// era whose holder didn't write them again: a later promotion may be unknown.
 	PrimaryUncertain bool `json:"primary-uncertain,omitempty"`
+	// Members are the processes of the group's backend servers that may hold an
+	// acknowledged commit which no other one holds, whether the store lists them or not,
+	// sorted by ID and start. It is kept only for groups whose commits wait for replicas;
+	// empty if it isn't known.
+	Members []Member `json:"members,omitempty"`
 }
 
 // supersedes reports whether a record was written later than o, as far as the records
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -29,6 +29,9 @@
 		g.mu.Lock()
 		m.down = false
 		g.demote(m)
+		if m.primary {
+			g.replicate(m)
+		}
 		g.mu.Unlock()
 		s.publishMembers(g)
 	}
@@ -44,6 +47,68 @@
 	return s.cutFromStore(m)
 }
 
+// replica returns the n-th replica of group i.
+func (s *Site) replica(i, n int) *member {
+	g := s.groups[i]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if m.primary {
+			continue
+		}
+		if n == 0 {
+			return m
+		}
+		n--
+	}
+	return nil
+}
+
+// CutReplica partitions the n-th replica of group i from the store and the daemons, but not
+// from the other members, until the returned function is called.
+func (s *Site) CutReplica(i, n int) (restore func()) {
+	m := s.replica(i, n)
+	listed := s.cutFromStore(m)
+	g := m.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	m.unreachable = true
+	for c := range m.conns {
+		_ = c.Close()
+	}
+	return func() {
+		g.mu.Lock()
+		m.unreachable = false
+		g.mu.Unlock()
+		listed()
+	}
+}
+
+// StopReplication lets the n-th replica of group i receive nothing until the returned
+// function is called.
+func (s *Site) StopReplication(i, n int) (resume func()) {
+	m := s.replica(i, n)
+	g := m.group
+	set := func(stopped bool) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		m.replicationStopped = stopped
+		if p := g.newestPrimary(); p != nil && !p.down {
+			g.replicate(p)
+		}
+	}
+	set(true)
+	return func() { set(false) }
+}
+
+// Promotions returns how many promotions have taken effect in group i.
+func (s *Site) Promotions(i int) int {
+	g := s.groups[i]
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.promotedAt)
+}
+
 // cutFromStore removes a member's record until the returned function is called.
 func (s *Site) cutFromStore(m *member) (restore func()) {
 	g := m.group
--- a/standin/site/group.go
+++ b/standin/site/group.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 )
@@ -40,8 +41,10 @@
 	mu   sync.Mutex
 	name string
 	// lag is the replication lag of the replicas.
-	lag     time.Duration
-	members []*member
+	lag time.Duration
+	// syncReplicas is how many replicas receive a commit before it is acknowledged.
+	syncReplicas int
+	members      []*member
 	// entries holds all committed entries, also those rolled back by a promotion.
 	entries []*logEntry
 	// promotedAt holds the time of the promotion that started each term above 1.
@@ -85,13 +88,56 @@
 	c.position, c.committedAt = Position{Term: m.term, Number: n}, now
 	m.log = append(m.log, c)
 	g.entries = append(g.entries, c)
+	g.replicate(m)
+}
+
+// replicate sends the replicas that follow a primary what they lack of its log; g.mu is
+// held.
+func (g *group) replicate(m *member) {
 	for _, o := range g.members {
 		if o != m && !o.primary && !o.down && !o.replicationStopped && o.term == m.term {
-			o.log = append(o.log, c)
+			o.log = append(o.log, m.log[min(len(o.log), len(m.log)):]...)
+		}
+	}
+}
+
+// isReplicated reports whether enough replicas have received an entry of a primary for its
+// acknowledgment; g.mu is held.
+func (g *group) isReplicated(m *member, c *logEntry) bool {
+	n := 0
+	for _, o := range g.members {
+		if o != m && slices.Contains(o.log[max(0, min(len(o.log), c.position.Number-1)):], c) {
+			n++
 		}
 	}
+	return n >= g.syncReplicas
 }
 
+// awaitReplicas waits until enough replicas have received an entry of a primary. It
+// returns false, and ends the session, if the member stops or the entry is rolled back
+// first. g.mu is held, but not all the while.
+func (g *group) awaitReplicas(s *backendSession, c *logEntry) bool {
+	for !g.isReplicated(s.member, c) {
+		g.mu.Unlock()
+		time.Sleep(replicationPoll)
+		g.mu.Lock()
+		if s.member.down || s.incarnation != s.member.incarnation || c.rolledBack {
+			s.incarnation = endedIncarnation
+			return false
+		}
+		if s.member.primary {
+			g.replicate(s.member)
+		}
+	}
+	return true
+}
+
+// endedIncarnation is the incarnation of sessions that end.
+const endedIncarnation = -1
+
+// replicationPoll is how often a commit checks whether replicas have received it.
+const replicationPoll = 2 * time.Millisecond
+
 // promote makes a member the primary of the next term and copies its log to the
 // running replicas. Entries missing from its log count as rolled back. g.mu is
 // held.
@@ -107,6 +153,9 @@
 		kept[c] = true
 	}
 	for _, c := range g.entries {
+		if !kept[c] && !c.rolledBack && !c.acknowledgedAt.IsZero() && g.syncReplicas > 0 {
+			g.reportViolation("LOST", "%s was acknowledged and isn't in the log of %s, which is promoted", c.position, m.id)
+		}
 		c.rolledBack = c.rolledBack || !kept[c]
 	}
 	for _, o := range g.members {
@@ -163,6 +212,9 @@
 				continue
 			}
 			c.acknowledgedAt = now
+			if c.rolledBack && g.syncReplicas > 0 {
+				g.reportViolation("LOST", "%s was acknowledged after it had been rolled back", c.position)
+			}
 			if t, ok := g.promotedAt[c.position.Term+1]; ok && c.committedAt.After(t) {
 				g.reportViolation("ONE", "%s was committed at %s after the promotion of the next term", statementID, c.position)
 			}
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -29,6 +29,8 @@
 	// muteTime.
 	mute     bool
 	draining bool
+	// unreachable is true if no daemon reaches the member; the other members do.
+	unreachable bool
 	// cutFromStore is true if the member's reports don't reach the store.
 	cutFromStore bool
 	startedAt    int64
@@ -73,7 +75,7 @@
 			return
 		}
 		m.group.mu.Lock()
-		down, full := m.down, len(m.conns) >= maxConnections
+		down, full := m.down || m.unreachable, len(m.conns) >= maxConnections
 		incarnation := m.incarnation
 		if !down {
 			m.conns[c] = true
@@ -249,7 +251,11 @@
 			s.sendError("READONLY")
 			return
 		}
-		g.appendEntry(s.member, &logEntry{writes: w, statementIDs: append(a, id), sessionID: s.transactionSessionID}, time.Now())
+		c := &logEntry{writes: w, statementIDs: append(a, id), sessionID: s.transactionSessionID}
+		g.appendEntry(s.member, c, time.Now())
+		if !g.awaitReplicas(s, c) {
+			return
+		}
 	}
 	s.sendComplete("sig-" + id)
 }
@@ -302,7 +308,11 @@
 		s.writes[arguments] = id
 		s.statementIDs = append(s.statementIDs, id)
 	default:
-		g.appendEntry(s.member, &logEntry{writes: map[string]string{arguments: id}, statementIDs: []string{id}, sessionID: at.sessionIDOf(id)}, now)
+		c := &logEntry{writes: map[string]string{arguments: id}, statementIDs: []string{id}, sessionID: at.sessionIDOf(id)}
+		g.appendEntry(s.member, c, now)
+		if !g.awaitReplicas(s, c) {
+			return
+		}
 	}
 	s.sendComplete("sig-" + id)
 }
--- a/standin/site/restart_test.go
+++ b/standin/site/restart_test.go
@@ -16,22 +16,28 @@
 	f.run(&daemon{done: make(chan error, 1), settings: d.settings})
 }
 
-var _ = DescribeTable("a fleet that starts again as a whole serves within 12 s", func(copyAge time.Duration) {
-	f := newFleet(defaultConfig, 3)
-	f.runLoad(41, time.Second)
-	for _, d := range f.daemons {
+// stopAll stops all processes, which it returns, and waits for their ends.
+func (f *fleet) stopAll() []*daemon {
+	f.mu.Lock()
+	old := f.daemons
+	f.daemons = nil
+	f.mu.Unlock()
+	for _, d := range old {
 		d.stop()
 	}
-	for _, d := range f.daemons {
+	for _, d := range old {
 		Eventually(d.done, 10*time.Second).Should(BeClosed())
 	}
+	return old
+}
+
+var _ = DescribeTable("a fleet that starts again as a whole serves within 12 s", func(copyAge time.Duration) {
+	f := newFleet(defaultConfig, 3)
+	f.runLoad(41, time.Second)
+	old := f.stopAll()
 	if copyAge > 0 {
 		f.site.RestoreStore(copyAge)
 	}
-	old := f.daemons
-	f.mu.Lock()
-	f.daemons = nil
-	f.mu.Unlock()
 	t := time.Now()
 	for _, d := range old {
 		f.restart(d)
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -22,6 +22,8 @@
 	StatementTime time.Duration
 	// PromotionTime is the duration of a promotion.
 	PromotionTime time.Duration
+	// SyncReplicas is how many replicas receive a commit before it is acknowledged.
+	SyncReplicas int
 	// Teams is the number of teams; clients need no key if it is zero.
 	Teams int
 	// Advertise returns the address at which daemons reach a member that listens at the
@@ -89,7 +91,7 @@
 	s := &Site{config: c, store: newStore(), statements: map[string]*statement{}, fencingTokens: map[string]int{}, tokenHolders: map[string]string{}, keys: map[string][]holding{}}
 	s.initKeys()
 	for i := range c.Groups {
-		g := &group{name: fmt.Sprintf("g%d", i), lag: c.Lag, promotedAt: map[int]time.Time{}, reportViolation: s.reportViolation}
+		g := &group{name: fmt.Sprintf("g%d", i), lag: c.Lag, syncReplicas: c.SyncReplicas, promotedAt: map[int]time.Time{}, reportViolation: s.reportViolation}
 		for j, z := range failureDomains {
 			if err := s.addMember(g, fmt.Sprintf("m%d%d", i, j), z, j == i%3); err != nil {
 				return nil, err
@@ -207,7 +209,7 @@
 		route(g.name+"-primary", "primary", g.name, 0, 0)
 		route(g.name+"-bounded", "bounded", g.name, 1, int(boundedMaxStaleness.Milliseconds()))
 		route(g.name+"-own", "own", g.name, 2, int(ownMaxStaleness.Milliseconds()))
-		services = append(services, map[string]any{"name": g.name, "connection_cap": maxConnections, "sync_replicas": 0})
+		services = append(services, map[string]any{"name": g.name, "connection_cap": maxConnections, "sync_replicas": s.config.SyncReplicas})
 	}
 	for _, e := range extra {
 		route(e, "primary", s.groups[0].name, 0, 0)
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/dragonflypick/dragonflypick/lease"
 )
 
 // HostState is what the next action depends on in addition to the state in
@@ -31,6 +33,9 @@
 	// PrimaryDraining is set if the primary takes no new work because it is to be
 	// returned to the platform.
 	PrimaryDraining bool
+	// Members are the listed members of a group whose commits wait for replicas; empty for
+	// other groups.
+	Members []lease.Member
 	// PrimaryHealth is the state of the connections to the primary, nil if
 	// there are none.
 	PrimaryHealth *ConnectionHealth
@@ -72,6 +77,10 @@
 // which the next holder reads them.
 type RecordPrimary struct{}
 
+// RecordMembers writes the group's members into its record, from which a later holder
+// learns of those that the store doesn't list any more.
+type RecordMembers struct{}
+
 // ProbePrimary opens fresh connections to the primary.
 type ProbePrimary struct{}
 
@@ -96,11 +105,13 @@
 func (TransferLease) action()       {}
 func (PollPreviousHolders) action() {}
 func (RecordPrimary) action()       {}
+func (RecordMembers) action()       {}
 func (ProbePrimary) action()        {}
 func (ReplacePrimary) action()      {}
 
 // NextAction returns the action that the host must take now for the group, or nil.
 func (g *Group) NextAction(f HostState, now time.Time) Action {
+	g.observeSole(now)
 	r, known := g.lease.Record()
 	switch {
 	case g.lease.MustRewrite(now):
@@ -146,6 +157,8 @@
 		return TransferLease{}
 	case g.primaryUnrecorded(), !g.primaryUnusable && g.lease.SettleDue(now):
 		return RecordPrimary{}
+	case g.membersDue(f.Members):
+		return RecordMembers{}
 	case len(g.lease.UnfinishedHolders(now)) > 0:
 		return g.waitingAction(f, now)
 	case g.primaryUnusable:
@@ -158,10 +171,14 @@
 	if a := g.monitorPrimary(f, now); a != nil {
 		return a
 	}
-	if g.transferDue(f, now) {
+	switch {
+	case g.transferDue(f, now):
 		return TransferLease{}
+	case g.dropDue(f.Members, now):
+		return RecordMembers{}
+	default:
+		return nil
 	}
-	return nil
 }
 
 // waitingAction returns the next action while previous holders may still send work to the
--- a/takeover/select.go
+++ b/takeover/select.go
@@ -33,6 +33,8 @@
 	// CandidateCatchingUp means that the selected replica lacks entries of the old
 	// primary's log and has time left to receive them.
 	CandidateCatchingUp
+	// CandidateUnsafe means that a member answers, but may lack an acknowledged commit.
+	CandidateUnsafe
 	// CandidateReady means that the selected member may be promoted.
 	CandidateReady
 )
@@ -49,6 +51,11 @@
 	switch {
 	case !ok:
 		return MemberStatus{}, NoCandidate
+	case c.SyncReplicas > 0 && !g.hasAllCommits(c, p.Status.Received):
+		if c.Planned && !caughtUp && !c.CatchUpExpired {
+			return p, CandidateCatchingUp
+		}
+		return MemberStatus{}, CandidateUnsafe
 	case c.Planned && !caughtUp && !c.CatchUpExpired:
 		return p, CandidateCatchingUp
 	default:
@@ -67,38 +74,30 @@
 
 // selectReplica returns the replica with the furthest log position, and whether
 // it has reached the position that the old primary reported. If commits are
-// acknowledged without waiting for replicas, a draining replica is not selected.
-// Otherwise a replica is selected only if enough have answered that one of them
-// must have every acknowledged commit; the furthest is then selected even if it
-// is draining.
+// acknowledged without waiting for replicas, a draining replica is not selected;
+// otherwise the furthest is selected even if it is draining.
 func selectReplica(c SelectionInput) (a MemberStatus, caughtUp, ok bool) {
-	var end, furthest logpos.Position
-	best, missing := -1, 0
+	var end logpos.Position
+	best := -1
 	for i, a := range c.Statuses {
 		switch {
 		case a.Member.ID == c.OldPrimary:
 			if a.Err == nil && a.Status.Primary {
 				end = a.Status.Received
 			}
-			continue
 		case a.Err != nil:
-			missing++
-			continue
-		}
-		furthest = logpos.Max(furthest, a.Status.Received)
-		if best < 0 || c.preferred(a, c.Statuses[best]) {
+		case best < 0 || c.preferred(a, c.Statuses[best]):
 			best = i
 		}
 	}
-	if best < 0 || c.SyncReplicas > 0 && missing >= c.SyncReplicas {
+	if best < 0 {
 		return MemberStatus{}, false, false
 	}
 	p := c.Statuses[best]
-	r := p.Status.Received
-	if p.Member.Draining && c.SyncReplicas == 0 || c.SyncReplicas > 0 && r.Less(furthest) {
+	if p.Member.Draining && c.SyncReplicas == 0 {
 		return MemberStatus{}, false, false
 	}
-	return p, !r.Less(end), true
+	return p, !p.Status.Received.Less(end), true
 }
 
 // preferred reports whether to promote a rather than b. If commits wait for
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -65,7 +65,11 @@
 
 // MembersPolled is the result of polling the members to find the primary. Answers that
 // were not awaited follow as MemberAnswered.
-type MembersPolled struct{ Statuses []MemberStatus }
+type MembersPolled struct {
+	Statuses []MemberStatus
+	// RequestedAt is when the first status was requested.
+	RequestedAt time.Time
+}
 
 // MemberAnswered is a member's status that arrived after MembersPolled.
 type MemberAnswered struct{ MemberStatus }
@@ -79,6 +83,14 @@
 // ReplacementEnded reports that the replacement has succeeded or failed.
 type ReplacementEnded struct{}
 
+// WorkEnded reports that all work at the primary has been ended for its replacement: no
+// reply about a change that arrives from now on is passed on.
+type WorkEnded struct{}
+
+// ReplacementBlocked reports that no member could be selected without the loss of an
+// acknowledged commit.
+type ReplacementBlocked struct{ Block Block }
+
 // PromotionRequested reports that a promotion has been requested. It may take
 // effect at any time from then on.
 type PromotionRequested struct{}
@@ -100,6 +112,8 @@
 func (PrimaryProbed) event()      {}
 func (ReplacementStarted) event() {}
 func (ReplacementEnded) event()   {}
+func (WorkEnded) event()          {}
+func (ReplacementBlocked) event() {}
 func (PromotionRequested) event() {}
 func (PrimaryConfirmed) event()   {}
 
@@ -126,6 +140,8 @@
 	// handled. Only a holder records them.
 	logEnd   logpos.Position
 	logEndAt time.Time
+	// durability is what this host knows of the acknowledged commits.
+	durability durability
 	// failedProbes counts the fresh connections to the primary that failed in a
 	// row.
 	failedProbes int
@@ -144,6 +160,11 @@
 
 // Handle processes an event.
 func (g *Group) Handle(e Event, now time.Time) {
+	g.handle(e, now)
+	g.observeSole(now)
+}
+
+func (g *Group) handle(e Event, now time.Time) {
 	switch e := e.(type) {
 	case LeaseEvent:
 		g.handleLease(e.Event, now)
@@ -151,6 +172,7 @@
 		g.observePosition(e, now)
 	case MembersPolled:
 		g.discoverPrimary(e.Statuses, now)
+		g.observePolled(e)
 	case MemberAnswered:
 		if e.Err == nil && g.logEnd.Less(e.Status.Received) {
 			g.logEnd, g.logEndAt = e.Status.Received, now
@@ -158,18 +180,24 @@
 	case PrimaryProbed:
 		g.failedProbes++
 		if !e.Failed {
-			g.failedProbes = 0
+			g.failedProbes, g.durability.blockedAt = 0, time.Time{}
 		}
 	case ReplacementStarted:
 		g.replacing = true
 	case ReplacementEnded:
-		g.replacing, g.failedProbes = false, 0
+		g.replacing, g.failedProbes, g.durability.workEnded = false, 0, false
+	case WorkEnded:
+		g.durability.workEnded = true
+	case ReplacementBlocked:
+		g.durability.block, g.durability.blockedAt = e.Block, now
 	case PromotionRequested:
 		g.primaryUnusable = true
 	case PrimaryConfirmed:
 		g.primary, g.term = e.Member, e.Status.Term
 		g.primaryUnusable = e.Status.Received.Offset < e.LogEnd.Offset
 		g.logEnd, g.logEndAt = e.Status.Received, now
+		// No commit of the new term has been acknowledged yet.
+		g.durability.complete, g.durability.blockedAt = true, time.Time{}
 	}
 }
 
@@ -183,6 +211,7 @@
 	rewritten := old.Holder.ID == g.self.ID && r.Era > old.Era && !r.PrimaryUncertain
 	if r.Holder.ID == g.self.ID && r.Epoch != old.Epoch && !rewritten {
 		g.primaryDiscovered, g.primaryUnusable, g.failedProbes, g.nearerSince = false, false, 0, time.Time{}
+		g.durability = durability{}
 	}
 	if r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
 		g.primary, g.term = r.Primary, r.Term
@@ -198,9 +227,11 @@
 	switch {
 	case o.Position.Less(g.logEnd) && o.RequestedAt.After(g.logEndAt):
 		g.primaryUnusable = true
+		return
 	case g.logEnd.Less(o.Position):
 		g.logEnd, g.logEndAt = o.Position, now
 	}
+	g.observeComplete(o.RequestedAt)
 }
 
 // MayDiscover reports whether the primary can be determined from the statuses that have
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -46,7 +46,7 @@
 // newHolder returns the group of a holder that has discovered its primary p.
 func newHolder() *takeover.Group {
 	g := takeover.New(lease.Holder{ID: "a"})
-	observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1}, 1)
+	observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1, Members: []lease.Member{{ID: "a"}, {ID: "b"}, {ID: "p"}}}, 1)
 	g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("p", 1, 5)}}, start)
 	return g
 }
@@ -216,7 +216,7 @@
 		Entry("a replica that isn't draining, though another has a further position", []takeover.MemberStatus{replica("a", 5, false), replica("b", 7, true)}, 0, false, "a", takeover.CandidateReady),
 		Entry("none, if the only replica is draining", []takeover.MemberStatus{replica("b", 7, true)}, 0, false, "", takeover.NoCandidate),
 		Entry("the only replica that replies", []takeover.MemberStatus{unreachable("a"), replica("b", 7, false)}, 0, false, "b", takeover.CandidateReady),
-		Entry("none, if only the replica that doesn't reply may have a synchronous commit", []takeover.MemberStatus{unreachable("a"), replica("b", 7, false)}, 1, false, "", takeover.NoCandidate),
+		Entry("none, if only the replica that doesn't reply may have a synchronous commit", []takeover.MemberStatus{unreachable("a"), replica("b", 7, false)}, 1, false, "", takeover.CandidateUnsafe),
 		Entry("the replica that has the synchronous commits, though it is draining", []takeover.MemberStatus{replica("a", 5, false), replica("b", 7, true)}, 1, false, "b", takeover.CandidateReady),
 		Entry("catching up, while it has reached less than a primary that still replies", []takeover.MemberStatus{primary("p", 1, 9), replica("a", 5, false)}, 0, true, "a", takeover.CandidateCatchingUp),
 		Entry("ready, when it has reached the primary's position", []takeover.MemberStatus{primary("p", 1, 9), replica("a", 9, false)}, 0, true, "a", takeover.CandidateReady),
