--- a/pool/kill_test.go
+++ b/pool/kill_test.go
@@ -1,6 +1,9 @@
 package pool_test
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -30,6 +33,58 @@
 var _ = Describe("Pool.Kill while work is in flight", func() {
 	const statementTime = 100 * time.Millisecond
 
+	It("acknowledges nothing that the member runs from then on, whatever is under way", func() {
+		const (
+			runs    = 40
+			callers = 12
+		)
+		for seed := range uint64(runs) {
+			r := rand.New(rand.NewPCG(seed, 1))
+			m := &member{limit: 20, statementTime: time.Millisecond, openTime: time.Duration(r.IntN(3)) * time.Millisecond}
+			p := newPool(m, 4, 20)
+			var w sync.WaitGroup
+			var acknowledged sync.Map
+			acknowledge := func(q *query.Request) query.Reply {
+				o := run(p, q)
+				if o.Failure == nil && q.Action != query.ActionRead {
+					acknowledged.Store(q.ID, true)
+				}
+				return o
+			}
+			for i := range callers {
+				w.Go(func() {
+					for n := 0; ; n++ {
+						id := fmt.Sprintf("%d-%d", i, n)
+						if i%2 == 0 {
+							if f := acknowledge(request(id, id, query.Single, query.ActionWrite)).Failure; f != nil && f.Reason == query.Moved {
+								return
+							}
+							continue
+						}
+						o := run(p, request(id, id, query.First, query.ActionWrite))
+						if o.Failure != nil && o.Failure.Reason == query.Moved {
+							return
+						}
+						c := request(id, id, query.Later, query.ActionCommit)
+						c.ID = "commit-" + id
+						if o.State == query.Open {
+							acknowledge(c)
+						}
+					}
+				})
+			}
+			time.Sleep(time.Duration(5000+r.IntN(10_000)) * time.Microsecond)
+			p.Kill()
+			m.replaced.Store(true)
+			w.Wait()
+			acknowledged.Range(func(id, _ any) bool {
+				_, late := m.late.Load(id)
+				Expect(late).To(BeFalse(), "%s, seed %d", id, seed)
+				return true
+			})
+		}
+	})
+
 	It("ends a transaction whose first statement is running", func() {
 		m := &member{limit: 10, statementTime: statementTime}
 		p := newPool(m, 3, 10)
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -42,6 +42,10 @@
 	// connection takes.
 	commits  atomic.Int64
 	openTime time.Duration
+	// replaced is set once the member isn't to be used any more. late holds the IDs of the
+	// statements and commits that it ran from then on.
+	replaced atomic.Bool
+	late     sync.Map
 	// refuse makes the member refuse statements without ending their transaction.
 	refuse atomic.Bool
 	// mismatched lists statements that ran with a session value other than their
@@ -101,6 +105,7 @@
 		c.state = query.Idle
 		if s.Commit {
 			c.m.commits.Add(1)
+			c.m.recordRun(s.ID)
 		}
 	case query.RunStatement:
 		if c.m.refuse.Load() {
@@ -113,6 +118,13 @@
 	return query.Reply{State: c.state, Signature: "s", Position: logpos.Position{Term: 1, Offset: 1}}, nil
 }
 
+// recordRun takes note of a statement or commit that is run now.
+func (m *member) recordRun(id string) {
+	if m.replaced.Load() {
+		m.late.Store(id, true)
+	}
+}
+
 func (c *conn) run(s query.RunStatement) error {
 	c.m.mu.Lock()
 	c.m.running++
@@ -131,6 +143,7 @@
 	if c.m.drop.Load() {
 		c.Close()
 	}
+	c.m.recordRun(s.ID)
 	if c.closed.Load() {
 		return errs.New("connection lost")
 	}
--- a/takeover/durability.go
+++ b/takeover/durability.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -187,6 +188,7 @@
 	d := &g.durability
 	d.droppedAt = now
 	r, _ := g.lease.Record()
+	maps.DeleteFunc(d.dropBounds, func(m lease.Member, _ logpos.Position) bool { return !slices.Contains(r.Members, m) })
 	for _, m := range r.Members {
 		if _, ok := d.dropBounds[m]; ok || !d.complete || !ended(m, listed) {
 			continue
