--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -208,17 +208,6 @@
 	rates      rates
 }
 
-// ownedPool is a pool and the time at which it was last requested.
-type ownedPool struct {
-	*pool.Pool
-	lastUsed time.Time
-	// primaryTerm is the latest term in which the member was used as the primary; zero
-	// if it wasn't.
-	primaryTerm uint64
-	// responses counts the responses to other hosts.
-	responses uint64
-}
-
 // New returns a daemon whose listening socket for other daemons is open.
 func New(c Config) (*Daemon, error) {
 	x, stop := context.WithCancel(context.Background())
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -359,6 +359,17 @@
 	return w
 }
 
+// ownedPool is a pool and the time at which it was last requested.
+type ownedPool struct {
+	*pool.Pool
+	lastUsed time.Time
+	// primaryTerm is the latest term in which the member was used as the primary; zero
+	// if it wasn't.
+	primaryTerm uint64
+	// responses counts the responses to other hosts.
+	responses uint64
+}
+
 // memberPool returns the pool of a member, which is created if need be; f.mu is
 // held.
 func (f *Daemon) memberPool(m catalog.Member) *pool.Pool {
