--- a/fleet/durability.go
+++ b/fleet/durability.go
@@ -9,6 +9,10 @@
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
+// blockedRetryDelay is the delay before the next attempt to replace a primary that could
+// not be replaced without the loss of an acknowledged commit.
+const blockedRetryDelay = 500 * time.Millisecond
+
 // blockedReplacementRetryAfter is the retry-after interval of a request whose primary has
 // failed and can't be replaced without the loss of an acknowledged commit.
 const blockedReplacementRetryAfter = time.Second
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -185,9 +185,13 @@
 	f.mu.Lock()
 	g.Handle(takeover.ReplacementEnded{}, now())
 	_, term = g.Primary()
+	d := storecopy.Backoff(1, nil)
+	if f.replacementBlocked(g) {
+		d = blockedRetryDelay
+	}
 	f.mu.Unlock()
 	if !ok {
-		sleep(x, storecopy.Backoff(1, nil))
+		sleep(x, d)
 		return
 	}
 	f.config.Log.Info("primary replaced", "group", g.name, "member", n.Member.ID, "term", term, "was", old, "took-ms", now().Sub(t).Milliseconds())
