--- a/entry/entry.go
+++ b/entry/entry.go
@@ -150,6 +150,9 @@
 	return d, nil
 }
 
+// ID returns the session's ID, which is unique among all daemons.
+func (s *Session) ID() string { return s.id }
+
 // State returns the session's state.
 func (s *Session) State() query.State { return s.state }
 
