pool: a template's name is its own on a connection, not a hash of its text

Cause: the name of a prepared template was the XXH64 hash of its text, and a connection took a name that it had prepared for the same template. Class: a hash stands for a text, and nothing else is compared.

Evidence: go test -race ./pool. With the tests on the code before, 'isn't taken for another one whose 64-bit hash is the same' ran the first template of the pair for the second; 5,000 templates on one connection were all kept. All pass now.

A connection maps whole templates to names from a counter, and no name is used twice on it. What a connection keeps is bounded (512 templates, 128 KiB of texts): beyond that the session is reset and its values are set again, which also clears the names at the member. A template above the bound is dropped after its request.

--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -198,7 +198,7 @@
 	k, at, err := p.openConn(y, team)
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
-		return p.addConn(&conn{Conn: k, id: o.Conn, team: team, prepared: map[string]bool{}}, o.Reason, t), nil
+		return p.addConn(&conn{Conn: k, id: o.Conn, team: team}, o.Reason, t), nil
 	}
 	f := dialFailure(err)
 	full := f.Reason == query.TooManyConnections
@@ -257,6 +257,7 @@
 func (p *Pool) release(c *conn, broken bool) {
 	closed := broken || p.closed
 	c.endOnKill = false
+	c.templates.trim()
 	if closed {
 		delete(p.conns, c.id)
 		c.Close()
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -36,9 +36,9 @@
 	// id identifies the connection in the pool.
 	id uint64
 	// team is the team in whose name the connection was opened.
-	team     string
-	values   []query.Value
-	prepared map[string]bool
+	team      string
+	values    []query.Value
+	templates templates
 	// endOnKill is set while the connection runs work that Pool.Kill ends; Pool.mu guards
 	// it.
 	endOnKill bool
@@ -71,26 +71,38 @@
 	if r.Template == nil {
 		return query.Reply{}, nil
 	}
-	n := templateName(*r.Template)
-	if c.prepared[n] {
+	return c.prepare(*r.Template, deadline)
+}
+
+// prepare prepares a template, unless it is prepared already.
+func (c *conn) prepare(t query.Template, deadline time.Time) (query.Reply, error) {
+	if _, ok := c.templates.name(t); ok {
 		return query.Reply{}, nil
 	}
-	o, err := c.runSetUpStep(query.PrepareTemplate{Name: n, Template: *r.Template}, deadline)
+	if c.templates.needsReset(t) {
+		v := c.values
+		if o, err := c.reset(deadline); err != nil || o.Failure != nil {
+			return o, err
+		}
+		if o, err := c.setValues(v, deadline); err != nil || o.Failure != nil {
+			return o, err
+		}
+	}
+	n := c.templates.newName()
+	o, err := c.runSetUpStep(query.PrepareTemplate{Name: n, Template: t}, deadline)
 	if err == nil && o.Failure == nil {
-		c.prepared[n] = true
+		c.templates.add(t, n)
 	}
 	return o, err
 }
 
+// setValues replaces the session values.
 func (c *conn) setValues(v []query.Value, deadline time.Time) (query.Reply, error) {
 	if len(c.values) > 0 {
-		o, err := c.runSetUpStep(query.ResetSession{}, deadline)
-		if err != nil || o.Failure != nil {
+		if o, err := c.reset(deadline); err != nil || o.Failure != nil {
 			return o, err
 		}
-		clear(c.prepared)
 	}
-	c.values = nil
 	for _, x := range v {
 		o, err := c.runSetUpStep(query.SetValue{Value: x}, deadline)
 		if err != nil || o.Failure != nil {
@@ -101,6 +113,21 @@
 	return query.Reply{}, nil
 }
 
+// reset clears the session values and the prepared templates.
+func (c *conn) reset(deadline time.Time) (query.Reply, error) {
+	o, err := c.runSetUpStep(query.ResetSession{}, deadline)
+	if err == nil && o.Failure == nil {
+		c.markReset()
+	}
+	return o, err
+}
+
+// markReset records that the member has reset the session.
+func (c *conn) markReset() {
+	c.values = nil
+	c.templates.clear()
+}
+
 // runSetUpStep runs a step that needs no slot of the member.
 func (c *conn) runSetUpStep(s query.Step, deadline time.Time) (query.Reply, error) {
 	t := time.Now()
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -171,14 +171,15 @@
 	return o, false
 }
 
-// requestStep returns the step that runs a request's statement or commit.
-func requestStep(r *query.Request, floor logpos.Position) query.Step {
+// requestStep returns the step that runs a request's statement or commit on the
+// connection, where its template is prepared.
+func (c *conn) requestStep(r *query.Request, floor logpos.Position) query.Step {
 	if r.Action == query.ActionCommit {
 		return query.EndTransaction{ID: r.ID, Commit: true}
 	}
 	s := query.RunStatement{ID: r.ID, Text: r.Text, Floor: floor}
 	if r.Template != nil {
-		s.Prepared = templateName(*r.Template)
+		s.Prepared, _ = c.templates.name(*r.Template)
 	}
 	return s
 }
@@ -345,8 +346,7 @@
 	}
 	o, err := p.runStep(c, s, t)
 	if _, ok := s.(query.ResetSession); ok && err == nil {
-		c.values = nil
-		clear(c.prepared)
+		c.markReset()
 	}
 	p.releaseConn(c, err != nil)
 	return o, err
--- a/pool/pace.go
+++ b/pool/pace.go
@@ -155,10 +155,10 @@
 // runRequestStep runs the statement or commit of a request and reports its time.
 func (p *Pool) runRequestStep(c *conn, r *query.Request, floor logpos.Position, d time.Time) (query.Reply, error) {
 	if p.pacer == nil {
-		return p.runStep(c, requestStep(r, floor), d)
+		return p.runStep(c, c.requestStep(r, floor), d)
 	}
 	n, t := p.slots.Running(), p.config.Now()
-	o, err := p.runStep(c, requestStep(r, floor), d)
+	o, err := p.runStep(c, c.requestStep(r, floor), d)
 	if err == nil {
 		p.pacer.observe(r, o, p.config.Now().Sub(t), n)
 	}
