pool: a probe whose reset the member refused doesn't clear what is known of the session

Callers could see: a statement that ran with the values of another session (PINNED). Read by a reviewer, not reported.

Cause: Probe took a refused reset for one that was run, and forgot the session's values and templates while the member kept them. Class: an answer isn't looked at for a failure.

Evidence: go test -race ./pool; 'a probe whose reset the member refuses' ran 'false t' with the value 1 of the session before; passes now.

The connection is closed, since nothing says what the session still holds, and a line is logged.

--- a/pool/execute.go
+++ b/pool/execute.go
@@ -345,10 +345,16 @@
 		return query.Reply{}, f
 	}
 	o, err := p.runStep(c, s, t)
-	if _, ok := s.(query.ResetSession); ok && err == nil {
+	broken := err != nil
+	if _, ok := s.(query.ResetSession); ok && !broken {
+		broken = o.Failure != nil
+		if broken {
+			// It is unknown what the session still holds.
+			p.config.Log.Warn("connection closed, since its reset was refused", "member", p.config.Member.ID, "conn", c.id, "reason", string(o.Failure.Reason))
+		}
 		c.markReset()
 	}
-	p.releaseConn(c, err != nil)
+	p.releaseConn(c, broken)
 	return o, err
 }
 
--- a/pool/template_test.go
+++ b/pool/template_test.go
@@ -190,3 +190,17 @@
 		Expect(m.wrong).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a probe whose reset the member refuses", func() {
+	It("doesn't let the next statement run with the values of another session", func() {
+		m := &preparingMember{refuseResets: true}
+		p := newPreparingPool(m)
+		t := query.Template{Text: "t"}
+		Expect(run(p, executeRequest(t, "1", query.Single)).Failure).To(BeNil())
+		o, err := p.Probe(context.Background(), query.ResetSession{}, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Failure).NotTo(BeNil())
+		Expect(run(p, executeRequest(t, "", query.Single)).Failure).To(BeNil())
+		Expect(m.wrong).To(BeEmpty())
+	})
+})
