fleet: updates of the copy take effect in the order in which the copy took them

Callers could see: requests at a member that had reported that it drains or had left (DRAIN), until its record changed again.

Cause: storecopy.Copy puts updates of the watch and of exchanges in order, but the items that each of them changed were applied after its lock was released, by two goroutines in either order. Class: a decision is taken under a lock, and carried out behind it.

Evidence: go test -race ./fleet; both entries of 'don't bring back what the newer of them has replaced' failed before, and pass now.

applyUpdate holds a mutex over both. Group records and configurations weren't affected: they compare positions and versions again where they are applied.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -129,6 +129,9 @@
 	draining atomic.Bool
 	// meanTeamRate is that of the configuration last used by teamWeight.
 	meanTeamRate atomic.Pointer[meanRate]
+	// applying is held while an update changes copy and its items are applied, so that
+	// the items of two updates take effect in the order in which copy took them.
+	applying sync.Mutex
 	// configurationConfirmed is set once confirmation is given.
 	configurationConfirmed atomic.Bool
 	// staleCopyAllowed is set once the store couldn't be read. Before that, a daemon
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -133,6 +133,8 @@
 // applyUpdate updates the local copy of the store and applies the items that were new
 // to it. from is fromStore or the ID of the daemon that sent the update.
 func (f *Daemon) applyUpdate(u storecopy.Update, from string) {
+	f.applying.Lock()
+	defer f.applying.Unlock()
 	was, listed := f.copy.Position(), f.hostListed()
 	f.applyItems(f.copy.Apply(u, time.Now()), from)
 	// If the copy before had not shown this host's record yet, no removal tells that a later
