serve: a SIGHUP that arrives during the start doesn't end the daemon

Operators could see: a daemon that ended right after its start when its settings file changed meanwhile. Read by a reviewer, not reported.

Cause: the handler stood only once the settings were read and the log was set up; before that a hangup ends a process. Class: a signal is expected before anybody waits for it.

The handler is set first in runOnPlatform, and stays until it returns. What remains is the time in which the process starts and parses its flags.

--- a/command/serve/platform.go
+++ b/command/serve/platform.go
@@ -16,17 +16,14 @@
 	"github.com/dragonflypick/dragonflypick/platformdaemon"
 )
 
-// logSettingsChanges reads the settings again at each SIGHUP and logs whether
-// they have changed. Changes take effect only when the process is restarted.
-func logSettingsChanges(x context.Context, path string, s platform.Settings, l hclog.Logger) error {
-	c := make(chan os.Signal, 1)
-	signal.Notify(c, syscall.SIGHUP)
-	defer signal.Stop(c)
+// logSettingsChanges reads the settings again at each hangup and logs whether they have
+// changed. Changes take effect only when the process is restarted.
+func logSettingsChanges(x context.Context, hangups <-chan os.Signal, path string, s platform.Settings, l hclog.Logger) error {
 	for {
 		select {
 		case <-x.Done():
 			return nil
-		case <-c:
+		case <-hangups:
 		}
 		n, err := platform.ReadSettings(path)
 		if err != nil {
@@ -41,6 +38,10 @@
 // users' platform. Of the flags, only --secret, --peer-advertise, --log-level and
 // --log-every apply.
 func runOnPlatform(x context.Context, o *Options, path string) error {
+	// A hangup ends a process that doesn't wait for it.
+	c := make(chan os.Signal, 1)
+	signal.Notify(c, syscall.SIGHUP)
+	defer signal.Stop(c)
 	s, err := platform.ReadSettings(path)
 	if err != nil {
 		return &command.FlagError{Reason: err.Error()}
@@ -62,7 +63,7 @@
 	y, end := context.WithCancel(context.WithoutCancel(x))
 	g, y := errgroup.WithContext(y)
 	g.Go(func() error { return w.Run(y) })
-	g.Go(func() error { return logSettingsChanges(y, path, s, l) })
+	g.Go(func() error { return logSettingsChanges(y, c, path, s, l) })
 	g.Go(func() error {
 		defer end()
 		return platformdaemon.Run(x, platformdaemon.Config{Settings: s, Secret: o.Secret, LogEvery: o.LogEvery, Log: l})
