--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"net"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
@@ -144,12 +145,13 @@
 	if r.Header.Key == "" {
 		return nil
 	}
-	d := xxhash.New()
+	d := sha256.New()
 	k := q.class.Count
 	for _, m := range q.messages {
 		switch m.Type {
 		case wire.Query, wire.Parse, wire.Bind:
-			_, _ = d.Write(append([]byte{m.Type}, m.Body...))
+			_, _ = d.Write(binary.BigEndian.AppendUint64([]byte{m.Type}, uint64(len(m.Body))))
+			_, _ = d.Write(m.Body)
 		case wire.Execute:
 			k++
 		}
@@ -160,7 +162,7 @@
 	if k > 1 || !q.complete {
 		return &RefusedError{Code: codeUnsupported, Message: "a request with an idempotency key must be one statement, sent whole"}
 	}
-	r.Header.Digest = strconv.FormatUint(d.Sum64(), 16)
+	r.Header.Digest = hex.EncodeToString(d.Sum(nil))
 	return nil
 }
 
