--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"time"
 
@@ -57,7 +56,7 @@
 	switch r.Method {
 	case methodExecute:
 		var q query.Request
-		if err := decodeParams(r, &q); err != nil {
+		if err := f.decodeParams(r, &q); err != nil {
 			return nil, err
 		}
 		o := f.serveRequest(x, &q)
@@ -65,25 +64,25 @@
 		return o, nil
 	case methodPosition:
 		var p positionParams
-		if err := decodeParams(r, &p); err != nil {
+		if err := f.decodeParams(r, &p); err != nil {
 			return nil, err
 		}
 		return f.answerPosition(x, p), nil
 	case methodExchange:
 		var p exchangeParams
-		if err := decodeParams(r, &p); err != nil {
+		if err := f.decodeParams(r, &p); err != nil {
 			return nil, err
 		}
 		return f.answerExchange(p), nil
 	case methodItem:
 		var p itemParams
-		if err := decodeParams(r, &p); err != nil {
+		if err := f.decodeParams(r, &p); err != nil {
 			return nil, err
 		}
 		return f.readForPeer(x, p.Key)
 	case methodWrite:
 		var w store.Write
-		if err := decodeParams(r, &w); err != nil {
+		if err := f.decodeParams(r, &w); err != nil {
 			return nil, err
 		}
 		return f.writeForPeer(x, w)
@@ -100,13 +99,13 @@
 	switch r.Method {
 	case methodLend:
 		var c allowance.Call
-		if err := decodeParams(r, &c); err != nil {
+		if err := f.decodeParams(r, &c); err != nil {
 			return nil, err
 		}
 		return f.lend(c), nil
 	case methodClose:
 		var c allowance.CloseCall
-		if err := decodeParams(r, &c); err != nil {
+		if err := f.decodeParams(r, &c); err != nil {
 			return nil, err
 		}
 		return f.closeLedger(c), nil
@@ -115,17 +114,6 @@
 	}
 }
 
-// decodeParams decodes the parameters of a call.
-func decodeParams(r *jsonrpc2.Request, v any) error {
-	if r.Params == nil {
-		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
-	}
-	if err := json.Unmarshal(*r.Params, v); err != nil {
-		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
-	}
-	return nil
-}
-
 // serveRequest runs a request on a member that this host owns, or on the
 // primary of a group that it holds.
 func (f *Daemon) serveRequest(x context.Context, r *query.Request) query.Response {
--- a/peer/linkcheck_test.go
+++ b/peer/linkcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/standin/relay"
 )
 
@@ -45,6 +47,14 @@
 					<-p.hold
 				case "panic":
 					panic("malformed")
+				case "request":
+					var q query.Request
+					err := json.Unmarshal(*r.Params, &q)
+					return q, err
+				case "response":
+					var o query.Response
+					err := json.Unmarshal(*r.Params, &o)
+					return o, err
 				}
 				return struct{}{}, nil
 			},
--- /dev/null
+++ b/peer/text_test.go
@@ -0,0 +1,91 @@
+package peer
+
+import (
+	"context"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// drawText draws a text that a message of a caller or a member may hold: any bytes but
+// CR LF.
+func drawText(r *rapid.T) string {
+	b := rapid.OneOf(
+		rapid.SliceOf(rapid.Byte()),
+		rapid.SliceOf(rapid.SampledFrom([]byte("\x00\n\r \"\\<&aufd\x7f\x80\xbd\xbf\xc0\xc3\xed\xef\xfc\xff"))),
+		rapid.SampledFrom([][]byte{[]byte("Gr\xfcn-gel\xe9"), []byte("Grün"), []byte("\ufffd"), []byte(`\ufffd`), []byte("\xff" + `\ufffd`), []byte("\xed\xa0\x80"), []byte("\u2028")}),
+	).Draw(r, "text")
+	return strings.ReplaceAll(string(b), "\r\n", "")
+}
+
+// drawTexts sets every string that a call carries in a value to a drawn text.
+func drawTexts(r *rapid.T, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		v.SetString(drawText(r))
+	case reflect.Pointer:
+		if rapid.Bool().Draw(r, "set") {
+			v.Set(reflect.New(v.Type().Elem()))
+			drawTexts(r, v.Elem())
+		}
+	case reflect.Slice:
+		if n := rapid.IntRange(0, 2).Draw(r, "length"); n > 0 {
+			v.Set(reflect.MakeSlice(v.Type(), n, n))
+		}
+		for i := range v.Len() {
+			drawTexts(r, v.Index(i))
+		}
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if v.Type().Field(i).Tag.Get("json") != "-" {
+				drawTexts(r, v.Field(i))
+			}
+		}
+	case reflect.Map, reflect.Interface, reflect.Func, reflect.Chan:
+		r.Fatalf("no texts are drawn for a %s", v.Type())
+	}
+}
+
+// regions are the regions of the called daemon: calls to another region are compressed.
+var regions = map[string]string{"plain": "", "compressed": "west"}
+
+func TestTextOfARequestIsChangedBetweenDaemons(t *testing.T) {
+	for name, region := range regions {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.toB.Region = region
+			rapid.Check(t, func(r *rapid.T) {
+				var sent, got query.Request
+				drawTexts(r, reflect.ValueOf(&sent).Elem())
+				x, stop := context.WithTimeout(context.Background(), busyTime)
+				defer stop()
+				g := gomega.NewWithT(r)
+				g.Expect(p.a.Call(x, p.toB, "request", &sent, &got)).To(gomega.Succeed())
+				g.Expect(got).To(gomega.Equal(sent))
+			})
+		})
+	}
+}
+
+func TestTextOfAResponseIsChangedBetweenDaemons(t *testing.T) {
+	for name, region := range regions {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.toB.Region = region
+			rapid.Check(t, func(r *rapid.T) {
+				var sent, got query.Response
+				drawTexts(r, reflect.ValueOf(&sent).Elem())
+				x, stop := context.WithTimeout(context.Background(), busyTime)
+				defer stop()
+				g := gomega.NewWithT(r)
+				g.Expect(p.a.Call(x, p.toB, "response", &sent, &got)).To(gomega.Succeed())
+				g.Expect(got).To(gomega.Equal(sent))
+			})
+		})
+	}
+}
