peer: idempotency keys between daemons may be any bytes

Callers saw: two idempotency keys that aren't UTF-8 and differ only in such bytes were one key. The second write was acknowledged and not run if its text was the same, and refused otherwise.

Cause: the header of a statement stream is JSON, so that each such byte of a key became U+FFFD, also on a stream to the daemon itself.

The header is encoded like requests. The stand-in's log for replicas was JSON text too, and so shared the fault: its replicas took the second key for the first. It carries bytes now, and an empty blob isn't NULL there any more. A header that can't be read is logged at info level.

--- a/owner/owner.go
+++ b/owner/owner.go
@@ -143,7 +143,7 @@
 	defer func() { _ = s.Close() }()
 	h, err := s.ReadHeader()
 	if err != nil {
-		o.config.Log.Debug("stream header read failed", "error", err)
+		o.config.Log.Info("stream header read failed", "error", err)
 		return
 	}
 	x, stop := context.WithCancel(x)
--- a/peer/linkcheck_test.go
+++ b/peer/linkcheck_test.go
@@ -39,7 +39,7 @@
 	newNode := func(id string) *Node {
 		n, err := New(Config{
 			Listen: "127.0.0.1:0", Secret: "s", Self: membership.Host{ID: id}, Log: hclog.NewNullLogger(),
-			HandleStream: func(_ context.Context, s *Stream) { _ = s.Close() },
+			HandleStream: echoStream,
 			HandleCall: func(_ context.Context, r *jsonrpc2.Request) (any, error) {
 				p.handled.Add(1)
 				switch r.Method {
--- a/peer/statement.go
+++ b/peer/statement.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"iter"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/failover"
 	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/textjson"
 	"github.com/dragonflypick/dragonflypick/wire"
 )
 
@@ -56,6 +59,24 @@
 	Digest string `json:"digest,omitempty"`
 }
 
+// headerJSON is encoded like other structs.
+type headerJSON Header
+
+// MarshalJSON encodes the header. Its strings may hold any bytes.
+func (h Header) MarshalJSON() ([]byte, error) {
+	return textjson.Marshal((*headerJSON)(&h), h.texts())
+}
+
+// UnmarshalJSON decodes the header.
+func (h *Header) UnmarshalJSON(b []byte) error {
+	return textjson.Unmarshal(b, (*headerJSON)(h), h.texts())
+}
+
+// texts returns all strings of the header.
+func (h *Header) texts() iter.Seq[*string] {
+	return slices.Values([]*string{&h.Group, &h.Member, &h.Caller, (*string)(&h.Kind), &h.Key, &h.Digest})
+}
+
 // Outcome is the result of a stream's statements.
 type Outcome string
 
--- a/peer/text_test.go
+++ b/peer/text_test.go
@@ -2,16 +2,36 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"reflect"
 	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
+	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
 	"github.com/dragonflypick/dragonflypick/query"
+	"github.com/dragonflypick/dragonflypick/textjson"
+	"github.com/dragonflypick/dragonflypick/wire"
 )
 
+// echoStream sends the header and the messages of a stream back.
+func echoStream(_ context.Context, s *Stream) {
+	defer func() { _ = s.Close() }()
+	h, err := s.ReadHeader()
+	if err != nil || s.WriteHeader(h) != nil {
+		return
+	}
+	for s.Flush() == nil {
+		m, err := s.Read()
+		if err != nil || s.Write(m) != nil {
+			return
+		}
+	}
+}
+
 // drawText draws a text that a message of a caller or a member may hold: any bytes but
 // CR LF.
 func drawText(r *rapid.T) string {
@@ -89,3 +109,42 @@
 		})
 	}
 }
+
+func TestTextOfAStatementStreamIsChangedBetweenDaemons(t *testing.T) {
+	p := newPair(t)
+	rapid.Check(t, func(r *rapid.T) {
+		g := gomega.NewWithT(r)
+		var sent Header
+		drawTexts(r, reflect.ValueOf(&sent).Elem())
+		m := wire.Message{Type: rapid.SampledFrom([]byte{wire.Query, wire.Parse, wire.Bind, wire.DataRow}).Draw(r, "type"), Body: rapid.SliceOfN(rapid.Byte(), 1, -1).Draw(r, "body")}
+		x, stop := context.WithTimeout(context.Background(), busyTime)
+		defer stop()
+		s, err := p.a.OpenStream(x, p.toB)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = s.Close() }()
+		g.Expect(s.WriteHeader(sent)).To(gomega.Succeed())
+		g.Expect(s.Write(m)).To(gomega.Succeed())
+		g.Expect(s.Flush()).To(gomega.Succeed())
+		g.Expect(s.ReadHeader()).To(gomega.Equal(sent))
+		g.Expect(s.Read()).To(gomega.Equal(m))
+	})
+}
+
+func TestHeaderThatAFormerBuildHasChangedIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	type formerHeader Header
+	a, b := net.Pipe()
+	defer func() { _, _ = a.Close(), b.Close() }()
+	var r errgroup.Group
+	r.Go(func() error {
+		s := NewStream(a)
+		if err := s.writeJSON(typeHeader, formerHeader{Key: "o\xff17"}); err != nil {
+			return err
+		}
+		return s.Flush()
+	})
+	_, err := NewStream(b).ReadHeader()
+	var e *textjson.ReplacedError
+	g.Expect(errors.As(err, &e)).To(gomega.BeTrue(), "%v", err)
+	g.Expect(r.Wait()).To(gomega.Succeed())
+}
--- a/standin/database/database.go
+++ b/standin/database/database.go
@@ -80,7 +80,8 @@
 
 // loggedStatement is a write with its parameters, which replicas run again.
 type loggedStatement struct {
-	SQL  string  `json:"sql"`
+	// SQL may hold any bytes.
+	SQL  []byte  `json:"sql"`
 	Args []value `json:"args,omitempty"`
 }
 
--- a/standin/database/execute.go
+++ b/standin/database/execute.go
@@ -66,7 +66,7 @@
 	}
 	p.result = &result{rows: r, fields: f, tag: statementTag(p.sql), release: done, write: write}
 	if write {
-		s.pendingWrites = append(s.pendingWrites, loggedStatement{SQL: p.sql, Args: p.args})
+		s.pendingWrites = append(s.pendingWrites, loggedStatement{SQL: []byte(p.sql), Args: p.args})
 	}
 	return nil
 }
--- a/standin/database/replicate.go
+++ b/standin/database/replicate.go
@@ -214,7 +214,7 @@
 	}
 	for _, e := range l {
 		for _, s := range e.Statements {
-			if _, err := t.ExecContext(c, s.SQL, sqlArguments(s.Args)...); err != nil {
+			if _, err := t.ExecContext(c, string(s.SQL), sqlArguments(s.Args)...); err != nil {
 				_ = t.Rollback()
 				return Error.Wrap(err)
 			}
--- a/standin/database/value.go
+++ b/standin/database/value.go
@@ -13,8 +13,9 @@
 type value struct {
 	Int  *int64   `json:"int,omitempty"`
 	Real *float64 `json:"real,omitempty"`
-	Text *string  `json:"text,omitempty"`
-	Blob []byte   `json:"blob,omitempty"`
+	// Text and Blob are nil or may be empty; both may hold any bytes.
+	Text []byte `json:"text"`
+	Blob []byte `json:"blob"`
 }
 
 // sqlArgument returns the value as an argument for package database/sql.
@@ -25,7 +26,7 @@
 	case v.Real != nil:
 		return *v.Real
 	case v.Text != nil:
-		return *v.Text
+		return string(v.Text)
 	case v.Blob != nil:
 		return v.Blob
 	default:
@@ -60,7 +61,7 @@
 			return value{Blob: x}
 		}
 	}
-	return value{Text: &s}
+	return value{Text: []byte(s)}
 }
 
 // formatValue encodes a column in PostgreSQL's text format.
