statement: the value of a setting is cut by tokens, not by lower-case text

Callers would see, after a comment or name with bytes that aren't UTF-8 or with letters whose lower case has another length: SET dragonflypick.key TO 'a' sets another key, cut at the wrong place, or the proxy panics on it. A "=" in a comment was taken for that of the statement too, a comment after the value for part of it.

Cause: the place of TO was found in strings.ToLower of the text, which changes its length, and used in the text itself. Class: text that isn't UTF-8 changed by a function for Unicode.

The value begins at the token after "=" or TO, as the classification finds it.

--- a/statement/fuzz_test.go
+++ b/statement/fuzz_test.go
@@ -11,7 +11,7 @@
 func FuzzClassify(f *testing.F) {
 	for _, s := range []string{
 		"SELECT 1", "/* dragonflypick rank=urgent key=a */ INSERT INTO t VALUES ('it''s; $1', $2)", "SELECT $$a;b$$; BEGIN",
-		"E'\\'", "/* /* */", "\"", "--", "SET dragonflypick.rank = 'urgent'", "$tag$ $tag",
+		"E'\\'", "/* /* */", "\"", "--", "SET dragonflypick.rank = 'urgent'", "/*\xff\xff*/ SET dragonflypick.key TO a", "$tag$ $tag",
 	} {
 		f.Add(s)
 	}
--- a/statement/statement.go
+++ b/statement/statement.go
@@ -4,6 +4,7 @@
 package statement
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -276,20 +277,17 @@
 	return ""
 }
 
-// settingValue returns the text after the first "=", or else after "TO", without
-// its quotes.
+// settingValue returns the text after the first "=" or TO, without its quotes.
 func settingValue(sql string) string {
-	s := strings.TrimRight(strings.TrimSpace(sql), "; \n\t")
-	i := strings.Index(s, "=")
-	n := 1
-	if i < 0 {
-		i = strings.Index(strings.ToLower(s), " to ")
-		n = len(" to ")
+	l := lexCode(sql)
+	i := slices.IndexFunc(l, func(t token) bool { return t.text == "=" || t.text == "to" })
+	for len(l) > 0 && l[len(l)-1].text == ";" {
+		l = l[:len(l)-1]
 	}
-	if i < 0 {
+	if i < 0 || i+1 >= len(l) {
 		return ""
 	}
-	v := strings.TrimSpace(s[i+n:])
+	v := sql[l[i+1].start:l[len(l)-1].end]
 	if len(v) >= 2 && v[0] == '\'' && v[len(v)-1] == '\'' {
 		return strings.ReplaceAll(v[1:len(v)-1], "''", "'")
 	}
