caller, statement: an idempotency key isn't cut at white space outside ASCII

Callers would see: a key given by the startup options with a character such as U+00A0 was cut there, so that keys with the same start were one, and the second write with the same text was acknowledged and not run; in a hint such a key was refused.

Cause: strings.Fields splits at all white space of Unicode, PostgreSQL only at that of ASCII.

Evidence: go test ./caller ./statement -run NoBreak fails on the commit before with the key "o" for "o\u00a017", and passes now.

--- a/caller/settings.go
+++ b/caller/settings.go
@@ -51,7 +51,7 @@
 // applyOptions applies settings from the startup option string, in the form
 // "-c dragonflypick.rank=urgent".
 func (n *callerSession) applyOptions(o string) error {
-	f := strings.Fields(o)
+	f := statement.Fields(o)
 	for i, x := range f {
 		if i == 0 || f[i-1] != "-c" {
 			x = strings.TrimPrefix(x, "-c")
--- a/statement/lex.go
+++ b/statement/lex.go
@@ -16,6 +16,12 @@
 // whitespace holds the bytes that PostgreSQL treats as white space.
 const whitespace = " \t\n\r\f\v"
 
+// Fields splits a text at white space like PostgreSQL, which no byte of another character
+// is.
+func Fields(s string) []string {
+	return strings.FieldsFunc(s, func(r rune) bool { return strings.ContainsRune(whitespace, r) })
+}
+
 // lex splits SQL text into tokens. Quoted strings and identifiers become a
 // single token, so that their content can't be mistaken for a keyword.
 func lex(s string) []token {
--- a/statement/statement.go
+++ b/statement/statement.go
@@ -297,7 +297,7 @@
 // parseComment adds the hints of one comment, such as
 // "dragonflypick rank=urgent key=o-17".
 func (h *Hints) parseComment(s string) {
-	f := strings.Fields(s)
+	f := Fields(s)
 	if len(f) == 0 || f[0] != settingPrefix {
 		return
 	}
--- a/statement/text_test.go
+++ b/statement/text_test.go
@@ -27,3 +27,11 @@
 		g.Expect(c.Value).To(gomega.Equal(value), "%q", sql)
 	})
 }
+
+func TestKeyInAHintIsCutAtANoBreakSpace(t *testing.T) {
+	h := statement.Classify("/* dragonflypick key=o\u00a017\u2003\t rank=urgent */ DELETE FROM t").Hints
+	g := gomega.NewWithT(t)
+	g.Expect(h.Key).To(gomega.Equal("o\u00a017\u2003"))
+	g.Expect(h.HasRank).To(gomega.BeTrue())
+	g.Expect(h.Invalid).To(gomega.BeEmpty())
+}
