--- a/peer/linkcheck_test.go
+++ b/peer/linkcheck_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/standin/relay"
 )
 
@@ -37,7 +39,7 @@
 	newNode := func(id string) *Node {
 		n, err := New(Config{
 			Listen: "127.0.0.1:0", Secret: "s", Self: membership.Host{ID: id}, Log: hclog.NewNullLogger(),
-			HandleStream: func(_ context.Context, s *Stream) { _ = s.Close() },
+			HandleStream: echoStream,
 			HandleCall: func(_ context.Context, r *jsonrpc2.Request) (any, error) {
 				p.handled.Add(1)
 				switch r.Method {
@@ -45,6 +47,14 @@
 					<-p.hold
 				case "panic":
 					panic("malformed")
+				case "request":
+					var q query.Request
+					err := json.Unmarshal(*r.Params, &q)
+					return q, err
+				case "response":
+					var o query.Response
+					err := json.Unmarshal(*r.Params, &o)
+					return o, err
 				}
 				return struct{}{}, nil
 			},
