pool, platform: a step isn't sent on a connection that isn't at rest

Callers could see: the rows and the signature of another caller's statement, and BUSY for a write that was committed, after a member had answered twice. The second copy lay on the idle connection, was taken for the answer to the next statement there, and all later answers were shifted by one. On a connection that the member had closed while it was idle, a write ended in doubt although nothing was sent.

Cause: answers carry no ID, and RunStep took whatever was there already. Class: input that arrives while nothing is outstanding was trusted.

Before each step the read buffer and, by one call that doesn't block, the socket are looked at. If there is anything, or the end of the connection, the step isn't sent (*pool.UnsentError): a single statement or the first of a transaction goes on with another connection, up to four, and an open transaction is aborted, its COMMIT too, as nothing was kept. Such steps and lost answers have a log line and dragonflypick_member_answer_faults_total.

--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -36,6 +36,15 @@
 	}
 }
 
+// end releases the slot after a request with the reply o.
+func (k *place) end(o query.Reply) {
+	if o.Failure != nil && o.Failure.Reason.NotRun() {
+		k.giveUp()
+		return
+	}
+	k.slot.Release()
+}
+
 // take takes a slot again, without waiting, if it was given up.
 func (k *place) take(x context.Context) *query.Failure {
 	if k == nil || k.held {
@@ -198,7 +207,7 @@
 	k, at, err := p.openConn(y, team)
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
-		return p.addConn(&conn{Conn: k, id: o.Conn, team: team, prepared: map[string]bool{}}, o.Reason, t), nil
+		return p.addConn(p.newConn(k, o.Conn, team), o.Reason, t), nil
 	}
 	f := dialFailure(err)
 	full := f.Reason == query.TooManyConnections
@@ -208,6 +217,12 @@
 	return nil, f
 }
 
+// newConn returns the pooled form of a connection.
+func (p *Pool) newConn(k Conn, id uint64, team string) *conn {
+	a := &checkedConn{Conn: k, member: p.config.Member.ID, metrics: p.config.Metrics, log: p.config.Log, now: p.config.Now, id: id, usedAt: p.config.Now()}
+	return &conn{Conn: a, id: id, team: team, prepared: map[string]bool{}}
+}
+
 // addConn adds a connection whose opening began at t.
 func (p *Pool) addConn(c *conn, why teamconns.OpenReason, t time.Time) *conn {
 	p.mu.Lock()
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -24,7 +24,7 @@
 // Close.
 type Conn interface {
 	// RunStep runs one step. After an error the connection can't be used any more,
-	// and it is unknown whether the step was run.
+	// and it is unknown whether the step was run, unless it is an *UnsentError.
 	RunStep(s query.Step, deadline time.Time) (query.Reply, error)
 	// Close ends a step that is being run. It may be called again.
 	Close()
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -82,6 +82,10 @@
 	return o
 }
 
+// maxUnsent is on how many connections a request is tried that turn out to be unusable
+// before anything was sent.
+const maxUnsent = 4
+
 // runOutsideTx runs a request on a connection without an open transaction. It
 // returns the connection, or nil if the connection broke or none was available.
 func (p *Pool) runOutsideTx(x context.Context, r *query.Request, floor logpos.Position, d time.Time, g Guard) (query.Reply, *conn) {
@@ -90,34 +94,42 @@
 		return query.Reply{Failure: f, State: query.Idle}, nil
 	}
 	k := &place{gate: p.slots, request: r, deadline: d, slot: n, held: true}
-	c, f := p.acquireConn(x, r.Team, r.Values, d, k)
-	if f != nil {
-		k.giveUp()
-		return query.Reply{Failure: f, State: query.Idle}, nil
-	}
-	if f := p.startWork(c, r); f != nil {
-		k.giveUp()
-		p.releaseConn(c, false)
-		return query.Reply{Failure: f, State: query.Idle}, nil
+	for tried := 1; ; tried++ {
+		c, f := p.acquireConn(x, r.Team, r.Values, d, k)
+		if f != nil {
+			k.giveUp()
+			return query.Reply{Failure: f, State: query.Idle}, nil
+		}
+		if f := p.startWork(c, r); f != nil {
+			k.giveUp()
+			p.releaseConn(c, false)
+			return query.Reply{Failure: f, State: query.Idle}, nil
+		}
+		o, u := p.runTimed(k, c, r, floor, d, g)
+		if u == connUnsent && tried < maxUnsent {
+			p.releaseConn(c, true)
+			continue
+		}
+		k.end(o)
+		if u == connUsable {
+			return o, c
+		}
+		p.releaseConn(c, true)
+		return o, nil
 	}
+}
+
+// runTimed runs a request on a connection and reports how long it took.
+func (p *Pool) runTimed(k *place, c *conn, r *query.Request, floor logpos.Position, d time.Time, g Guard) (query.Reply, connUse) {
 	t := p.config.Now()
 	c.roundTrip = 0
 	stop := p.cutOverdueRead(k.slot, c, r)
-	o, broken := p.runOn(c, r, floor, d, g)
+	o, u := p.runOn(c, r, floor, d, g)
 	stop()
 	if held := p.config.Now().Sub(t); o.Failure == nil {
 		p.limit.observe(held, c.took, c.roundTrip)
 	}
-	if o.Failure != nil && o.Failure.Reason.NotRun() {
-		k.giveUp()
-	} else {
-		k.slot.Release()
-	}
-	if broken {
-		p.releaseConn(c, true)
-		return o, nil
-	}
-	return o, c
+	return o, u
 }
 
 // cutOverdueRead closes the connection of a read whose answer is probably lost, so that
@@ -146,29 +158,35 @@
 	}
 }
 
-// runOn runs a request on a connection and reports whether the connection broke.
-func (p *Pool) runOn(c *conn, r *query.Request, floor logpos.Position, d time.Time, g Guard) (query.Reply, bool) {
+// runOn runs a request on a connection.
+func (p *Pool) runOn(c *conn, r *query.Request, floor logpos.Position, d time.Time, g Guard) (query.Reply, connUse) {
 	if f := g(); f != nil {
-		return query.Reply{Failure: f, State: query.Idle}, false
+		return query.Reply{Failure: f, State: query.Idle}, connUsable
 	}
 	if o, err := c.setUpSession(r, d); err != nil || o.Failure != nil {
-		return setUpFailedReply(o, err), true
+		if isUnsent(err) {
+			return setUpFailedReply(o, err), connUnsent
+		}
+		return setUpFailedReply(o, err), connBroken
 	}
 	if r.Stage == query.First {
 		o, err := p.runStep(c, query.BeginTransaction{ID: r.BeginID, ReadOnly: r.ReadOnly, Floor: floor}, d)
 		if err != nil {
-			return lostReply(r, err), true
+			return failedReply(r, err)
 		}
 		if o.Failure != nil {
-			return o, false
+			return o, connUsable
 		}
-		floor = logpos.Position{}
+		if o, err = p.runRequestStep(c, r, logpos.Position{}, d); err != nil {
+			return lostReply(r, err), connBroken
+		}
+		return o, connUsable
 	}
 	o, err := p.runRequestStep(c, r, floor, d)
 	if err != nil {
-		return lostReply(r, err), true
+		return failedReply(r, err)
 	}
-	return o, false
+	return o, connUsable
 }
 
 // requestStep returns the step that runs a request's statement or commit.
@@ -241,7 +259,7 @@
 	switch {
 	case err == nil:
 		return o, false
-	case r.Action == query.ActionCommit:
+	case r.Action == query.ActionCommit && !isUnsent(err):
 		return lostReply(r, err), true
 	default:
 		return lostTxReply(err), true
@@ -296,60 +314,25 @@
 	return err == nil && o.Failure == nil && o.State == query.Idle
 }
 
-// setUpFailedReply returns the outcome of a statement that wasn't sent because
-// conn.setUpSession failed.
-func setUpFailedReply(o query.Reply, err error) query.Reply {
-	if err != nil {
-		return query.Reply{Failure: &query.Failure{Reason: query.Unreachable, Text: err.Error()}, State: query.Idle}
-	}
-	return o
-}
-
-// lostTxReply returns the outcome of a statement in a transaction whose connection
-// broke or could not be set up. The member then rolls the transaction back.
-func lostTxReply(err error) query.Reply {
-	t := "the member refused to set up the session"
-	if err != nil {
-		t = err.Error()
-	}
-	return query.Reply{Failure: &query.Failure{Reason: query.Aborted, Text: t}, State: query.Failed}
-}
-
-// lostReply returns the outcome of a statement or commit whose answer was lost.
-func lostReply(r *query.Request, err error) query.Reply {
-	f := &query.Failure{Reason: query.InDoubt, Text: err.Error()}
-	switch {
-	case r.Stage == query.First && r.Action != query.ActionCommit:
-		// The transaction may stay open at the member until it detects the lost
-		// connection. With Aborted it isn't opened a second time with the same ID.
-		f.Reason = query.Aborted
-	case r.Action == query.ActionRead:
-		f.Reason = query.Unreachable
-	}
-	return query.Reply{Failure: f, State: query.Idle}
-}
-
-func asFailure(err error) (*query.Failure, bool) {
-	var f *query.Failure
-	ok := errors.As(err, &f)
-	return f, ok
-}
-
 // Probe runs a step without waiting for a slot, on an idle connection or a new
 // one.
 func (p *Pool) Probe(x context.Context, s query.Step, d time.Duration) (query.Reply, error) {
 	t := time.Now().Add(d)
-	c, f := p.acquireConn(x, "", nil, t, nil)
-	if f != nil {
-		return query.Reply{}, f
-	}
-	o, err := p.runStep(c, s, t)
-	if _, ok := s.(query.ResetSession); ok && err == nil {
-		c.values = nil
-		clear(c.prepared)
+	for tried := 1; ; tried++ {
+		c, f := p.acquireConn(x, "", nil, t, nil)
+		if f != nil {
+			return query.Reply{}, f
+		}
+		o, err := p.runStep(c, s, t)
+		if _, ok := s.(query.ResetSession); ok && err == nil {
+			c.values = nil
+			clear(c.prepared)
+		}
+		p.releaseConn(c, err != nil)
+		if !isUnsent(err) || tried == maxUnsent {
+			return o, err
+		}
 	}
-	p.releaseConn(c, err != nil)
-	return o, err
 }
 
 // HasTransaction reports whether a transaction is open in this pool.
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -28,6 +28,8 @@
 	// overdueReads counts the reads that were given up since their answer was probably
 	// lost.
 	overdueReads prometheus.Counter
+	// faults counts the steps without an answer to use, by AnswerFault or otherwise.
+	faults *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics at zero.
@@ -42,6 +44,7 @@
 		failed:      v("dragonflypick_member_connections_failed_total", "Connections to members that could not be opened, by reason."),
 		steps:       labeled("step", "dragonflypick_member_steps_total", "Steps that members of this daemon ran, by step."),
 		stepSeconds: labeled("step", "dragonflypick_member_step_seconds_total", "Time that the steps took at members, waiting there included, by step. Statements and commits take a slot."),
+		faults:      labeled("fault", "dragonflypick_member_answer_faults_total", "Steps without an answer to use, by what was wrong: lost, connection-ended, or an answer that isn't to the step."),
 		overdueReads: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dragonflypick_member_overdue_reads_total", Help: "Reads given up before their deadline since their answer was probably lost.",
 		}),
@@ -50,7 +53,7 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.opened, m.closed, m.failed, m.steps, m.stepSeconds, m.overdueReads}
+	return []prometheus.Collector{m.opened, m.closed, m.failed, m.steps, m.stepSeconds, m.overdueReads, m.faults}
 }
 
 // countStep counts a step that a member ran.
--- /dev/null
+++ b/pool/outcome.go
@@ -0,0 +1,66 @@
+package pool
+
+import (
+	"errors"
+
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+// connUse is what became of a connection on which a request was to run.
+type connUse uint8
+
+const (
+	connUsable connUse = iota
+	// connBroken means that it can't be used any more.
+	connBroken
+	// connUnsent means the same, and that nothing of the request was sent on it that the
+	// member may run.
+	connUnsent
+)
+
+// failedReply returns the outcome of a request whose first step of its own failed.
+func failedReply(r *query.Request, err error) (query.Reply, connUse) {
+	if isUnsent(err) {
+		return setUpFailedReply(query.Reply{}, err), connUnsent
+	}
+	return lostReply(r, err), connBroken
+}
+
+// setUpFailedReply returns the outcome of a statement that wasn't sent because
+// conn.setUpSession failed.
+func setUpFailedReply(o query.Reply, err error) query.Reply {
+	if err != nil {
+		return query.Reply{Failure: &query.Failure{Reason: query.Unreachable, Text: err.Error()}, State: query.Idle}
+	}
+	return o
+}
+
+// lostTxReply returns the outcome of a statement in a transaction whose connection
+// broke or could not be set up. The member then rolls the transaction back.
+func lostTxReply(err error) query.Reply {
+	t := "the member refused to set up the session"
+	if err != nil {
+		t = err.Error()
+	}
+	return query.Reply{Failure: &query.Failure{Reason: query.Aborted, Text: t}, State: query.Failed}
+}
+
+// lostReply returns the outcome of a statement or commit whose answer was lost.
+func lostReply(r *query.Request, err error) query.Reply {
+	f := &query.Failure{Reason: query.InDoubt, Text: err.Error()}
+	switch {
+	case r.Stage == query.First && r.Action != query.ActionCommit:
+		// The transaction may stay open at the member until it detects the lost
+		// connection. With Aborted it isn't opened a second time with the same ID.
+		f.Reason = query.Aborted
+	case r.Action == query.ActionRead:
+		f.Reason = query.Unreachable
+	}
+	return query.Reply{Failure: f, State: query.Idle}
+}
+
+func asFailure(err error) (*query.Failure, bool) {
+	var f *query.Failure
+	ok := errors.As(err, &f)
+	return f, ok
+}
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -215,6 +215,9 @@
 		o, err = c.RunStep(s, deadline)
 		return err
 	})
+	if isUnsent(err) {
+		return o, err
+	}
 	c.took = p.config.Now().Sub(t)
 	p.config.Metrics.countStep(s, c.took)
 	if err == nil {
