pool: an answer that can't be to the step sent last is a lost one

Callers could see: the rows and the signature of an earlier statement, of their own or of another caller's, and a refusal for a write that was committed, if a second copy of an answer arrives after the next statement was sent.

Cause: any answer was taken for that to the step sent last. Class: answers carry no ID, and what they do carry was not compared with the step and with the answers before.

A connection now remembers what it has delivered: a known signature, a read, write or commit without one, rows or a state that the step can't have, an earlier position of an unsigned answer, and a refusal that equals an earlier one end it, with the outcome of a lost answer. A refusal of a write is trusted only on a connection that hasn't refused before; others are given up before a write.

--- a/fleet/placedread_test.go
+++ b/fleet/placedread_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,6 +34,8 @@
 	refused func()
 	// floors are the floors of the statements that it has received.
 	floors []logpos.Position
+	// signed counts the signatures, each of which is new.
+	signed int
 }
 
 type fakeConn struct{ m *fakeMember }
@@ -45,6 +48,8 @@
 	o := query.Reply{State: query.Idle, Position: c.m.position()}
 	if r, ok := s.(query.RunStatement); ok {
 		c.m.floors = append(c.m.floors, r.Floor)
+		c.m.signed++
+		o.Signature = "s" + strconv.Itoa(c.m.signed)
 		switch {
 		case c.m.refuses != "":
 			o.Failure, c.m.refuses = &query.Failure{Reason: c.m.refuses}, ""
@@ -55,7 +60,7 @@
 			o.Failure = &query.Failure{Reason: query.Lagging}
 		}
 	} else {
-		hangs = 0
+		hangs, o.Signature = 0, "-"
 	}
 	c.m.mu.Unlock()
 	if left := time.Until(deadline); hangs > left {
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/gate"
+	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/teamconns"
 )
@@ -85,6 +86,19 @@
 	}
 }
 
+// acquireFor returns a connection for a request. A refusal of a write is trusted only if
+// the connection hasn't answered with one before, whose copy it could be.
+func (p *Pool) acquireFor(x context.Context, r *query.Request, deadline time.Time, k *place) (*conn, *query.Failure) {
+	for {
+		c, f := p.acquireConn(x, r.Team, r.Values, deadline, k)
+		if f != nil || !c.answers.refused || !changesData(r) {
+			return c, f
+		}
+		p.config.Metrics.closed.WithLabelValues(closedRefused).Inc()
+		p.releaseConn(c, true)
+	}
+}
+
 // awaitDecision waits for a connection to use, or for the permission to open one.
 func (p *Pool) awaitDecision(x context.Context, team string, v []query.Value, deadline time.Time, k *place) decision {
 	id, w := p.requestConn(team, v)
@@ -207,7 +221,7 @@
 	k, at, err := p.openConn(y, team)
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
-		return p.addConn(p.newConn(k, o.Conn, team), o.Reason, t), nil
+		return p.addConn(p.newConn(k, at, o.Conn, team), o.Reason, t), nil
 	}
 	f := dialFailure(err)
 	full := f.Reason == query.TooManyConnections
@@ -217,10 +231,11 @@
 	return nil, f
 }
 
-// newConn returns the pooled form of a connection.
-func (p *Pool) newConn(k Conn, id uint64, team string) *conn {
+// newConn returns the pooled form of a connection at whose opening the member reported at.
+func (p *Pool) newConn(k Conn, at logpos.Position, id uint64, team string) *conn {
 	a := &checkedConn{Conn: k, member: p.config.Member.ID, metrics: p.config.Metrics, log: p.config.Log, now: p.config.Now, id: id, usedAt: p.config.Now()}
-	return &conn{Conn: a, id: id, team: team, prepared: map[string]bool{}}
+	a.record.state, a.record.position = query.Idle, at
+	return &conn{Conn: a, id: id, team: team, prepared: map[string]bool{}, answers: &a.record}
 }
 
 // addConn adds a connection whose opening began at t.
--- a/pool/answer.go
+++ b/pool/answer.go
@@ -19,6 +19,16 @@
 	OutOfOrder AnswerFault = "out-of-order"
 	// Unsolicited means that it arrived while no step was outstanding.
 	Unsolicited AnswerFault = "unsolicited"
+	// Replayed means that the connection has delivered it before.
+	Replayed AnswerFault = "replayed"
+	// Repeated means that it is a refusal which equals an earlier one and may be its copy.
+	Repeated AnswerFault = "repeated-refusal"
+	// Unsigned means that it lacks the signature that the step's answer has.
+	Unsigned AnswerFault = "unsigned"
+	// WrongKind means that it holds what no answer to such a step holds.
+	WrongKind AnswerFault = "wrong-kind"
+	// WrongState means that the step can't have led to its state.
+	WrongState AnswerFault = "wrong-state"
 )
 
 // Names in metrics of steps without an answer.
@@ -47,13 +57,21 @@
 // Unwrap returns the cause.
 func (e *UnsentError) Unwrap() error { return e.Cause }
 
+// asAnswerError returns the AnswerError behind an error, or nil.
+func asAnswerError(err error) *AnswerError {
+	var a *AnswerError
+	_ = errors.As(err, &a)
+	return a
+}
+
 // isUnsent reports whether a step failed before it was sent.
 func isUnsent(err error) bool {
 	var u *UnsentError
 	return errors.As(err, &u)
 }
 
-// checkedConn is a connection that reports the answers which it can't use.
+// checkedConn is a connection that refuses and reports the answers which aren't to the
+// step sent last.
 type checkedConn struct {
 	Conn
 	member  string
@@ -63,14 +81,23 @@
 	// id identifies the connection in the pool, and usedAt is when its last step ended.
 	id     uint64
 	usedAt time.Time
+	record answerRecord
 }
 
 // RunStep implements Conn.
 func (c *checkedConn) RunStep(s query.Step, deadline time.Time) (query.Reply, error) {
 	o, err := c.Conn.RunStep(s, deadline)
+	if err == nil {
+		if e := c.record.check(s, o); e != nil {
+			o, err = query.Reply{}, Error.Wrap(e)
+		}
+	}
 	if err != nil {
 		c.report(s, err)
 	}
+	if o.Failure != nil {
+		c.metrics.refusals.WithLabelValues(string(o.Failure.Reason)).Inc()
+	}
 	c.usedAt = c.now()
 	return o, err
 }
@@ -81,8 +108,7 @@
 	if isUnsent(err) {
 		fault, outcome = noConnection, "not sent"
 	}
-	var a *AnswerError
-	if errors.As(err, &a) {
+	if a := asAnswerError(err); a != nil {
 		fault = string(a.Fault)
 	}
 	c.metrics.faults.WithLabelValues(fault).Inc()
--- /dev/null
+++ b/pool/answerrecord_test.go
@@ -0,0 +1,89 @@
+package pool
+
+import (
+	"strconv"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/query"
+)
+
+var (
+	aRead   = query.RunStatement{ID: "1", Text: "READ a"}
+	aBegin  = query.BeginTransaction{ID: "1"}
+	aCommit = query.EndTransaction{ID: "1", Commit: true}
+	anEnd   = query.EndTransaction{}
+)
+
+// completed and refused return answers at offset n.
+func completed(signature string, s query.State, n uint64) query.Reply {
+	return query.Reply{Signature: signature, State: s, Position: logpos.Position{Term: 1, Offset: n}}
+}
+
+func refused(f query.Reason, s query.State, n uint64) query.Reply {
+	o := completed("", s, n)
+	o.Failure = &query.Failure{Reason: f}
+	return o
+}
+
+// rows returns an answer with a row.
+func rows(o query.Reply) query.Reply {
+	o.Rows = []string{"r"}
+	return o
+}
+
+// answered is a step and the answer to it.
+type answered struct {
+	s query.Step
+	o query.Reply
+}
+
+var _ = DescribeTable("an answer that can't be to its step is told", func(want AnswerFault, s query.Step, o query.Reply, before ...answered) {
+	r := answerRecord{state: query.Idle}
+	for _, a := range before {
+		Expect(r.check(a.s, a.o)).To(BeNil())
+	}
+	if e := r.check(s, o); want == "" {
+		Expect(e).To(BeNil())
+	} else {
+		Expect(e).NotTo(BeNil())
+		Expect(e.Fault).To(Equal(want))
+	}
+},
+	Entry("a read", AnswerFault(""), aRead, rows(completed("s", query.Idle, 1))),
+	Entry("a signature twice", Replayed, aRead, completed("s", query.Idle, 1), answered{aRead, completed("s", query.Idle, 1)}),
+	Entry("an earlier signature", Replayed, aRead, completed("s", query.Idle, 1), answered{aRead, completed("s", query.Idle, 1)}, answered{aRead, completed("t", query.Idle, 1)}),
+	Entry("a signature twice, the second time to a set-up step", Replayed, query.ResetSession{}, completed("s", query.Idle, 1), answered{aRead, completed("s", query.Idle, 1)}),
+	Entry("a read without a signature", Unsigned, aRead, completed("-", query.Idle, 1)),
+	Entry("a read with an empty signature", Unsigned, aRead, completed("", query.Idle, 1)),
+	Entry("a commit without a signature", Unsigned, aCommit, completed("-", query.Idle, 1), answered{aBegin, completed("-", query.Open, 1)}),
+	Entry("rows of a set-up step", WrongKind, query.SetValue{}, rows(completed("-", query.Idle, 1))),
+	Entry("rows of a status", AnswerFault(""), query.GetStatus{}, rows(completed("-", query.Idle, 1))),
+	Entry("the answer of a set-up step to the begin", WrongState, aBegin, completed("-", query.Idle, 1)),
+	Entry("the answer of a begin to a set-up step", WrongState, query.SetValue{}, completed("-", query.Open, 1)),
+	Entry("a begin's answer to the rollback", WrongState, anEnd, completed("-", query.Open, 1), answered{aBegin, completed("-", query.Open, 1)}),
+	Entry("a statement that opens a transaction", WrongState, aRead, completed("s", query.Open, 1)),
+	Entry("a statement that ends a transaction", WrongState, aRead, completed("s", query.Idle, 1), answered{aBegin, completed("-", query.Open, 1)}),
+	Entry("a refusal that ends a transaction", WrongState, aRead, refused(query.Overloaded, query.Idle, 1), answered{aBegin, completed("-", query.Open, 1)}),
+	Entry("a refusal that opens a transaction", WrongState, aRead, refused(query.Overloaded, query.Open, 1)),
+	Entry("a refusal in a transaction", AnswerFault(""), aRead, refused(query.Overloaded, query.Failed, 1), answered{aBegin, completed("-", query.Open, 1)}),
+	Entry("a refused commit", AnswerFault(""), aCommit, refused(query.ReadOnly, query.Idle, 1), answered{aBegin, completed("-", query.Open, 1)}),
+	Entry("the same refusal twice", Repeated, aRead, refused(query.Lagging, query.Idle, 1), answered{aRead, refused(query.Lagging, query.Idle, 1)}),
+	Entry("a refusal at a later position", AnswerFault(""), aRead, refused(query.Lagging, query.Idle, 2), answered{aRead, refused(query.Lagging, query.Idle, 1)}),
+	Entry("a set-up step at an earlier position", Replayed, query.ResetSession{}, completed("-", query.Idle, 1), answered{aRead, completed("s", query.Idle, 2)}),
+	Entry("a set-up step at the same position", AnswerFault(""), query.ResetSession{}, completed("-", query.Idle, 2), answered{aRead, completed("s", query.Idle, 2)}),
+	Entry("a set-up step without a position", AnswerFault(""), query.ResetSession{}, completed("-", query.Idle, 0), answered{aRead, completed("s", query.Idle, 0)}),
+)
+
+var _ = It("a connection remembers a bounded number of signatures, the newest ones", func() {
+	var r answerRecord
+	r.state = query.Idle
+	for i := range 2 * maxRecent {
+		Expect(r.check(aRead, completed(strconv.Itoa(i), query.Idle, 1))).To(BeNil())
+	}
+	Expect(r.signatures.hashes).To(HaveLen(maxRecent))
+	Expect(r.check(aRead, completed(strconv.Itoa(2*maxRecent-1), query.Idle, 1))).NotTo(BeNil())
+	Expect(r.check(aRead, completed(strconv.Itoa(maxRecent), query.Idle, 1))).NotTo(BeNil())
+})
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -42,6 +42,8 @@
 	// endOnKill is set while the connection runs work that Pool.Kill ends; Pool.mu guards
 	// it.
 	endOnKill bool
+	// answers is what the connection has answered so far.
+	answers *answerRecord
 	// took is how long the last step took, and roundTrip the last one that needed no slot
 	// of the member; zero if none was run for the present request.
 	took, roundTrip time.Duration
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -95,7 +95,7 @@
 	}
 	k := &place{gate: p.slots, request: r, deadline: d, slot: n, held: true}
 	for tried := 1; ; tried++ {
-		c, f := p.acquireConn(x, r.Team, r.Values, d, k)
+		c, f := p.acquireFor(x, r, d, k)
 		if f != nil {
 			k.giveUp()
 			return query.Reply{Failure: f, State: query.Idle}, nil
@@ -164,7 +164,7 @@
 		return query.Reply{Failure: f, State: query.Idle}, connUsable
 	}
 	if o, err := c.setUpSession(r, d); err != nil || o.Failure != nil {
-		if isUnsent(err) {
+		if isUnsent(err) || asAnswerError(err) != nil {
 			return setUpFailedReply(o, err), connUnsent
 		}
 		return setUpFailedReply(o, err), connBroken
--- a/pool/metrics.go
+++ b/pool/metrics.go
@@ -13,6 +13,10 @@
 // other teams' ones.
 const exchangeLogInterval = 10 * time.Second
 
+// closedRefused is the reason for which a connection that has refused a step is closed
+// before a write.
+const closedRefused = "refused-before"
+
 // Reasons of failed openings.
 const (
 	failedFull        = "member-full"
@@ -30,6 +34,8 @@
 	overdueReads prometheus.Counter
 	// faults counts the steps without an answer to use, by AnswerFault or otherwise.
 	faults *prometheus.CounterVec
+	// refusals counts the refusals of members by reason.
+	refusals *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics at zero.
@@ -45,6 +51,7 @@
 		steps:       labeled("step", "dragonflypick_member_steps_total", "Steps that members of this daemon ran, by step."),
 		stepSeconds: labeled("step", "dragonflypick_member_step_seconds_total", "Time that the steps took at members, waiting there included, by step. Statements and commits take a slot."),
 		faults:      labeled("fault", "dragonflypick_member_answer_faults_total", "Steps without an answer to use, by what was wrong: lost, connection-ended, or an answer that isn't to the step."),
+		refusals:    v("dragonflypick_member_refusals_total", "Steps that members refused or failed, by reason."),
 		overdueReads: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "dragonflypick_member_overdue_reads_total", Help: "Reads given up before their deadline since their answer was probably lost.",
 		}),
@@ -53,7 +60,7 @@
 
 // Collectors returns the collectors to register with a metrics server.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.opened, m.closed, m.failed, m.steps, m.stepSeconds, m.overdueReads, m.faults}
+	return []prometheus.Collector{m.opened, m.closed, m.failed, m.steps, m.stepSeconds, m.overdueReads, m.faults, m.refusals}
 }
 
 // countStep counts a step that a member ran.
--- a/pool/pool_test.go
+++ b/pool/pool_test.go
@@ -55,6 +55,8 @@
 	// statements that ran on a connection of another team.
 	dialed  map[string]int
 	foreign []string
+	// signed counts the signatures, each of which is new.
+	signed atomic.Int64
 }
 
 func (m *member) Dial(_ context.Context, _ catalog.Member, team string) (pool.Conn, logpos.Position, error) {
@@ -115,7 +117,18 @@
 			return query.Reply{}, err
 		}
 	}
-	return query.Reply{State: c.state, Signature: "s", Position: logpos.Position{Term: 1, Offset: 1}}, nil
+	return query.Reply{State: c.state, Signature: signature(s, &c.m.signed), Position: logpos.Position{Term: 1, Offset: 1}}, nil
+}
+
+// signature returns a new signature for a statement or a commit, and none for other steps.
+func signature(s query.Step, signed *atomic.Int64) string {
+	if e, ok := s.(query.EndTransaction); ok && e.Commit {
+		return "s" + strconv.FormatInt(signed.Add(1), 10)
+	}
+	if _, ok := s.(query.RunStatement); ok {
+		return "s" + strconv.FormatInt(signed.Add(1), 10)
+	}
+	return "-"
 }
 
 // recordRun takes note of a statement or commit that is run now.
--- a/pool/transit_test.go
+++ b/pool/transit_test.go
@@ -30,6 +30,7 @@
 	slots     chan struct{}
 	// waiting counts the statements at the member, and mostWaiting is its highest value.
 	waiting, mostWaiting atomic.Int64
+	signed               atomic.Int64
 }
 
 func (m *distantMember) Dial(context.Context, catalog.Member, string) (pool.Conn, logpos.Position, error) {
@@ -51,7 +52,7 @@
 		c.m.waiting.Add(-1)
 	}
 	time.Sleep(c.m.roundTrip / 2)
-	return query.Reply{State: query.Idle, Signature: "s"}, nil
+	return query.Reply{State: query.Idle, Signature: signature(s, &c.m.signed)}, nil
 }
 
 // playDistant lets 40 callers send reads, each with its own session values, to a member
