--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/gate"
+	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/teamconns"
 )
@@ -36,6 +37,15 @@
 	}
 }
 
+// end releases the slot after a request with the reply o.
+func (k *place) end(o query.Reply) {
+	if o.Failure != nil && o.Failure.Reason.NotRun() {
+		k.giveUp()
+		return
+	}
+	k.slot.Release()
+}
+
 // take takes a slot again, without waiting, if it was given up.
 func (k *place) take(x context.Context) *query.Failure {
 	if k == nil || k.held {
@@ -76,6 +86,19 @@
 	}
 }
 
+// acquireFor returns a connection for a request. A refusal of a write is trusted only if
+// the connection hasn't answered with one before, whose copy it could be.
+func (p *Pool) acquireFor(x context.Context, r *query.Request, deadline time.Time, k *place) (*conn, *query.Failure) {
+	for {
+		c, f := p.acquireConn(x, r.Team, r.Values, deadline, k)
+		if f != nil || !c.answers.refused || !changesData(r) {
+			return c, f
+		}
+		p.config.Metrics.closed.WithLabelValues(closedRefused).Inc()
+		p.releaseConn(c, true)
+	}
+}
+
 // awaitDecision waits for a connection to use, or for the permission to open one.
 func (p *Pool) awaitDecision(x context.Context, team string, v []query.Value, deadline time.Time, k *place) decision {
 	id, w := p.requestConn(team, v)
@@ -198,7 +221,7 @@
 	k, at, err := p.openConn(y, team)
 	if err == nil {
 		p.recordReply(query.Reply{Position: at}, t)
-		return p.addConn(&conn{Conn: k, id: o.Conn, team: team}, o.Reason, t), nil
+		return p.addConn(p.newConn(k, at, o.Conn, team), o.Reason, t), nil
 	}
 	f := dialFailure(err)
 	full := f.Reason == query.TooManyConnections
@@ -208,6 +231,13 @@
 	return nil, f
 }
 
+// newConn returns the pooled form of a connection at whose opening the member reported at.
+func (p *Pool) newConn(k Conn, at logpos.Position, id uint64, team string) *conn {
+	a := &checkedConn{Conn: k, member: p.config.Member.ID, metrics: p.config.Metrics, log: p.config.Log, now: p.config.Now, id: id, usedAt: p.config.Now()}
+	a.record.state, a.record.position = query.Idle, at
+	return &conn{Conn: a, id: id, team: team, answers: &a.record}
+}
+
 // addConn adds a connection whose opening began at t.
 func (p *Pool) addConn(c *conn, why teamconns.OpenReason, t time.Time) *conn {
 	p.mu.Lock()
--- a/pool/template_test.go
+++ b/pool/template_test.go
@@ -33,6 +33,8 @@
 	maxNames, maxBytes int
 	resets             int
 	closed             int
+	// signatures counts the statements that were answered with a signature.
+	signatures int
 }
 
 // preparingConn is a connection to a preparingMember.
@@ -101,7 +103,8 @@
 	if ran := describeRun(t, c.values["v"]); ran != s.Text {
 		c.m.wrong = append(c.m.wrong, s.Text+" ran as "+ran)
 	}
-	return query.Reply{}
+	c.m.signatures++
+	return query.Reply{Signature: strconv.Itoa(c.m.signatures)}
 }
 
 // describeRun returns the text of a statement that must run with a template and a value.
