asynclog: a log line takes bounded memory

A START whose database has 512 KiB left a line of 3 MiB, and the queue holds 2,048 lines of any size. IDs of statements, which are logged in many places, are the callers' too. Lines are now cut at 8 KiB, so that the queue holds 16 MiB at most.

--- a/asynclog/asynclog.go
+++ b/asynclog/asynclog.go
@@ -17,8 +17,15 @@
 	// maxLinesPerSecond bounds the lines written per second, because writing them
 	// takes processor time, which is limited for the process.
 	maxLinesPerSecond = 200
+	// maxLineSize is the size in bytes of the longest line that is kept whole. Callers
+	// choose IDs and names that are logged.
+	maxLineSize = 8 << 10
 )
 
+// cutMark ends a line that was cut.
+const cutMark = "...\n"
+
+
 // Writer passes lines to another writer in the background. It drops and counts
 // lines that exceed the queue's capacity or the rate limit.
 type Writer struct {
@@ -31,17 +38,24 @@
 // New returns a writer that passes lines to w while Run runs.
 func New(w io.Writer) *Writer { return &Writer{out: w, lines: make(chan []byte, queueCapacity)} }
 
-// Write queues a line, or drops it if the queue is full. It never fails and
-// never blocks.
+// Write queues a line, cut at maxLineSize, or drops it if the queue is full. It never
+// fails and never blocks.
 func (w *Writer) Write(b []byte) (int, error) {
 	select {
-	case w.lines <- append([]byte(nil), b...):
+	case w.lines <- copyLine(b):
 	default:
 		w.dropped.Add(1)
 	}
 	return len(b), nil
 }
 
+func copyLine(b []byte) []byte {
+	if len(b) <= maxLineSize {
+		return append([]byte(nil), b...)
+	}
+	return append(append(make([]byte, 0, maxLineSize), b[:maxLineSize-len(cutMark)]...), cutMark...)
+}
+
 // Run writes lines until the context ends, and then the lines left in the queue.
 func (w *Writer) Run(x context.Context) error {
 	t := time.NewTicker(time.Second)
