--- a/standin/site/oddentry_test.go
+++ b/standin/site/oddentry_test.go
@@ -10,7 +10,7 @@
 
 // oddEntry returns a member entry whose fields are valid but for what changes replaces.
 func oddEntry(changes ...string) []byte {
-	e := `{"service":"g0","address":"127.0.0.1:9","zone":"west-a","slots":3,"state":"ready","database_role":"replica","born":1,"sequence":1}`
+	e := `{"service":"g0","address":"127.0.0.1:9","zone":"west-a","version":"v1","cold_remaining_ms":0,"slots":3,"state":"ready","database_role":"replica","born":1,"sequence":1}`
 	return []byte(strings.NewReplacer(changes...).Replace(e))
 }
 
