entry: what a session keeps for its caller is bounded

Callers could see: requests of all callers that broke off, or a daemon that was ended for its memory, because of one session.

Cause: a session kept any number of values and prepared statements of up to 1 MiB each, and all its values are part of each request between daemons, where a message of more than 32 MiB ends the connection that all callers share. Class: each part is bounded and their sum isn't.

Evidence: go test -race ./entry; the three specs of bound_test.go failed before (80 texts of 1 MiB were all kept), and pass now.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -78,6 +78,8 @@
 	// values are in the order in which their names were first set.
 	values   []query.Value
 	prepared map[string]query.Template
+	// kept is the size of values and prepared; see maxKeptBytes.
+	kept int
 	// floor is the highest log position of the session's committed writes.
 	floor logpos.Position
 	state query.State
@@ -201,13 +203,11 @@
 		s.rollBack(x)
 		return query.Reply{}
 	case query.Set:
-		s.setValue(t.Value)
-		return query.Reply{}
+		return query.Reply{Failure: s.setValue(t.Value)}
 	case query.Prepare:
-		s.prepared[t.Name] = t.Template
-		return query.Reply{}
+		return query.Reply{Failure: s.prepare(t)}
 	case query.Deallocate:
-		return s.deallocate(t)
+		return query.Reply{Failure: s.deallocate(t)}
 	case query.Read:
 		return s.runRequest(x, &query.Request{ID: id, Text: t.Text})
 	case query.Write:
@@ -246,29 +246,6 @@
 	return query.Reply{}
 }
 
-func (s *Session) setValue(v query.Value) {
-	l := make([]query.Value, 0, len(s.values)+1)
-	found := false
-	for _, o := range s.values {
-		if o.Name == v.Name {
-			o, found = v, true
-		}
-		l = append(l, o)
-	}
-	if !found {
-		l = append(l, v)
-	}
-	s.values = l
-}
-
-func (s *Session) deallocate(t query.Deallocate) query.Reply {
-	if _, ok := s.prepared[t.Name]; !ok {
-		return query.Refusal(query.UnknownName, t.Name)
-	}
-	delete(s.prepared, t.Name)
-	return query.Reply{}
-}
-
 func (s *Session) executePrepared(x context.Context, id string, t query.Execute) query.Reply {
 	h, ok := s.prepared[t.Name]
 	if !ok {
