--- a/fleet/overload_test.go
+++ b/fleet/overload_test.go
@@ -30,9 +30,25 @@
 	calls atomic.Int64
 }
 
-// newRefusedEntry returns a daemon whose group "g" has a primary and two replicas, all
-// owned by another host.
+// newRefusedEntry returns an entry whose members are owned by o.
 func newRefusedEntry(o *refusingOwner) *Daemon {
+	return newEntryOf(func(r *jsonrpc2.Request) (any, error) {
+		o.calls.Add(1)
+		var q query.Request
+		if err := json.Unmarshal(*r.Params, &q); err != nil {
+			return nil, err
+		}
+		m := q.Member
+		if m == "" {
+			m = "m0"
+		}
+		return query.Response{Reply: query.Refusal(query.Overloaded, "full"), Member: m, QueueWait: o.wait}, nil
+	})
+}
+
+// newEntryOf returns a daemon whose group "g" has a primary and two replicas, all owned by
+// another host, which handles requests as given.
+func newEntryOf(execute func(*jsonrpc2.Request) (any, error)) *Daemon {
 	x, stop := context.WithCancel(context.Background())
 	DeferCleanup(stop)
 	h := membership.Host{ID: "owner", FailureDomain: "d", Region: "r", Weight: 1}
@@ -43,16 +59,7 @@
 			if r.Method != methodExecute {
 				return struct{}{}, nil
 			}
-			o.calls.Add(1)
-			var q query.Request
-			if err := json.Unmarshal(*r.Params, &q); err != nil {
-				return nil, err
-			}
-			m := q.Member
-			if m == "" {
-				m = "m0"
-			}
-			return query.Response{Reply: query.Refusal(query.Overloaded, "full"), Member: m, QueueWait: o.wait}, nil
+			return execute(r)
 		},
 		OnLinkFailed: func(string, bool) {}, OnAnswer: func(string) {}, OnHostConnected: func(membership.Host) {},
 	})
--- a/statement/lex.go
+++ b/statement/lex.go
@@ -16,8 +16,7 @@
 // whitespace holds the bytes that PostgreSQL treats as white space.
 const whitespace = " \t\n\r\f\v"
 
-// Fields splits a text at white space like PostgreSQL, which no byte of another character
-// is.
+// Fields splits a text at what PostgreSQL treats as white space, which is all ASCII.
 func Fields(s string) []string {
 	return strings.FieldsFunc(s, func(r rune) bool { return strings.ContainsRune(whitespace, r) })
 }
