pool: an answer at an earlier position than one before it is a lost one

Could happen: a late second READY with an older position is dated to the new request, and the primary is held for one that has lost log entries.

Cause: only unsigned answers were compared with the position before. Found by the reviewer, by reading.

Evidence: three entries of answerrecord_test.go, which fail on the commit before (two for the missing check, one for its name).

--- a/pool/answer.go
+++ b/pool/answer.go
@@ -27,6 +27,10 @@
 	Unsigned AnswerFault = "unsigned"
 	// WrongKind means that it holds what no answer to such a step holds.
 	WrongKind AnswerFault = "wrong-kind"
+	// EarlierPosition means that its position is before one that the connection has
+	// delivered. The member's log goes back only if it is rolled back to follow another
+	// primary.
+	EarlierPosition AnswerFault = "earlier-position"
 	// WrongState means that the step can't have led to its state.
 	WrongState AnswerFault = "wrong-state"
 )
--- a/pool/answerrecord.go
+++ b/pool/answerrecord.go
@@ -51,9 +51,12 @@
 // check records the answer o to step s, or returns why it isn't one.
 func (r *answerRecord) check(s query.Step, o query.Reply) *AnswerError {
 	var e *AnswerError
-	if o.Failure != nil {
+	switch {
+	case !o.Position.IsZero() && o.Position.Less(r.position):
+		e = &AnswerError{Fault: EarlierPosition, Text: "position " + o.Position.String() + " after " + r.position.String()}
+	case o.Failure != nil:
 		e = r.checkRefusal(s, o)
-	} else {
+	default:
 		e = r.checkCompletion(s, o)
 	}
 	if e != nil {
@@ -88,8 +91,6 @@
 		return &AnswerError{Fault: Replayed, Text: "the signature was delivered before"}
 	case none && signed:
 		return &AnswerError{Fault: Unsigned, Text: "no signature"}
-	case none && !o.Position.IsZero() && o.Position.Less(r.position):
-		return &AnswerError{Fault: Replayed, Text: "position " + o.Position.String() + " after " + r.position.String()}
 	case len(o.Rows) > 0 && !rows:
 		return &AnswerError{Fault: WrongKind, Text: "rows of a step that has none"}
 	case o.State != state:
--- a/pool/answerrecord_test.go
+++ b/pool/answerrecord_test.go
@@ -72,7 +72,9 @@
 	Entry("a refused commit", AnswerFault(""), aCommit, refused(query.ReadOnly, query.Idle, 1), answered{aBegin, completed("-", query.Open, 1)}),
 	Entry("the same refusal twice", Repeated, aRead, refused(query.Lagging, query.Idle, 1), answered{aRead, refused(query.Lagging, query.Idle, 1)}),
 	Entry("a refusal at a later position", AnswerFault(""), aRead, refused(query.Lagging, query.Idle, 2), answered{aRead, refused(query.Lagging, query.Idle, 1)}),
-	Entry("a set-up step at an earlier position", Replayed, query.ResetSession{}, completed("-", query.Idle, 1), answered{aRead, completed("s", query.Idle, 2)}),
+	Entry("a new signature at an earlier position", EarlierPosition, aRead, completed("t", query.Idle, 1), answered{aRead, completed("s", query.Idle, 2)}),
+	Entry("a refusal at an earlier position", EarlierPosition, aRead, refused(query.Lagging, query.Idle, 1), answered{aRead, completed("s", query.Idle, 2)}),
+	Entry("a set-up step at an earlier position", EarlierPosition, query.ResetSession{}, completed("-", query.Idle, 1), answered{aRead, completed("s", query.Idle, 2)}),
 	Entry("a set-up step at the same position", AnswerFault(""), query.ResetSession{}, completed("-", query.Idle, 2), answered{aRead, completed("s", query.Idle, 2)}),
 	Entry("a set-up step without a position", AnswerFault(""), query.ResetSession{}, completed("-", query.Idle, 0), answered{aRead, completed("s", query.Idle, 0)}),
 )
