--- a/standin/site/client.go
+++ b/standin/site/client.go
@@ -3,9 +3,9 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
-	"strings"
 	"sync"
 	"time"
 )
@@ -16,10 +16,6 @@
 	ownMaxStaleness     = 800 * time.Millisecond
 )
 
-// startID is the ID with which readAnswer reads the answer to START. If START is
-// refused, the connection ends without a READY line.
-const startID = "start"
-
 // clientTimeout limits the wait for an answer.
 const clientTimeout = 4 * time.Second
 
@@ -27,31 +23,6 @@
 // sent that the daemon has not read: the close and the statement crossed.
 const lossSlack = 200 * time.Millisecond
 
-// LoadReport holds the results of RunLoad.
-type LoadReport struct {
-	mu sync.Mutex
-	// Served, Refused, InDoubt and Disconnected count operations by outcome.
-	// Operations in doubt may or may not have taken effect. Disconnected
-	// operations got no complete answer within clientTimeout or before the
-	// connection ended.
-	Served, Refused, InDoubt, Disconnected int
-	// FirstServed is when the first operation was served.
-	FirstServed time.Time
-	// Denied counts the sessions and operations that were denied. Denied operations are
-	// among the refused ones.
-	Denied int
-	// Lost are the statements without a complete answer that a member has received or
-	// that were sent longer than lossSlack before the connection ended.
-	Lost []string
-	// LongestWriteGap is the longest time between two served writes on a primary
-	// database.
-	LongestWriteGap time.Duration
-	lastWrite       time.Time
-	// refusedIDs and acknowledgedIDs are the IDs of refused and acknowledged
-	// writes.
-	refusedIDs, acknowledgedIDs []string
-}
-
 // Client is a caller with at most one open session.
 type Client struct {
 	site   *Site
@@ -68,21 +39,27 @@
 	// kind is the kind of the session's database: primary, bounded or own.
 	kind string
 	// values are the session values whose SET was acknowledged.
-	values        map[string]string
+	values map[string]string
+	// prepared maps the names whose PREPARE was acknowledged to READ or WRITE and the
+	// shape.
+	prepared      map[string]string
 	inTransaction bool
+	texts         textSource
+	words         *vocabulary
 }
 
 // RunLoad runs concurrent clients for the duration d and returns the outcomes of
 // their operations. Clients connect to the daemons that addresses returns.
 func (s *Site) RunLoad(seed uint64, clients int, d time.Duration, addresses func() []string) *LoadReport {
 	o := &LoadReport{lastWrite: time.Now()}
+	words := s.texts(seed, uint64(clients)).vocabulary()
 	var w sync.WaitGroup
 	for i := range clients {
 		w.Go(func() {
-			c := &Client{site: s, report: o, random: rand.New(rand.NewPCG(seed, uint64(i))), name: fmt.Sprintf("c%d-%d", seed, i), key: ClientKey(i)}
+			c := s.newClient(seed, i, words, o)
 			for t := time.Now(); time.Since(t) < d; {
 				c.runOperation(addresses())
-				time.Sleep(time.Duration(c.random.IntN(10)) * time.Millisecond)
+				c.rest(time.Duration(c.random.IntN(10)) * time.Millisecond)
 			}
 			c.disconnect()
 		})
@@ -91,26 +68,15 @@
 	return o
 }
 
-// VerifyWrites checks the writes of a finished load: a refused write must not be
-// in any log (REFUSED), an acknowledged one at most once in all logs (TWICE).
-func (s *Site) VerifyWrites(o *LoadReport) {
-	count := func(id string) int {
-		n := 0
-		for _, g := range s.groups {
-			n += g.countWrites(id)
-		}
-		return n
-	}
-	for _, id := range o.refusedIDs {
-		if count(id) > 0 {
-			s.reportViolation("REFUSED", "%s was refused but is in the log", id)
-		}
-	}
-	for _, id := range o.acknowledgedIDs {
-		if count(id) > 1 {
-			s.reportViolation("TWICE", "%s is in the logs more than once", id)
-		}
+// newClient returns the i-th client of a load. Without teams, its key may be any text.
+func (s *Site) newClient(seed uint64, i int, words *vocabulary, o *LoadReport) *Client {
+	x := s.texts(seed, uint64(i))
+	c := &Client{site: s, report: o, random: x.random, texts: x, words: words, key: ClientKey(i)}
+	c.name = fmt.Sprintf("c%d-%d%s", seed, i, x.word())
+	if s.config.Teams == 0 {
+		c.key += x.word()
 	}
+	return c
 }
 
 func (c *Client) disconnect() {
@@ -134,58 +100,90 @@
 	if err != nil {
 		return false
 	}
-	c.conn, c.reader, c.values = k, bufio.NewReader(k), map[string]string{}
+	c.conn, c.reader, c.values, c.prepared = k, bufio.NewReader(k), map[string]string{}, map[string]string{}
 	c.sequence++
 	c.sessionID = fmt.Sprintf("%s@%d", c.name, c.sequence)
 	g := c.site.groups[c.random.IntN(len(c.site.groups))]
 	c.kind = []string{"primary", "bounded", "own"}[c.random.IntN(3)]
-	if _, err := fmt.Fprintf(k, "START %s-%s %s\r\n", g.name, c.kind, c.key); err != nil {
+	if _, err := k.Write(appendMessage(nil, "START", g.name+"-"+c.kind, c.key)); err != nil {
 		c.disconnect()
 		return false
 	}
-	if code, _, _ := c.readAnswer(startID); code != "" {
-		c.countDenied(code)
+	if o := c.readAnswer(); o.code != "" || !o.complete {
+		c.countDenied(o.code)
 		c.disconnect()
 		return false
 	}
 	return true
 }
 
-// readAnswer reads to the end of an answer and returns its error code, the
-// session's state and whether the answer was complete. It reports an answer as
-// MIXED if its signature is not that of statement id, unless id is "" or startID.
-func (c *Client) readAnswer(id string) (code string, state byte, complete bool) {
+// answer is the answer to a message.
+type answer struct {
+	rows            []string
+	signature, code string
+	state           byte
+	// complete reports whether the whole answer has arrived.
+	complete bool
+	// answered reports whether it has COMPLETE or ERROR.
+	answered bool
+}
+
+// readAnswer reads to the end of an answer, or of the connection.
+func (c *Client) readAnswer() answer {
 	_ = c.conn.SetReadDeadline(time.Now().Add(clientTimeout))
+	var o answer
 	for {
-		t, err := c.reader.ReadString('\n')
+		k, fields, err := ReadMessage(c.reader)
 		if err != nil {
-			return "CUT", 0, false
-		}
-		f := strings.Fields(t)
-		switch f[0] {
-		case "ERROR":
-			code = f[1]
-			if id == startID {
-				return code, 0, true
+			if o.code == "" {
+				o.code = "CUT"
 			}
+			return o
+		}
+		switch k {
+		case "ROW":
+			o.rows = append(o.rows, fields)
 		case "COMPLETE":
-			if id != "" && id != startID && f[1] != "sig-"+id {
-				c.site.reportViolation("MIXED", "%s got the answer to %s", id, f[1])
+			if o.answered {
+				c.site.reportViolation("MIXED", "%s got a second end of an answer: %s", quote(c.name), quote(fields))
 			}
+			o.signature, o.answered = fields, true
+		case "ERROR":
+			o.code, _ = cutWord(fields)
+			o.answered = true
 		case "READY":
-			return code, f[1][0], true
+			w, _ := cutWord(fields)
+			if o.complete = len(w) == 1; o.complete {
+				o.state = w[0]
+			}
+			return o
+		default:
+			c.site.reportViolation("MIXED", "%s got the message %s of an unknown kind", quote(c.name), quote(k+" "+fields))
 		}
 	}
 }
 
+// checkAnswer reports a success without the signature for the statement and its rows
+// (MIXED). Only statements that a member has run have one.
+func (c *Client) checkAnswer(a *statement, o answer, needsSignature bool) {
+	switch {
+	case !o.complete || o.code != "":
+	case needsSignature && !c.site.signer.verify(o.signature, a.id, o.rows):
+		c.site.reportViolation("MIXED", "%s of %s got the signature %s and %s", quote(a.id), quote(a.text), quote(o.signature), quote(fmt.Sprintf("%q", o.rows)))
+	case !needsSignature && (o.signature != "-" || len(o.rows) > 0):
+		c.site.reportViolation("MIXED", "%s of %s got the answer to another statement: %s", quote(a.id), quote(a.text), quote(o.signature))
+	}
+}
+
 // execute sends a statement and reads its answer. With needsSignature the answer
-// must carry the signature with the statement's ID.
+// must carry the signature of the statement and its rows.
 func (c *Client) execute(text string, needsSignature bool) (id, code string, state byte, complete bool) {
 	c.sequence++
 	id = fmt.Sprintf("%s.%d", c.name, c.sequence)
-	a := &statement{id: id, sessionID: c.sessionID, text: text, key: c.key, sent: time.Now(), ownWrites: c.kind == "own", inTransaction: c.inTransaction, values: map[string]string{}}
-	for n, v := range c.values {
-		a.values[n] = v
+	a := &statement{id: id, sessionID: c.sessionID, text: text, key: c.key, sent: time.Now(), ownWrites: c.kind == "own", inTransaction: c.inTransaction, values: maps.Clone(c.values)}
+	if w, rest := cutWord(text); w == "EXECUTE" {
+		n, _ := cutWord(rest)
+		a.prepared = c.prepared[n]
 	}
 	switch c.kind {
 	case "bounded":
@@ -196,168 +194,35 @@
 	c.site.mu.Lock()
 	c.site.statements[id] = a
 	c.site.mu.Unlock()
-	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
+	if _, err := c.conn.Write(appendMessage(nil, "QUERY", id, text)); err != nil {
 		return id, "CUT", 0, false
 	}
-	want := id
-	if !needsSignature {
-		want = ""
-	}
-	if code, state, complete = c.readAnswer(want); !complete {
+	o := c.readAnswer()
+	if !o.complete {
 		c.recordLoss(a)
 	}
-	return id, code, state, complete
-}
-
-// recordLoss records a statement without a complete answer, unless it may have crossed
-// the close of its connection.
-func (c *Client) recordLoss(a *statement) {
-	d := time.Since(a.sent)
-	c.site.mu.Lock()
-	received := a.received
-	c.site.mu.Unlock()
-	if !received && d <= lossSlack {
-		return
+	c.checkAnswer(a, o, needsSignature)
+	if o.code == "UNKNOWN" && a.prepared != "" {
+		c.site.reportViolation("PINNED", "%s: the prepared name of %s is unknown", quote(id), quote(text))
 	}
-	c.report.mu.Lock()
-	defer c.report.mu.Unlock()
-	c.report.Lost = append(c.report.Lost, fmt.Sprintf("%s %q sent %s before the end, in a transaction: %t, received by a member: %t",
-		a.id, a.text, d.Round(time.Millisecond), a.inTransaction, received))
+	return id, o.code, o.state, o.complete
 }
 
-// runOperation runs one operation on a daemon.
-func (c *Client) runOperation(l []string) {
-	if !c.connect(l) {
+// rest waits, and ends the session on a message that answers nothing. It reports the
+// message unless it is an ERROR, which may announce the end of the connection.
+func (c *Client) rest(d time.Duration) {
+	if c.conn == nil {
+		time.Sleep(d)
 		return
 	}
-	switch c.random.IntN(5) {
-	case 0:
-		v := fmt.Sprint(c.random.IntN(3))
-		if _, code, _, complete := c.execute("SET v "+v, false); code == "" && complete {
-			c.values["v"] = v
-			return
+	t := time.Now().Add(d)
+	_ = c.conn.SetReadDeadline(t)
+	b, err := c.reader.Peek(len("ERROR"))
+	if err == nil {
+		if string(b) != "ERROR" {
+			c.site.reportViolation("MIXED", "%s got the answer %s while no statement was outstanding", quote(c.name), quote(string(b)))
 		}
 		c.disconnect()
-	case 1:
-		c.runTransaction()
-	case 2, 3:
-		_, code, state, complete := c.execute(fmt.Sprintf("READ k%d", c.random.IntN(20)), true)
-		c.recordOutcome(code, complete, nil, false)
-		c.disconnectUnlessIdle(state, complete)
-	default:
-		id, code, state, complete := c.execute(fmt.Sprintf("WRITE k%d x", c.random.IntN(20)), true)
-		c.recordOutcome(code, complete, []string{id}, true)
-		c.disconnectUnlessIdle(state, complete)
-	}
-}
-
-// disconnectUnlessIdle closes the connection unless its session is open and
-// outside a transaction.
-func (c *Client) disconnectUnlessIdle(state byte, complete bool) {
-	if !complete || state != 'I' {
-		c.disconnect()
-	}
-}
-
-// runTransaction writes twice and commits, or, in half of the calls, runs a
-// read-only transaction.
-func (c *Client) runTransaction() {
-	if c.random.IntN(2) == 0 {
-		c.runReadTransaction()
-		return
-	}
-	if _, code, _, complete := c.execute("BEGIN", false); code != "" || !complete {
-		c.disconnect()
-		return
-	}
-	c.inTransaction = true
-	defer func() { c.inTransaction = false }()
-	var ids []string
-	for range 2 {
-		id, code, state, complete := c.execute(fmt.Sprintf("WRITE k%d y", c.random.IntN(20)), true)
-		ids = append(ids, id)
-		if code != "" || !complete {
-			c.recordOutcome(code, complete, ids, true)
-			if complete && state == 'E' {
-				_, _, state, complete = c.execute("ROLLBACK", false)
-			}
-			c.disconnectUnlessIdle(state, complete)
-			return
-		}
-	}
-	_, code, state, complete := c.execute("COMMIT", true)
-	c.recordOutcome(code, complete, ids, true)
-	c.disconnectUnlessIdle(state, complete)
-}
-
-// runReadTransaction reads up to four times, then commits, rolls back or closes
-// the connection.
-func (c *Client) runReadTransaction() {
-	if _, code, _, complete := c.execute("BEGIN READ", false); code != "" || !complete {
-		c.disconnect()
-		return
-	}
-	c.inTransaction = true
-	defer func() { c.inTransaction = false }()
-	for range 1 + c.random.IntN(4) {
-		_, code, _, complete := c.execute(fmt.Sprintf("READ k%d", c.random.IntN(20)), true)
-		if code != "" || !complete || c.random.IntN(10) == 0 {
-			c.recordOutcome(code, complete, nil, false)
-			c.disconnect()
-			return
-		}
-		time.Sleep(time.Duration(c.random.IntN(10)) * time.Millisecond)
-	}
-	if c.random.IntN(3) == 0 {
-		_, _, state, complete := c.execute("ROLLBACK", false)
-		c.disconnectUnlessIdle(state, complete)
-		return
-	}
-	_, code, state, complete := c.execute("COMMIT", true)
-	c.recordOutcome(code, complete, nil, false)
-	c.disconnectUnlessIdle(state, complete)
-}
-
-// countDenied counts a refusal by its code.
-func (c *Client) countDenied(code string) {
-	if code == "DENIED" {
-		c.report.mu.Lock()
-		c.report.Denied++
-		c.report.mu.Unlock()
-	}
-}
-
-// recordOutcome counts an operation by its outcome. writeIDs are the IDs of the
-// operation's writes.
-func (c *Client) recordOutcome(code string, complete bool, writeIDs []string, isWrite bool) {
-	now := time.Now()
-	c.countDenied(code)
-	if code == "" && complete {
-		for _, id := range writeIDs {
-			for _, g := range c.site.groups {
-				g.recordAcknowledgment(id, now)
-			}
-		}
-	}
-	c.report.mu.Lock()
-	defer c.report.mu.Unlock()
-	switch {
-	case !complete:
-		c.report.Disconnected++
-	case code == "":
-		c.report.Served++
-		if c.report.FirstServed.IsZero() {
-			c.report.FirstServed = time.Now()
-		}
-		c.report.acknowledgedIDs = append(c.report.acknowledgedIDs, writeIDs...)
-		if isWrite && c.kind == "primary" {
-			c.report.LongestWriteGap = max(c.report.LongestWriteGap, now.Sub(c.report.lastWrite))
-			c.report.lastWrite = now
-		}
-	case code == "INDOUBT" || code == "TIMEOUT" || code == "FAILED":
-		c.report.InDoubt++
-	default:
-		c.report.Refused++
-		c.report.refusedIDs = append(c.report.refusedIDs, writeIDs...)
 	}
+	time.Sleep(time.Until(t))
 }
--- a/standin/site/group.go
+++ b/standin/site/group.go
@@ -24,11 +24,10 @@
 // logEntry is a committed transaction in a group's log.
 type logEntry struct {
 	position Position
-	writes   map[string]string
-	// statementIDs are the IDs of the writes and, for a transaction, of its
-	// COMMIT. Clients receive the outcome under these IDs.
-	statementIDs []string
-	sessionID    string
+	writes   []write
+	// commitID is the ID of the COMMIT of a transaction, empty for a single write.
+	commitID  string
+	sessionID string
 	// committedAt is when the primary committed the entry; acknowledgedAt is
 	// when a client received the acknowledgment, zero if none did.
 	committedAt    time.Time
@@ -36,6 +35,14 @@
 	rolledBack     bool
 }
 
+// write is what a statement has written.
+type write struct{ item, data, id string }
+
+// has reports whether an entry holds the write or the COMMIT of a statement.
+func (c *logEntry) has(statementID string) bool {
+	return c.commitID == statementID || slices.ContainsFunc(c.writes, func(w write) bool { return w.id == statementID })
+}
+
 // group is a database group; its mutex guards its members and their logs.
 type group struct {
 	mu   sync.Mutex
@@ -207,33 +214,29 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, c := range g.entries {
-		for _, a := range c.statementIDs {
-			if a != statementID || !c.acknowledgedAt.IsZero() {
-				continue
-			}
-			c.acknowledgedAt = now
-			if c.rolledBack && g.syncReplicas > 0 {
-				g.reportViolation("LOST", "%s was acknowledged after it had been rolled back", c.position)
-			}
-			if t, ok := g.promotedAt[c.position.Term+1]; ok && c.committedAt.After(t) {
-				g.reportViolation("ONE", "%s was committed at %s after the promotion of the next term", statementID, c.position)
-			}
+		if !c.acknowledgedAt.IsZero() || !c.has(statementID) {
+			continue
+		}
+		c.acknowledgedAt = now
+		if c.rolledBack && g.syncReplicas > 0 {
+			g.reportViolation("LOST", "%s was acknowledged after it had been rolled back", c.position)
+		}
+		if t, ok := g.promotedAt[c.position.Term+1]; ok && c.committedAt.After(t) {
+			g.reportViolation("ONE", "%s was committed at %s after the promotion of the next term", statementID, c.position)
 		}
 	}
 }
 
-// countWrites returns the number of entries that contain the write of a statement
-// and were not rolled back.
-func (g *group) countWrites(statementID string) int {
+// countWrites adds how often each write is in the log. Writes that were rolled back don't
+// count.
+func (g *group) countWrites(o map[string]int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	n := 0
 	for _, c := range g.entries {
-		for _, a := range c.statementIDs {
-			if a == statementID && !c.rolledBack {
-				n++
+		for _, w := range c.writes {
+			if !c.rolledBack {
+				o[w.id]++
 			}
 		}
 	}
-	return n
 }
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 )
@@ -46,19 +47,18 @@
 
 // backendSession is a daemon's connection to a member.
 type backendSession struct {
-	member   *member
-	conn     net.Conn
-	writer   *bufio.Writer
-	values   map[string]string
+	member *member
+	conn   net.Conn
+	// answer holds the messages of the answer that is being made.
+	answer []byte
+	values map[string]string
+	// prepared maps names to what was prepared under them: READ or WRITE and the shape.
 	prepared map[string]string
 	// state is I (idle), T (in a transaction) or E (in a failed transaction),
 	// as in READY.
 	state byte
-	// writes maps the keys that the open transaction wrote to the IDs of the
-	// writes.
-	writes map[string]string
-	// statementIDs are the IDs of the writes of the open transaction.
-	statementIDs []string
+	// writes are those of the open transaction.
+	writes []write
 	// transactionSessionID is the ID of the client session whose transaction is
 	// open.
 	transactionSessionID string
@@ -99,26 +99,14 @@
 		m.group.mu.Unlock()
 		_ = c.Close()
 	}()
-	s := &backendSession{member: m, conn: c, writer: bufio.NewWriter(c), values: map[string]string{}, prepared: map[string]string{}, state: 'I', incarnation: incarnation}
+	s := &backendSession{member: m, conn: c, values: map[string]string{}, prepared: map[string]string{}, state: 'I', incarnation: incarnation}
 	r := bufio.NewReader(c)
 	for {
-		t, err := r.ReadString('\n')
+		k, fields, err := ReadMessage(r)
 		if err != nil {
 			return
 		}
-		f := strings.SplitN(strings.TrimRight(t, "\r\n"), " ", 3)
-		switch {
-		case f[0] == "START" && full:
-			fmt.Fprintf(s.writer, "ERROR TOOMANY %s\r\n", m.id)
-			_ = s.writer.Flush()
-			return
-		case f[0] == "START":
-			if !s.start(strings.Fields(t)) {
-				return
-			}
-		case f[0] == "QUERY" && len(f) == 3:
-			s.handleQuery(f[1], f[2])
-		default:
+		if !s.handleMessage(k, fields, full) {
 			return
 		}
 		m.group.mu.Lock()
@@ -128,35 +116,44 @@
 		if ended {
 			return
 		}
-		fmt.Fprintf(s.writer, "READY %c %s\r\n", s.state, p)
-		if s.writer.Flush() != nil {
+		s.add("READY", string(s.state), p.String())
+		if s.sendAnswer() != nil {
 			return
 		}
 	}
 }
 
-// start takes note of the name in a START line, and reports whether the line names this
-// member and its group.
-func (s *backendSession) start(f []string) bool {
-	s.who = f[2]
-	s.member.site.checkName(s.who)
-	if f[1] == s.member.group.name && (len(f) <= 3 || f[3] == s.member.id) {
+// handleMessage makes the answer to a message, except for its end, and reports whether the
+// session goes on.
+func (s *backendSession) handleMessage(kind, fields string, full bool) bool {
+	switch kind {
+	case "START":
+		if full {
+			return s.refuse("TOOMANY")
+		}
+		return s.start(strings.SplitN(fields, " ", 3))
+	case "QUERY":
+		s.handleQuery(cutWord(fields))
 		return true
+	case "TERMINATE":
+	default:
+		s.member.site.reportViolation("UNASKED", "%s got the message %s of an unknown kind", s.member.id, quote(kind+" "+fields))
 	}
-	fmt.Fprintf(s.writer, "ERROR WRONGNODE %s\r\n", s.member.id)
-	_ = s.writer.Flush()
 	return false
 }
 
-func (s *backendSession) sendError(code string) {
-	fmt.Fprintf(s.writer, "ERROR %s %s\r\n", code, s.member.id)
-	if s.state == 'T' {
-		s.state = 'E'
+// start takes note of the name in the fields of START, and reports whether they name this
+// member and its group.
+func (s *backendSession) start(f []string) bool {
+	if len(f) < 2 {
+		return s.refuse("MALFORMED")
 	}
-}
-
-func (s *backendSession) sendComplete(signature string) {
-	fmt.Fprintf(s.writer, "COMPLETE %s\r\n", signature)
+	s.who = f[1]
+	s.member.site.checkName(s.who)
+	if f[0] == s.member.group.name && (len(f) == 2 || f[2] == s.member.id) {
+		return true
+	}
+	return s.refuse("WRONGNODE")
 }
 
 // handleQuery runs the statement of a QUERY line. A leading "AFTER position"
@@ -165,24 +162,27 @@
 	g := s.member.group
 	var after Position
 	if arguments, ok := strings.CutPrefix(text, "AFTER "); ok {
-		p, t, _ := strings.Cut(arguments, " ")
+		p, t := cutWord(arguments)
 		_, _ = fmt.Sscanf(p, "%d.%d", &after.Term, &after.Number)
 		text = t
 	}
-	w, arguments, _ := strings.Cut(text, " ")
+	w, arguments := cutWord(text)
 	switch w {
 	case "RESET":
 		clear(s.values)
 		clear(s.prepared)
 		s.sendComplete("-")
 	case "SET":
-		n, v, _ := strings.Cut(arguments, " ")
+		n, v := cutWord(arguments)
 		s.values[n] = v
 		s.sendComplete("-")
 	case "PREPARE":
-		n, v, _ := strings.Cut(arguments, " ")
+		n, v := cutWord(arguments)
 		s.prepared[n] = v
 		s.sendComplete("-")
+	case "DEALLOCATE":
+		delete(s.prepared, arguments)
+		s.sendComplete("-")
 	case "STATUS":
 		s.sendStatus()
 	case "DEMOTE":
@@ -191,14 +191,14 @@
 		g.mu.Unlock()
 		s.sendStatus()
 	case "BEGIN":
-		s.beginTransaction(id, arguments, after)
+		s.beginTransaction(id, text, after)
 	case "ROLLBACK":
-		s.state, s.writes, s.statementIDs = 'I', nil, nil
+		s.state, s.writes = 'I', nil
 		s.sendComplete("-")
 	case "COMMIT":
-		s.commitTransaction(id)
+		s.commitTransaction(id, text)
 	default:
-		s.runStatement(id, w, arguments, text, after)
+		s.runStatement(id, text, after)
 	}
 }
 
@@ -210,19 +210,21 @@
 	if s.member.primary {
 		role = "primary"
 	}
-	fmt.Fprintf(s.writer, "ROW %s %d %s 0 12 2 %d\r\n", role, s.member.term, s.member.receivedPosition(), len(s.member.conns))
+	s.add("ROW", role, strconv.Itoa(s.member.term), s.member.receivedPosition().String(), "0 12 2", strconv.Itoa(len(s.member.conns)))
 	s.sendComplete("-")
 }
 
-// beginTransaction opens a transaction; mode is READ for a read-only one,
-// otherwise empty.
-func (s *backendSession) beginTransaction(id, mode string, after Position) {
+// beginTransaction opens a transaction, with BEGIN READ a read-only one.
+func (s *backendSession) beginTransaction(id, text string, after Position) {
+	if id != "-" {
+		s.member.site.checkStatement(id, text, s)
+	}
 	g := s.member.group
 	g.mu.Lock()
 	primary, behind := s.member.primary, g.appliedPosition(s.member, time.Now()).less(after)
 	g.mu.Unlock()
 	switch {
-	case mode == "" && !primary:
+	case text != "BEGIN READ" && !primary:
 		s.sendError("READONLY")
 	case behind:
 		s.sendError("LAGGING")
@@ -234,7 +236,10 @@
 
 // commitTransaction commits the open transaction and appends its writes, if
 // any, to the log.
-func (s *backendSession) commitTransaction(id string) {
+func (s *backendSession) commitTransaction(id, text string) {
+	if id != "-" || len(s.writes) > 0 {
+		s.member.site.checkStatement(id, text, s)
+	}
 	s.member.slots <- struct{}{}
 	defer func() { <-s.member.slots }()
 	g := s.member.group
@@ -244,37 +249,49 @@
 		return
 	}
 	s.state = 'I'
-	w, a := s.writes, s.statementIDs
-	s.writes, s.statementIDs = nil, nil
-	if len(a) > 0 {
+	w := s.writes
+	s.writes = nil
+	if len(w) > 0 {
 		if !s.member.primary {
 			s.sendError("READONLY")
 			return
 		}
-		c := &logEntry{writes: w, statementIDs: append(a, id), sessionID: s.transactionSessionID}
+		c := &logEntry{writes: w, commitID: id, sessionID: s.transactionSessionID}
 		g.appendEntry(s.member, c, time.Now())
 		if !g.awaitReplicas(s, c) {
 			return
 		}
 	}
-	s.sendComplete("sig-" + id)
+	s.sendSigned(id, nil)
+}
+
+// resolve returns the verb and the arguments of a statement, for EXECUTE those of the
+// prepared one. It sends an error and returns false if there is none of that name.
+func (s *backendSession) resolve(id, text string) (verb, arguments string, ok bool) {
+	verb, arguments = cutWord(text)
+	if verb != "EXECUTE" {
+		return verb, arguments, true
+	}
+	n, arguments := cutWord(arguments)
+	p, ok := s.prepared[n]
+	s.member.site.checkPrepared(id, p)
+	if !ok {
+		s.sendError("UNKNOWN")
+		return "", "", false
+	}
+	verb, _ = cutWord(p)
+	return verb, arguments, true
 }
 
 // runStatement runs a READ or WRITE statement, directly or by EXECUTE of a
 // prepared one.
-func (s *backendSession) runStatement(id, verb, arguments, text string, after Position) {
+func (s *backendSession) runStatement(id, text string, after Position) {
 	g, at := s.member.group, s.member.site
-	if verb == "EXECUTE" {
-		n, a, _ := strings.Cut(arguments, " ")
-		k, ok := s.prepared[n]
-		if !ok {
-			s.sendError("UNKNOWN")
-			return
-		}
-		verb, _, _ = strings.Cut(k, " ")
-		arguments = a
-	}
 	r := at.checkStatement(id, text, s)
+	verb, arguments, ok := s.resolve(id, text)
+	if !ok {
+		return
+	}
 	s.member.slots <- struct{}{}
 	time.Sleep(at.config.StatementTime)
 	g.mu.Lock()
@@ -290,6 +307,9 @@
 	switch {
 	case s.member.down || s.incarnation != s.member.incarnation:
 		return
+	case verb != "READ" && verb != "WRITE":
+		s.sendError("MALFORMED")
+		return
 	case g.appliedPosition(s.member, now).less(after):
 		s.sendError("LAGGING")
 		return
@@ -300,30 +320,46 @@
 		if s.state == 'I' {
 			g.checkRead(s.member, r, now)
 		}
-		s.sendRow(arguments, now)
-	case s.state == 'T':
-		if s.writes == nil {
-			s.writes = map[string]string{}
-		}
-		s.writes[arguments] = id
-		s.statementIDs = append(s.statementIDs, id)
-	default:
-		c := &logEntry{writes: map[string]string{arguments: id}, statementIDs: []string{id}, sessionID: at.sessionIDOf(id)}
+		s.sendSigned(id, s.rows(arguments, now))
+		return
+	}
+	s.runWrite(id, arguments, now)
+}
+
+// runWrite adds a write to the open transaction, or commits it; the group's mutex is held.
+func (s *backendSession) runWrite(id, arguments string, now time.Time) {
+	g := s.member.group
+	item, data := cutWord(arguments)
+	w := write{item: item, data: data, id: id}
+	if s.state == 'T' {
+		s.writes = append(s.writes, w)
+	} else {
+		c := &logEntry{writes: []write{w}, sessionID: s.member.site.sessionIDOf(id)}
 		g.appendEntry(s.member, c, now)
 		if !g.awaitReplicas(s, c) {
 			return
 		}
 	}
-	s.sendComplete("sig-" + id)
+	s.sendSigned(id, nil)
 }
 
-// sendRow sends the newest value of a key that the member has applied.
-func (s *backendSession) sendRow(key string, now time.Time) {
-	v := "-"
-	for _, c := range s.member.group.appliedEntries(s.member, now) {
-		if x, ok := c.writes[key]; ok {
-			v = x
+// maxRows is the greatest number of rows that hold writes.
+const maxRows = 3
+
+// rows returns the rows of a read: the newest writes of an item that the member has
+// applied, each as its data and its ID, and at times another row.
+func (s *backendSession) rows(item string, now time.Time) []string {
+	var o []string
+	l := s.member.group.appliedEntries(s.member, now)
+	for i := len(l) - 1; i >= 0 && len(o) < maxRows; i-- {
+		for _, w := range l[i].writes {
+			if w.item == item {
+				o = append(o, w.data+" "+w.id)
+			}
 		}
 	}
-	fmt.Fprintf(s.writer, "ROW %s\r\n", v)
+	if len(l)%2 == 0 {
+		o = append(o, s.member.site.signer.ending(uint64(len(l)/2)))
+	}
+	return o
 }
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -29,6 +29,8 @@
 	// Advertise returns the address at which daemons reach a member that listens at the
 	// given one; nil if they connect to that.
 	Advertise func(member, address string) (string, error)
+	// AnyBytes lets the texts of clients and members be other than UTF-8.
+	AnyBytes bool
 }
 
 // Regions maps each failure domain to its region.
@@ -43,6 +45,7 @@
 	config Config
 	store  *store
 	groups []*group
+	signer *signer
 	tasks  errgroup.Group
 	// StoreAddress and PromotionAddress are the listen addresses of the two
 	// services.
@@ -70,25 +73,10 @@
 	sequence int
 }
 
-// statement is a statement as its client sent it.
-type statement struct {
-	id, sessionID, text string
-	sent                time.Time
-	// key is the key of the client.
-	key          string
-	ownWrites    bool
-	maxStaleness time.Duration
-	// inTransaction reports whether the client had a transaction open.
-	inTransaction bool
-	// values are the session values that the client had set.
-	values map[string]string
-	// received is set once a member has received the statement.
-	received bool
-}
-
 // New starts a site.
 func New(c Config) (*Site, error) {
 	s := &Site{config: c, store: newStore(), statements: map[string]*statement{}, fencingTokens: map[string]int{}, tokenHolders: map[string]string{}, keys: map[string][]holding{}}
+	s.signer = &signer{endings: s.texts(endingsSeed, 0).endings()}
 	s.initKeys()
 	for i := range c.Groups {
 		g := &group{name: fmt.Sprintf("g%d", i), lag: c.Lag, syncReplicas: c.SyncReplicas, promotedAt: map[int]time.Time{}, reportViolation: s.reportViolation}
@@ -304,47 +292,3 @@
 	defer s.mu.Unlock()
 	return append([]string(nil), s.violations...)
 }
-
-// sessionIDOf returns the ID of the client session that sent a statement, "" if
-// none did.
-func (s *Site) sessionIDOf(id string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if a := s.statements[id]; a != nil {
-		return a.sessionID
-	}
-	return ""
-}
-
-// checkStatement reports a statement that no client has sent (UNASKED), or that
-// runs in another session's transaction, outside its own transaction, or with
-// session values other than the client's (PINNED). It returns the statement as
-// the client sent it, nil if none did.
-func (s *Site) checkStatement(id, text string, on *backendSession) *statement {
-	s.mu.Lock()
-	a := s.statements[id]
-	if a != nil {
-		a.received = true
-	}
-	s.mu.Unlock()
-	if a == nil {
-		s.reportViolation("UNASKED", "%s ran %q, which no client sent", id, text)
-		return nil
-	}
-	s.checkTeam(a, on.who)
-	if on.state != 'I' && on.transactionSessionID != a.sessionID {
-		s.reportViolation("PINNED", "%s of %s ran in the transaction of %s", id, a.sessionID, on.transactionSessionID)
-	}
-	if a.inTransaction && on.state == 'I' {
-		s.reportViolation("PINNED", "%s of %s ran outside its transaction", id, a.sessionID)
-	}
-	if len(a.values) != len(on.values) {
-		s.reportViolation("PINNED", "%s ran with session values %v instead of %v", id, on.values, a.values)
-	}
-	for n, v := range a.values {
-		if on.values[n] != v {
-			s.reportViolation("PINNED", "%s ran with session values %v instead of %v", id, on.values, a.values)
-		}
-	}
-	return a
-}
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -172,7 +172,7 @@
 		return l
 	})
 	f.site.VerifyWrites(o)
-	AddReportEntry("outcome", fmt.Sprintf("served %d, refused %d, in doubt %d, disconnected %d, longest write gap %s", o.Served, o.Refused, o.InDoubt, o.Disconnected, o.LongestWriteGap))
+	AddReportEntry("outcome", fmt.Sprintf("served %d, refused %d, in doubt %d, disconnected %d, longest write gap %s, violations %v", o.Served, o.Refused, o.InDoubt, o.Disconnected, o.LongestWriteGap, countByRule(f.site.Violations())))
 	Expect(f.site.Violations()).To(BeEmpty())
 	return o
 }
--- a/standin/site/team_test.go
+++ b/standin/site/team_test.go
@@ -44,14 +44,14 @@
 	Expect(err).NotTo(HaveOccurred())
 	code := ""
 	for {
-		t, err := c.r.ReadString('\n')
+		k, fields, err := site.ReadMessage(c.r)
 		Expect(err).NotTo(HaveOccurred())
-		f := strings.Fields(t)
-		switch f[0] {
+		w, _, _ := strings.Cut(fields, " ")
+		switch k {
 		case "ERROR":
-			code = f[1] + " "
+			code = w + " "
 		case "READY":
-			return code + "READY " + f[1]
+			return code + "READY " + w
 		}
 	}
 }
--- a/standin/soak/platform.go
+++ b/standin/soak/platform.go
@@ -365,7 +365,7 @@
 	return o
 }
 
-// connect returns the first line that a caller of the newest database gets.
+// connect returns the first message that a caller of the newest database gets.
 func (s *platformSystem) connect(address string) string {
 	c, err := net.DialTimeout("tcp", address, readinessTimeout)
 	if err != nil {
@@ -376,11 +376,11 @@
 	if _, err := fmt.Fprintf(c, "START %s who\r\n", s.added); err != nil {
 		return err.Error()
 	}
-	t, err := bufio.NewReader(c).ReadString('\n')
+	k, fields, err := site.ReadMessage(bufio.NewReader(c))
 	if err != nil {
 		return err.Error()
 	}
-	return strings.TrimSpace(t)
+	return k + " " + fields
 }
 
 func (s *platformSystem) stop() {
