--- a/standin/site/text_test.go
+++ b/standin/site/text_test.go
@@ -38,3 +38,12 @@
 		Expect(o.Served).To(BeNumerically(">", 500))
 	})
 })
+
+var _ = It("texts that aren't UTF-8 pass between daemons unchanged", func() {
+	c := defaultConfig
+	c.AnyBytes = true
+	f := newFleet(c, 4)
+	o := f.runLoad(53, 4*time.Second)
+	Expect(o.Served).To(BeNumerically(">", 500))
+	Expect(o.InDoubt + o.Disconnected).To(BeZero())
+})
