standin/site: failing test of answers that come twice, the second time late

While a member stutters it repeats one in ten answers to statements, errors too: at once, after up to 25 ms, or when the next statement has arrived and before it is run; drawn from a seed.

--- a/standin/site/answer.go
+++ b/standin/site/answer.go
@@ -31,13 +31,8 @@
 
 // write sends messages at once.
 func (s *backendSession) write(b []byte) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
 	_, err := s.conn.Write(b)
 	return err
 }
-
-// sendAnswer sends the answer to a message.
-func (s *backendSession) sendAnswer() error {
-	b := s.answer
-	s.answer = nil
-	return s.write(b)
-}
--- a/standin/site/group.go
+++ b/standin/site/group.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -55,7 +56,9 @@
 	// entries holds all committed entries, also those rolled back by a promotion.
 	entries []*logEntry
 	// promotedAt holds the time of the promotion that started each term above 1.
-	promotedAt      map[int]time.Time
+	promotedAt map[int]time.Time
+	// stutter draws the answers that members repeat; nil if they repeat none.
+	stutter         *rand.Rand
 	reportViolation func(rule, format string, a ...any)
 }
 
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -49,8 +50,12 @@
 type backendSession struct {
 	member *member
 	conn   net.Conn
+	// writing serializes writes to conn.
+	writing sync.Mutex
 	// answer holds the messages of the answer that is being made.
 	answer []byte
+	// held is an answer that is repeated once the next message has arrived.
+	held   []byte
 	values map[string]string
 	// prepared maps names to what was prepared under them: READ or WRITE and the shape.
 	prepared map[string]string
@@ -106,6 +111,7 @@
 		if err != nil {
 			return
 		}
+		s.sendHeld()
 		if !s.handleMessage(k, fields, full) {
 			return
 		}
@@ -117,7 +123,7 @@
 			return
 		}
 		s.add("READY", string(s.state), p.String())
-		if s.sendAnswer() != nil {
+		if s.sendAnswer(k) != nil {
 			return
 		}
 	}
