statement: comments and escape strings end where PostgreSQL ends them

What callers saw: '-- c<CR>DELETE FROM t' was answered as empty and not run; 'SELECT 1; -- c<CR> DELETE FROM t' and "SELECT E'a'<LF>'b\''; DELETE FROM t --'" were sent to a member as reads; a commit behind such a comment wasn't known to be one, so that a lost connection wasn't in doubt.

Cause: a line comment ended at LF only, PostgreSQL ends it at CR too; the second line of an escape string was read without escapes, and the quote behind a word such as a$e with them.

A token now tells whether it is a string with escapes, which holds for a string that continues it on a later line; a comment ends before the end of its line.

--- a/statement/lex.go
+++ b/statement/lex.go
@@ -9,6 +9,8 @@
 	text string
 	// comment is set for a comment.
 	comment bool
+	// escapes is set for a string with backslash escapes, such as E'\n'.
+	escapes bool
 	// start and end are the token's range in the SQL text; end is exclusive.
 	start, end int
 }
@@ -22,6 +24,9 @@
 	return strings.FieldsFunc(s, func(r rune) bool { return strings.ContainsRune(whitespace, r) })
 }
 
+// newlines holds the bytes that end a line comment.
+const newlines = "\n\r"
+
 // lex splits SQL text into tokens. Quoted strings and identifiers become a
 // single token, so that their content can't be mistaken for a keyword.
 func lex(s string) []token {
@@ -31,25 +36,27 @@
 			i++
 			continue
 		}
-		t := nextToken(s, i)
+		t := nextToken(s, i, o)
 		o = append(o, t)
 		i = t.end
 	}
 	return o
 }
 
-// nextToken returns the token at i, which must not be white space.
-func nextToken(s string, i int) token {
+// nextToken returns the token at i, which must not be white space; l are the tokens
+// before it.
+func nextToken(s string, i int, l []token) token {
 	c := s[i]
 	switch {
 	case strings.HasPrefix(s[i:], "--"):
-		n := indexAfter(s, i+2, "\n")
-		return token{text: strings.TrimSuffix(s[i+2:n], "\n"), comment: true, start: i, end: n}
+		n := lineEnd(s, i)
+		return token{text: s[i+2 : n], comment: true, start: i, end: n}
 	case strings.HasPrefix(s[i:], "/*"):
 		n := blockEnd(s, i)
 		return token{text: strings.TrimSuffix(s[i+2:n], "*/"), comment: true, start: i, end: n}
 	case c == '\'':
-		return token{text: "'", start: i, end: quoteEnd(s, i, c, hasEscapes(s, i))}
+		e := hasEscapes(s, i, l)
+		return token{text: "'", escapes: e, start: i, end: quoteEnd(s, i, c, e)}
 	case c == '"':
 		return token{text: "\"", start: i, end: quoteEnd(s, i, c, false)}
 	case c == '$' && dollarTag(s[i:]) != "":
@@ -79,6 +86,14 @@
 	return len(s)
 }
 
+// lineEnd returns the index of the end of the line at i.
+func lineEnd(s string, i int) int {
+	if n := strings.IndexAny(s[i:], newlines); n >= 0 {
+		return i + n
+	}
+	return len(s)
+}
+
 // blockEnd returns the index after the block comment at i; block comments nest.
 func blockEnd(s string, i int) int {
 	d := 0
@@ -100,13 +115,21 @@
 	return len(s)
 }
 
-// hasEscapes reports whether the quote at i opens a string with backslash
-// escapes, such as E'\n'.
-func hasEscapes(s string, i int) bool {
-	if i == 0 || s[i-1] != 'e' && s[i-1] != 'E' {
-		return false
+// hasEscapes reports whether the quote at i, behind the tokens l, opens a string with
+// backslash escapes, or continues one on a later line. Line comments may be in between.
+func hasEscapes(s string, i int, l []token) bool {
+	for n := len(l) - 1; n >= 0; n-- {
+		t := l[n]
+		switch {
+		case t.comment && strings.HasPrefix(s[t.start:], "--"):
+			continue
+		case t.escapes:
+			return strings.ContainsAny(s[t.end:i], newlines)
+		default:
+			return t.text == "e" && !t.comment && t.end == i
+		}
 	}
-	return i == 1 || !isWordByte(s[i-2])
+	return false
 }
 
 // quoteEnd returns the index after the quoted text at i. A doubled quote does not
