--- a/statement/boundary_test.go
+++ b/statement/boundary_test.go
@@ -24,6 +24,13 @@
 	Entry("plain string behind a comment", "SELECT /*e*/'\\'; DELETE FROM t --'"),
 )
 
+var _ = DescribeTable("a keyword is found where PostgreSQL finds it",
+	func(sql string) { Expect(statement.Classify(sql).Kind).To(Equal(statement.Write)) },
+	Entry("right behind a number", "SELECT 1INTO u FROM t"),
+	Entry("right behind a number, locks", "SELECT * FROM t LIMIT 1FOR SHARE"),
+	Entry("word that only Unicode takes for ROLLBACK", "ROLLBAC\u212a"),
+)
+
 // A quoted text holds any byte but NUL, those of its own end in their escaped form.
 var _ = It("a write behind a quoted text isn't taken for a part of it, whatever the text holds", func() {
 	pieces := []string{"'", "\"", "\\", "$", "$$", "$t$", "--", "/*", "*/", ";", "\r", "\n", " ", "e", "E'", "a", "\xff", "\u212a"}
--- a/statement/lex.go
+++ b/statement/lex.go
@@ -4,8 +4,8 @@
 
 // token is a word, number, symbol, quoted text or comment of SQL text.
 type token struct {
-	// text is a word in lower case, a symbol, a quote in place of quoted text, or
-	// the content of a comment.
+	// text is a word in lower case, digits, a symbol, a quote in place of quoted
+	// text, or the content of a comment.
 	text string
 	// comment is set for a comment.
 	comment bool
@@ -62,19 +62,39 @@
 	case c == '$' && dollarTag(s[i:]) != "":
 		t := dollarTag(s[i:])
 		return token{text: "'", start: i, end: indexAfter(s, i+len(t), t)}
+	case isDigit(c):
+		n := i + 1
+		for n < len(s) && isDigit(s[n]) {
+			n++
+		}
+		return token{text: s[i:n], start: i, end: n}
 	case isWordByte(c):
 		n := i + 1
 		for n < len(s) && (isWordByte(s[n]) || s[n] == '$') {
 			n++
 		}
-		return token{text: strings.ToLower(s[i:n]), start: i, end: n}
+		return token{text: lower(s[i:n]), start: i, end: n}
 	default:
 		return token{text: s[i : i+1], start: i, end: i + 1}
 	}
 }
 
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// lower returns s with the letters of ASCII in lower case: PostgreSQL compares
+// keywords so.
+func lower(s string) string {
+	b := []byte(s)
+	for i, c := range b {
+		if c >= 'A' && c <= 'Z' {
+			b[i] = c + 'a' - 'A'
+		}
+	}
+	return string(b)
+}
+
 func isWordByte(c byte) bool {
-	return c == '_' || c >= 0x80 || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+	return c == '_' || c >= 0x80 || isDigit(c) || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
 }
 
 // indexAfter returns the index after the first t at or after i, or len(s) if
