--- a/statement/lex.go
+++ b/statement/lex.go
@@ -4,11 +4,13 @@
 
 // token is a word, number, symbol, quoted text or comment of SQL text.
 type token struct {
-	// text is a word in lower case, a symbol, a quote in place of quoted text, or
-	// the content of a comment.
+	// text is a word in lower case, digits, a symbol, a quote in place of quoted
+	// text, or the content of a comment.
 	text string
 	// comment is set for a comment.
 	comment bool
+	// escapes is set for a string with backslash escapes, such as E'\n'.
+	escapes bool
 	// start and end are the token's range in the SQL text; end is exclusive.
 	start, end int
 }
@@ -21,6 +23,9 @@
 	return strings.FieldsFunc(s, func(r rune) bool { return strings.ContainsRune(whitespace, r) })
 }
 
+// newlines holds the bytes that end a line comment.
+const newlines = "\n\r"
+
 // lex splits SQL text into tokens. Quoted strings and identifiers become a
 // single token, so that their content can't be mistaken for a keyword.
 func lex(s string) []token {
@@ -30,43 +35,65 @@
 			i++
 			continue
 		}
-		t := nextToken(s, i)
+		t := nextToken(s, i, o)
 		o = append(o, t)
 		i = t.end
 	}
 	return o
 }
 
-// nextToken returns the token at i, which must not be white space.
-func nextToken(s string, i int) token {
+// nextToken returns the token at i, which must not be white space; l are the tokens
+// before it.
+func nextToken(s string, i int, l []token) token {
 	c := s[i]
 	switch {
 	case strings.HasPrefix(s[i:], "--"):
-		n := indexAfter(s, i+2, "\n")
-		return token{text: strings.TrimSuffix(s[i+2:n], "\n"), comment: true, start: i, end: n}
+		n := lineEnd(s, i)
+		return token{text: s[i+2 : n], comment: true, start: i, end: n}
 	case strings.HasPrefix(s[i:], "/*"):
 		n := blockEnd(s, i)
 		return token{text: strings.TrimSuffix(s[i+2:n], "*/"), comment: true, start: i, end: n}
 	case c == '\'':
-		return token{text: "'", start: i, end: quoteEnd(s, i, c, hasEscapes(s, i))}
+		e := hasEscapes(s, i, l)
+		return token{text: "'", escapes: e, start: i, end: quoteEnd(s, i, c, e)}
 	case c == '"':
 		return token{text: "\"", start: i, end: quoteEnd(s, i, c, false)}
 	case c == '$' && dollarTag(s[i:]) != "":
 		t := dollarTag(s[i:])
 		return token{text: "'", start: i, end: indexAfter(s, i+len(t), t)}
+	case isDigit(c):
+		n := i + 1
+		for n < len(s) && isDigit(s[n]) {
+			n++
+		}
+		return token{text: s[i:n], start: i, end: n}
 	case isWordByte(c):
 		n := i + 1
 		for n < len(s) && (isWordByte(s[n]) || s[n] == '$') {
 			n++
 		}
-		return token{text: strings.ToLower(s[i:n]), start: i, end: n}
+		return token{text: lower(s[i:n]), start: i, end: n}
 	default:
 		return token{text: s[i : i+1], start: i, end: i + 1}
 	}
 }
 
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+// lower returns s with the letters of ASCII in lower case: PostgreSQL compares
+// keywords so.
+func lower(s string) string {
+	b := []byte(s)
+	for i, c := range b {
+		if c >= 'A' && c <= 'Z' {
+			b[i] = c + 'a' - 'A'
+		}
+	}
+	return string(b)
+}
+
 func isWordByte(c byte) bool {
-	return c == '_' || c >= 0x80 || c >= '0' && c <= '9' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+	return c == '_' || c >= 0x80 || isDigit(c) || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
 }
 
 // indexAfter returns the index after the first t at or after i, or len(s) if
@@ -78,6 +105,14 @@
 	return len(s)
 }
 
+// lineEnd returns the index of the end of the line at i.
+func lineEnd(s string, i int) int {
+	if n := strings.IndexAny(s[i:], newlines); n >= 0 {
+		return i + n
+	}
+	return len(s)
+}
+
 // blockEnd returns the index after the block comment at i; block comments nest.
 func blockEnd(s string, i int) int {
 	d := 0
@@ -99,13 +134,21 @@
 	return len(s)
 }
 
-// hasEscapes reports whether the quote at i opens a string with backslash
-// escapes, such as E'\n'.
-func hasEscapes(s string, i int) bool {
-	if i == 0 || s[i-1] != 'e' && s[i-1] != 'E' {
-		return false
+// hasEscapes reports whether the quote at i, behind the tokens l, opens a string with
+// backslash escapes, or continues one on a later line. Line comments may be in between.
+func hasEscapes(s string, i int, l []token) bool {
+	for n := len(l) - 1; n >= 0; n-- {
+		t := l[n]
+		switch {
+		case t.comment && strings.HasPrefix(s[t.start:], "--"):
+			continue
+		case t.escapes:
+			return strings.ContainsAny(s[t.end:i], newlines)
+		default:
+			return t.text == "e" && !t.comment && t.end == i
+		}
 	}
-	return i == 1 || !isWordByte(s[i-2])
+	return false
 }
 
 // quoteEnd returns the index after the quoted text at i. A doubled quote does not
