backend: a connection with unsolicited messages isn't given out

Callers could see: another statement's answer, if a backend server answers twice and the second copy arrives while the connection is idle. Ping took a second ReadyForQuery, or any answer that ended with one, for its own.

Cause: whatever had arrived was taken for the next answer. Class: as with members of the line protocol; the look at the socket is now package peek for both.

--- a/backend/backend.go
+++ b/backend/backend.go
@@ -34,6 +34,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/zeebo/errs"
 
+	"github.com/dragonflypick/dragonflypick/peek"
 	"github.com/dragonflypick/dragonflypick/wire"
 )
 
@@ -74,6 +75,7 @@
 	Writer *wire.Writer
 	// LastReply is when the backend server last replied on the connection.
 	LastReply time.Time
+	socket    *peek.Socket
 	pid       uint32
 	cancelKey []byte
 	config    Config
@@ -91,7 +93,7 @@
 	}
 	return &Conn{
 		Conn: h.Conn, Reader: wire.NewReader(h.Conn, wire.MaxBodySize), Writer: wire.NewWriter(h.Conn),
-		pid: h.PID, cancelKey: h.SecretKey, config: c, LastReply: time.Now(),
+		socket: peek.New(h.Conn), pid: h.PID, cancelKey: h.SecretKey, config: c, LastReply: time.Now(),
 	}, nil
 }
 
@@ -139,6 +141,9 @@
 
 // Ping sends a Sync message on an idle connection and waits for ReadyForQuery.
 func (c *Conn) Ping(timeout time.Duration) error {
+	if err := c.CheckRest(); err != nil {
+		return err
+	}
 	if err := c.SetDeadline(time.Now().Add(timeout)); err != nil {
 		return Error.Wrap(err)
 	}
@@ -157,5 +162,8 @@
 			c.LastReply = time.Now()
 			return Error.Wrap(c.SetDeadline(time.Time{}))
 		}
+		if !IsAsynchronous(m.Type) {
+			return Error.Wrap(&UnsolicitedError{Type: m.Type})
+		}
 	}
 }
--- a/backend/pool.go
+++ b/backend/pool.go
@@ -116,7 +116,7 @@
 		if c == nil {
 			break
 		}
-		if time.Since(c.LastReply) < checkAfterIdle || p.check(c) {
+		if p.usable(c) {
 			return c, nil
 		}
 		_ = c.Close()
@@ -129,6 +129,14 @@
 	return c, nil
 }
 
+// usable reports whether an idle connection can be used.
+func (p *Pool) usable(c *Conn) bool {
+	if time.Since(c.LastReply) < checkAfterIdle {
+		return c.CheckRest() == nil
+	}
+	return p.check(c)
+}
+
 // popIdle removes and returns the idle connection that was returned last, or nil.
 func (p *Pool) popIdle() *Conn {
 	p.mu.Lock()
