pool, takeover: a primary that tells no position isn't used until its log is checked

Cause: the end of a log that holds nothing is '-' (PROTOCOL.md, The wire), which became the zero position, and the pool passed no zero position on. Class: "nothing" was taken for "not told". The stand-in site shared that reading: its empty logs ended at 1.0, which was noticed.

Evidence: the stand-in tells '-' now, as on the page.

The position told when a connection is opened is always passed on, and a connection is opened before anything is sent on it. An answer without a position makes the holder ask all members (STATUS) before it sends anything more: a primary that has its log is used again as soon as a majority confirms it, an empty one is replaced. Time doesn't matter, as a late answer of the old process may be handled between the opening's start and its end.

--- a/fleet/group.go
+++ b/fleet/group.go
@@ -232,6 +232,10 @@
 func (f *Daemon) observePosition(g *group, member string, p logpos.Position, sent time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if p.IsZero() {
+		f.observeNoPosition(g, member, sent)
+		return
+	}
 	t := now()
 	l := f.loads.member(member)
 	if f.config.Features.UnevenMembers {
@@ -250,6 +254,24 @@
 	}
 }
 
+// observeNoPosition takes note that a member told no position when a connection was opened;
+// f.mu is held.
+func (f *Daemon) observeNoPosition(g *group, member string, sent time.Time) {
+	was := g.PrimaryDoubted()
+	g.Handle(takeover.PositionReported{Member: member, RequestedAt: sent}, now())
+	if g.PrimaryDoubted() && !was {
+		f.logDoubt(g, "it tells no position")
+	}
+}
+
+// logDoubt logs that a group's primary isn't used until its log has been checked; f.mu is
+// held.
+func (f *Daemon) logDoubt(g *group, why string) {
+	id, term := g.Primary()
+	p, at := g.LogEnd()
+	f.config.Log.Warn("primary may have lost its log", "group", g.name, "member", id, "term", term, "why", why, "log-end", p.String(), "log-end-age-ms", now().Sub(at).Milliseconds())
+}
+
 // primaryUse is the use of a member as a group's primary for one request.
 type primaryUse struct {
 	daemon  *Daemon
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -197,7 +197,7 @@
 	t := p.config.Now()
 	k, at, err := p.openConn(y, team)
 	if err == nil {
-		p.recordReply(query.Reply{Position: at}, t)
+		p.recordOpened(at, t)
 		return p.addConn(&conn{Conn: k, id: o.Conn, team: team, prepared: map[string]bool{}}, o.Reason, t), nil
 	}
 	f := dialFailure(err)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -53,7 +53,8 @@
 	Connections int
 	Dialer      Dialer
 	// ObservePosition is called with the position in a reply and the time at which
-	// its step was sent.
+	// its step was sent. It is zero only if the member told none when a connection was
+	// opened.
 	ObservePosition func(p logpos.Position, sent time.Time)
 	// ObserveStatement is called with the time that a statement or commit took at the
 	// member, and whether the member failed it. It may be nil.
@@ -195,6 +196,13 @@
 // pool.
 func (p *Pool) MarkReachable() { p.recordReply(query.Reply{}, time.Time{}) }
 
+// recordOpened records that the member has opened a connection, and the position that it
+// told, which is zero if it holds nothing.
+func (p *Pool) recordOpened(at logpos.Position, sent time.Time) {
+	p.MarkReachable()
+	p.config.ObservePosition(at, sent)
+}
+
 // recordReply records that the member replied, and the reply's position.
 func (p *Pool) recordReply(o query.Reply, sent time.Time) {
 	p.mu.Lock()
--- a/standin/site/client.go
+++ b/standin/site/client.go
@@ -75,13 +75,27 @@
 // RunLoad runs concurrent clients for the duration d and returns the outcomes of
 // their operations. Clients connect to the daemons that addresses returns.
 func (s *Site) RunLoad(seed uint64, clients int, d time.Duration, addresses func() []string) *LoadReport {
+	return s.runClients(seed, clients, d, func(c *Client) { c.runOperation(addresses()) })
+}
+
+// RunReads is RunLoad with clients that only read.
+func (s *Site) RunReads(seed uint64, clients int, d time.Duration, addresses func() []string) *LoadReport {
+	return s.runClients(seed, clients, d, func(c *Client) {
+		if c.connect(addresses()) {
+			c.runRead()
+		}
+	})
+}
+
+// runClients runs concurrent clients, each of which repeats an operation, for the duration d.
+func (s *Site) runClients(seed uint64, clients int, d time.Duration, operate func(*Client)) *LoadReport {
 	o := &LoadReport{lastWrite: time.Now()}
 	var w sync.WaitGroup
 	for i := range clients {
 		w.Go(func() {
 			c := &Client{site: s, report: o, random: rand.New(rand.NewPCG(seed, uint64(i))), name: fmt.Sprintf("c%d-%d", seed, i), key: ClientKey(i)}
 			for t := time.Now(); time.Since(t) < d; {
-				c.runOperation(addresses())
+				operate(c)
 				time.Sleep(time.Duration(c.random.IntN(10)) * time.Millisecond)
 			}
 			c.disconnect()
@@ -241,9 +255,7 @@
 	case 1:
 		c.runTransaction()
 	case 2, 3:
-		_, code, state, complete := c.execute(fmt.Sprintf("READ k%d", c.random.IntN(20)), true)
-		c.recordOutcome(code, complete, nil, false)
-		c.disconnectUnlessIdle(state, complete)
+		c.runRead()
 	default:
 		id, code, state, complete := c.execute(fmt.Sprintf("WRITE k%d x", c.random.IntN(20)), true)
 		c.recordOutcome(code, complete, []string{id}, true)
@@ -251,6 +263,13 @@
 	}
 }
 
+// runRead runs a read outside of transactions.
+func (c *Client) runRead() {
+	_, code, state, complete := c.execute(fmt.Sprintf("READ k%d", c.random.IntN(20)), true)
+	c.recordOutcome(code, complete, nil, false)
+	c.disconnectUnlessIdle(state, complete)
+}
+
 // disconnectUnlessIdle closes the connection unless its session is open and
 // outside a transaction.
 func (c *Client) disconnectUnlessIdle(state byte, complete bool) {
--- a/standin/site/group.go
+++ b/standin/site/group.go
@@ -19,7 +19,13 @@
 	return p.Term < q.Term || p.Term == q.Term && p.Number < q.Number
 }
 
-func (p Position) String() string { return fmt.Sprintf("%d.%d", p.Term, p.Number) }
+// String returns the position as the members report it, - for that of an empty log.
+func (p Position) String() string {
+	if p == (Position{}) {
+		return "-"
+	}
+	return fmt.Sprintf("%d.%d", p.Term, p.Number)
+}
 
 // logEntry is a committed transaction in a group's log.
 type logEntry struct {
@@ -67,7 +73,7 @@
 func (g *group) appliedPosition(m *member, now time.Time) Position {
 	l := g.appliedEntries(m, now)
 	if len(l) == 0 {
-		return Position{Term: 1}
+		return Position{}
 	}
 	return l[len(l)-1].position
 }
@@ -76,7 +82,7 @@
 // g.mu is held.
 func (m *member) receivedPosition() Position {
 	if len(m.log) == 0 {
-		return Position{Term: 1}
+		return Position{}
 	}
 	return m.log[len(m.log)-1].position
 }
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -158,25 +158,6 @@
 	return o
 }
 
-// runLoad runs a load, expects no violations and returns the outcome.
-func (f *fleet) runLoad(seed uint64, d time.Duration) *site.LoadReport {
-	var mu sync.Mutex
-	var at time.Time
-	var l []string
-	o := f.site.RunLoad(seed, 12, d, func() []string {
-		mu.Lock()
-		defer mu.Unlock()
-		if time.Since(at) > 200*time.Millisecond {
-			l, at = f.addresses(), time.Now()
-		}
-		return l
-	})
-	f.site.VerifyWrites(o)
-	AddReportEntry("outcome", fmt.Sprintf("served %d, refused %d, in doubt %d, disconnected %d, longest write gap %s", o.Served, o.Refused, o.InDoubt, o.Disconnected, o.LongestWriteGap))
-	Expect(f.site.Violations()).To(BeEmpty())
-	return o
-}
-
 var defaultConfig = site.Config{Groups: 2, Lag: 15 * time.Millisecond, StatementTime: time.Millisecond, PromotionTime: 200 * time.Millisecond}
 
 var _ = Describe("daemons on the stand-in platform", func() {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -130,6 +130,9 @@
 	// and the statuses of the members, which member is primary, or that the old
 	// primary must be replaced because a promotion was requested.
 	primaryDiscovered bool
+	// logDoubted is set while the primary may have lost its log, until the holder has
+	// discovered the primary again.
+	logDoubted bool
 	// replacing is set while the primary is being replaced.
 	replacing bool
 	// primaryUnusable is set if no work may be sent to the primary: its log has
@@ -193,7 +196,7 @@
 	case PromotionRequested:
 		g.primaryUnusable = true
 	case PrimaryConfirmed:
-		g.primary, g.term = e.Member, e.Status.Term
+		g.primary, g.term, g.logDoubted = e.Member, e.Status.Term, false
 		g.primaryUnusable = e.Status.Received.Offset < e.LogEnd.Offset
 		g.logEnd, g.logEndAt = e.Status.Received, now
 		// No commit of the new term has been acknowledged yet.
@@ -210,7 +213,7 @@
 	r, _ := g.lease.Record()
 	rewritten := old.Holder.ID == g.self.ID && r.Era > old.Era && !r.PrimaryUncertain
 	if r.Holder.ID == g.self.ID && r.Epoch != old.Epoch && !rewritten {
-		g.primaryDiscovered, g.primaryUnusable, g.failedProbes, g.nearerSince = false, false, 0, time.Time{}
+		g.primaryDiscovered, g.logDoubted, g.primaryUnusable, g.failedProbes, g.nearerSince = false, false, false, 0, time.Time{}
 		g.durability = durability{}
 	}
 	if r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
@@ -218,22 +221,6 @@
 	}
 }
 
-// observePosition compares a position that the primary reports with the group's
-// furthest position. A lower one means that the primary has lost log entries.
-func (g *Group) observePosition(o PositionReported, now time.Time) {
-	if !g.ReportsLogEnd(o.Member, now) {
-		return
-	}
-	switch {
-	case o.Position.Less(g.logEnd) && o.RequestedAt.After(g.logEndAt):
-		g.primaryUnusable = true
-		return
-	case g.logEnd.Less(o.Position):
-		g.logEnd, g.logEndAt = o.Position, now
-	}
-	g.observeComplete(o.RequestedAt)
-}
-
 // MayDiscover reports whether the primary can be determined from the statuses that have
 // arrived so far of count members: the primary that the record names confirms that it
 // is, and most members have answered, none of which has received more. A primary that
@@ -299,6 +286,7 @@
 		g.primaryUnusable = true
 	case ok && (r.Target == "" || best.Status.Term > r.Term):
 		g.primary, g.term = best.Member.ID, best.Status.Term
+		g.primaryUnusable = g.primaryUnusable || g.hasLostLog(best.Status)
 	case r.Target == "" && r.Primary != "":
 		g.primary, g.term = r.Primary, r.Term
 	case r.Target != "":
@@ -308,7 +296,7 @@
 	default:
 		return
 	}
-	g.primaryDiscovered, g.failedProbes = true, 0
+	g.primaryDiscovered, g.logDoubted, g.failedProbes = true, false, 0
 }
 
 // Record returns the latest known record of the group, or false if none is known.
@@ -342,7 +330,7 @@
 
 // MaySendWork reports whether the host may send new work to the primary now.
 func (g *Group) MaySendWork(now time.Time) bool {
-	return g.lease.Holds(now) && g.primaryDiscovered && !g.replacing && !g.primaryUnusable
+	return g.lease.Holds(now) && g.primaryDiscovered && !g.logDoubted && !g.replacing && !g.primaryUnusable
 }
 
 // MayFinishTransactions reports whether the host may continue open transactions.
