takeover: a later holder doesn't use a primary that has lost its log

Cause: a new holder knew the log's end only from the members that it asked. Positions are ordered by term first, so an empty primary of a newer term counts as ahead of replicas that have received nothing of that term; and if no member answered, anything was enough. Class: what the last holder knew of the log ended with it.

The group's record tells a position that the primary's log has reached in its term. A holder uses no primary that shows less in that term, or that holds nothing. Offsets of other terms aren't compared, as a promotion rolls back entries. A holder whose record tells none although the log has entries writes it when it has nothing else to do.

Fixtures of three specs name the position, since a record without one is now written again; what they check is unchanged.

--- a/lease/record.go
+++ b/lease/record.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/dragonflypick/dragonflypick/logpos"
 )
 
 // Holder is the identity of a process that holds or held a group's lease.
@@ -37,6 +39,9 @@
 	// promotion.
 	Primary string `json:"primary,omitempty"`
 	Term    uint64 `json:"term,omitempty"`
+	// LogEnd is a position that the primary's log has reached in Term; zero if it isn't
+	// known. A lower one means that the primary has lost its log.
+	LogEnd logpos.Position `json:"log-end,omitzero"`
 	// Target isn't empty while a promotion may have been requested whose result
 	// isn't recorded yet.
 	Target string `json:"target,omitempty"`
--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -111,6 +111,18 @@
 		matrix.TakeoverPlan{Trigger: matrix.NoFault, Step: model.Idle, First: matrix.GroupPrimaryKilled}),
 )
 
+var _ = DescribeTable("on the users' platform, a later holder doesn't use a primary that has restarted without its log",
+	func(p matrix.TakeoverPlan) {
+		p.First = matrix.GroupPrimaryRestartedEmpty
+		r := matrix.RunTakeover(p)
+		Expect(r.StepReached).To(BeTrue())
+		Expect(r.Violations).To(BeEmpty())
+	},
+	Entry("and writes in the term that it led", matrix.TakeoverPlan{Seed: 40, Trigger: matrix.GroupPrimaryDraining, Step: model.PrimaryRecorded, Second: matrix.HolderDraining, After: 923}),
+	Entry("while an earlier holder is frozen", matrix.TakeoverPlan{Seed: 724, Trigger: matrix.GroupPrimaryKilled, Step: model.PrimaryRecorded, Second: matrix.HolderFrozenPastLease, After: 2}),
+	Entry("while it reaches no member", matrix.TakeoverPlan{Seed: 48, Trigger: matrix.HolderDraining, Step: model.LeaseAcquired, Second: matrix.HolderCutFromMembers, After: 6}),
+)
+
 var _ = DescribeTable("on the users' platform, writes resume within 5 s after a single fault",
 	func(f matrix.TakeoverFault) {
 		for seed := range uint64(5) {
--- a/model/platform_world.go
+++ b/model/platform_world.go
@@ -119,6 +119,7 @@
 		w.newMember("member-"+strconv.Itoa(i), p)
 	}
 	w.Members[0].primary = true
+	w.Members[0].appendEntry("")
 	for range hostsPerDomain {
 		for _, p := range locations {
 			w.StartDaemon(p, "")
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -176,6 +176,8 @@
 		return TransferLease{}
 	case g.dropDue(f.Members, now):
 		return RecordMembers{}
+	case g.logEndUnrecorded():
+		return RecordPrimary{}
 	default:
 		return nil
 	}
--- a/takeover/change.go
+++ b/takeover/change.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/lease"
+	"github.com/dragonflypick/dragonflypick/logpos"
 )
 
 // Release returns the change that removes the host from the previous holders, and
@@ -22,6 +23,9 @@
 // Rewrite returns the change by which the holder of an earlier era goes on.
 func (g *Group) Rewrite(now time.Time) lease.Change {
 	r := g.lease.RewriteRecord(now)
+	if r.Term != g.term {
+		r.LogEnd = logpos.Position{}
+	}
 	r.Primary, r.Term = g.primary, g.term
 	return g.lease.Change(r)
 }
@@ -35,6 +39,7 @@
 // may make it.
 func (g *Group) AnnouncePromotion(now time.Time) (lease.Change, bool) {
 	r := g.lease.UpdateRecord(now)
+	r.LogEnd = g.reachedEnd(r)
 	r.Primary, r.Term, r.Target = g.primary, max(g.term, r.Term), targetPending
 	return g.lease.Change(r), g.lease.MayReplacePrimary(now)
 }
@@ -51,6 +56,7 @@
 func (g *Group) NamePrimary(now time.Time) (lease.Change, bool) {
 	r := g.lease.UpdateRecord(now)
 	ok := r.Holder.ID == g.self.ID && !g.lease.Restored() && !g.primaryUnusable
+	r.LogEnd = g.reachedEnd(r)
 	r.Primary, r.Term, r.Target = g.primary, g.term, ""
 	r.PrimaryUncertain = r.PrimaryUncertain && !g.primaryDiscovered
 	return g.lease.Change(r), ok
--- a/takeover/durability_test.go
+++ b/takeover/durability_test.go
@@ -148,7 +148,7 @@
 
 	It("are first recorded once the primary has shown all commits", func() {
 		g := takeover.New(lease.Holder{ID: "a"})
-		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1}, 1)
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1, LogEnd: logpos.Position{Term: 1, Offset: 5}}, 1)
 		g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("p", 1, 5)}, RequestedAt: start.Add(-1)}, start)
 		Expect(g.NextAction(state(a, b), start)).To(BeNil())
 		g.Handle(takeover.PositionReported{Member: "p", Position: logpos.Position{Term: 1, Offset: 5}, RequestedAt: soon}, soon)
@@ -162,7 +162,7 @@
 
 	It("keep one that isn't listed any more, and drop one that has ended once another replica has its commits", func() {
 		g := takeover.New(lease.Holder{ID: "a"})
-		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1, Members: []lease.Member{a, b}}, 1)
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1, LogEnd: logpos.Position{Term: 1, Offset: 5}, Members: []lease.Member{a, b}}, 1)
 		g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("p", 1, 5)}, RequestedAt: soon}, soon)
 		Expect(g.NextAction(state(b), start)).To(BeNil())
 		_, ok := g.RecordMembers([]lease.Member{b}, nil, start)
--- a/takeover/lostlog.go
+++ b/takeover/lostlog.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 )
@@ -36,6 +37,35 @@
 func (g *Group) LogEnd() (logpos.Position, time.Time) { return g.logEnd, g.logEndAt }
 
 // hasLostLog reports whether a primary with a status has started again without its log.
+// Offsets of different terms aren't compared, since a promotion may have rolled back the end
+// of the earlier one, but no promoted member's log is empty if others have entries.
 func (g *Group) hasLostLog(s query.Status) bool {
-	return s.Received.Offset == 0 && g.logEnd.Offset > 0
+	r, _ := g.lease.Record()
+	if s.Received.Offset == 0 {
+		return g.logEnd.Offset > 0 || r.LogEnd.Offset > 0
+	}
+	return s.Term == r.Term && s.Received.Offset < r.LogEnd.Offset
+}
+
+// adoptRecordedEnd makes the recorded position the least that the recorded primary must
+// show. The holder may not know of any other one, as when no member has answered it.
+func (g *Group) adoptRecordedEnd(now time.Time) {
+	r, _ := g.lease.Record()
+	if g.term == r.Term && g.logEnd.Less(r.LogEnd) {
+		g.logEnd, g.logEndAt = r.LogEnd, now
+	}
+}
+
+// logEndUnrecorded reports whether the record tells no position of a log that has entries.
+func (g *Group) logEndUnrecorded() bool {
+	r, _ := g.lease.Record()
+	return r.LogEnd.Offset == 0 && g.logEnd.Offset > 0
+}
+
+// reachedEnd returns the LogEnd of a record that replaces r and names the present primary.
+func (g *Group) reachedEnd(r lease.Record) logpos.Position {
+	if r.Term == g.term && r.Primary == g.primary {
+		return logpos.Max(r.LogEnd, g.logEnd)
+	}
+	return g.logEnd
 }
--- a/takeover/lostlog_test.go
+++ b/takeover/lostlog_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/takeover"
@@ -61,9 +62,71 @@
 		g := newHolder()
 		fresh := takeover.New(g.Holder())
 		r, _ := g.Record()
+		r.LogEnd = logpos.Position{}
 		observeRecord(fresh, r, 1)
 		fresh.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{emptied("p", 1), {Member: replica("q", 0, false).Member, Status: query.Status{Term: 1}}}}, start)
 		fresh.Handle(untold, start.Add(time.Millisecond))
 		Expect(fresh.MaySendWork(start.Add(time.Millisecond))).To(BeTrue())
 	})
 })
+
+// Guards against the use of an empty primary by a host that becomes the holder later, and
+// has not seen its log (three random pairs of faults of package matrix).
+var _ = Describe("a host that becomes the holder after the primary has restarted without its log", func() {
+	end := logpos.Position{Term: 2, Offset: 7}
+	newLaterHolder := func(l ...takeover.MemberStatus) *takeover.Group {
+		g := takeover.New(lease.Holder{ID: "b"})
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "b"}, Epoch: 2, Primary: "p", Term: 2, LogEnd: end}, 1)
+		g.Handle(takeover.MembersPolled{Statuses: l, RequestedAt: start}, start.Add(1))
+		return g
+	}
+
+	DescribeTable("sends it no work, and replaces it", func(l ...takeover.MemberStatus) {
+		g := newLaterHolder(l...)
+		Expect(g.MaySendWork(start.Add(1))).To(BeFalse())
+		Expect(g.NextAction(healthyState(), start.Add(1))).To(Equal(takeover.ReplacePrimary{Reason: takeover.PrimaryUnusable}))
+	},
+		Entry("if the replicas haven't received anything of its term", primary("p", 2, 0), replica("q", 7, false)),
+		Entry("if it has been written to since", primary("p", 2, 1), replica("q", 7, false)),
+		Entry("if it tells no position, and no other member answers", emptied("p", 2), unreachable("q")),
+	)
+
+	It("replaces it as soon as it answers if no member has answered before", func() {
+		g := newLaterHolder(unreachable("p"), unreachable("q"))
+		g.Handle(takeover.PositionReported{Member: "p", Position: logpos.Position{Term: 2}, RequestedAt: start.Add(2)}, start.Add(3))
+		Expect(g.MaySendWork(start.Add(3))).To(BeFalse())
+		Expect(g.NextAction(healthyState(), start.Add(3))).To(Equal(takeover.ReplacePrimary{Reason: takeover.PrimaryUnusable}))
+	})
+
+	DescribeTable("uses a primary", func(l ...takeover.MemberStatus) {
+		Expect(newLaterHolder(l...).MaySendWork(start.Add(1))).To(BeTrue())
+	},
+		Entry("that has come back with its log", primary("p", 2, 7), unreachable("q")),
+		Entry("that was promoted since without the end of the earlier term", unreachable("p"), primary("q", 3, 6)),
+	)
+})
+
+var _ = Describe("the end of the log in a group's record", func() {
+	It("is written with the primary", func() {
+		c, ok := newHolder().NamePrimary(start)
+		Expect(ok).To(BeTrue())
+		Expect(c.Record.LogEnd).To(Equal(logpos.Position{Term: 1, Offset: 5}))
+	})
+
+	It("is written once the log has entries", func() {
+		g := takeover.New(lease.Holder{ID: "a"})
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1}, 1)
+		g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{emptied("p", 1)}}, start)
+		Expect(g.NextAction(healthyState(), start)).To(BeNil())
+		g.Handle(takeover.PositionReported{Member: "p", Position: logpos.Position{Term: 1, Offset: 1}, RequestedAt: start}, start)
+		Expect(g.NextAction(healthyState(), start)).To(Equal(takeover.RecordPrimary{}))
+	})
+
+	It("is that of the new primary's term after a promotion that has rolled back entries", func() {
+		g := newHolder()
+		g.Handle(takeover.PrimaryConfirmed{Member: "q", Status: query.Status{Primary: true, Term: 2, Received: logpos.Position{Term: 2, Offset: 4}}, LogEnd: logpos.Position{Term: 1, Offset: 4}}, start)
+		c, ok := g.NamePrimary(start)
+		Expect(ok).To(BeTrue())
+		Expect(c.Record.LogEnd).To(Equal(logpos.Position{Term: 2, Offset: 4}))
+	})
+})
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -296,6 +296,7 @@
 	default:
 		return
 	}
+	g.adoptRecordedEnd(now)
 	g.primaryDiscovered, g.logDoubted, g.failedProbes = true, false, 0
 }
 
@@ -307,7 +308,7 @@
 func (g *Group) ReportedRecord() (lease.Record, bool) {
 	r, ok := g.lease.Record()
 	if g.term > r.Term {
-		r.Primary, r.Term = g.primary, g.term
+		r.Primary, r.Term, r.LogEnd = g.primary, g.term, logpos.Position{}
 	}
 	return r, ok
 }
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -46,7 +46,7 @@
 // newHolder returns the group of a holder that has discovered its primary p.
 func newHolder() *takeover.Group {
 	g := takeover.New(lease.Holder{ID: "a"})
-	observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1, Members: []lease.Member{{ID: "a"}, {ID: "b"}, {ID: "p"}}}, 1)
+	observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "p", Term: 1, LogEnd: logpos.Position{Term: 1, Offset: 5}, Members: []lease.Member{{ID: "a"}, {ID: "b"}, {ID: "p"}}}, 1)
 	g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("p", 1, 5)}}, start)
 	return g
 }
