--- a/asynclog/asynclog.go
+++ b/asynclog/asynclog.go
@@ -25,7 +25,6 @@
 // cutMark ends a line that was cut.
 const cutMark = "...\n"
 
-
 // Writer passes lines to another writer in the background. It drops and counts
 // lines that exceed the queue's capacity or the rate limit.
 type Writer struct {
--- a/pool/acquire.go
+++ b/pool/acquire.go
@@ -220,7 +220,7 @@
 	t := p.config.Now()
 	k, at, err := p.openConn(y, team)
 	if err == nil {
-		p.recordReply(query.Reply{Position: at}, t)
+		p.recordOpened(at, t)
 		return p.addConn(p.newConn(k, at, o.Conn, team), o.Reason, t), nil
 	}
 	f := dialFailure(err)
--- a/standin/site/client.go
+++ b/standin/site/client.go
@@ -51,6 +51,20 @@
 // RunLoad runs concurrent clients for the duration d and returns the outcomes of
 // their operations. Clients connect to the daemons that addresses returns.
 func (s *Site) RunLoad(seed uint64, clients int, d time.Duration, addresses func() []string) *LoadReport {
+	return s.runClients(seed, clients, d, func(c *Client) { c.runOperation(addresses()) })
+}
+
+// RunReads is RunLoad with clients that only read.
+func (s *Site) RunReads(seed uint64, clients int, d time.Duration, addresses func() []string) *LoadReport {
+	return s.runClients(seed, clients, d, func(c *Client) {
+		if c.connect(addresses()) {
+			c.runRead()
+		}
+	})
+}
+
+// runClients runs concurrent clients, each of which repeats an operation, for the duration d.
+func (s *Site) runClients(seed uint64, clients int, d time.Duration, operate func(*Client)) *LoadReport {
 	o := &LoadReport{lastWrite: time.Now()}
 	words := s.texts(seed, uint64(clients)).vocabulary()
 	var w sync.WaitGroup
@@ -58,7 +72,7 @@
 		w.Go(func() {
 			c := s.newClient(seed, i, words, o)
 			for t := time.Now(); time.Since(t) < d; {
-				c.runOperation(addresses())
+				operate(c)
 				c.rest(time.Duration(c.random.IntN(10)) * time.Millisecond)
 			}
 			c.disconnect()
--- a/standin/site/operation.go
+++ b/standin/site/operation.go
@@ -13,9 +13,7 @@
 	case 1:
 		c.runTransaction()
 	case 2, 3:
-		_, code, state, complete := c.execute(c.drawRead(), true)
-		c.recordOutcome(code, complete, nil, false)
-		c.disconnectUnlessIdle(state, complete)
+		c.runRead()
 	default:
 		id, code, state, complete := c.execute(c.drawWrite(), true)
 		c.recordOutcome(code, complete, []string{id}, true)
@@ -23,6 +21,13 @@
 	}
 }
 
+// runRead runs a read outside of transactions.
+func (c *Client) runRead() {
+	_, code, state, complete := c.execute(c.drawRead(), true)
+	c.recordOutcome(code, complete, nil, false)
+	c.disconnectUnlessIdle(state, complete)
+}
+
 // disconnectUnlessIdle closes the connection unless its session is open and
 // outside a transaction.
 func (c *Client) disconnectUnlessIdle(state byte, complete bool) {
