peer: a request that an earlier build has changed is refused

Callers would see: while daemons are replaced, a statement that isn't UTF-8 and is sent through a daemon of an earlier build still ran changed at an owner of this one.

Cause: jsonrpc2 decodes a request's parameters and encodes them anew, which writes U+FFFD unescaped, so that it can't be told any more from a caller's own. The fleet's spec of this called the handler directly and so missed it; it is replaced by one over two nodes.

The stream that reads requests looks at the message before jsonrpc2 does and marks it.

--- a/fleet/params.go
+++ b/fleet/params.go
@@ -7,8 +7,7 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
-// decodeParams decodes the parameters of a call. It refuses those whose text the other
-// daemon has changed, see package textjson.
+// decodeParams decodes the parameters of a call.
 func (f *Daemon) decodeParams(r *jsonrpc2.Request, v any) error {
 	if r.Params == nil {
 		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "no parameters"}
--- a/fleet/text_test.go
+++ b/fleet/text_test.go
@@ -64,15 +64,6 @@
 			Expect(r.Action == query.ActionWrite && o.Failure.Reason.NotRun() && !o.MayHaveRun).To(BeFalse())
 		})
 
-		It("isn't run changed for an entry of that build, "+name, func() {
-			b, err := json.Marshal(formerRequest(r))
-			Expect(err).NotTo(HaveOccurred())
-			_, err = newTestDaemon().handleCall(context.Background(), &jsonrpc2.Request{Method: methodExecute, Params: (*json.RawMessage)(&b)})
-			var e *jsonrpc2.Error
-			Expect(err).To(BeAssignableToTypeOf(e))
-			Expect(err.(*jsonrpc2.Error).Code).To(BeEquivalentTo(jsonrpc2.CodeInvalidParams))
-		})
-
 		It("in UTF-8 is served by an owner of that build, "+name, func() {
 			q := r
 			q.Text = "WRITE 1a4 Gr\u00fcn"
--- a/peer/peer.go
+++ b/peer/peer.go
@@ -20,6 +20,7 @@
 
 	"github.com/dragonflypick/dragonflypick/contain"
 	"github.com/dragonflypick/dragonflypick/membership"
+	"github.com/dragonflypick/dragonflypick/textjson"
 )
 
 // Error is the class of all errors of this package.
@@ -230,6 +231,10 @@
 			newStream = newCompressedStream
 		}
 		h := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(func(x context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+			if isReplaced(r) {
+				n.config.Log.Info("call refused", "method", r.Method, "call", r.ID.String(), "reason", "its text was changed by the calling daemon")
+				return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: (&textjson.ReplacedError{}).Error()}
+			}
 			s.use.calls.Add(1)
 			defer s.use.calls.Add(-1)
 			var o any
@@ -240,7 +245,7 @@
 			})
 			return o, err
 		}))
-		c := jsonrpc2.NewConn(x, newStream(t), h, n.logger())
+		c := jsonrpc2.NewConn(x, requestStream{newStream(t)}, h, n.logger())
 		<-c.DisconnectNotify()
 	default:
 		_ = t.Close()
--- a/peer/text_test.go
+++ b/peer/text_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"github.com/onsi/gomega"
+	"github.com/sourcegraph/jsonrpc2"
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
@@ -130,6 +131,32 @@
 	})
 }
 
+// formerRequest is encoded as by builds that replace bytes that aren't UTF-8.
+type formerRequest query.Request
+
+func TestRequestThatAFormerBuildHasChangedIsHandled(t *testing.T) {
+	for name, region := range regions {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			p := newPair(t)
+			p.toB.Region = region
+			for _, changed := range []string{"\xff", `\\` + "\xff", "\ufffd\xffa\xff"} {
+				err := p.a.Call(context.Background(), p.toB, "request", formerRequest{Text: changed}, &query.Request{})
+				var e *jsonrpc2.Error
+				g.Expect(errors.As(err, &e)).To(gomega.BeTrue(), "%v", err)
+				g.Expect(e.Code).To(gomega.BeEquivalentTo(jsonrpc2.CodeInvalidParams))
+			}
+			g.Expect(p.handled.Load()).To(gomega.BeZero())
+			for _, unchanged := range []string{"\ufffd", `\ufffd`, `\\ufffd`, `"\ufffd"`} {
+				var got query.Request
+				g.Expect(p.a.Call(context.Background(), p.toB, "request", formerRequest{Text: unchanged}, &got)).To(gomega.Succeed())
+				g.Expect(got.Text).To(gomega.Equal(unchanged))
+			}
+			g.Expect(p.failed.Load()).To(gomega.BeZero())
+		})
+	}
+}
+
 func TestHeaderThatAFormerBuildHasChangedIsRefused(t *testing.T) {
 	g := gomega.NewWithT(t)
 	type formerHeader Header
--- a/textjson/textjson.go
+++ b/textjson/textjson.go
@@ -49,7 +49,7 @@
 // decoded. It refuses a value in which encoding/json has replaced bytes.
 func Unmarshal(b []byte, v any, texts iter.Seq[*string]) error {
 	if !bytes.HasPrefix(b, []byte("[")) {
-		if hasReplacement(b) {
+		if HasReplacement(b) {
 			return Error.Wrap(&ReplacedError{})
 		}
 		return Error.Wrap(json.Unmarshal(b, v))
@@ -82,8 +82,8 @@
 	return true
 }
 
-// hasReplacement reports whether a string in the JSON text contains replacement.
-func hasReplacement(b []byte) bool {
+// HasReplacement reports whether encoding/json has replaced bytes in the JSON text.
+func HasReplacement(b []byte) bool {
 	for {
 		i := bytes.Index(b, []byte(replacement))
 		if i < 0 {
