--- a/peer/text_test.go
+++ b/peer/text_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 	"pgregory.net/rapid"
 
+	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/textjson"
 	"github.com/dragonflypick/dragonflypick/wire"
@@ -175,3 +176,20 @@
 	g.Expect(errors.As(err, &e)).To(gomega.BeTrue(), "%v", err)
 	g.Expect(r.Wait()).To(gomega.Succeed())
 }
+
+func TestHostIsKnownByAChangedID(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := net.Pipe()
+	var r errgroup.Group
+	r.Go(func() error {
+		defer func() { _ = a.Close() }()
+		_, err := sendHello(a, "s", membership.Host{ID: "front\xff"}, "")
+		g.Expect(err).To(gomega.HaveOccurred())
+		return nil
+	})
+	_, err := acceptHello(b, "s", "b")
+	_ = b.Close()
+	var e *ProtocolError
+	g.Expect(errors.As(err, &e)).To(gomega.BeTrue(), "%v", err)
+	g.Expect(r.Wait()).To(gomega.Succeed())
+}
--- a/standin/cluster/text_test.go
+++ b/standin/cluster/text_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -45,6 +46,25 @@
 		}
 	})
 
+	It("is refused as a database's or a user's name, and accepted in other parameters of a session", func() {
+		for _, change := range []func(*pgx.ConnConfig){
+			func(f *pgx.ConnConfig) { f.Database = "orders\xff" },
+			func(f *pgx.ConnConfig) { f.User = "shop\xff" },
+		} {
+			f := connect(0).Config()
+			change(f)
+			_, err := pgx.ConnectConfig(x, f)
+			var p *pgconn.PgError
+			Expect(errors.As(err, &p)).To(BeTrue(), "%v", err)
+		}
+		f := connect(0).Config()
+		f.RuntimeParams["application_name"] = text
+		n, err := pgx.ConnectConfig(x, f)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(exec(n, "SELECT 1")).To(Equal([]string{"1"}))
+		Expect(n.Close(x)).To(Succeed())
+	})
+
 	It("doesn't make two idempotency keys one, so that an acknowledged write isn't run", func() {
 		for d := range c.Daemons {
 			n := connect(d)
