fleet: a demotion is done only if the member says that it is a replica

Could happen: any answer that wasn't a refusal ended the demotion of a replaced primary, which then went on as one.

Cause: the answer to DEMOTE, the member's status, wasn't read. Found by the reviewer, by reading.

Another answer now counts as a failed attempt, as a lost one does.

--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -305,6 +305,31 @@
 	}
 }
 
+// NotDemotedError reports a member that is still a primary after its demotion.
+type NotDemotedError struct{ Member string }
+
+func (e *NotDemotedError) Error() string { return "member " + e.Member + " is still a primary" }
+
+// requestDemotion demotes a member. Its answer is its status afterwards.
+func (f *Daemon) requestDemotion(x context.Context, m catalog.Member, term uint64) error {
+	y, stop := context.WithTimeout(x, statusTimeout)
+	defer stop()
+	c, _, err := f.config.Dialer.Dial(y, m, "")
+	if err != nil {
+		return err
+	}
+	defer c.Close()
+	o, err := c.RunStep(query.Demote{Term: term}, time.Now().Add(statusTimeout))
+	if err != nil {
+		return err
+	}
+	s, err := f.config.Decoder.Status(o)
+	if err == nil && s.Primary {
+		err = Error.Wrap(&NotDemotedError{Member: m.ID})
+	}
+	return err
+}
+
 // demoteMember demotes a replaced primary, in up to maxDemoteAttempts attempts, as
 // the member may not be reachable yet.
 func (f *Daemon) demoteMember(x context.Context, g *group, old string) {
@@ -317,17 +342,7 @@
 		if !ok {
 			return
 		}
-		y, stop := context.WithTimeout(x, statusTimeout)
-		c, _, err := f.config.Dialer.Dial(y, m, "")
-		if err == nil {
-			var o query.Reply
-			o, err = c.RunStep(query.Demote{Term: term}, time.Now().Add(statusTimeout))
-			c.Close()
-			if err == nil && o.Failure != nil {
-				err = o.Failure
-			}
-		}
-		stop()
+		err := f.requestDemotion(x, m, term)
 		f.config.Log.Info("demotion requested", "group", g.name, "member", old, "term", term, "error", err)
 		if err == nil {
 			return
