--- a/pool/answerrecord_test.go
+++ b/pool/answerrecord_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -89,3 +90,22 @@
 	Expect(r.check(aRead, completed(strconv.Itoa(2*maxRecent-1), query.Idle, 1))).NotTo(BeNil())
 	Expect(r.check(aRead, completed(strconv.Itoa(maxRecent), query.Idle, 1))).NotTo(BeNil())
 })
+
+// BenchmarkAnswerRecord measures the check of a signed answer on a connection that
+// remembers as many as it can.
+func BenchmarkAnswerRecord(b *testing.B) {
+	r := answerRecord{state: query.Idle}
+	var l [2 * maxRecent]query.Reply
+	for i := range l {
+		l[i] = completed("1.1.6e1.1.99b03f8609a30"+strconv.Itoa(i), query.Idle, 1)
+		if i < maxRecent && r.check(aRead, l[i]) != nil {
+			b.Fatal("not accepted")
+		}
+	}
+	b.ReportAllocs()
+	for i := maxRecent; b.Loop(); i++ {
+		if r.check(aRead, l[i%len(l)]) != nil {
+			b.Fatal("not accepted")
+		}
+	}
+}
