standin/soak: texts of any bytes, and members that repeat answers in a third of the unplanned runs

On the users' platform clients and members use texts of any bytes but CR LF. For a third of the seeds besides those of planned work, all members repeat answers while faults start; the fault is a step of the plan, and the plans of the other seeds are as they were.

The new spec of the plans passes.

--- a/standin/soak/plan.go
+++ b/standin/soak/plan.go
@@ -116,11 +116,15 @@
 // Reconfigure writes a new configuration.
 type Reconfigure struct{}
 
+// Stutter lets all members repeat answers.
+type Stutter struct{}
+
 func (ProcessFault) fault() {}
 func (LinkFault) fault()    {}
 func (StoreFault) fault()   {}
 func (GroupFault) fault()   {}
 func (Reconfigure) fault()  {}
+func (Stutter) fault()      {}
 
 // Step is a fault with its time.
 type Step struct {
@@ -144,6 +148,8 @@
 	Links        []Link
 	StoreActions []StoreAction
 	GroupActions []GroupAction
+	// Stutter reports whether members can repeat answers.
+	Stutter bool
 }
 
 // Planned reports whether the plan of a seed contains only planned work: stops of
@@ -153,10 +159,20 @@
 // plannedEvery is the share of the seeds whose plan contains only planned work.
 const plannedEvery = 4
 
+// Stutters reports whether members repeat answers in the plan of a seed.
+func Stutters(seed uint64) bool { return !Planned(seed) && seed%stutterEvery == 0 }
+
+// stutterEvery is the share of the seeds, besides those of planned work, in whose plan
+// members repeat answers.
+const stutterEvery = 3
+
 // Draw returns the plan of a seed: faults that start within the given time.
 func Draw(seed uint64, s Shape, d time.Duration) []Step {
 	r := rand.New(rand.NewPCG(seed, 0))
 	var o []Step
+	if s.Stutter && Stutters(seed) && d > firstFaultAt {
+		o = append(o, Step{At: firstFaultAt, For: d - firstFaultAt, Fault: Stutter{}})
+	}
 	for t := firstFaultAt; t < d; t += exponential(r, meanInterval) {
 		n := min(exponential(r, maxFaultTime/4)+minFaultTime, maxFaultTime)
 		if Planned(seed) {
--- a/standin/soak/platform.go
+++ b/standin/soak/platform.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
@@ -30,11 +29,7 @@
 	faultLag         = 1500 * time.Millisecond
 	startTimeout     = 20 * time.Second
 	readinessTimeout = time.Second
-	// readinessInterval is how often the balancer asks each daemon; maxMisses misses in
-	// a row take it out of rotation.
-	readinessInterval = time.Second
-	maxMisses         = 2
-	settingsFileMode  = 0o644
+	settingsFileMode = 0o644
 )
 
 // platformDomains are the failure domains, in the order in which daemons are placed.
@@ -103,7 +98,7 @@
 	n := 0
 	var err error
 	s.site, err = site.New(site.Config{
-		Groups: s.config.Groups, Lag: replicationLag, StatementTime: time.Millisecond, PromotionTime: 300 * time.Millisecond,
+		Groups: s.config.Groups, Lag: replicationLag, StatementTime: time.Millisecond, PromotionTime: 300 * time.Millisecond, AnyBytes: true,
 		Advertise: func(_, address string) (string, error) {
 			n++
 			return s.links.start(s.ports, MemberLink, n-1, address)
@@ -190,6 +185,7 @@
 		Links:        []Link{StoreLink, PeerLink, CallerLink, MemberLink},
 		StoreActions: []StoreAction{StoreDown, StoreSilent, LoseAnswers, LateWrites, DropHistory, StoreRestore},
 		GroupActions: []GroupAction{CrashPrimary, EmptyPrimary, DrainPrimary, LagReplicas},
+		Stutter:      true,
 	}
 }
 
@@ -206,10 +202,25 @@
 	case Reconfigure:
 		s.reconfigure()
 		return func() {}, true
+	case Stutter:
+		return s.stutter(), true
 	}
 	return nil, false
 }
 
+// stutter lets all members repeat answers until the returned function is called.
+func (s *platformSystem) stutter() (end func()) {
+	var l []func()
+	for i := range s.config.Groups {
+		l = append(l, s.site.SetStutter(i, s.config.Seed))
+	}
+	return func() {
+		for _, f := range l {
+			f()
+		}
+	}
+}
+
 // reconfigure writes a configuration with one more database.
 func (s *platformSystem) reconfigure() {
 	s.mu.Lock()
@@ -290,59 +301,6 @@
 	return outcome{served: o.Served, refused: o.Refused, inDoubt: o.InDoubt, cut: o.Disconnected, lost: o.Lost}, nil
 }
 
-// balance checks the daemons' readiness as the platform's balancer does, until the
-// context ends.
-func (s *platformSystem) balance(x context.Context) {
-	for ; x.Err() == nil; sleep(x, readinessInterval) {
-		var g errgroup.Group
-		for _, d := range s.daemons {
-			g.Go(func() error {
-				ok := isReady(x, d.readiness)
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				if d.misses++; ok {
-					d.misses = 0
-				}
-				return nil
-			})
-		}
-		_ = g.Wait()
-	}
-}
-
-func isReady(x context.Context, address string) bool {
-	y, stop := context.WithTimeout(x, readinessTimeout)
-	defer stop()
-	q, err := http.NewRequestWithContext(y, http.MethodGet, "http://"+address+"/api/readiness", nil)
-	if err != nil {
-		return false
-	}
-	r, err := http.DefaultClient.Do(q)
-	if err != nil {
-		return false
-	}
-	_ = r.Body.Close()
-	return r.StatusCode == http.StatusOK
-}
-
-// rotation returns the addresses to which the balancer sends new connections: those of
-// all daemons if fewer than half are ready.
-func (s *platformSystem) rotation() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var ready, all []string
-	for _, d := range s.daemons {
-		all = append(all, d.callers)
-		if d.misses < maxMisses {
-			ready = append(ready, d.callers)
-		}
-	}
-	if 2*len(ready) < len(all) {
-		return all
-	}
-	return ready
-}
-
 func (s *platformSystem) violations() []string {
 	o := slices.Clone(s.site.Violations())
 	for _, d := range s.daemons {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -28,6 +28,7 @@
 	Links:        []soak.Link{soak.StoreLink, soak.PeerLink, soak.CallerLink, soak.MemberLink},
 	StoreActions: []soak.StoreAction{soak.StoreDown, soak.LateWrites, soak.StoreRestore},
 	GroupActions: []soak.GroupAction{soak.CrashPrimary, soak.LagReplicas},
+	Stutter:      true,
 }
 
 var _ = Describe("a plan", func() {
@@ -69,10 +70,24 @@
 		})
 	})
 
+	It("of a third of the other seeds lets members repeat answers", func() {
+		for n := range uint64(40) {
+			l := soak.Draw(n, shape, 30*time.Second)
+			if soak.Stutters(n) {
+				Expect(l[0].Fault).To(Equal(soak.Stutter{}))
+				Expect(soak.Planned(n)).To(BeFalse())
+			} else {
+				Expect(l).NotTo(ContainElement(HaveField("Fault", soak.Stutter{})))
+			}
+		}
+	})
+
 	It("of other seeds has faults that overlap", func() {
 		overlapping := 0
+		k := shape
+		k.Stutter = false
 		for n := range uint64(40) {
-			l := soak.Draw(n, shape, 30*time.Second)
+			l := soak.Draw(n, k, 30*time.Second)
 			for i, s := range l[:max(len(l)-1, 0)] {
 				if l[i+1].At < s.At+s.For {
 					overlapping++
@@ -125,6 +140,7 @@
 		Expect(r.Violations).To(BeEmpty(), "%v", r.Steps)
 	},
 		Entry("on the platform", soak.PlatformEdge, uint64(1), shortRun),
+		Entry("on the platform, while members repeat answers", soak.PlatformEdge, uint64(3), shortRun),
 		Entry("on PostgreSQL", soak.PostgresEdge, uint64(2), shortRun),
 	)
 })
