standin/site: members that stutter refuse some statements, so that refusals come twice too

One in twenty reads and writes gets BUSY while a member stutters, since a copy of a refusal harms most: it is taken for the answer to a write that runs.

--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -298,6 +298,10 @@
 	if !ok {
 		return
 	}
+	if g.isBusy() {
+		s.sendError("BUSY")
+		return
+	}
 	s.member.slots <- struct{}{}
 	time.Sleep(at.config.StatementTime)
 	g.mu.Lock()
--- a/standin/site/stutter.go
+++ b/standin/site/stutter.go
@@ -8,12 +8,15 @@
 const (
 	// stutterEvery is the share of the answers that a member repeats while it stutters.
 	stutterEvery = 10
+	// busyEvery is the share of the reads and writes that it refuses as busy.
+	busyEvery = 20
 	// maxStutterDelay is the greatest delay of a repeated answer.
 	maxStutterDelay = 25 * time.Millisecond
 )
 
 // SetStutter makes the members of group i repeat answers, until the returned function is
-// called: at once, after a while, or when they have got the next statement.
+// called: at once, after a while, or when they have got the next statement. They refuse
+// some statements meanwhile, since a repeated refusal does the most harm.
 func (s *Site) SetStutter(i int, seed uint64) (end func()) {
 	g := s.groups[i]
 	set := func(r *rand.Rand) {
@@ -43,6 +46,13 @@
 	}
 }
 
+// isBusy draws whether a statement is refused.
+func (g *group) isBusy() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.stutter != nil && g.stutter.IntN(busyEvery) == 0
+}
+
 // sendAnswer sends the answer to a message. Statements are at times answered twice.
 func (s *backendSession) sendAnswer(kind string) error {
 	b := s.answer
