caller: what follows the Flush of a batch must fit the stream that is open for it

What callers saw: behind the Flush of a read, a simple query, a function call or a Parse of 'DELETE FROM t' ran on the stream of the read: it was acknowledged before a majority had it, and a lost connection wasn't in doubt. So did a write whose Parse and Describe were flushed before its Execute. A CopyDone was read as a cancel by the owner, since the two types are the same byte. A simple query between the messages of a batch and its Sync ran before them, and its answers were taken for theirs.

Cause: sendMessages passed on every message up to the Sync, whatever the stream was opened for. Class: a request inside another, whose end and kind aren't checked.

Only messages of the extended protocol are passed on; a statement that needs more than the stream allows ends the batch with an error, and the rest is skipped up to the Sync; a batch that is flushed is never taken for one that only describes.

--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"net"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -258,7 +257,11 @@
 			v.Outcome = peer.InDoubt
 		}
 	}
-	n.refuse(refusal(v))
+	e := q.rewriter.refuse(refusal(v))
+	if v.Outcome == peer.InDoubt {
+		e = refusal(v)
+	}
+	n.refuse(e)
 	if err := n.writer.Flush(); err != nil {
 		return Error.Wrap(err)
 	}
@@ -269,39 +272,6 @@
 	return Error.Wrap(n.writer.Flush())
 }
 
-// sendMessages sends the query's messages. If they aren't complete, it also
-// forwards what the caller sends up to its Sync; an error then means that the
-// caller has disconnected.
-func (n *callerSession) sendMessages(t *peer.Stream, q query) error {
-	err := t.Write(q.messages...)
-	if err == nil {
-		err = t.Flush()
-	}
-	if q.complete {
-		return err
-	}
-	for {
-		m, err := n.reader.Read()
-		if err != nil {
-			return Error.Wrap(err)
-		}
-		if m.Type == wire.Terminate {
-			return Error.Wrap(net.ErrClosed)
-		}
-		l, e := q.rewriter.rewriteNext(m)
-		if e != nil {
-			_ = t.Close()
-			continue
-		}
-		if t.Write(l...) == nil && (m.Type == wire.Sync || m.Type == wire.Flush) {
-			_ = t.Flush()
-		}
-		if m.Type == wire.Sync {
-			return nil
-		}
-	}
-}
-
 // raiseFloor raises the session's floor to the position in a verdict, and
 // reports the new token to the caller.
 func (n *callerSession) raiseFloor(v peer.Verdict) {
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -47,6 +47,10 @@
 		return n.writer.Flush()
 	}
 	q.complete = m.Type == wire.Sync
+	q.describeOnly = q.describeOnly && q.complete
+	if n.txStream == nil {
+		q.rewriter.seal()
+	}
 	if err := n.runBatch(x, q, l); err != nil {
 		return err
 	}
@@ -120,9 +124,15 @@
 	session *callerSession
 	query   query
 	// injected holds for each Parse whether it was added by the daemon; mu
-	// guards it.
+	// guards it and refusal.
 	mu       sync.Mutex
 	injected []bool
+	// refusal is why the batch was refused; nil if it wasn't.
+	refusal *RefusedError
+	// sealed is set once a stream is opened for the batch outside of a
+	// transaction; sealedKind is the kind that the stream is opened for.
+	sealed     bool
+	sealedKind statement.Kind
 	// unnamedSource is the name of the prepared statement that the unnamed
 	// statement was parsed from; valid if unnamedValid.
 	unnamedSource string
@@ -208,6 +218,9 @@
 	if c.Kind == statement.Unsupported {
 		return unsupportedError(c.Feature)
 	}
+	if e := p.checkSeal(c.Kind); e != nil {
+		return e
+	}
 	if !isLocalKind(c.Kind) {
 		p.query.local = false
 	}
--- a/caller/session.go
+++ b/caller/session.go
@@ -198,6 +198,10 @@
 	}
 	switch m.Type {
 	case wire.Query:
+		if len(n.batch) > 0 {
+			n.refuseBatch(simpleInBatchError(), true)
+			return n.writer.Flush()
+		}
 		if err := n.runSimpleQuery(x, m); err != nil {
 			return err
 		}
