session: a token is read by its group's whole name

What callers saw: the token that a daemon reports for a group such as eu:orders was refused when the caller came back with it, so that it couldn't read its own writes; the same for a name of some 240 bytes.

Cause: the token was split at each colon, and a bundle allows one in a name; the limit of a token's length counted the name. Class: an end is found by a byte that the text may hold.

The expected name tells where the group's field ends.

--- a/session/session.go
+++ b/session/session.go
@@ -17,7 +17,7 @@
 // tokenVersion is the first field of every token.
 const tokenVersion = "1"
 
-// maxTokenBytes is the maximum length of a token.
+// maxTokenBytes is the maximum length of a token without its group's name.
 const maxTokenBytes = 256
 
 // Floor is the position that a replica must have reached to serve a session.
@@ -42,17 +42,18 @@
 // group. The token is untrusted: a position beyond the end of the group's log only
 // makes reads of that session wait or be refused.
 func ParseToken(group, s string) (logpos.Position, error) {
-	if len(s) > maxTokenBytes {
+	if len(s) > maxTokenBytes+len(group) {
 		return logpos.Position{}, Error.Wrap(&TokenError{Reason: "token is too long"})
 	}
-	f := strings.Split(s, ":")
-	if len(f) != 3 || f[0] != tokenVersion {
-		return logpos.Position{}, Error.Wrap(&TokenError{Reason: "token has another form than version:group:position"})
-	}
-	if f[1] != group {
+	// A group's name may contain colons, so only the expected one tells where it ends.
+	t, ok := strings.CutPrefix(s, tokenVersion+":"+group+":")
+	switch {
+	case !ok && strings.HasPrefix(s, tokenVersion+":") && strings.Count(s, ":") >= 2:
 		return logpos.Position{}, Error.Wrap(&TokenError{Reason: "token is of another database group"})
+	case !ok || strings.Contains(t, ":"):
+		return logpos.Position{}, Error.Wrap(&TokenError{Reason: "token has another form than version:group:position"})
 	}
-	p, err := logpos.Parse(f[2])
+	p, err := logpos.Parse(t)
 	if err != nil {
 		return logpos.Position{}, Error.Wrap(&TokenError{Reason: "token holds no position"})
 	}
