owner, backend: a malformed message of a backend server is a lost connection

What callers saw: a ParameterStatus without its end ended the stream by a panic, and the connection and its slot at the backend server stayed in use; a message of type v was read by the entry as a verdict of the owner, so that a backend server's bytes could acknowledge a write; after a position that can't be read a write was acknowledged before a majority had it; a ReadyForQuery without a status left the stream as if in a transaction.

Cause: the bodies and types of a backend server's messages weren't checked, and a panic skipped the release of the connection. Class: an end isn't checked, a message inside another's place.

--- a/owner/exchange.go
+++ b/owner/exchange.go
@@ -72,6 +72,8 @@
 	e.tx = outcome.New(e.key != nil)
 	x, stop := context.WithCancel(x)
 	defer stop()
+	// Also after a panic, which ends only this stream.
+	defer e.releaseConnection(true)
 	e.setDeadline(x, e.task.deadline)
 	unhook := context.AfterFunc(x, e.abortConnection)
 	g := &errgroup.Group{}
--- a/owner/key.go
+++ b/owner/key.go
@@ -94,22 +94,19 @@
 		return r, err
 	}
 	for {
-		m, err := e.conn.Reader.Read()
+		m, err := e.readAnswer()
 		if err != nil {
-			return r, Error.Wrap(err)
+			return r, err
 		}
-		e.recordActivity()
 		switch m.Type {
 		case wire.ErrorResponse:
 			r.code, r.message = sqlState(m), m
 		case wire.ParameterStatus:
-			if n := wire.CString(m.Body); n == backend.PositionParameter {
-				r.position, _ = logpos.Parse(wire.CString(m.Body[len(n)+1:]))
+			if p, ok, _ := backend.ReportedPosition(m); ok {
+				r.position = p
 			}
 		case wire.ReadyForQuery:
-			if len(m.Body) == 1 {
-				r.status = m.Body[0]
-			}
+			r.status = m.Body[0]
 			return r, nil
 		}
 	}
--- a/owner/relay.go
+++ b/owner/relay.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/backend"
-	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/outcome"
 	"github.com/dragonflypick/dragonflypick/peer"
 	"github.com/dragonflypick/dragonflypick/wire"
@@ -14,14 +13,15 @@
 // transaction has ended.
 func (e *exchange) relayToEntry() peer.Verdict {
 	for {
-		m, err := e.conn.Reader.Read()
+		m, err := e.readAnswer()
 		if err != nil {
 			return e.connectionLost(err)
 		}
-		e.recordActivity()
 		switch m.Type {
 		case wire.ParameterStatus:
-			e.handlePositionParameter(m)
+			if p, ok, _ := backend.ReportedPosition(m); ok {
+				e.handleEvent(outcome.Committed{Position: p})
+			}
 		case wire.CommandComplete:
 			err = e.sendToEntry(e.pendingComplete...)
 			e.pendingComplete = []wire.Message{m}
@@ -42,6 +42,17 @@
 	}
 }
 
+// readAnswer reads a message of the backend server's answer. After a malformed one the
+// connection is as good as lost.
+func (e *exchange) readAnswer() (wire.Message, error) {
+	m, err := e.conn.Reader.Read()
+	if err != nil {
+		return m, Error.Wrap(err)
+	}
+	e.recordActivity()
+	return m, Error.Wrap(backend.CheckAnswer(m))
+}
+
 // sendToEntry writes messages to the entry, and flushes them once no more are
 // buffered on the connection.
 func (e *exchange) sendToEntry(m ...wire.Message) error {
@@ -57,21 +68,6 @@
 	return e.task.stream.Flush()
 }
 
-// handlePositionParameter passes the log position that a member reports after a
-// commit to tx; it ignores other parameters.
-func (e *exchange) handlePositionParameter(m wire.Message) {
-	n := wire.CString(m.Body)
-	if n != backend.PositionParameter {
-		return
-	}
-	p, err := logpos.Parse(wire.CString(m.Body[len(n)+1:]))
-	if err != nil {
-		e.task.owner.config.Log.Error("invalid log position from member", "member", e.task.header.Member, "error", err)
-		return
-	}
-	e.handleEvent(outcome.Committed{Position: p})
-}
-
 // finishAnswer handles the ReadyForQuery m at the end of an answer. It reports
 // whether the transaction is over.
 func (e *exchange) finishAnswer(m wire.Message) (bool, peer.Verdict) {
