fleet: WRONGNODE from a primary's address shows that the primary is gone

What callers saw: writes were refused for longer after a primary had died and its address was given to another member: that member's WRONGNODE was taken for the primary's answer, and put off its replacement for as long as it went on.

Cause: any refusal of a session counted as a sign of life. Class: an answer isn't checked for who gave it. Other uses of a refused session are right: the pool counts WRONGNODE as a failed opening.

--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -147,13 +147,14 @@
 }
 
 // handleProbe records the outcome of a probe. A member that refuses the session is
-// alive; it may have no connections left, for example.
+// alive; it may have no connections left, for example. If another member answers, the
+// primary's address has been given away.
 func (f *Daemon) handleProbe(g *group, m catalog.Member, err error) {
 	f.mu.Lock()
 	o := f.pools[m.ID]
 	f.mu.Unlock()
 	var q *query.Failure
-	alive := err == nil || asFailure(err, &q)
+	alive := err == nil || asFailure(err, &q) && q.Reason != query.WrongMember
 	if alive && o != nil {
 		o.MarkReachable()
 	}
