--- a/pool/conn.go
+++ b/pool/conn.go
@@ -24,7 +24,7 @@
 // Close.
 type Conn interface {
 	// RunStep runs one step. After an error the connection can't be used any more,
-	// and it is unknown whether the step was run.
+	// and it is unknown whether the step was run, unless it is an *UnsentError.
 	RunStep(s query.Step, deadline time.Time) (query.Reply, error)
 	// Close ends a step that is being run. It may be called again.
 	Close()
@@ -42,6 +42,8 @@
 	// endOnKill is set while the connection runs work that Pool.Kill ends; Pool.mu guards
 	// it.
 	endOnKill bool
+	// answers is what the connection has answered so far.
+	answers *answerRecord
 	// took is how long the last step took, and roundTrip the last one that needed no slot
 	// of the member; zero if none was run for the present request.
 	took, roundTrip time.Duration
