fleet: a primary that has started again is checked before it gets work

Cause: the later start (born) closed the pool of the member, and nothing else. Class: what one part believes of a member was changed without the part that decides who is primary.

The holder sends nothing more until it has asked the members. It needn't wait for others: the primary's own answer is enough if it holds all that the holder knows to be acknowledged, or nothing at all.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -109,8 +109,8 @@
 	Draining bool
 	// Primary reports whether the member registers itself as the primary.
 	Primary bool
-	// StartMillis is the member's start time in Unix milliseconds. A changed value
-	// means that the member was restarted and has lost its data.
+	// StartMillis is the member's start time in Unix milliseconds, zero if it isn't known.
+	// A changed value means that the member was restarted and may have lost its data.
 	StartMillis int64
 	// ColdRemaining is how much longer the member will be slow after its start
 	// according to its record.
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -260,16 +260,31 @@
 	was := g.PrimaryDoubted()
 	g.Handle(takeover.PositionReported{Member: member, RequestedAt: sent}, now())
 	if g.PrimaryDoubted() && !was {
-		f.logDoubt(g, "it tells no position")
+		f.checkDoubted(g, "it tells no position")
 	}
 }
 
-// logDoubt logs that a group's primary isn't used until its log has been checked; f.mu is
-// held.
-func (f *Daemon) logDoubt(g *group, why string) {
+// observeRestart takes note that a member has started again since its last record, if it
+// has; f.mu is held.
+func (f *Daemon) observeRestart(old, m catalog.Member) {
+	if old.StartMillis == m.StartMillis || old.StartMillis == 0 || m.StartMillis == 0 {
+		return
+	}
+	g := f.group(m.Group)
+	was := g.PrimaryDoubted()
+	g.Handle(takeover.MemberRestarted{Member: m.ID}, now())
+	if g.PrimaryDoubted() && !was {
+		f.checkDoubted(g, "it has started again")
+	}
+}
+
+// checkDoubted starts the check of the log of a group's primary, which isn't used until then;
+// f.mu is held.
+func (f *Daemon) checkDoubted(g *group, why string) {
 	id, term := g.Primary()
 	p, at := g.LogEnd()
 	f.config.Log.Warn("primary may have lost its log", "group", g.name, "member", id, "term", term, "why", why, "log-end", p.String(), "log-end-age-ms", now().Sub(at).Milliseconds())
+	f.spawn(func(context.Context) { f.startGroupTasks() })
 }
 
 // primaryUse is the use of a member as a group's primary for one request.
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -232,6 +232,9 @@
 		m.ColdRemaining = 0
 	}
 	f.table.SetMember(m)
+	if known {
+		f.observeRestart(old, m)
+	}
 	// The remaining time changes with each report of a cold member.
 	if old.ColdRemaining = m.ColdRemaining; old != m {
 		f.config.Log.Info("member updated", "member", id, "group", m.Group, "failure-domain", m.FailureDomain, "draining", m.Draining, "primary", m.Primary, "born", m.StartMillis)
--- a/lease/record.go
+++ b/lease/record.go
@@ -22,7 +22,7 @@
 	ID      string `json:"id"`
 	Address string `json:"address"`
 	// StartMillis is its start time in Unix milliseconds. A later process of the same ID
-	// has lost its log.
+	// may have lost its log.
 	StartMillis int64 `json:"born,omitempty"`
 }
 
--- a/standin/site/empty_test.go
+++ b/standin/site/empty_test.go
@@ -18,3 +18,18 @@
 	Expect(f.site.Promotions(0)).To(Equal(1))
 	f.runLoad(53, time.Second)
 })
+
+// Guards against a primary that has come back with its log and isn't used for long, since it
+// is taken for one that has lost it.
+var _ = It("a primary that has crashed and is back at once with its log goes on serving", func() {
+	const mostGap = 2 * time.Second
+	c := defaultConfig
+	c.Groups = 1
+	f := newFleet(c, 3)
+	for i := range 4 {
+		time.AfterFunc(time.Duration(i+1)*time.Second, func() { f.site.CrashPrimary(0)() })
+	}
+	o := f.runLoad(54, 6*time.Second)
+	Expect(f.site.Promotions(0)).To(BeZero())
+	Expect(o.LongestWriteGap).To(BeNumerically("<", mostGap))
+})
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -27,7 +27,7 @@
 	s.stopMember(m)
 	return func() {
 		g.mu.Lock()
-		m.down = false
+		m.down, m.startedAt = false, time.Now().UnixMilli()
 		g.demote(m)
 		if m.primary {
 			g.replicate(m)
--- a/takeover/lostlog.go
+++ b/takeover/lostlog.go
@@ -47,6 +47,12 @@
 	return s.Term == r.Term && s.Received.Offset < r.LogEnd.Offset
 }
 
+// showsLog reports whether a primary with a status has every commit that was acknowledged to
+// a caller, as far as this host knows them all.
+func (g *Group) showsLog(s query.Status) bool {
+	return g.durability.complete && g.logEnd.Offset > 0 && s.Term == g.term && !s.Received.Less(g.logEnd)
+}
+
 // adoptRecordedEnd makes the recorded position the least that the recorded primary must
 // show. The holder may not know of any other one, as when no member has answered it.
 func (g *Group) adoptRecordedEnd(now time.Time) {
--- a/takeover/lostlog_test.go
+++ b/takeover/lostlog_test.go
@@ -70,6 +70,51 @@
 	})
 })
 
+var _ = Describe("a primary that has started again", func() {
+	restarted := takeover.MemberRestarted{Member: "p"}
+
+	It("is sent no work until its log has been checked", func() {
+		g := newHolder()
+		g.Handle(restarted, start)
+		Expect(g.MaySendWork(start)).To(BeFalse())
+		Expect(g.NextAction(healthyState(), start)).To(Equal(takeover.DiscoverPrimary{}))
+	})
+
+	It("is used again by its own answer alone if it has the log", func() {
+		g := newHolder()
+		g.Handle(takeover.PositionReported{Member: "p", Position: logpos.Position{Term: 1, Offset: 5}, RequestedAt: start.Add(1)}, start.Add(2))
+		g.Handle(restarted, start.Add(3))
+		l := []takeover.MemberStatus{primary("p", 1, 5)}
+		Expect(g.MayDiscover(l, 3)).To(BeTrue())
+		g.Handle(takeover.MembersPolled{Statuses: l, RequestedAt: start.Add(3)}, start.Add(4))
+		Expect(g.MaySendWork(start.Add(4))).To(BeTrue())
+	})
+
+	It("is replaced by its own answer alone if it holds nothing", func() {
+		g := newHolder()
+		g.Handle(restarted, start)
+		l := []takeover.MemberStatus{emptied("p", 1)}
+		Expect(g.MayDiscover(l, 3)).To(BeTrue())
+		g.Handle(takeover.MembersPolled{Statuses: l, RequestedAt: start}, start.Add(1))
+		Expect(g.NextAction(healthyState(), start.Add(1))).To(Equal(takeover.ReplacePrimary{Reason: takeover.PrimaryUnusable}))
+	})
+
+	It("is checked again when its replacement has failed", func() {
+		g := newHolder()
+		g.Handle(takeover.ReplacementStarted{}, start)
+		g.Handle(restarted, start)
+		g.Handle(takeover.ReplacementEnded{}, start)
+		Expect(g.MaySendWork(start)).To(BeFalse())
+		Expect(g.NextAction(healthyState(), start)).To(Equal(takeover.DiscoverPrimary{}))
+	})
+
+	It("doesn't matter if it is another member", func() {
+		g := newHolder()
+		g.Handle(takeover.MemberRestarted{Member: "q"}, start)
+		Expect(g.MaySendWork(start)).To(BeTrue())
+	})
+})
+
 // Guards against the use of an empty primary by a host that becomes the holder later, and
 // has not seen its log (three random pairs of faults of package matrix).
 var _ = Describe("a host that becomes the holder after the primary has restarted without its log", func() {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -74,6 +74,10 @@
 // MemberAnswered is a member's status that arrived after MembersPolled.
 type MemberAnswered struct{ MemberStatus }
 
+// MemberRestarted reports that a member's process has started again. It may have lost its
+// log.
+type MemberRestarted struct{ Member string }
+
 // PrimaryProbed is the result of opening one fresh connection to the primary.
 type PrimaryProbed struct{ Failed bool }
 
@@ -109,6 +113,7 @@
 func (PositionReported) event()   {}
 func (MembersPolled) event()      {}
 func (MemberAnswered) event()     {}
+func (MemberRestarted) event()    {}
 func (PrimaryProbed) event()      {}
 func (ReplacementStarted) event() {}
 func (ReplacementEnded) event()   {}
@@ -180,6 +185,8 @@
 		if e.Err == nil && g.logEnd.Less(e.Status.Received) {
 			g.logEnd, g.logEndAt = e.Status.Received, now
 		}
+	case MemberRestarted:
+		g.logDoubted = g.logDoubted || e.Member == g.primary
 	case PrimaryProbed:
 		g.failedProbes++
 		if !e.Failed {
@@ -224,7 +231,8 @@
 // MayDiscover reports whether the primary can be determined from the statuses that have
 // arrived so far of count members: the primary that the record names confirms that it
 // is, and most members have answered, none of which has received more. A primary that
-// restarted without its log has less than any member that kept its own.
+// restarted without its log has less than any member that kept its own. The primary's
+// answer alone is enough if this host knows the end of the log.
 func (g *Group) MayDiscover(l []MemberStatus, count int) bool {
 	r, _ := g.lease.Record()
 	if r.Target != "" || r.PrimaryUncertain {
@@ -234,6 +242,9 @@
 	if i < 0 || l[i].Err != nil || !l[i].Status.Primary || l[i].Status.Term != r.Term {
 		return false
 	}
+	if g.hasLostLog(l[i].Status) || g.showsLog(l[i].Status) {
+		return true
+	}
 	answered := 0
 	for _, a := range l {
 		switch {
