takeover: a member without a log isn't promoted while another may hold more

Cause: the furthest of the members that answer was taken, and before all a member that is primary of a later term, whatever it holds.

If the group's log has entries, such a member is left out, unless every other answers and holds nothing as well, and the old primary has lost its log or is gone from the store. A primary of a later term is also left out if another member has received more of that term.

--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -80,6 +80,10 @@
 	if planned {
 		skip = ""
 	}
+	f.mu.Lock()
+	_, listed := f.table.Member(old)
+	c.OldPrimaryGone = !listed || !f.evictAt[old].IsZero()
+	f.mu.Unlock()
 	for {
 		c.Statuses, c.CatchUpExpired = f.pollStatus(x, g, skip), time.Since(t) > catchUpTimeout
 		for _, a := range c.Statuses {
@@ -98,6 +102,8 @@
 		case takeover.CandidateUnsafe, takeover.NoCandidate:
 			if n > 0 {
 				f.blockReplacement(g, b)
+			} else {
+				f.config.Log.Warn("no member can be promoted", "group", g.name, "primary", old, "candidate", b.Candidate, "position", b.Position.String(), "needed", b.Needed.String())
 			}
 			return a, false
 		}
--- a/takeover/lostlog.go
+++ b/takeover/lostlog.go
@@ -1,6 +1,7 @@
 package takeover
 
 import (
+	"slices"
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/lease"
@@ -53,6 +54,35 @@
 	return g.durability.complete && g.logEnd.Offset > 0 && s.Term == g.term && !s.Received.Less(g.logEnd)
 }
 
+// withLogs returns the statuses without those of members that hold nothing, if the group's
+// log has entries: to promote such a member would lose them all. They are kept if no other
+// member can hold more.
+func (g *Group) withLogs(c SelectionInput) []MemberStatus {
+	r, _ := g.lease.Record()
+	entries := g.logEnd.Offset > 0 || r.LogEnd.Offset > 0
+	unknown := !c.OldPrimaryGone && !g.primaryUnusable
+	held := false
+	for _, a := range c.Statuses {
+		other := a.Member.ID != c.OldPrimary
+		unknown = unknown || other && a.Err != nil
+		held = held || other && a.Err == nil && a.Status.Received.Offset > 0
+	}
+	if !held && (!entries || !unknown) {
+		return c.Statuses
+	}
+	return slices.DeleteFunc(slices.Clone(c.Statuses), func(a MemberStatus) bool {
+		return a.Err == nil && a.Member.ID != c.OldPrimary && a.Status.Received.Offset == 0
+	})
+}
+
+// exceeded reports whether a member that is primary lacks what another one has received in
+// its term, so that it has started again without its log.
+func exceeded(a MemberStatus, l []MemberStatus) bool {
+	return slices.ContainsFunc(l, func(o MemberStatus) bool {
+		return o.Err == nil && o.Status.Received.Term == a.Status.Term && a.Status.Received.Less(o.Status.Received)
+	})
+}
+
 // adoptRecordedEnd makes the recorded position the least that the recorded primary must
 // show. The holder may not know of any other one, as when no member has answered it.
 func (g *Group) adoptRecordedEnd(now time.Time) {
--- a/takeover/lostlog_test.go
+++ b/takeover/lostlog_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
@@ -175,3 +176,50 @@
 		Expect(c.Record.LogEnd).To(Equal(logpos.Position{Term: 2, Offset: 4}))
 	})
 })
+
+var _ = Describe("a member that holds nothing", func() {
+	none := takeover.MemberStatus{Member: replica("q", 0, false).Member, Status: query.Status{Term: 1}}
+	choose := func(g *takeover.Group, c takeover.SelectionInput) (string, takeover.SelectionResult) {
+		c.OldPrimary, c.Nearer = "p", func(catalog.Member, catalog.Member) bool { return false }
+		a, r := g.SelectCandidate(c)
+		return a.Member.ID, r
+	}
+	lost := func(g *takeover.Group) {
+		g.Handle(takeover.MemberRestarted{Member: "p"}, start)
+		g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{emptied("p", 1)}}, start)
+	}
+
+	DescribeTable("isn't promoted while another may hold more", func(change func(*takeover.Group), c takeover.SelectionInput) {
+		g := newHolder()
+		change(g)
+		_, r := choose(g, c)
+		Expect(r).To(Equal(takeover.NoCandidate))
+	},
+		Entry("such as the silent primary", func(*takeover.Group) {}, takeover.SelectionInput{Statuses: []takeover.MemberStatus{none}}),
+		Entry("such as the draining primary", func(*takeover.Group) {}, takeover.SelectionInput{Planned: true, CatchUpExpired: true, Statuses: []takeover.MemberStatus{primary("p", 1, 5), none}}),
+		Entry("such as a replica that doesn't answer", lost, takeover.SelectionInput{Statuses: []takeover.MemberStatus{none, unreachable("s")}}),
+		Entry("though it is primary in a later term", lost, takeover.SelectionInput{Statuses: []takeover.MemberStatus{emptied("q", 2), unreachable("s")}}),
+	)
+
+	DescribeTable("isn't preferred to one with a log, though it is primary in a later term", func(a takeover.MemberStatus, log logpos.Position) {
+		o := replica("s", 0, false)
+		o.Status.Term, o.Status.Received = 2, log
+		id, r := choose(newHolder(), takeover.SelectionInput{Statuses: []takeover.MemberStatus{a, o}})
+		Expect(id).To(Equal("s"))
+		Expect(r).To(Equal(takeover.CandidateReady))
+	},
+		Entry("that has received nothing of it", primary("q", 2, 0), logpos.Position{Term: 1, Offset: 5}),
+		Entry("that has received more of it", primary("q", 2, 1), logpos.Position{Term: 2, Offset: 7}),
+	)
+
+	DescribeTable("is promoted if no other can hold more", func(change func(*takeover.Group), c takeover.SelectionInput) {
+		g := newHolder()
+		change(g)
+		id, r := choose(g, c)
+		Expect(id).To(Equal("q"))
+		Expect(r).To(Equal(takeover.CandidateReady))
+	},
+		Entry("since the primary is gone", func(*takeover.Group) {}, takeover.SelectionInput{OldPrimaryGone: true, Statuses: []takeover.MemberStatus{none}}),
+		Entry("since the primary has lost its log", lost, takeover.SelectionInput{Statuses: []takeover.MemberStatus{none}}),
+	)
+})
--- a/takeover/select.go
+++ b/takeover/select.go
@@ -11,6 +11,9 @@
 	Statuses []MemberStatus
 	// OldPrimary is the ID of the primary to replace.
 	OldPrimary string
+	// OldPrimaryGone is set if the store doesn't list the old primary any more, so that it
+	// doesn't come back with its log.
+	OldPrimaryGone bool
 	// SyncReplicas is the number of replicas that must have a commit before it is
 	// acknowledged.
 	SyncReplicas int
@@ -42,12 +45,14 @@
 // SelectCandidate returns the member to promote: one that is already primary, or
 // else the replica with the furthest log position.
 func (g *Group) SelectCandidate(c SelectionInput) (MemberStatus, SelectionResult) {
-	for _, a := range c.Statuses {
-		if a.Err == nil && a.Member.ID != c.OldPrimary && g.AlreadyPrimary(a) {
+	logs := c
+	logs.Statuses = g.withLogs(c)
+	for _, a := range logs.Statuses {
+		if a.Err == nil && a.Member.ID != c.OldPrimary && g.AlreadyPrimary(a) && !exceeded(a, c.Statuses) {
 			return a, CandidateReady
 		}
 	}
-	p, caughtUp, ok := selectReplica(c)
+	p, caughtUp, ok := selectReplica(logs)
 	switch {
 	case !ok:
 		return MemberStatus{}, NoCandidate
