caller: a write whose owner is lost behind a part of its answer is in doubt

What callers saw: "not run: answer-cut" (57P03) for a write that may have committed, once more than 2 KB of its rows had been sent, or if its batch was flushed; "not run: transaction-lost" for a batch that wrote and committed in an open transaction. A caller who repeats it doubles the write.

Cause: the loss of a stream promised that nothing was kept as soon as a part of the answer had been sent, and only a single statement or a text of several was known as a commit. Class: a promise that rests on less than what was sent.

--- a/caller/batch.go
+++ b/caller/batch.go
@@ -121,3 +121,17 @@
 	defer p.mu.Unlock()
 	return p.refusal
 }
+
+// observeEnd takes note of a statement of the batch that may commit by itself.
+func (p *batchRewriter) observeEnd(c statement.Classification) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endsTransaction = p.endsTransaction || c.Kind == statement.End || c.Count > 1
+}
+
+// mayCommit reports whether the batch has a statement that may commit before its Sync.
+func (p *batchRewriter) mayCommit() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.endsTransaction
+}
--- a/caller/batch_test.go
+++ b/caller/batch_test.go
@@ -50,26 +50,33 @@
 	stop    func()
 }
 
-// runBatchMessages starts a session and sends it the messages; prepare changes the
-// session before.
-func runBatchMessages(prepare func(*callerSession), l ...wire.Message) *batchRun {
+// startSession runs a session in g until the function that it returns is called, and
+// returns the caller's end of its connection; prepare changes the session before.
+func startSession(r Router, g *errgroup.Group, prepare func(*callerSession)) (net.Conn, func()) {
 	b := loginBundle()
 	d := bundle.RankLimits{Deadline: bundle.Duration(time.Second)}
 	b.Ranks = bundle.Ranks{Urgent: d, Routine: d, Background: d}
-	r := &silentRouter{g: &errgroup.Group{}, kinds: make(chan peer.Kind, 16), types: make(chan byte, 16)}
 	s, err := New(Config{Listen: "127.0.0.1:0", Bundle: func() *bundle.Bundle { return b }, Router: r, Log: hclog.NewNullLogger()})
 	Expect(err).NotTo(HaveOccurred())
 	x, stop := context.WithCancel(context.Background())
-	r.g.Go(func() error { return s.Run(x) })
+	g.Go(func() error { return s.Run(x) })
 	c, z := net.Pipe()
 	n := &callerSession{server: s, conn: z, group: "orders", reader: wire.NewReader(z, wire.MaxBodySize), writer: wire.NewWriter(z), txStatus: statusIdle, preparedStatements: map[string]preparedStatement{}}
 	n.floor.Known = true
 	prepare(n)
-	r.g.Go(func() error {
+	g.Go(func() error {
 		defer func() { _ = z.Close() }()
 		n.run(x)
 		return nil
 	})
+	return c, stop
+}
+
+// runBatchMessages starts a session and sends it the messages; prepare changes the
+// session before.
+func runBatchMessages(prepare func(*callerSession), l ...wire.Message) *batchRun {
+	r := &silentRouter{g: &errgroup.Group{}, kinds: make(chan peer.Kind, 16), types: make(chan byte, 16)}
+	c, stop := startSession(r, r.g, prepare)
 	a := make(chan byte, 16)
 	r.g.Go(func() error {
 		for o := wire.NewReader(c, wire.MaxBodySize); ; {
--- a/caller/dispatch.go
+++ b/caller/dispatch.go
@@ -214,7 +214,7 @@
 		return nil
 	case streamLost:
 		v = peer.Verdict{Outcome: peer.NotRun, Reason: "transaction-lost", RetryAfter: retryDelay}
-		if q.class.Kind == statement.End || q.class.Count > 1 {
+		if n.mayHaveCommitted(q) {
 			v.Outcome = peer.InDoubt
 		}
 	}
--- a/caller/extended.go
+++ b/caller/extended.go
@@ -124,9 +124,12 @@
 	session *callerSession
 	query   query
 	// injected holds for each Parse whether it was added by the daemon; mu
-	// guards it and refusal.
+	// guards it, refusal and endsTransaction.
 	mu       sync.Mutex
 	injected []bool
+	// endsTransaction is set once the batch has a statement that may commit
+	// before its Sync.
+	endsTransaction bool
 	// refusal is why the batch was refused; nil if it wasn't.
 	refusal *RefusedError
 	// sealed is set once a stream is opened for the batch outside of a
@@ -224,6 +227,7 @@
 	if !isLocalKind(c.Kind) {
 		p.query.local = false
 	}
+	p.observeEnd(c)
 	if !p.hasClass || kindPrecedence(c.Kind) > kindPrecedence(p.query.class.Kind) {
 		h := p.query.class.Hints
 		p.query.class = c
--- a/caller/relay.go
+++ b/caller/relay.go
@@ -6,6 +6,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/dragonflypick/dragonflypick/peer"
+	"github.com/dragonflypick/dragonflypick/statement"
 	"github.com/dragonflypick/dragonflypick/wire"
 )
 
@@ -162,12 +163,38 @@
 	if x.Err() != nil {
 		return streamLost, peer.Verdict{}, nil
 	}
+	if a.partSent && a.session.mayHaveCommitted(a.query) {
+		return declined, ownerLostInDoubt, nil
+	}
 	if a.partSent {
 		return declined, peer.Verdict{Outcome: peer.NotRun, Reason: reasonAnswerCut, RetryAfter: retryDelay}, nil
 	}
 	return streamLost, peer.Verdict{}, nil
 }
 
+// mayHaveCommitted reports whether a query that was sent may have committed. A batch that
+// the daemon has refused ends before its Sync.
+func (n *callerSession) mayHaveCommitted(q query) bool {
+	switch requestKind(q.class) {
+	case peer.KindRead:
+		return n.txStream != nil && q.endsTransaction()
+	case peer.KindTransaction:
+		return q.endsTransaction()
+	default:
+		refused := q.rewriter != nil && q.rewriter.refused() != nil
+		return q.endsTransaction() || n.txStream == nil && !refused
+	}
+}
+
+// endsTransaction reports whether a query, with all that was sent of its batch, may
+// commit by a statement of its own.
+func (q query) endsTransaction() bool {
+	if q.rewriter != nil {
+		return q.rewriter.mayCommit()
+	}
+	return q.class.Kind == statement.End || q.class.Count > 1
+}
+
 // reportToken sends the session token to the caller as a parameter status.
 func (n *callerSession) reportToken(t string) {
 	n.send(&pgproto3.ParameterStatus{Name: settingSession, Value: t})
