--- a/backend/rest.go
+++ b/backend/rest.go
@@ -23,18 +23,15 @@
 // time.
 func IsAsynchronous(messageType byte) bool {
 	switch messageType {
-	case wire.ParameterStatus, noticeResponse, notificationResponse:
+	case wire.ParameterStatus, wire.NoticeResponse, notificationResponse:
 		return true
 	default:
 		return false
 	}
 }
 
-// Types of messages.
-const (
-	noticeResponse       = byte('N')
-	notificationResponse = byte('A')
-)
+// notificationResponse is the type of a message.
+const notificationResponse = byte('A')
 
 // CheckRest returns an error if anything but asynchronous messages has arrived, or if the
 // connection has ended. It is called when no request is outstanding, and skips those
