pool: a refusal of the daemon's own isn't an answer of the member

The second statement on a connection that was too long for the member's message was taken for a copied answer, and each counted as a sign that the member lives. A step that was refused without being sent now says so (Reply.Unsent), and nothing about the member is recorded.

--- a/pool/answer.go
+++ b/pool/answer.go
@@ -49,6 +49,8 @@
 	Fault AnswerFault
 	// Text says what arrived. It holds no data of a caller.
 	Text string
+	// Refusal is the answer if Fault is Repeated, else nil.
+	Refusal *query.Reply
 }
 
 func (e *AnswerError) Error() string { return "answer is " + string(e.Fault) + ": " + e.Text }
@@ -91,6 +93,9 @@
 // RunStep implements Conn.
 func (c *checkedConn) RunStep(s query.Step, deadline time.Time) (query.Reply, error) {
 	o, err := c.Conn.RunStep(s, deadline)
+	if o.Unsent && err == nil {
+		return o, nil
+	}
 	if err == nil {
 		if e := c.record.check(s, o); e != nil {
 			o, err = query.Reply{}, Error.Wrap(e)
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -223,7 +223,7 @@
 		o, err = c.RunStep(s, deadline)
 		return err
 	})
-	if isUnsent(err) {
+	if isUnsent(err) || o.Unsent {
 		return o, err
 	}
 	c.took = p.config.Now().Sub(t)
--- a/query/query.go
+++ b/query/query.go
@@ -145,6 +145,8 @@
 	State   State    `json:"e,omitempty"`
 	// Position is the end of the member's log, zero if unknown.
 	Position logpos.Position `json:"p"`
+	// Unsent is set if the step was refused without being sent to the member.
+	Unsent bool `json:"-"`
 }
 
 // Refusal returns a reply for a statement that was not run.
