pool: what callers are told if an answer isn't to its step

A write was promised not to be kept although it was committed (REFUSED), if the copy of a begin's answer answered a begin that the member refused: the write ran outside of a transaction, and its answer's state gave that away too late. A member that refuses several reads at one position counted as unreachable, and could be ejected, since the second of two equal refusals may be a copy. A read is now told the refusal, which is true of it in any case; the connection is closed as before.

--- a/pool/answerrecord.go
+++ b/pool/answerrecord.go
@@ -72,7 +72,7 @@
 func (r *answerRecord) checkRefusal(s query.Step, o query.Reply) *AnswerError {
 	h := xxhash.Sum64String(string(o.Failure.Reason) + "\x00" + o.Failure.Text + "\x00" + string(rune(o.State)) + o.Position.String())
 	if r.refusals.add(h) {
-		return &AnswerError{Fault: Repeated, Text: string(o.Failure.Reason) + " at the same position as before"}
+		return &AnswerError{Fault: Repeated, Text: string(o.Failure.Reason) + " at the same position as before", Refusal: &o}
 	}
 	r.refused = true
 	end, ok := s.(query.EndTransaction)
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -178,7 +178,7 @@
 			return o, connUsable
 		}
 		if o, err = p.runRequestStep(c, r, logpos.Position{}, d); err != nil {
-			return lostReply(r, err), connBroken
+			return lostFirstReply(r, err), connBroken
 		}
 		return o, connUsable
 	}
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -45,8 +45,32 @@
 	return query.Reply{Failure: &query.Failure{Reason: query.Aborted, Text: t}, State: query.Failed}
 }
 
+// lostFirstReply returns the outcome of the first statement of a transaction whose answer
+// was lost after the transaction's begin was answered. If an answer wasn't to its step, that
+// of the begin may have been another one's, so that a write ran outside of the transaction.
+func lostFirstReply(r *query.Request, err error) query.Reply {
+	o := lostReply(r, err)
+	if r.Action == query.ActionWrite && asAnswerError(err) != nil {
+		o.Failure.Reason = query.InDoubt
+	}
+	return o
+}
+
+// repeatedRefusal returns the refusal of a read that equals an earlier one. It is true of
+// the read whether it is its own or a copy, since a read leaves nothing.
+func repeatedRefusal(r *query.Request, err error) *query.Reply {
+	a := asAnswerError(err)
+	if a == nil || a.Refusal == nil || r.Action != query.ActionRead || r.Stage != query.Single || !a.Refusal.Failure.Reason.NotRun() {
+		return nil
+	}
+	return a.Refusal
+}
+
 // lostReply returns the outcome of a statement or commit whose answer was lost.
 func lostReply(r *query.Request, err error) query.Reply {
+	if o := repeatedRefusal(r, err); o != nil {
+		return *o
+	}
 	f := &query.Failure{Reason: query.InDoubt, Text: err.Error()}
 	switch {
 	case r.Stage == query.First && r.Action != query.ActionCommit:
