pool: a refusal that may be a copy doesn't cost a connection

A read is told the refusal, which is true of it in any case, and the connection's session is reset before anything else is sent on it. An answer that is still to come arrives before that to the reset, and is told by its signature (a signed answer to an unsigned step is one of the wrong kind now), its rows or its state.

--- a/pool/answerrecord.go
+++ b/pool/answerrecord.go
@@ -91,6 +91,8 @@
 		return &AnswerError{Fault: Replayed, Text: "the signature was delivered before"}
 	case none && signed:
 		return &AnswerError{Fault: Unsigned, Text: "no signature"}
+	case !none && !signed:
+		return &AnswerError{Fault: WrongKind, Text: "a signature of a step that has none"}
 	case len(o.Rows) > 0 && !rows:
 		return &AnswerError{Fault: WrongKind, Text: "rows of a step that has none"}
 	case o.State != state:
--- a/pool/conn.go
+++ b/pool/conn.go
@@ -44,6 +44,10 @@
 	endOnKill bool
 	// answers is what the connection has answered so far.
 	answers *answerRecord
+	// doubted is set while an answer may still be to come, since the last one may have been
+	// a copy. The session is reset before anything else is sent: what the member answers
+	// before it answers the reset is then told by its kind.
+	doubted bool
 	// took is how long the last step took, and roundTrip the last one that needed no slot
 	// of the member; zero if none was run for the present request.
 	took, roundTrip time.Duration
@@ -65,6 +69,11 @@
 // unless the connection already has them. It returns a failed reply if the member
 // refused.
 func (c *conn) setUpSession(r *query.Request, deadline time.Time) (query.Reply, error) {
+	if c.doubted {
+		if o, err := c.reset(deadline); err != nil || o.Failure != nil {
+			return o, err
+		}
+	}
 	if !c.hasValues(r.Values) {
 		if o, err := c.setValues(r.Values, deadline); err != nil || o.Failure != nil {
 			return o, err
@@ -126,7 +135,7 @@
 
 // markReset records that the member has reset the session.
 func (c *conn) markReset() {
-	c.values = nil
+	c.values, c.doubted = nil, false
 	c.templates.clear()
 }
 
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -172,7 +172,7 @@
 	if r.Stage == query.First {
 		o, err := p.runStep(c, query.BeginTransaction{ID: r.BeginID, ReadOnly: r.ReadOnly, Floor: floor}, d)
 		if err != nil {
-			return failedReply(r, err)
+			return failedReply(c, r, err)
 		}
 		if o.Failure != nil {
 			return o, connUsable
@@ -184,7 +184,7 @@
 	}
 	o, err := p.runRequestStep(c, r, floor, d)
 	if err != nil {
-		return failedReply(r, err)
+		return failedReply(c, r, err)
 	}
 	return o, connUsable
 }
@@ -324,7 +324,7 @@
 		if f != nil {
 			return query.Reply{}, f
 		}
-		o, err := p.runStep(c, s, t)
+		o, err := p.probe(c, s, t)
 		broken := err != nil
 		if _, ok := s.(query.ResetSession); ok && !broken {
 			broken = p.recordReset(c, o)
@@ -336,6 +336,16 @@
 	}
 }
 
+// probe runs a step on a connection, whose session is reset first if need be.
+func (p *Pool) probe(c *conn, s query.Step, deadline time.Time) (query.Reply, error) {
+	if _, ok := s.(query.ResetSession); c.doubted && !ok {
+		if o, err := c.reset(deadline); err != nil || o.Failure != nil {
+			return o, err
+		}
+	}
+	return p.runStep(c, s, deadline)
+}
+
 // recordReset records the member's reply to the reset of a session, and reports whether the
 // connection is unusable: after a refusal it is unknown what the session still holds.
 func (p *Pool) recordReset(c *conn, o query.Reply) (broken bool) {
--- a/pool/outcome.go
+++ b/pool/outcome.go
@@ -19,7 +19,11 @@
 )
 
 // failedReply returns the outcome of a request whose first step of its own failed.
-func failedReply(r *query.Request, err error) (query.Reply, connUse) {
+func failedReply(c *conn, r *query.Request, err error) (query.Reply, connUse) {
+	if o := repeatedRefusal(r, err); o != nil {
+		c.doubted = true
+		return *o, connUsable
+	}
 	if isUnsent(err) {
 		return setUpFailedReply(query.Reply{}, err), connUnsent
 	}
@@ -56,11 +60,12 @@
 	return o
 }
 
-// repeatedRefusal returns the refusal of a read that equals an earlier one. It is true of
-// the read whether it is its own or a copy, since a read leaves nothing.
+// repeatedRefusal returns the refusal of a read, or of the begin of a read-only
+// transaction, that equals an earlier one; nil if err is another error. It is true whether it
+// is a copy or not, since reads leave nothing.
 func repeatedRefusal(r *query.Request, err error) *query.Reply {
 	a := asAnswerError(err)
-	if a == nil || a.Refusal == nil || r.Action != query.ActionRead || r.Stage != query.Single || !a.Refusal.Failure.Reason.NotRun() {
+	if a == nil || a.Refusal == nil || changesData(r) || r.Stage == query.Later || !a.Refusal.Failure.Reason.NotRun() {
 		return nil
 	}
 	return a.Refusal
@@ -68,9 +73,6 @@
 
 // lostReply returns the outcome of a statement or commit whose answer was lost.
 func lostReply(r *query.Request, err error) query.Reply {
-	if o := repeatedRefusal(r, err); o != nil {
-		return *o
-	}
 	f := &query.Failure{Reason: query.InDoubt, Text: err.Error()}
 	switch {
 	case r.Stage == query.First && r.Action != query.ActionCommit:
