takeover: compare ends of the log only within a term

A later holder replaced a primary that had its log: the end of the log in the group's record was that of a replica that had not rolled back its entries of the earlier term yet, and offsets of different terms were compared. Callers saw a takeover without cause, and answers lost by it.

The record now tells what the primary itself has told in its term, or what any member has received in that term, and a status is compared with it only if the terms are the same. A primary that holds nothing is still found by any recorded entry.

--- a/takeover/lostlog.go
+++ b/takeover/lostlog.go
@@ -26,6 +26,7 @@
 	case g.logEnd.Less(o.Position):
 		g.logEnd, g.logEndAt = o.Position, now
 	}
+	g.shownEnd = logpos.Max(g.shownEnd, o.Position)
 	g.observeComplete(o.RequestedAt)
 }
 
@@ -45,7 +46,7 @@
 	if s.Received.Offset == 0 {
 		return g.logEnd.Offset > 0 || r.LogEnd.Offset > 0
 	}
-	return s.Term == r.Term && s.Received.Offset < r.LogEnd.Offset
+	return s.Term == r.Term && s.Term == r.LogEnd.Term && s.Received.Offset < r.LogEnd.Offset
 }
 
 // showsLog reports whether a primary with a status has every commit that was acknowledged to
@@ -95,13 +96,27 @@
 // logEndUnrecorded reports whether the record tells no position of a log that has entries.
 func (g *Group) logEndUnrecorded() bool {
 	r, _ := g.lease.Record()
-	return r.LogEnd.Offset == 0 && g.logEnd.Offset > 0
+	return r.LogEnd.Offset == 0 && g.reachedEnd(r).Offset > 0
 }
 
 // reachedEnd returns the LogEnd of a record that replaces r and names the present primary.
+// Entries of an earlier term count only if the primary has told them, since a replica may
+// be yet to roll its own back.
 func (g *Group) reachedEnd(r lease.Record) logpos.Position {
+	p := g.shownEnd
+	if g.logEnd.Term == g.term {
+		p = logpos.Max(p, g.logEnd)
+	}
 	if r.Term == g.term && r.Primary == g.primary {
-		return logpos.Max(r.LogEnd, g.logEnd)
+		p = logpos.Max(p, r.LogEnd)
+	}
+	return p
+}
+
+// setPrimary sets the primary and its term.
+func (g *Group) setPrimary(id string, term uint64) {
+	if id != g.primary || term != g.term {
+		g.shownEnd = logpos.Position{}
 	}
-	return g.logEnd
+	g.primary, g.term = id, term
 }
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -148,6 +148,8 @@
 	// handled. Only a holder records them.
 	logEnd   logpos.Position
 	logEndAt time.Time
+	// shownEnd is the furthest position that the primary itself has told in its term.
+	shownEnd logpos.Position
 	// durability is what this host knows of the acknowledged commits.
 	durability durability
 	// failedProbes counts the fresh connections to the primary that failed in a
@@ -203,7 +205,8 @@
 	case PromotionRequested:
 		g.primaryUnusable = true
 	case PrimaryConfirmed:
-		g.primary, g.term, g.logDoubted = e.Member, e.Status.Term, false
+		g.setPrimary(e.Member, e.Status.Term)
+		g.logDoubted, g.shownEnd = false, e.Status.Received
 		g.primaryUnusable = e.Status.Received.Offset < e.LogEnd.Offset
 		g.logEnd, g.logEndAt = e.Status.Received, now
 		// No commit of the new term has been acknowledged yet.
@@ -224,7 +227,7 @@
 		g.durability = durability{}
 	}
 	if r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
-		g.primary, g.term = r.Primary, r.Term
+		g.setPrimary(r.Primary, r.Term)
 	}
 }
 
@@ -296,10 +299,11 @@
 	case r.PrimaryUncertain && ok && slices.ContainsFunc(l, func(a MemberStatus) bool { return a.Status.Term > best.Status.Term }):
 		g.primaryUnusable = true
 	case ok && (r.Target == "" || best.Status.Term > r.Term):
-		g.primary, g.term = best.Member.ID, best.Status.Term
+		g.setPrimary(best.Member.ID, best.Status.Term)
+		g.shownEnd = logpos.Max(g.shownEnd, best.Status.Received)
 		g.primaryUnusable = g.primaryUnusable || g.hasLostLog(best.Status)
 	case r.Target == "" && r.Primary != "":
-		g.primary, g.term = r.Primary, r.Term
+		g.setPrimary(r.Primary, r.Term)
 	case r.Target != "":
 		// A promotion was requested and may still take effect, so the old primary
 		// isn't used again.
