takeover: a lower position only starts the check of the primary's log

Callers saw a healthy primary replaced after one late copy of an answer: a copy of RESET's answer answers the next RESET on the connection, and if another connection has committed meanwhile, its position is below the log's end and was requested later. The holder took that for a lost log. Class: a reply without an ID or signature, taken as proof.

A lower position now only makes the holder doubt the log. Until a status, requested on a fresh connection after the log's end was told, shows the log, no work is sent to the primary, and its replies about changes aren't passed on; only that status makes it unusable. A primary that doesn't answer the check stays doubted and is probed like any other. An end of an earlier term than the primary's isn't compared, since it may have been rolled back.

Not fixed here: the pool still tells the copy's position.

--- a/fleet/group.go
+++ b/fleet/group.go
@@ -245,12 +245,15 @@
 	if !g.ReportsLogEnd(member, t) {
 		return
 	}
-	was := g.PrimaryUsable()
+	was := g.PrimaryDoubted()
 	g.Handle(takeover.PositionReported{Member: member, Position: p, RequestedAt: sent}, t)
-	if g.PrimaryUsable() {
-		g.history.Add(staleness.Sample{Position: p, At: sent})
-	} else if was {
-		f.config.Log.Warn("primary has lost log entries", "group", g.name, "member", member, "position", p.String())
+	switch {
+	case !g.PrimaryDoubted():
+		if g.PrimaryUsable() {
+			g.history.Add(staleness.Sample{Position: p, At: sent})
+		}
+	case !was:
+		f.checkDoubted(g, "it tells the lower position "+p.String())
 	}
 }
 
--- a/model/platform_daemon.go
+++ b/model/platform_daemon.go
@@ -211,7 +211,7 @@
 	if !d.world.Options.NoPositionCheck {
 		d.group.Handle(takeover.PositionReported{Member: m.Name, Position: p, RequestedAt: sent}, d.world.now)
 	}
-	if d.group.PrimaryUsable() {
+	if d.group.PrimaryUsable() && !d.group.PrimaryDoubted() {
 		d.logEndHistory.Add(staleness.Sample{Position: p, At: sent})
 	}
 }
--- a/model/platform_takeover.go
+++ b/model/platform_takeover.go
@@ -135,7 +135,7 @@
 // suffice; later ones are handled by themselves.
 func (d *PlatformDaemon) discoverPrimary(done func()) {
 	var l []takeover.MemberStatus
-	discovered := false
+	t, discovered := d.world.now, false
 	for _, m := range d.world.Members {
 		d.requestStatus(m, func(s query.Status, ok bool) {
 			a := takeover.MemberStatus{Member: m.catalogMember(), Status: s}
@@ -148,7 +148,7 @@
 			}
 			if l = append(l, a); len(l) == len(d.world.Members) || d.group.MayDiscover(l, len(d.world.Members)) {
 				discovered = true
-				d.group.Handle(takeover.MembersPolled{Statuses: l}, d.world.now)
+				d.group.Handle(takeover.MembersPolled{Statuses: l, RequestedAt: t}, d.world.now)
 				done()
 			}
 		})
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -151,7 +151,7 @@
 	switch {
 	case !g.lease.Holds(now):
 		return nil
-	case !g.primaryDiscovered || g.logDoubted && !g.primaryUnusable:
+	case !g.primaryDiscovered || g.checkDue(f):
 		return DiscoverPrimary{}
 	case f.HostDraining:
 		return TransferLease{}
--- a/takeover/durability.go
+++ b/takeover/durability.go
@@ -74,8 +74,11 @@
 	}
 }
 
-// PassesReplies reports whether replies of the primary about changes may be passed on.
-func (g *Group) PassesReplies() bool { return !g.durability.workEnded && !g.primaryUnusable }
+// PassesReplies reports whether replies of the primary about changes may be passed on. One
+// that may have lost its log may have made the changes without it.
+func (g *Group) PassesReplies() bool {
+	return !g.durability.workEnded && !g.primaryUnusable && !g.logDoubted
+}
 
 // Blocked returns why the primary, which has failed, can't be replaced now, or false.
 func (g *Group) Blocked(now time.Time) (Block, bool) {
--- a/takeover/lostlog.go
+++ b/takeover/lostlog.go
@@ -10,18 +10,20 @@
 )
 
 // observePosition compares a position that the primary reports with the group's
-// furthest position. A lower one means that the primary has lost log entries. One without
-// entries is what a member reports that holds nothing, or that tells no position.
+// furthest position. A lower one, or one without entries, makes the holder doubt the log
+// until the primary's status has been requested: replies carry no ID, so that this one may
+// be a copy of an earlier reply on its connection.
 func (g *Group) observePosition(o PositionReported, now time.Time) {
 	if !g.ReportsLogEnd(o.Member, now) {
 		return
 	}
+	g.checkUnanswered = false
 	switch {
 	case o.Position.IsZero():
-		g.logDoubted = g.logDoubted || g.logEnd.Offset > 0
+		g.doubtLog(g.logEnd.Offset > 0)
 		return
-	case o.Position.Less(g.logEnd) && o.RequestedAt.After(g.logEndAt):
-		g.primaryUnusable = true
+	case o.Position.Less(g.logEnd) && o.RequestedAt.After(g.logEndAt) && (g.logEnd.Term >= g.term || o.Position.Offset == 0):
+		g.doubtLog(true)
 		return
 	case g.logEnd.Less(o.Position):
 		g.logEnd, g.logEndAt = o.Position, now
@@ -30,10 +32,30 @@
 	g.observeComplete(o.RequestedAt)
 }
 
+// doubtLog takes note that the primary may have lost its log, if doubted is set.
+func (g *Group) doubtLog(doubted bool) {
+	if doubted {
+		g.logDoubted, g.checkUnanswered = true, false
+	}
+}
+
+// belowEnd reports whether a primary with a status lacks entries of the group's log. It has
+// reached its offset in its own term, since offsets continue there; the end of an earlier
+// term may have been rolled back.
+func (g *Group) belowEnd(s query.Status) bool {
+	return logpos.Position{Term: max(s.Term, s.Received.Term), Offset: s.Received.Offset}.Less(g.logEnd)
+}
+
 // PrimaryDoubted reports whether the primary may have lost its log, so that the holder has
 // to discover the primary again before it sends any more work there.
 func (g *Group) PrimaryDoubted() bool { return g.logDoubted }
 
+// checkDue reports whether the holder must discover a doubted primary again. One that hasn't
+// answered the last time is probed instead, if its connections are known.
+func (g *Group) checkDue(f HostState) bool {
+	return g.logDoubted && !g.primaryUnusable && (!g.checkUnanswered || f.PrimaryHealth == nil)
+}
+
 // LogEnd returns the furthest position of the group's log that this host has learned of as
 // the holder, and when; zero if it has learned of none.
 func (g *Group) LogEnd() (logpos.Position, time.Time) { return g.logEnd, g.logEndAt }
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -136,8 +136,11 @@
 	// primary must be replaced because a promotion was requested.
 	primaryDiscovered bool
 	// logDoubted is set while the primary may have lost its log, until the holder has
-	// discovered the primary again.
+	// discovered the primary again and its status shows the log.
 	logDoubted bool
+	// checkUnanswered is set if no primary has answered the last discovery, so that a
+	// doubted one is monitored like any other until it answers.
+	checkUnanswered bool
 	// replacing is set while the primary is being replaced.
 	replacing bool
 	// primaryUnusable is set if no work may be sent to the primary: its log has
@@ -181,18 +184,18 @@
 	case PositionReported:
 		g.observePosition(e, now)
 	case MembersPolled:
-		g.discoverPrimary(e.Statuses, now)
+		g.discoverPrimary(e, now)
 		g.observePolled(e)
 	case MemberAnswered:
 		if e.Err == nil && g.logEnd.Less(e.Status.Received) {
 			g.logEnd, g.logEndAt = e.Status.Received, now
 		}
 	case MemberRestarted:
-		g.logDoubted = g.logDoubted || e.Member == g.primary
+		g.doubtLog(e.Member == g.primary)
 	case PrimaryProbed:
 		g.failedProbes++
 		if !e.Failed {
-			g.failedProbes, g.durability.blockedAt = 0, time.Time{}
+			g.failedProbes, g.durability.blockedAt, g.checkUnanswered = 0, time.Time{}, false
 		}
 	case ReplacementStarted:
 		g.replacing = true
@@ -245,7 +248,7 @@
 	if i < 0 || l[i].Err != nil || !l[i].Status.Primary || l[i].Status.Term != r.Term {
 		return false
 	}
-	if g.hasLostLog(l[i].Status) || g.showsLog(l[i].Status) {
+	if g.hasLostLog(l[i].Status) || g.showsLog(l[i].Status) || g.logDoubted && g.belowEnd(l[i].Status) {
 		return true
 	}
 	answered := 0
@@ -279,20 +282,22 @@
 
 // discoverPrimary determines the primary from the record and the statuses of
 // the members. From then on the primary must have the furthest position that
-// any member reported: if it reports less, it has restarted without its log, or
-// another member was promoted.
+// any member reported: if its status, requested since, shows less, it has restarted
+// without its log, or another member was promoted.
 //
 // If the record's primary comes from an earlier era of the store, a later promotion may
 // be unknown: then every member has to answer, and a primary of an earlier term than
 // any of them has seen isn't used.
-func (g *Group) discoverPrimary(l []MemberStatus, now time.Time) {
+func (g *Group) discoverPrimary(e MembersPolled, now time.Time) {
+	l := e.Statuses
+	r, _ := g.lease.Record()
+	best, ok := g.reportedPrimary(l)
+	lost := ok && g.belowEnd(best.Status) && e.RequestedAt.After(g.logEndAt)
 	for _, a := range l {
 		if a.Err == nil && g.logEnd.Less(a.Status.Received) {
 			g.logEnd, g.logEndAt = a.Status.Received, now
 		}
 	}
-	r, _ := g.lease.Record()
-	best, ok := g.reportedPrimary(l)
 	switch {
 	case r.PrimaryUncertain && slices.ContainsFunc(l, func(a MemberStatus) bool { return a.Err != nil }):
 		return
@@ -301,7 +306,7 @@
 	case ok && (r.Target == "" || best.Status.Term > r.Term):
 		g.setPrimary(best.Member.ID, best.Status.Term)
 		g.shownEnd = logpos.Max(g.shownEnd, best.Status.Received)
-		g.primaryUnusable = g.primaryUnusable || g.hasLostLog(best.Status)
+		g.primaryUnusable = g.primaryUnusable || lost || g.hasLostLog(best.Status)
 	case r.Target == "" && r.Primary != "":
 		g.setPrimary(r.Primary, r.Term)
 	case r.Target != "":
@@ -312,7 +317,8 @@
 		return
 	}
 	g.adoptRecordedEnd(now)
-	g.primaryDiscovered, g.logDoubted, g.failedProbes = true, false, 0
+	g.primaryDiscovered, g.failedProbes, g.checkUnanswered = true, 0, !ok
+	g.logDoubted = g.logDoubted && !g.primaryUnusable && (!ok || g.belowEnd(best.Status))
 }
 
 // Record returns the latest known record of the group, or false if none is known.
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -96,6 +96,7 @@
 		Entry("to replace a primary that reports a lower position than before", func(g *takeover.Group, _ *takeover.HostState) {
 			g.Handle(takeover.PositionReported{Member: "p", Position: logpos.Position{Term: 1, Offset: 9}, RequestedAt: start}, start)
 			g.Handle(takeover.PositionReported{Member: "p", Position: logpos.Position{Term: 1, Offset: 2}, RequestedAt: start.Add(1)}, start)
+			expectLost(g, primary("p", 1, 2))
 		}, takeover.ReplacePrimary{Reason: takeover.PrimaryUnusable}),
 		Entry("none if the lower position is the reply to an earlier request", func(g *takeover.Group, _ *takeover.HostState) {
 			g.Handle(takeover.PositionReported{Member: "p", Position: logpos.Position{Term: 1, Offset: 9}, RequestedAt: start}, start.Add(1))
@@ -108,6 +109,7 @@
 		Entry("to replace a primary that reports a lower position than a replica reported at the discovery", func(g *takeover.Group, _ *takeover.HostState) {
 			g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("p", 1, 5), replica("q", 7, false)}}, start)
 			g.Handle(takeover.PositionReported{Member: "p", Position: logpos.Position{Term: 1, Offset: 1}, RequestedAt: start.Add(1)}, start.Add(2))
+			expectLost(g, primary("p", 1, 1))
 		}, takeover.ReplacePrimary{Reason: takeover.PrimaryUnusable}),
 		Entry("to transfer the lease when the host drains", func(_ *takeover.Group, f *takeover.HostState) { f.HostDraining = true }, takeover.TransferLease{}),
 		Entry("to poll the previous holders before replacing a draining primary", func(g *takeover.Group, f *takeover.HostState) {
