--- a/takeover/lostlog.go
+++ b/takeover/lostlog.go
@@ -10,29 +10,52 @@
 )
 
 // observePosition compares a position that the primary reports with the group's
-// furthest position. A lower one means that the primary has lost log entries. One without
-// entries is what a member reports that holds nothing, or that tells no position.
+// furthest position. A lower one, or one without entries, makes the holder doubt the log
+// until the primary's status has been requested: replies carry no ID, so that this one may
+// be a copy of an earlier reply on its connection.
 func (g *Group) observePosition(o PositionReported, now time.Time) {
 	if !g.ReportsLogEnd(o.Member, now) {
 		return
 	}
+	g.checkUnanswered = false
 	switch {
 	case o.Position.IsZero():
-		g.logDoubted = g.logDoubted || g.logEnd.Offset > 0
+		g.doubtLog(g.logEnd.Offset > 0)
 		return
-	case o.Position.Less(g.logEnd) && o.RequestedAt.After(g.logEndAt):
-		g.primaryUnusable = true
+	case o.Position.Less(g.logEnd) && o.RequestedAt.After(g.logEndAt) && (g.logEnd.Term >= g.term || o.Position.Offset == 0):
+		g.doubtLog(true)
 		return
 	case g.logEnd.Less(o.Position):
 		g.logEnd, g.logEndAt = o.Position, now
 	}
+	g.shownEnd = logpos.Max(g.shownEnd, o.Position)
 	g.observeComplete(o.RequestedAt)
 }
 
+// doubtLog takes note that the primary may have lost its log, if doubted is set.
+func (g *Group) doubtLog(doubted bool) {
+	if doubted {
+		g.logDoubted, g.checkUnanswered = true, false
+	}
+}
+
+// belowEnd reports whether a primary with a status lacks entries of the group's log. It has
+// reached its offset in its own term, since offsets continue there; the end of an earlier
+// term may have been rolled back.
+func (g *Group) belowEnd(s query.Status) bool {
+	return logpos.Position{Term: max(s.Term, s.Received.Term), Offset: s.Received.Offset}.Less(g.logEnd)
+}
+
 // PrimaryDoubted reports whether the primary may have lost its log, so that the holder has
 // to discover the primary again before it sends any more work there.
 func (g *Group) PrimaryDoubted() bool { return g.logDoubted }
 
+// checkDue reports whether the holder must discover a doubted primary again. One that hasn't
+// answered the last time is probed instead, if its connections are known.
+func (g *Group) checkDue(f HostState) bool {
+	return g.logDoubted && !g.primaryUnusable && (!g.checkUnanswered || f.PrimaryHealth == nil)
+}
+
 // LogEnd returns the furthest position of the group's log that this host has learned of as
 // the holder, and when; zero if it has learned of none.
 func (g *Group) LogEnd() (logpos.Position, time.Time) { return g.logEnd, g.logEndAt }
@@ -45,7 +68,7 @@
 	if s.Received.Offset == 0 {
 		return g.logEnd.Offset > 0 || r.LogEnd.Offset > 0
 	}
-	return s.Term == r.Term && s.Received.Offset < r.LogEnd.Offset
+	return s.Term == r.Term && s.Term == r.LogEnd.Term && s.Received.Offset < r.LogEnd.Offset
 }
 
 // showsLog reports whether a primary with a status has every commit that was acknowledged to
@@ -95,13 +118,27 @@
 // logEndUnrecorded reports whether the record tells no position of a log that has entries.
 func (g *Group) logEndUnrecorded() bool {
 	r, _ := g.lease.Record()
-	return r.LogEnd.Offset == 0 && g.logEnd.Offset > 0
+	return r.LogEnd.Offset == 0 && g.reachedEnd(r).Offset > 0
 }
 
 // reachedEnd returns the LogEnd of a record that replaces r and names the present primary.
+// Entries of an earlier term count only if the primary has told them, since a replica may
+// be yet to roll its own back.
 func (g *Group) reachedEnd(r lease.Record) logpos.Position {
+	p := g.shownEnd
+	if g.logEnd.Term == g.term {
+		p = logpos.Max(p, g.logEnd)
+	}
 	if r.Term == g.term && r.Primary == g.primary {
-		return logpos.Max(r.LogEnd, g.logEnd)
+		p = logpos.Max(p, r.LogEnd)
+	}
+	return p
+}
+
+// setPrimary sets the primary and its term.
+func (g *Group) setPrimary(id string, term uint64) {
+	if id != g.primary || term != g.term {
+		g.shownEnd = logpos.Position{}
 	}
-	return g.logEnd
+	g.primary, g.term = id, term
 }
