pool: a refusal that equals an earlier one still tells the member's position

Class: an answer that isn't trusted for one purpose was dropped for all. A copy has the position that the connection told last, and tells nothing new.

--- a/pool/answerrecord_test.go
+++ b/pool/answerrecord_test.go
@@ -1,12 +1,17 @@
 package pool
 
 import (
+	"context"
 	"strconv"
 	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/query"
 )
@@ -109,3 +114,32 @@
 		}
 	}
 }
+
+// laggingMember refuses each statement at the same position.
+type laggingMember struct{}
+
+func (laggingMember) Dial(context.Context, catalog.Member, string) (Conn, logpos.Position, error) {
+	return laggingMember{}, logpos.Position{Term: 1, Offset: 7}, nil
+}
+
+func (laggingMember) RunStep(s query.Step, _ time.Time) (query.Reply, error) {
+	if _, ok := s.(query.ResetSession); ok {
+		return completed("-", query.Idle, 7), nil
+	}
+	return refused(query.Lagging, query.Idle, 7), nil
+}
+
+func (laggingMember) Close() {}
+
+var _ = It("a refusal that equals an earlier one still tells the member's position, so that reads wait for its log", func() {
+	told := 0
+	p := New(Config{
+		Member: catalog.Member{ID: "m", Slots: 1}, Connections: 4, Dialer: laggingMember{}, Now: time.Now, Log: hclog.NewNullLogger(),
+		ObservePosition: func(logpos.Position, time.Time) { told++ },
+	})
+	for i := range 3 {
+		o := p.Execute(context.Background(), &query.Request{ID: "1", Text: "READ a", Remaining: time.Second}, logpos.Position{}, func() *query.Failure { return nil })
+		Expect(o.Failure.Reason).To(Equal(query.Lagging))
+		Expect(told).To(Equal(1+i+1), "once when the connection was opened and once a read")
+	}
+})
--- a/pool/pool.go
+++ b/pool/pool.go
@@ -228,6 +228,16 @@
 	}
 	c.took = p.config.Now().Sub(t)
 	p.config.Metrics.countStep(s, c.took)
+	p.observeReply(c, s, o, t, err)
+	return o, err
+}
+
+// observeReply records what the reply to a step that was sent at t tells about the member. A
+// refusal that may be a copy tells the connection's last position again.
+func (p *Pool) observeReply(c *conn, s query.Step, o query.Reply, t time.Time, err error) {
+	if a := asAnswerError(err); a != nil && a.Refusal != nil {
+		o, err = *a.Refusal, nil
+	}
 	if err == nil {
 		p.recordReply(o, t)
 		if needsNoSlot(s) {
@@ -237,7 +247,6 @@
 	if p.config.ObserveStatement != nil {
 		p.observeStatement(s, o, p.config.Now().Sub(t), err)
 	}
-	return o, err
 }
 
 // observeStatement reports the outcome of a caller's statement or commit. A refusal
