query, fleet: text in UTF-8 is encoded without a copy

A request and a response were copied, encoded, checked and compacted again by package json because of their MarshalJSON, although their text is nearly always UTF-8.

--- a/fleet/call.go
+++ b/fleet/call.go
@@ -45,7 +45,7 @@
 		call = f.node.Call
 	}
 	var o query.Response
-	err := call(y, h, methodExecute, r, &o)
+	err := call(y, h, methodExecute, r.Encodable(), &o)
 	if err == nil {
 		f.mu.Lock()
 		f.lastExecuteReply[h.ID] = time.Now()
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -61,7 +61,7 @@
 		}
 		o := f.serveRequest(x, &q)
 		f.tellPace(&o)
-		return o, nil
+		return o.Encodable(), nil
 	case methodPosition:
 		var p positionParams
 		if err := f.decodeParams(r, &p); err != nil {
--- a/query/json.go
+++ b/query/json.go
@@ -13,6 +13,22 @@
 	responseJSON Response
 )
 
+// Encodable returns what encodes like the request at less cost than the request itself.
+func (r *Request) Encodable() any {
+	if textjson.Valid(r.texts()) {
+		return (*requestJSON)(r)
+	}
+	return r
+}
+
+// Encodable returns what encodes like the response at less cost than the response itself.
+func (r *Response) Encodable() any {
+	if textjson.Valid(r.texts()) {
+		return (*responseJSON)(r)
+	}
+	return r
+}
+
 // MarshalJSON encodes the request. Its strings may hold any bytes.
 func (r Request) MarshalJSON() ([]byte, error) {
 	r.Values = slices.Clone(r.Values)
--- a/textjson/textjson.go
+++ b/textjson/textjson.go
@@ -29,7 +29,7 @@
 
 // Marshal encodes the value v; texts are its strings, which Marshal may change.
 func Marshal(v any, texts iter.Seq[*string]) ([]byte, error) {
-	if valid(texts) {
+	if Valid(texts) {
 		b, err := json.Marshal(v)
 		return b, Error.Wrap(err)
 	}
@@ -73,7 +73,8 @@
 	return nil
 }
 
-func valid(texts iter.Seq[*string]) bool {
+// Valid reports whether all strings are valid UTF-8, so that encoding/json changes none.
+func Valid(texts iter.Seq[*string]) bool {
 	for t := range texts {
 		if !utf8.ValidString(*t) {
 			return false
