--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"strings"
 	"time"
 )
 
@@ -17,12 +18,19 @@
 )
 
 // scenarios are the cases by name. Each returns whether the rule was broken.
-var scenarios = map[string]func(*system) (bool, error){
-	"drill": playDrill,
+var scenarios = map[string]scenario{
+	"promotion": {play: playPromotion, layout: layout{domains: []string{"west-a", "west-b", "north-a", "north-a", "north-a"}, oneRegion: true}},
+	"drill":     {play: playDrill, layout: layout{domains: []string{"west-a", "west-b", "north-a"}}},
+}
+
+// scenario is a case.
+type scenario struct {
+	play   func(*system) (bool, error)
+	layout layout
 }
 
 func main() {
-	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
+	if len(os.Args) != 3 || scenarios[os.Args[1]].play == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin2 CASE RECORD")
 		os.Exit(unrun)
 	}
@@ -36,13 +44,13 @@
 		return unrun
 	}
 	defer r.close()
-	s, err := start(r)
+	s, err := start(r, scenarios[name].layout)
 	if err != nil {
 		r.note("couldn't start: %v", err)
 		return unrun
 	}
 	defer s.stop()
-	b, err := scenarios[name](s)
+	b, err := scenarios[name].play(s)
 	switch {
 	case err != nil:
 		r.note("couldn't run: %v", err)
@@ -101,3 +109,68 @@
 	drainTime = 7 * time.Second
 	minServed = 200
 )
+
+// playPromotion cuts the machine of a group's holder off from the promotion service while a
+// promotion is on its way, and kills the process meanwhile.
+func playPromotion(s *system) (bool, error) {
+	const (
+		quiet   = 6 * time.Second
+		cutTime = 1500 * time.Millisecond
+		// restart is how long the platform takes to start a killed process again.
+		restart = 300 * time.Millisecond
+		after   = 12 * time.Second
+	)
+	s.startLoad(quiet + after)
+	time.Sleep(quiet)
+	if trouble() {
+		for _, d := range s.daemons {
+			d.gate.cut(func() { s.killHolder(d, cutTime, restart) })
+		}
+	}
+	s.record.note("the primary is to be replaced")
+	s.site.DrainPrimary(0)
+	served := s.endLoad()
+	if served < minServed {
+		return false, fmt.Errorf("only %d operations were served", served)
+	}
+	n, late := 0, 0
+	for _, v := range s.site.Violations() {
+		if !strings.HasPrefix(v, "ONE") {
+			continue
+		}
+		n++
+		if strings.Contains(v, "was committed at") {
+			late++
+			s.record.line("seen: %s", v)
+			continue
+		}
+		s.record.note("seen: %s", v)
+	}
+	s.record.note("%d writes were committed at a member after the promotion of the next term, and acknowledged", late)
+	if len(s.platform.calls) == 0 {
+		return false, fmt.Errorf("no promotion was requested")
+	}
+	return n > 0, nil
+}
+
+// killHolder ends the process whose promotion is held, and starts it again. The other
+// machines reach the promotion service all the time.
+func (s *system) killHolder(d *daemon, cutTime, restart time.Duration) {
+	for _, o := range s.daemons {
+		if o != d {
+			o.gate.heal()
+		}
+	}
+	time.AfterFunc(cutTime, func() {
+		s.record.note("%s reaches the promotion service again", d.name)
+		d.gate.heal()
+	})
+	s.record.note("%s is killed", d.name)
+	d.kill()
+	time.AfterFunc(restart, func() {
+		s.record.note("%s is started again", d.name)
+		if err := s.run(d, false); err != nil {
+			s.record.note("start failed: %v", err)
+		}
+	})
+}
--- a/review/_standin2/system.go
+++ b/review/_standin2/system.go
@@ -1,12 +1,14 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -20,8 +22,13 @@
 	seed      = 1
 )
 
-// domains are the failure domains of the daemons.
-var domains = []string{"west-a", "west-b", "north-a"}
+// layout is where the daemons of a case run.
+type layout struct {
+	// domains holds the failure domain of each daemon.
+	domains []string
+	// oneRegion puts all failure domains into one region.
+	oneRegion bool
+}
 
 // system is the running system.
 type system struct {
@@ -30,9 +37,18 @@
 	site    *site.Site
 	members map[string]*tap
 	fronts  []*tap
-	daemons []*exec.Cmd
-	ready   []string
-	report  chan *site.LoadReport
+	daemons []*daemon
+	// platform is what the promotion service has seen.
+	platform *platformView
+	layout   layout
+	report   chan *site.LoadReport
+}
+
+// daemon is a daemon's machine.
+type daemon struct {
+	name, settings, readiness string
+	gate                      *gate
+	process                   *exec.Cmd
 }
 
 // program returns the command of the deploy file.
@@ -43,14 +59,15 @@
 	return "target/dragonflypick"
 }
 
-func start(r *record) (*system, error) {
+func start(r *record, l layout) (*system, error) {
 	d, err := os.MkdirTemp("", "review")
 	if err != nil {
 		return nil, err
 	}
-	s := &system{record: r, dir: d, members: map[string]*tap{}, report: make(chan *site.LoadReport, 1)}
+	s := &system{record: r, dir: d, members: map[string]*tap{}, platform: &platformView{}, layout: l, report: make(chan *site.LoadReport, 1)}
+	s.platform.promoted = func() { time.AfterFunc(promotionTime+stopTime, s.stopReplaced) }
 	s.site, err = site.New(site.Config{
-		Groups: 1, Lag: 20 * time.Millisecond, StatementTime: 2 * time.Millisecond, PromotionTime: 300 * time.Millisecond,
+		Groups: 1, Lag: 20 * time.Millisecond, StatementTime: 2 * time.Millisecond, PromotionTime: promotionTime,
 		Advertise: func(member, address string) (string, error) {
 			t, err := newTap(member, address, r)
 			if err != nil {
@@ -71,77 +88,97 @@
 	return s, nil
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddresses returns n different addresses that are free.
+func freeAddresses(n int) ([]string, error) {
+	var o []string
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		o = append(o, l.Addr().String())
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return o, nil
 }
 
+// portsPerDaemon is the number of addresses of a daemon, with that of its metrics.
+const portsPerDaemon = 4
+
 func (s *system) startDaemons() error {
-	var controls []string
-	for range domains {
-		a, err := freeAddress()
-		if err != nil {
-			return err
-		}
-		controls = append(controls, a)
+	l, err := freeAddresses(portsPerDaemon * len(s.layout.domains))
+	if err != nil {
+		return err
 	}
-	for i, d := range domains {
-		if err := s.startDaemon(i, d, controls); err != nil {
+	controls := l[:len(s.layout.domains)]
+	l = l[len(controls):]
+	for i, d := range s.layout.domains {
+		if err := s.startDaemon(i, d, controls, l[(portsPerDaemon-1)*i:]); err != nil {
 			return err
 		}
 	}
 	for t := time.Now(); ; time.Sleep(50 * time.Millisecond) {
 		n := 0
-		for _, a := range s.ready {
-			if isReady(a) {
+		for _, d := range s.daemons {
+			if isReady(d.readiness) {
 				n++
 			}
 		}
-		if n == len(domains) {
+		if n == len(s.daemons) {
 			return nil
 		}
 		if time.Since(t) > startTime {
-			return fmt.Errorf("%d of %d daemons are ready", n, len(domains))
+			return fmt.Errorf("%d of %d daemons are ready", n, len(s.daemons))
 		}
 	}
 }
 
-func (s *system) startDaemon(i int, domain string, controls []string) error {
-	var l [3]string
-	for k := range l {
-		var err error
-		if l[k], err = freeAddress(); err != nil {
-			return err
-		}
+func (s *system) startDaemon(i int, domain string, controls, l []string) error {
+	d := &daemon{name: fmt.Sprintf("front-%s-%d", domain, i+1), readiness: l[1]}
+	var err error
+	if d.gate, err = newGate(d.name, s.site.PromotionAddress, s.platform, s.record); err != nil {
+		return err
+	}
+	region, zones := site.Regions[domain], "{west-a: west, west-b: west, north-a: north}"
+	if s.layout.oneRegion {
+		region, zones = "west", "{west-a: west, west-b: west, north-a: west}"
 	}
 	_, port, _ := net.SplitHostPort(l[2])
-	name := "front-" + domain
-	f := filepath.Join(s.dir, name+".yaml")
-	t := fmt.Sprintf(`node: %q
+	d.settings = fmt.Sprintf(`node: %q
 role: "proxy"
 ip: "127.0.0.1"
 zone: %q
 region: %q
-zones: {west-a: west, west-b: west, north-a: north}
+zones: %s
 listen_addresses: {front: %q, readiness_address: %q, control: %q}
 internal_ports: [%s, %s]
 seeds: [%q, %q, %q]
-bootstrap: true
 limits: {cpu_share: 0.4, cores: 1, memory_mb: 284, file_descriptors: 4200}
 heartbeat_ms: 1200
 contracts: [base, drain, config, cost, recover, sql, platform]
 bounds: {drain_ms: 7000, grace_s: 6, config_apply_ms: 4000, stable_window_ms: 5000}
 platform: {address: %q, form: kv, writes_per_s: 400, reads_per_s: 2000, min_ttl_ms: 1000}
 cloud: {address: %q, duties: [promotion], duty_per_s: 50}
-`, name, domain, site.Regions[domain], l[0], l[1], controls[i], port, port, controls[0], controls[1], controls[2], s.site.StoreAddress, s.site.PromotionAddress)
-	if err := os.WriteFile(f, []byte(t), 0o600); err != nil {
+`, d.name, domain, region, zones, l[0], l[1], controls[i], port, port, controls[0], controls[1], controls[2], s.site.StoreAddress, d.gate.address())
+	s.daemons = append(s.daemons, d)
+	if err := s.run(d, true); err != nil {
+		return err
+	}
+	p, err := newTap(d.name, l[0], s.record)
+	if err != nil {
+		return err
+	}
+	s.fronts = append(s.fronts, p)
+	return nil
+}
+
+// run starts a daemon's process, with the command of the deploy file.
+func (s *system) run(d *daemon, bootstrap bool) error {
+	f := filepath.Join(s.dir, d.name+".yaml")
+	if err := os.WriteFile(f, fmt.Appendf(nil, "%sbootstrap: %t\n", d.settings, bootstrap), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(s.dir, name+".log"))
+	log, err := os.OpenFile(filepath.Join(s.dir, d.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -153,15 +190,16 @@
 	if err := c.Start(); err != nil {
 		return err
 	}
-	s.daemons, s.ready = append(s.daemons, c), append(s.ready, l[1])
-	p, err := newTap(name, l[0], s.record)
-	if err != nil {
-		return err
-	}
-	s.fronts = append(s.fronts, p)
+	d.process = c
 	return nil
 }
 
+// kill ends a daemon's process with SIGKILL.
+func (d *daemon) kill() {
+	_ = d.process.Process.Kill()
+	_ = d.process.Wait()
+}
+
 func isReady(address string) bool {
 	c := http.Client{Timeout: time.Second}
 	r, err := c.Get("http://" + address + "/api/readiness")
@@ -219,10 +257,43 @@
 	return n, last
 }
 
+// Timing of promotions: a replaced primary continues until a second after it can reach the
+// new one.
+const (
+	promotionTime = 300 * time.Millisecond
+	stopTime      = time.Second
+)
+
+// stopReplaced makes replaced primaries follow the new one, as the members do by themselves:
+// the stand-in of a member waits for DEMOTE, which does nothing at the newest primary.
+func (s *system) stopReplaced() {
+	for _, t := range s.members {
+		c, err := net.Dial("tcp", t.target)
+		if err != nil {
+			continue
+		}
+		_, _ = fmt.Fprint(c, "START g0 replication\r\nQUERY - DEMOTE 1000\r\n")
+		_ = c.SetReadDeadline(time.Now().Add(time.Second))
+		r := bufio.NewReader(c)
+		for n := 0; n < 2; {
+			m, err := readMessage(r)
+			if err != nil {
+				break
+			}
+			if strings.HasPrefix(m, "READY") {
+				n++
+			}
+		}
+		_ = c.Close()
+	}
+}
+
 func (s *system) stop() {
-	for _, c := range s.daemons {
-		_ = c.Process.Kill()
-		_ = c.Wait()
+	for _, d := range s.daemons {
+		if d.process != nil {
+			d.kill()
+		}
+		_ = d.gate.listener.Close()
 	}
 	for _, p := range s.fronts {
 		p.stop()
