--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/dragonflypick ] && [ -x target/review2/standin2 ] || { echo "build the deploy file and review/build-2.sh first"; exit 2; }
-exec timeout --kill-after=5 115 target/review2/standin2 promotion "$here/record.txt"
+exec timeout --kill-after=5 115 target/review2/standin2 cuts "$here/record.txt"
--- a/review/_standin2/gate.go
+++ b/review/_standin2/gate.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -29,8 +30,8 @@
 type platformView struct {
 	mu    sync.Mutex
 	calls []promotion
-	// promoted is called with each promotion that the service gets.
-	promoted func()
+	// promoted is called with the member of each promotion that the service gets.
+	promoted func(member string)
 }
 
 // promotion is a call that has reached the platform.
@@ -92,6 +93,10 @@
 	if err != nil {
 		return
 	}
+	var b struct {
+		ID string `json:"id"`
+	}
+	_ = json.Unmarshal(body, &b)
 	p := promotion{holder: q.Header.Get("Dragonflypick-Duty-Holder"), token: q.Header.Get("Dragonflypick-Fencing-Token")}
 	g.record.note("%s sends POST /promotion, token %s, %s", g.name, p.token, body)
 	g.mu.Lock()
@@ -121,6 +126,6 @@
 	if err := n.Write(d); err != nil {
 		return
 	}
-	g.platform.promoted()
+	g.platform.promoted(b.ID)
 	_, _ = io.Copy(c, d)
 }
--- a/review/_standin2/main.go
+++ b/review/_standin2/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -20,6 +21,7 @@
 // scenarios are the cases by name. Each returns whether the rule was broken.
 var scenarios = map[string]scenario{
 	"promotion": {play: playPromotion, layout: layout{domains: []string{"west-a", "west-b", "north-a", "north-a", "north-a"}, oneRegion: true}},
+	"cuts":      {play: playCuts, layout: layout{domains: []string{"west-a", "west-b", "north-a"}, promotionTime: time.Second}},
 	"drill":     {play: playDrill, layout: layout{domains: []string{"west-a", "west-b", "north-a"}}},
 }
 
@@ -133,20 +135,7 @@
 	if served < minServed {
 		return false, fmt.Errorf("only %d operations were served", served)
 	}
-	n, late := 0, 0
-	for _, v := range s.site.Violations() {
-		if !strings.HasPrefix(v, "ONE") {
-			continue
-		}
-		n++
-		if strings.Contains(v, "was committed at") {
-			late++
-			s.record.line("seen: %s", v)
-			continue
-		}
-		s.record.note("seen: %s", v)
-	}
-	s.record.note("%d writes were committed at a member after the promotion of the next term, and acknowledged", late)
+	n := s.countONE()
 	if len(s.platform.calls) == 0 {
 		return false, fmt.Errorf("no promotion was requested")
 	}
@@ -174,3 +163,59 @@
 		}
 	})
 }
+
+// countONE returns how often the stand-ins saw ONE broken, and notes it.
+func (s *system) countONE() int {
+	n, late := 0, 0
+	for _, v := range s.site.Violations() {
+		if !strings.HasPrefix(v, "ONE") {
+			continue
+		}
+		n++
+		if strings.Contains(v, "was committed at") {
+			late++
+			s.record.line("seen: %s", v)
+			continue
+		}
+		s.record.note("seen: %s", v)
+	}
+	s.record.note("%d writes were committed at a member after the promotion of the next term, and acknowledged", late)
+	return n
+}
+
+// playCuts lets a primary leave. Each of the first two members that are promoted in its place
+// is cut off while its promotion takes effect, for cutTime.
+func playCuts(s *system) (bool, error) {
+	const (
+		quiet   = 6 * time.Second
+		cutTime = 5500 * time.Millisecond
+		after   = 20 * time.Second
+	)
+	s.startLoad(quiet + after)
+	time.Sleep(quiet)
+	var mu sync.Mutex
+	seen := map[string]bool{}
+	s.platform.promoted = func(member string) {
+		mu.Lock()
+		defer mu.Unlock()
+		first := !seen[member]
+		seen[member] = true
+		switch {
+		case trouble() && first && len(seen) <= 2:
+			s.members[member].cut(cutTime)
+			if len(seen) == 2 {
+				// The member that was promoted first reaches the second one after the cut.
+				time.AfterFunc(cutTime+stopTime, s.stopReplaced)
+			}
+		case !trouble():
+			time.AfterFunc(s.layout.promotion()+stopTime, s.stopReplaced)
+		}
+	}
+	s.record.note("the primary is to be replaced")
+	s.site.DrainPrimary(0)
+	served := s.endLoad()
+	if served < minServed {
+		return false, fmt.Errorf("only %d operations were served", served)
+	}
+	return s.countONE() > 0, nil
+}
--- a/review/_standin2/system.go
+++ b/review/_standin2/system.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -28,8 +29,12 @@
 	domains []string
 	// oneRegion puts all failure domains into one region.
 	oneRegion bool
+	// promotionTime is how long a promotion takes; promotionTime if it is zero.
+	promotionTime time.Duration
 }
 
+func (l layout) promotion() time.Duration { return cmp.Or(l.promotionTime, promotionTime) }
+
 // system is the running system.
 type system struct {
 	record  *record
@@ -65,9 +70,9 @@
 		return nil, err
 	}
 	s := &system{record: r, dir: d, members: map[string]*tap{}, platform: &platformView{}, layout: l, report: make(chan *site.LoadReport, 1)}
-	s.platform.promoted = func() { time.AfterFunc(promotionTime+stopTime, s.stopReplaced) }
+	s.platform.promoted = func(string) { time.AfterFunc(l.promotion()+stopTime, s.stopReplaced) }
 	s.site, err = site.New(site.Config{
-		Groups: 1, Lag: 20 * time.Millisecond, StatementTime: 2 * time.Millisecond, PromotionTime: promotionTime,
+		Groups: 1, Lag: 20 * time.Millisecond, StatementTime: 2 * time.Millisecond, PromotionTime: l.promotion(),
 		Advertise: func(member, address string) (string, error) {
 			t, err := newTap(member, address, r)
 			if err != nil {
--- a/review/_standin2/tap.go
+++ b/review/_standin2/tap.go
@@ -19,6 +19,8 @@
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	starts []arrival
+	// healed is closed while bytes pass; during a cut they are held back.
+	healed chan struct{}
 }
 
 // arrival is a single statement, or the first message of a transaction, that a member has
@@ -34,7 +36,8 @@
 	if err != nil {
 		return nil, err
 	}
-	t := &tap{name: name, target: target, record: r, listener: l, conns: map[net.Conn]bool{}}
+	t := &tap{name: name, target: target, record: r, listener: l, conns: map[net.Conn]bool{}, healed: make(chan struct{})}
+	close(t.healed)
 	go t.accept()
 	return t, nil
 }
@@ -52,6 +55,7 @@
 }
 
 func (t *tap) forward(c net.Conn) {
+	t.await()
 	d, err := net.Dial("tcp", t.target)
 	if err != nil {
 		_ = c.Close()
@@ -73,6 +77,28 @@
 	t.mu.Unlock()
 }
 
+// cut holds all bytes back for a time.
+func (t *tap) cut(d time.Duration) {
+	t.record.note("%s is cut off for %s", t.name, d)
+	t.mu.Lock()
+	t.healed = make(chan struct{})
+	t.mu.Unlock()
+	time.AfterFunc(d, func() {
+		t.record.note("%s is reached again", t.name)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		close(t.healed)
+	})
+}
+
+// await waits until bytes pass.
+func (t *tap) await() {
+	t.mu.Lock()
+	c := t.healed
+	t.mu.Unlock()
+	<-c
+}
+
 func (t *tap) stop() {
 	_ = t.listener.Close()
 	t.mu.Lock()
@@ -96,6 +122,7 @@
 	r := bufio.NewReader(from)
 	for {
 		m, err := readMessage(r)
+		s.tap.await()
 		if m != "" {
 			see(m)
 			if _, err := fmt.Fprint(to, m); err != nil {
