--- a/review/_standin2/system.go
+++ b/review/_standin2/system.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -93,18 +94,26 @@
 	return s, nil
 }
 
+// Ports for daemons are below those that the system gives to outgoing connections.
+const (
+	firstPort = 13_000
+	lastPort  = 30_000
+)
+
 // freeAddresses returns n different addresses that are free.
 func freeAddresses(n int) ([]string, error) {
 	var o []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		o = append(o, l.Addr().String())
+		if o = append(o, l.Addr().String()); len(o) == n {
+			return o, nil
+		}
 	}
-	return o, nil
+	return nil, fmt.Errorf("no %d free ports", n)
 }
 
 // portsPerDaemon is the number of addresses of a daemon, with that of its metrics.
