takeover: a requested promotion binds the holder and its successors

Cause: a holder remembered that it had requested a promotion, but not of which member. Of the members that answered it took the first one that led a later term for the new primary. In the case it had requested m01 and, as that was cut off, m02; m01 was back first, leading term 2, while m02 led term 3. Ruled out: a discovery by another holder (the same host held the group all the while), and the record (its primary is read after the discovery only).

Change: the record names the member whose promotion was requested last, the term that it leads at least, and the members that were requested before. A member is used as the primary if it is the one that was requested last; another one only once every promotion has had its time to take effect, and each of the members requested answers and knows of no later term. The promotion of another member is requested only after the effect of the one before, so that their order is known. A successor reads the same from the record. An accepted promotion that has had no effect after 2 s is given up at once instead of being requested again.

Why this works: promotions are carried out in the order in which they are requested, so that the last one leads the highest term, whether or not the ones before had any effect.

The test "the promoted member, if the promotion took effect" had a record whose target was another member than the one that led; it now names the member, and a new entry expects that another member isn't used. In the model a crashed primary comes back as a replica if another member was promoted, as the platform has it.

--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
@@ -72,7 +73,7 @@
 
 // selectPromotionTarget returns the member to promote. In a planned replacement it
 // waits up to catchUpTimeout for a replica to hold the primary's complete log.
-func (f *Daemon) selectPromotionTarget(x context.Context, g *group, old string, planned bool) (takeover.MemberStatus, bool) {
+func (f *Daemon) selectPromotionTarget(x context.Context, g *group, old string, planned bool) (selection, bool) {
 	t := time.Now()
 	n, _ := f.syncReplicas(g)
 	c := takeover.SelectionInput{OldPrimary: old, Planned: planned, Nearer: f.nearer, SyncReplicas: n}
@@ -85,6 +86,7 @@
 	c.OldPrimaryGone = !listed || !f.evictAt[old].IsZero()
 	f.mu.Unlock()
 	for {
+		c.RequestedAt = now()
 		c.Statuses, c.CatchUpExpired = f.pollStatus(x, g, skip), time.Since(t) > catchUpTimeout
 		for _, a := range c.Statuses {
 			if a.Err != nil {
@@ -96,31 +98,61 @@
 		b, loses := g.DescribeBlock(c), g.MayLoseCommits(c, a)
 		f.mu.Unlock()
 		switch r {
-		case takeover.CandidateReady:
-			f.logSelection(g, n, a, b, loses)
-			return a, true
+		case takeover.CandidateLeads, takeover.CandidateReady:
+			o := selection{MemberStatus: a, leads: r == takeover.CandidateLeads, statuses: c.Statuses}
+			f.logSelection(g, n, o, b, loses)
+			return o, true
+		case takeover.CandidatePending:
+			f.logPending(g, c)
+			return selection{}, false
 		case takeover.CandidateUnsafe, takeover.NoCandidate:
 			if n > 0 {
 				f.blockReplacement(g, b)
 			} else {
 				f.config.Log.Warn("no member can be promoted", "group", g.name, "primary", old, "candidate", b.Candidate, "position", b.Position.String(), "needed", b.Needed.String())
 			}
-			return a, false
+			return selection{}, false
 		}
 		if !sleep(x, statusPollInterval) {
-			return takeover.MemberStatus{}, false
+			return selection{}, false
 		}
 	}
 }
 
+// logPending logs that no member is promoted, since promotions that were requested before
+// may yet take effect.
+func (f *Daemon) logPending(g *group, c takeover.SelectionInput) {
+	f.mu.Lock()
+	r, _ := g.Record()
+	f.mu.Unlock()
+	f.config.Log.Warn("no member can be promoted while another promotion may take effect", "group", g.name, "primary", c.OldPrimary, "target", r.Target, "earlier-targets", r.EarlierTargets, "target-term", r.TargetTerm, "statuses", describeStatuses(c.Statuses))
+}
+
+// describeStatuses returns a word for each status: the member, its role, its term and its
+// position.
+func describeStatuses(l []takeover.MemberStatus) []string {
+	o := make([]string, len(l))
+	for i, a := range l {
+		role := "replica"
+		switch {
+		case a.Err != nil:
+			o[i] = a.Member.ID + ":unreachable"
+			continue
+		case a.Status.Primary:
+			role = "primary"
+		}
+		o[i] = fmt.Sprintf("%s:%s:%d:%s", a.Member.ID, role, a.Status.Term, a.Status.Received)
+	}
+	return o
+}
+
 // logSelection logs the member that is to be promoted. syncReplicas is 0 with members on
 // record if an operator has changed it, to go on although commits may be lost.
-func (f *Daemon) logSelection(g *group, syncReplicas int, a takeover.MemberStatus, b takeover.Block, loses bool) {
-	l := []any{"group", g.name, "member", a.Member.ID, "position", a.Status.Received.String(), "needed", b.Needed.String(), "missing", b.Missing}
-	switch {
-	case syncReplicas > 0:
-		f.config.Log.Info("member selected for promotion", l...)
-	case loses:
+func (f *Daemon) logSelection(g *group, syncReplicas int, a selection, b takeover.Block, loses bool) {
+	l := []any{"group", g.name, "member", a.Member.ID, "leads", a.leads, "term", a.Status.Term, "position", a.Status.Received.String(), "needed", b.Needed.String(), "missing", b.Missing, "statuses", describeStatuses(a.statuses)}
+	if syncReplicas == 0 && loses {
 		f.config.Log.Warn("member selected for promotion although acknowledged commits may be lost: commits wait for no replica any more", l...)
+		return
 	}
+	f.config.Log.Info("member selected for promotion", l...)
 }
--- a/fleet/prepare.go
+++ b/fleet/prepare.go
@@ -3,68 +3,54 @@
 import (
 	"context"
 
-	"golang.org/x/sync/errgroup"
-
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
+// selection is the member that is to be the primary.
+type selection struct {
+	takeover.MemberStatus
+	// leads is set if it is the primary already.
+	leads bool
+	// statuses are those by which it was selected.
+	statuses []takeover.MemberStatus
+}
+
 // preparePromotion selects the member to promote, records the intent and ends all work at
 // the old primary. It reports whether the promotion may be requested.
-func (f *Daemon) preparePromotion(x context.Context, g *group, old string, planned bool) (takeover.MemberStatus, bool) {
+func (f *Daemon) preparePromotion(x context.Context, g *group, old string, planned bool) (selection, bool) {
 	n, ok := f.syncReplicas(g)
-	switch {
-	case !ok:
+	if !ok {
 		f.config.Log.Warn("primary not replaced: no configuration is known", "group", g.name, "primary", old)
-		return takeover.MemberStatus{}, false
-	case n > 0:
-		return f.prepareSynchronous(x, g, old, planned)
-	default:
-		return f.prepareAsynchronous(x, g, old, planned)
+		return selection{}, false
 	}
-}
-
-// prepareAsynchronous is preparePromotion for a group that acknowledges commits before
-// replicas have them.
-func (f *Daemon) prepareAsynchronous(x context.Context, g *group, old string, planned bool) (takeover.MemberStatus, bool) {
-	var w errgroup.Group
-	var intended bool
-	w.Go(func() error {
-		intended = f.recordIntent(x, g)
-		return nil
-	})
 	if planned {
 		f.awaitTransactions(x, old)
 	}
 	a, ok := f.selectPromotionTarget(x, g, old, planned)
-	_ = w.Wait()
-	switch {
-	case ok && intended:
-		f.endPrimaryWork(g, old)
-	case intended:
-		f.recordPrimary(x, g)
+	if !ok || !a.leads && !f.recordIntent(x, g, a) {
+		return selection{}, false
+	}
+	f.endPrimaryWork(g, old)
+	if n == 0 || a.leads {
+		return a, true
 	}
-	return a, ok && intended
+	return f.selectAgain(x, g, old, planned, a)
 }
 
-// prepareSynchronous is preparePromotion for a group whose commits wait for replicas. The
-// member is selected again once nothing is acknowledged any more; the first selection
-// avoids that work is ended in vain.
-func (f *Daemon) prepareSynchronous(x context.Context, g *group, old string, planned bool) (takeover.MemberStatus, bool) {
-	if planned {
-		f.awaitTransactions(x, old)
-	}
-	if a, ok := f.selectPromotionTarget(x, g, old, planned); !ok {
-		return a, false
-	}
-	if !f.recordIntent(x, g) {
-		return takeover.MemberStatus{}, false
-	}
-	f.endPrimaryWork(g, old)
+// selectAgain selects the member to promote once nothing is acknowledged any more, in a
+// group whose commits wait for replicas. The first selection avoids that work is ended in
+// vain.
+func (f *Daemon) selectAgain(x context.Context, g *group, old string, planned bool, first selection) (selection, bool) {
 	a, ok := f.selectPromotionTarget(x, g, old, planned)
-	if !ok {
+	switch {
+	case !ok:
 		f.recordPrimary(x, g)
+		return a, false
+	case a.leads || a.Member.ID == first.Member.ID:
+		return a, true
+	default:
+		return a, f.recordIntent(x, g, a)
 	}
-	return a, ok
 }
 
 // endPrimaryWork ends all work at a primary, so that nothing that it commits from now on is
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -7,6 +7,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/dragonflypick/dragonflypick/catalog"
+	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/query"
 	"github.com/dragonflypick/dragonflypick/staleness"
 	"github.com/dragonflypick/dragonflypick/storecopy"
@@ -30,9 +31,8 @@
 	transactionWait = 700 * time.Millisecond
 	// catchUpTimeout is how long it waits for a replica to hold the complete log.
 	catchUpTimeout = 500 * time.Millisecond
-	// promoteCallTimeout bounds one call to the Promoter. After each call its
-	// effect is awaited for up to half of promotionTimeout; no further call
-	// starts after promotionTimeout.
+	// promoteCallTimeout bounds one call to the Promoter. No further call starts after
+	// promotionTimeout.
 	promoteCallTimeout = time.Second
 	promotionTimeout   = 4 * time.Second
 	// statusPollInterval is how often a condition at a member is checked.
@@ -170,8 +170,7 @@
 func (f *Daemon) replacePrimary(x context.Context, g *group, why takeover.Reason) {
 	f.mu.Lock()
 	t := now()
-	_, ok := g.AnnouncePromotion(t)
-	if !ok {
+	if !g.MayReplace(t) {
 		f.mu.Unlock()
 		return
 	}
@@ -200,11 +199,11 @@
 	f.spawn(func(x context.Context) { f.demoteMember(x, g, old) })
 }
 
-// recordIntent writes to the group's record that a promotion may be requested
+// recordIntent writes to the group's record that the promotion of a member may be requested
 // from now on, and reports whether that succeeded.
-func (f *Daemon) recordIntent(x context.Context, g *group) bool {
+func (f *Daemon) recordIntent(x context.Context, g *group, a selection) bool {
 	f.mu.Lock()
-	c, ok := g.AnnouncePromotion(now())
+	c, ok := g.AnnouncePromotion(takeover.Announcement{Target: a.Member.ID, Statuses: a.statuses}, now())
 	f.mu.Unlock()
 	return ok && f.compareAndSwap(x, g, c)
 }
@@ -227,51 +226,69 @@
 	return f.assumedRTT(a.Region, a.FailureDomain) < f.assumedRTT(b.Region, b.FailureDomain)
 }
 
-// promoteMember requests a member's promotion and waits until the member is
-// primary. It reports whether that succeeded.
-func (f *Daemon) promoteMember(x context.Context, g *group, a takeover.MemberStatus) bool {
-	f.mu.Lock()
-	_, term, ok := g.Promotion(now())
-	already := ok && g.AlreadyPrimary(a)
-	f.mu.Unlock()
-	switch {
-	case !ok:
-		return false
-	case already:
-		return f.acceptPrimary(g, a, a.Status)
+// promoteMember requests a member's promotion, unless it leads already, and waits until the
+// member is primary. It reports whether that succeeded.
+func (f *Daemon) promoteMember(x context.Context, g *group, a selection) bool {
+	if a.leads {
+		return f.acceptPrimary(g, a.MemberStatus, a.Status)
 	}
 	t := time.Now()
 	for time.Since(t) < promotionTimeout && x.Err() == nil {
-		f.mu.Lock()
-		token, _, ok := g.Promotion(now())
-		if ok {
-			g.Handle(takeover.PromotionRequested{}, now())
-		}
-		f.mu.Unlock()
-		if !ok {
+		answer, ok := f.requestPromotion(x, g, a.Member)
+		if !ok || answer == takeover.PromotionRejected {
 			return false
 		}
-		y, stop := context.WithTimeout(x, promoteCallTimeout)
-		done, err := f.config.Promoter.Promote(y, g.name, a.Member.ID, f.config.Self.ID, token)
-		stop()
-		f.config.Log.Info("promotion requested", "group", g.name, "member", a.Member.ID, "token", token, "accepted", done, "error", err)
-		if err == nil && !done {
-			return false
+		if s, ok := f.awaitPromotion(x, g, a.Member); ok {
+			return f.acceptPrimary(g, a.MemberStatus, s)
 		}
-		if s, ok := f.awaitPromotion(x, a.Member, term); ok {
-			return f.acceptPrimary(g, a, s)
+		if answer == takeover.PromotionAccepted {
+			return false
 		}
 	}
 	return false
 }
 
-// awaitPromotion waits until a member is primary in a term above the given one.
-func (f *Daemon) awaitPromotion(x context.Context, m catalog.Member, term uint64) (query.Status, bool) {
-	x, stop := context.WithTimeout(x, promotionTimeout/2)
+// requestPromotion calls the platform to promote a member. It returns false if this host may
+// not do so.
+func (f *Daemon) requestPromotion(x context.Context, g *group, m catalog.Member) (takeover.PromotionAnswer, bool) {
+	f.mu.Lock()
+	token, ok := g.Promotion(m.ID, now())
+	if ok {
+		g.Handle(takeover.PromotionRequested{Member: m.ID}, now())
+	}
+	f.mu.Unlock()
+	if !ok {
+		f.config.Log.Info("promotion not requested: it isn't announced, or another one may take effect", "group", g.name, "member", m.ID)
+		return takeover.NoPromotionAnswer, false
+	}
+	y, stop := context.WithTimeout(x, promoteCallTimeout)
+	defer stop()
+	done, err := f.config.Promoter.Promote(y, g.name, m.ID, f.config.Self.ID, token)
+	answer := takeover.PromotionAccepted
+	switch {
+	case err != nil:
+		answer = takeover.NoPromotionAnswer
+	case !done:
+		answer = takeover.PromotionRejected
+	}
+	f.mu.Lock()
+	g.Handle(takeover.PromotionAnswered{Member: m.ID, Answer: answer}, now())
+	f.mu.Unlock()
+	f.config.Log.Info("promotion requested", "group", g.name, "member", m.ID, "token", token, "accepted", done, "error", err)
+	return answer, true
+}
+
+// awaitPromotion waits until a member leads as was requested, for as long as a promotion may
+// take.
+func (f *Daemon) awaitPromotion(x context.Context, g *group, m catalog.Member) (query.Status, bool) {
+	x, stop := context.WithTimeout(x, lease.PromotionEffectTime)
 	defer stop()
 	for x.Err() == nil {
 		s, err := f.memberStatus(x, m)
-		if err == nil && s.Primary && s.Term > term {
+		f.mu.Lock()
+		ok := err == nil && g.LeadsAsRequested(takeover.MemberStatus{Member: m, Status: s})
+		f.mu.Unlock()
+		if ok {
 			return s, true
 		}
 		sleep(x, statusPollInterval)
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -45,6 +45,12 @@
 	// its lease was confirmed before that. In addition to the work in flight, a
 	// promotion that it requested may take seconds until it has taken effect.
 	SettleTime = Validity + 4*time.Second
+	// PromotionCallTime is how long a call that requests a promotion may be on its way
+	// after it was sent, also if its sender has given it up or has ended.
+	PromotionCallTime = 6 * time.Second
+	// PromotionEffectTime is how long a promotion may take from the call's arrival until
+	// the member leads.
+	PromotionEffectTime = 2 * time.Second
 	// abandonTime is how long after that the preferred host may take to acquire a
 	// lease that nobody has written again.
 	abandonTime = 2 * time.Second
--- a/lease/record.go
+++ b/lease/record.go
@@ -42,9 +42,15 @@
 	// LogEnd is a position that the primary's log has reached in Term; zero if it isn't
 	// known. A lower one means that the primary has lost its log.
 	LogEnd logpos.Position `json:"log-end,omitzero"`
-	// Target isn't empty while a promotion may have been requested whose result
-	// isn't recorded yet.
+	// Target is the ID of the member whose promotion may have been requested last, while
+	// the result isn't recorded yet; empty if none may have been. Records of earlier
+	// versions hold another word instead.
 	Target string `json:"target,omitempty"`
+	// TargetTerm is the least term that Target leads once its promotion has taken effect.
+	TargetTerm uint64 `json:"target-term,omitempty"`
+	// EarlierTargets are the IDs of the other members whose promotion may have been
+	// requested since Term, sorted.
+	EarlierTargets []string `json:"earlier-targets,omitempty"`
 	// Era is the store's era in which the record was written.
 	Era uint64 `json:"era,omitempty"`
 	// Settled is set if no holder of an earlier era can act any more. It isn't
--- a/matrix/takeover.go
+++ b/matrix/takeover.go
@@ -43,6 +43,9 @@
 	MessagesDelayed            TakeoverFault = "messages-delayed-and-duplicated"
 	FailureDomainCut           TakeoverFault = "failure-domain-cut"
 	ReplicasLagging            TakeoverFault = "replicas-lagging"
+	// PromotedMembersCut cuts each of the next two members that are promoted off when its
+	// promotion takes effect.
+	PromotedMembersCut TakeoverFault = "promoted-members-cut"
 )
 
 // TakeoverFaults returns all faults except NoFault.
@@ -51,7 +54,7 @@
 		HolderKilled, HolderRestarted, HolderFrozen, HolderFrozenPastLease, HolderRejectedByStore, HolderCutFromMembers, HolderCutFromAll,
 		HolderInboundCut, HolderOutboundCut, HolderDraining, GroupPrimaryKilled, GroupPrimaryRestartedEmpty, GroupPrimaryFrozen,
 		GroupPrimaryFrozenBriefly, GroupPrimaryCut, GroupPrimaryDraining, MostAdvancedReplicaKilled, StoreDown, StoreSlow, StoreAnswersLost,
-		StoreWritesLate, StoreRestored, StoreRestoredTwice, MessagesDelayed, FailureDomainCut, ReplicasLagging,
+		StoreWritesLate, StoreRestored, StoreRestoredTwice, MessagesDelayed, FailureDomainCut, ReplicasLagging, PromotedMembersCut,
 	}
 }
 
@@ -81,6 +84,10 @@
 	restoreInterval = 2 * time.Second
 	// lateWritesTime is the duration of StoreWritesLate.
 	lateWritesTime = 4 * time.Second
+	// promotedMembersCut is the number of members that PromotedMembersCut cuts off, and
+	// memberCutTime for how long.
+	promotedMembersCut = 2
+	memberCutTime      = 5500 * time.Millisecond
 	// takeoverMaxMessageDelay bounds the delay of delayed messages.
 	takeoverMaxMessageDelay = 800 * time.Millisecond
 )
@@ -130,6 +137,8 @@
 	// lastAcknowledgedAt the time when it last increased.
 	lastAcknowledged   int
 	lastAcknowledgedAt time.Time
+	// membersToCut is the number of members that are cut off once they are promoted.
+	membersToCut int
 }
 
 // RunTakeover executes a plan and checks the guarantees.
@@ -188,6 +197,10 @@
 // step, and schedules the second one. Faults of a holder concern the holder at
 // that time.
 func (r *takeoverRun) handleStep(s model.TakeoverStep, _ *model.PlatformDaemon) {
+	if s == model.PromotionEffective && r.membersToCut > 0 && !r.faultsEnded {
+		r.membersToCut--
+		r.cutMember(r.world.Primary())
+	}
 	if s != r.plan.Step || r.report.StepReached || r.faultsEnded {
 		return
 	}
@@ -232,9 +245,24 @@
 		for _, m := range r.world.Members {
 			m.Lag = longReplicaLag
 		}
+	case PromotedMembersCut:
+		r.membersToCut = promotedMembersCut
 	}
 }
 
+// cutMember cuts a member off from all others and from the daemons, for memberCutTime.
+func (r *takeoverRun) cutMember(m *model.PlatformMember) {
+	l := r.world.OtherNodes(m.Node)
+	for _, n := range l {
+		r.world.Cut(m.Node, n)
+	}
+	r.world.After(memberCutTime, func() {
+		for _, n := range l {
+			r.world.Heal(m.Node, n)
+		}
+	})
+}
+
 // restoreStore brings the store back from a copy of a drawn age.
 func (r *takeoverRun) restoreStore() {
 	r.world.RestoreStore(time.Duration(r.plan.Seed*uint64(copyAgeStep)) % maxCopyAge)
--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -123,6 +123,21 @@
 	Entry("while it reaches no member", matrix.TakeoverPlan{Seed: 48, Trigger: matrix.HolderDraining, Step: model.LeaseAcquired, Second: matrix.HolderCutFromMembers, After: 6}),
 )
 
+// Guards against the use of a member that was promoted earlier, after the promotion of another
+// one was requested (case 6 of the review, ONE).
+var _ = DescribeTable("on the users' platform, no write is acknowledged at the first of two members that are promoted and cut off one after the other",
+	func(p matrix.TakeoverPlan) {
+		p.First = matrix.PromotedMembersCut
+		for p.Seed = range uint64(10) {
+			Expect(matrix.RunTakeover(p).Violations).To(BeEmpty(), "seed %d", p.Seed)
+		}
+	},
+	Entry("in place of a draining primary", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested}),
+	Entry("in place of a killed primary", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryKilled, Step: model.PromotionRequested}),
+	Entry("by a holder that is replaced meanwhile", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, Second: matrix.HolderRestarted, After: 6 * time.Second}),
+	Entry("by a holder that ends between them", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, Second: matrix.HolderKilled, After: 2500 * time.Millisecond}),
+)
+
 var _ = DescribeTable("on the users' platform, writes resume within 5 s after a single fault",
 	func(f matrix.TakeoverFault) {
 		for seed := range uint64(5) {
--- a/model/network.go
+++ b/model/network.go
@@ -95,6 +95,12 @@
 	w.cuts[[2]string{b.Name, a.Name}] = true
 }
 
+// Heal ends a cut between two nodes.
+func (w *World) Heal(a, b *Node) {
+	delete(w.cuts, [2]string{a.Name, b.Name})
+	delete(w.cuts, [2]string{b.Name, a.Name})
+}
+
 // EndNetworkFaults ends all cuts and all message faults.
 func (w *World) EndNetworkFaults() {
 	clear(w.cuts)
--- a/model/platform_member.go
+++ b/model/platform_member.go
@@ -40,7 +40,8 @@
 // Log returns the member's log.
 func (m *PlatformMember) Log() Log { return m.log }
 
-// Restart starts a killed member, without its log if empty is set.
+// Restart starts a killed member, without its log if empty is set. A primary comes back as a
+// replica if another member was promoted.
 func (m *PlatformMember) Restart(empty bool) {
 	if m.alive {
 		return
@@ -49,6 +50,9 @@
 	if empty {
 		m.log = nil
 	}
+	if p := m.world.Primary(); m.primary && p != m {
+		m.primary, m.source = false, p
+	}
 	m.pullLog()
 }
 
--- a/model/platform_takeover.go
+++ b/model/platform_takeover.go
@@ -215,30 +215,19 @@
 	done      func()
 }
 
-// replacePrimary records the intent to promote and replaces the primary.
+// replacePrimary replaces the primary.
 func (d *PlatformDaemon) replacePrimary(reason takeover.Reason, done func()) {
+	if !d.group.MayReplace(d.world.now) {
+		done()
+		return
+	}
 	r := &replacement{daemon: d, oldPrimary: d.knownPrimary(), planned: reason == takeover.PrimaryDraining, startedAt: d.world.now}
 	r.done = func() {
 		d.group.Handle(takeover.ReplacementEnded{}, d.world.now)
 		done()
 	}
-	c, ok := d.group.AnnouncePromotion(d.world.now)
-	if !ok {
-		done()
-		return
-	}
 	d.group.Handle(takeover.ReplacementStarted{}, d.world.now)
-	if d.world.Options.NoIntent {
-		r.selectCandidate()
-		return
-	}
-	d.swapRecord(c, func(written bool) {
-		if !written {
-			d.after(actionRetryDelay, r.done)
-			return
-		}
-		r.selectCandidate()
-	})
+	r.selectCandidate()
 }
 
 // selectCandidate polls the members until one may be promoted.
@@ -247,67 +236,106 @@
 	if r.planned {
 		skip = nil
 	}
+	t := d.world.now
 	d.pollMembers(skip, func(l []takeover.MemberStatus) {
 		a, ready := d.group.SelectCandidate(takeover.SelectionInput{
-			Statuses: l, OldPrimary: r.oldPrimary.Name, Planned: r.planned, CatchUpExpired: d.world.now.Sub(r.startedAt) > catchUpTimeout,
+			Statuses: l, RequestedAt: t, OldPrimary: r.oldPrimary.Name, Planned: r.planned, CatchUpExpired: d.world.now.Sub(r.startedAt) > catchUpTimeout,
 			Nearer: func(catalog.Member, catalog.Member) bool { return false },
 		})
 		switch ready {
 		case takeover.CandidateCatchingUp:
 			d.after(promotionPollInterval, r.selectCandidate)
-		case takeover.NoCandidate:
-			d.recordPrimary(3, func() { d.after(actionRetryDelay, r.done) })
-		default:
+		case takeover.NoCandidate, takeover.CandidatePending:
+			d.after(actionRetryDelay, r.done)
+		case takeover.CandidateLeads:
 			d.closeConnections(r.oldPrimary)
-			r.requestPromotion(a, d.world.now)
+			r.finish(a, a.Status)
+		default:
+			r.recordIntent(a, l)
 		}
 	})
 }
 
+// recordIntent records that the promotion of a member may be requested, and requests it.
+func (r *replacement) recordIntent(a takeover.MemberStatus, l []takeover.MemberStatus) {
+	d := r.daemon
+	promote := func() {
+		d.closeConnections(r.oldPrimary)
+		r.requestPromotion(a, d.world.now)
+	}
+	if d.world.Options.NoIntent {
+		promote()
+		return
+	}
+	c, ok := d.group.AnnouncePromotion(takeover.Announcement{Target: a.Member.ID, Statuses: l}, d.world.now)
+	if !ok {
+		d.after(actionRetryDelay, r.done)
+		return
+	}
+	d.swapRecord(c, func(written bool) {
+		if !written {
+			d.after(actionRetryDelay, r.done)
+			return
+		}
+		promote()
+	})
+}
+
 // requestPromotion requests the promotion of a member until the member is
 // primary or promotionTimeout has passed since the given time.
 func (r *replacement) requestPromotion(a takeover.MemberStatus, since time.Time) {
 	d := r.daemon
 	m := d.world.member(a.Member.ID)
-	token, term, ok := d.group.Promotion(d.world.now)
+	token, ok := d.group.Promotion(m.Name, d.world.now)
 	if d.world.Options.NoIntent {
-		token = d.group.RecordPosition().Token()
-		_, ok = d.group.AnnouncePromotion(d.world.now)
-		_, term = d.group.Primary()
+		ok = d.group.MayReplace(d.world.now)
 	}
-	switch {
-	case !ok || d.world.now.Sub(since) > promotionTimeout:
+	if !ok || d.world.now.Sub(since) > promotionTimeout {
 		d.after(actionRetryDelay, r.done)
 		return
-	case d.group.AlreadyPrimary(a):
-		r.finish(a, a.Status)
-		return
 	}
-	d.group.Handle(takeover.PromotionRequested{}, d.world.now)
+	d.group.Handle(takeover.PromotionRequested{Member: m.Name}, d.world.now)
 	d.world.callStoreDirectly(d, func() any { return d.world.handlePromotionRequest(d, m, token) }, true, func(v any, answered bool) {
-		if done, is := v.(bool); answered && is && !done {
+		answer := takeover.NoPromotionAnswer
+		if accepted, is := v.(bool); answered && is {
+			answer = takeover.PromotionRejected
+			if accepted {
+				answer = takeover.PromotionAccepted
+			}
+		}
+		d.group.Handle(takeover.PromotionAnswered{Member: m.Name, Answer: answer}, d.world.now)
+		if answer == takeover.PromotionRejected {
 			d.after(actionRetryDelay, r.done)
 			return
 		}
-		r.awaitPromotion(a, term, since, d.world.now)
+		r.awaitPromotion(a, answer, since, d.world.now)
 	})
 }
 
-// awaitPromotion waits until the member is primary of a term above the given
-// one.
-func (r *replacement) awaitPromotion(a takeover.MemberStatus, term uint64, since, requestedAt time.Time) {
+// awaitPromotion waits until the member leads as was requested, for as long as a promotion
+// may take.
+func (r *replacement) awaitPromotion(a takeover.MemberStatus, answer takeover.PromotionAnswer, since, answeredAt time.Time) {
 	d := r.daemon
 	m := d.world.member(a.Member.ID)
-	if d.world.now.Sub(requestedAt) > promotionTimeout/2 {
+	if d.world.now.Sub(answeredAt) > lease.PromotionEffectTime {
+		if answer == takeover.PromotionAccepted {
+			d.after(actionRetryDelay, r.done)
+			return
+		}
 		r.requestPromotion(a, since)
 		return
 	}
 	d.requestStatus(m, func(s query.Status, ok bool) {
-		if ok && s.Primary && s.Term > term {
+		effective := d.group.LeadsAsRequested(takeover.MemberStatus{Member: a.Member, Status: s})
+		if d.world.Options.NoIntent {
+			_, term := d.group.Primary()
+			effective = s.Primary && s.Term > term
+		}
+		if ok && effective {
 			r.finish(a, s)
 			return
 		}
-		d.after(promotionPollInterval, func() { r.awaitPromotion(a, term, since, requestedAt) })
+		d.after(promotionPollInterval, func() { r.awaitPromotion(a, answer, since, answeredAt) })
 	})
 }
 
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -68,19 +68,36 @@
 // from the other members, until the returned function is called.
 func (s *Site) CutReplica(i, n int) (restore func()) {
 	m := s.replica(i, n)
-	listed := s.cutFromStore(m)
-	g := m.group
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	listed, reached := s.cutFromStore(m), m.cutFromDaemons()
+	return func() {
+		reached()
+		listed()
+	}
+}
+
+// CutMember partitions a member of group i from the daemons until the returned function is
+// called.
+func (s *Site) CutMember(i int, id string) (restore func()) {
+	for _, m := range s.groups[i].members {
+		if m.id == id {
+			return m.cutFromDaemons()
+		}
+	}
+	return func() {}
+}
+
+// cutFromDaemons lets no daemon reach a member until the returned function is called.
+func (m *member) cutFromDaemons() (restore func()) {
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
 	m.unreachable = true
 	for c := range m.conns {
 		_ = c.Close()
 	}
 	return func() {
-		g.mu.Lock()
+		m.group.mu.Lock()
+		defer m.group.mu.Unlock()
 		m.unreachable = false
-		g.mu.Unlock()
-		listed()
 	}
 }
 
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -29,6 +29,8 @@
 	// Advertise returns the address at which daemons reach a member that listens at the
 	// given one; nil if they connect to that.
 	Advertise func(member, address string) (string, error)
+	// OnPromotion is called with the member of each promotion that is accepted; it may be nil.
+	OnPromotion func(member string)
 	// AnyBytes lets the texts of clients and members be other than UTF-8.
 	AnyBytes bool
 }
@@ -260,6 +262,12 @@
 	if m.down {
 		return http.StatusConflict
 	}
+	if s.config.OnPromotion != nil {
+		s.tasks.Go(func() error {
+			s.config.OnPromotion(m.id)
+			return nil
+		})
+	}
 	if !m.primary {
 		time.AfterFunc(s.config.PromotionTime, func() {
 			g.mu.Lock()
--- a/takeover/change.go
+++ b/takeover/change.go
@@ -26,6 +26,9 @@
 	if r.Term != g.term {
 		r.LogEnd = logpos.Position{}
 	}
+	if g.term > r.Term {
+		r = withoutTargets(r)
+	}
 	r.Primary, r.Term = g.primary, g.term
 	return g.lease.Change(r)
 }
@@ -35,29 +38,21 @@
 	return g.lease.Change(g.lease.TransferRecord(to, now))
 }
 
-// AnnouncePromotion returns the change that announces a promotion, and whether the host
-// may make it.
-func (g *Group) AnnouncePromotion(now time.Time) (lease.Change, bool) {
-	r := g.lease.UpdateRecord(now)
-	r.LogEnd = g.reachedEnd(r)
-	r.Primary, r.Term, r.Target = g.primary, max(g.term, r.Term), targetPending
-	return g.lease.Change(r), g.lease.MayReplacePrimary(now)
-}
-
-// Promotion returns the fencing token of a promotion, the term that the new
-// primary's term must exceed, and whether the host may request the promotion.
-func (g *Group) Promotion(now time.Time) (token, term uint64, ok bool) {
-	r, _ := g.lease.Record()
-	return g.lease.Position().Token(), max(g.term, r.Term), g.lease.MayReplacePrimary(now) && r.Target != ""
-}
-
 // NamePrimary returns the change that names the primary, and whether the host may make
 // it.
 func (g *Group) NamePrimary(now time.Time) (lease.Change, bool) {
 	r := g.lease.UpdateRecord(now)
 	ok := r.Holder.ID == g.self.ID && !g.lease.Restored() && !g.primaryUnusable
 	r.LogEnd = g.reachedEnd(r)
-	r.Primary, r.Term, r.Target = g.primary, g.term, ""
+	r = withoutTargets(r)
+	r.Primary, r.Term = g.primary, g.term
 	r.PrimaryUncertain = r.PrimaryUncertain && !g.primaryDiscovered
 	return g.lease.Change(r), ok
 }
+
+// withoutTargets returns a record that names the primary in which the requested promotions
+// have resulted.
+func withoutTargets(r lease.Record) lease.Record {
+	r.Target, r.TargetTerm, r.EarlierTargets = "", 0, nil
+	return r
+}
--- a/takeover/durability_test.go
+++ b/takeover/durability_test.go
@@ -105,7 +105,7 @@
 		Expect(g.PassesReplies()).To(BeFalse())
 		g.Handle(takeover.ReplacementEnded{}, soon)
 		Expect(g.PassesReplies()).To(BeTrue())
-		g.Handle(takeover.PromotionRequested{}, soon)
+		g.Handle(takeover.PromotionRequested{Member: "b"}, soon)
 		g.Handle(takeover.ReplacementEnded{}, soon)
 		Expect(g.PassesReplies()).To(BeFalse())
 	})
--- a/takeover/select.go
+++ b/takeover/select.go
@@ -1,6 +1,9 @@
 package takeover
 
 import (
+	"slices"
+	"time"
+
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/logpos"
 )
@@ -9,6 +12,8 @@
 type SelectionInput struct {
 	// Statuses holds the status of each polled member.
 	Statuses []MemberStatus
+	// RequestedAt is when the first status was requested.
+	RequestedAt time.Time
 	// OldPrimary is the ID of the primary to replace.
 	OldPrimary string
 	// OldPrimaryGone is set if the store doesn't list the old primary any more, so that it
@@ -40,16 +45,27 @@
 	CandidateUnsafe
 	// CandidateReady means that the selected member may be promoted.
 	CandidateReady
+	// CandidateLeads means that the selected member is the primary already.
+	CandidateLeads
+	// CandidatePending means that no member may be promoted until the promotions that were
+	// requested before have taken effect.
+	CandidatePending
 )
 
 // SelectCandidate returns the member to promote: one that is already primary, or
-// else the replica with the furthest log position.
+// else the replica with the furthest log position. While the promotion of another member
+// may yet take effect, only that may be requested again.
 func (g *Group) SelectCandidate(c SelectionInput) (MemberStatus, SelectionResult) {
 	logs := c
 	logs.Statuses = g.withLogs(c)
-	for _, a := range logs.Statuses {
-		if a.Err == nil && a.Member.ID != c.OldPrimary && g.AlreadyPrimary(a) && !exceeded(a, c.Statuses) {
-			return a, CandidateReady
+	if a, ok := g.selectLeader(logs.Statuses, c); ok {
+		return a, CandidateLeads
+	}
+	if !g.promotionsSettled(c.RequestedAt) {
+		t := g.promotions.target
+		logs.Statuses = slices.DeleteFunc(slices.Clone(logs.Statuses), func(a MemberStatus) bool { return a.Member.ID != t && a.Member.ID != c.OldPrimary })
+		if !slices.ContainsFunc(logs.Statuses, func(a MemberStatus) bool { return a.Err == nil && a.Member.ID == t }) {
+			return MemberStatus{}, CandidatePending
 		}
 	}
 	p, caughtUp, ok := selectReplica(logs)
@@ -68,13 +84,29 @@
 	}
 }
 
-// AlreadyPrimary reports whether a member is already primary: after an earlier
-// promotion request, or because the primary has come back under another ID with
-// its log.
-func (g *Group) AlreadyPrimary(a MemberStatus) bool {
+// selectLeader returns the member of the highest term among l that is the primary already:
+// after an earlier promotion request, or because the primary has come back under another
+// ID with its log.
+func (g *Group) selectLeader(l []MemberStatus, c SelectionInput) (MemberStatus, bool) {
+	best := -1
+	for i, a := range l {
+		switch {
+		case a.Err != nil, a.Member.ID == c.OldPrimary, exceeded(a, c.Statuses):
+		case !g.leads(a, c.Statuses, c.RequestedAt) && !g.hasReturned(a):
+		case best < 0 || a.Status.Term > l[best].Status.Term:
+			best = i
+		}
+	}
+	if best < 0 {
+		return MemberStatus{}, false
+	}
+	return l[best], true
+}
+
+// hasReturned reports whether a member is the primary under another ID, with its log.
+func (g *Group) hasReturned(a MemberStatus) bool {
 	s := a.Status
-	same := s.Term == g.term && a.Member.ID != g.primary && !s.Received.Less(g.logEnd) && !g.primaryUnusable
-	return s.Primary && (s.Term > g.term || same)
+	return s.Primary && s.Term == g.term && a.Member.ID != g.primary && !s.Received.Less(g.logEnd) && !g.primaryUnusable
 }
 
 // selectReplica returns the replica with the furthest log position, and whether
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -39,9 +39,6 @@
 	farTakeoverDelay = 300 * time.Millisecond
 )
 
-// targetPending is the Target in the record while a promotion may be requested.
-const targetPending = "pending"
-
 // MemberStatus is a member's status, or the error of the request for it.
 type MemberStatus struct {
 	Member catalog.Member
@@ -95,10 +92,6 @@
 // acknowledged commit.
 type ReplacementBlocked struct{ Block Block }
 
-// PromotionRequested reports that a promotion has been requested. It may take
-// effect at any time from then on.
-type PromotionRequested struct{}
-
 // PrimaryConfirmed reports that the member selected for promotion is primary.
 type PrimaryConfirmed struct {
 	Member string
@@ -119,7 +112,6 @@
 func (ReplacementEnded) event()   {}
 func (WorkEnded) event()          {}
 func (ReplacementBlocked) event() {}
-func (PromotionRequested) event() {}
 func (PrimaryConfirmed) event()   {}
 
 // Group is one host's state of a database group. It is not safe for concurrent
@@ -155,6 +147,8 @@
 	shownEnd logpos.Position
 	// durability is what this host knows of the acknowledged commits.
 	durability durability
+	// promotions are those that this host has requested as the holder.
+	promotions promotions
 	// failedProbes counts the fresh connections to the primary that failed in a
 	// row.
 	failedProbes int
@@ -207,7 +201,11 @@
 		g.durability.block, g.durability.blockedAt = e.Block, now
 	case PromotionRequested:
 		g.primaryUnusable = true
+		g.promotions.request(e.Member, now)
+	case PromotionAnswered:
+		g.promotions.answer(e.Answer, now)
 	case PrimaryConfirmed:
+		g.promotions.confirm(e.Member)
 		g.setPrimary(e.Member, e.Status.Term)
 		g.logDoubted, g.shownEnd = false, e.Status.Received
 		g.primaryUnusable = e.Status.Received.Offset < e.LogEnd.Offset
@@ -227,7 +225,7 @@
 	rewritten := old.Holder.ID == g.self.ID && r.Era > old.Era && !r.PrimaryUncertain
 	if r.Holder.ID == g.self.ID && r.Epoch != old.Epoch && !rewritten {
 		g.primaryDiscovered, g.logDoubted, g.primaryUnusable, g.failedProbes, g.nearerSince = false, false, false, 0, time.Time{}
-		g.durability = durability{}
+		g.durability, g.promotions = durability{}, promotions{}
 	}
 	if r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
 		g.setPrimary(r.Primary, r.Term)
@@ -238,11 +236,15 @@
 // arrived so far of count members: the primary that the record names confirms that it
 // is, and most members have answered, none of which has received more. A primary that
 // restarted without its log has less than any member that kept its own. The primary's
-// answer alone is enough if this host knows the end of the log.
+// answer alone is enough if this host knows the end of the log, as is that of the member
+// whose promotion was requested last, once it leads.
 func (g *Group) MayDiscover(l []MemberStatus, count int) bool {
 	r, _ := g.lease.Record()
-	if r.Target != "" || r.PrimaryUncertain {
+	switch {
+	case r.PrimaryUncertain:
 		return false
+	case r.Target != "":
+		return slices.ContainsFunc(l, g.LeadsAsRequested)
 	}
 	i := slices.IndexFunc(l, func(a MemberStatus) bool { return a.Member.ID == r.Primary })
 	if i < 0 || l[i].Err != nil || !l[i].Status.Primary || l[i].Status.Term != r.Term {
@@ -303,7 +305,7 @@
 		return
 	case r.PrimaryUncertain && ok && slices.ContainsFunc(l, func(a MemberStatus) bool { return a.Status.Term > best.Status.Term }):
 		g.primaryUnusable = true
-	case ok && (r.Target == "" || best.Status.Term > r.Term):
+	case ok && (r.Target == "" || r.PrimaryUncertain || g.leads(best, l, e.RequestedAt)):
 		g.setPrimary(best.Member.ID, best.Status.Term)
 		g.shownEnd = logpos.Max(g.shownEnd, best.Status.Received)
 		g.primaryUnusable = g.primaryUnusable || lost || g.hasLostLog(best.Status)
@@ -330,6 +332,7 @@
 	r, ok := g.lease.Record()
 	if g.term > r.Term {
 		r.Primary, r.Term, r.LogEnd = g.primary, g.term, logpos.Position{}
+		r = withoutTargets(r)
 	}
 	return r, ok
 }
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -203,7 +203,8 @@
 		Entry("the primary in the record, if only a member in an older term reports itself primary", lease.Record{Primary: "q", Term: 2}, []takeover.MemberStatus{primary("p", 1, 5), unreachable("q")}, "q", true),
 		Entry("unknown, if no member is primary", lease.Record{}, []takeover.MemberStatus{replica("q", 5, false)}, "", true),
 		Entry("unusable, if a promotion was requested", lease.Record{Primary: "p", Term: 1, Target: "x"}, []takeover.MemberStatus{primary("p", 1, 5)}, "p", false),
-		Entry("the promoted member, if the promotion took effect", lease.Record{Primary: "p", Term: 1, Target: "x"}, []takeover.MemberStatus{primary("q", 2, 5)}, "q", true),
+		Entry("the promoted member, if the promotion took effect", lease.Record{Primary: "p", Term: 1, Target: "q", TargetTerm: 2}, []takeover.MemberStatus{primary("q", 2, 5)}, "q", true),
+		Entry("unusable, if another member than the one promoted last is primary", lease.Record{Primary: "p", Term: 1, Target: "x", TargetTerm: 2, EarlierTargets: []string{"q"}}, []takeover.MemberStatus{primary("q", 2, 5), unreachable("x")}, "p", false),
 	)
 })
 
@@ -222,7 +223,8 @@
 		Entry("the replica that has the synchronous commits, though it is draining", []takeover.MemberStatus{replica("a", 5, false), replica("b", 7, true)}, 1, false, "b", takeover.CandidateReady),
 		Entry("catching up, while it has reached less than a primary that still replies", []takeover.MemberStatus{primary("p", 1, 9), replica("a", 5, false)}, 0, true, "a", takeover.CandidateCatchingUp),
 		Entry("ready, when it has reached the primary's position", []takeover.MemberStatus{primary("p", 1, 9), replica("a", 9, false)}, 0, true, "a", takeover.CandidateReady),
-		Entry("a member that is already primary", []takeover.MemberStatus{replica("a", 9, false), primary("b", 2, 4)}, 0, false, "b", takeover.CandidateReady),
+		Entry("a member that is already primary", []takeover.MemberStatus{replica("a", 9, false), primary("b", 2, 4)}, 0, false, "b", takeover.CandidateLeads),
+		Entry("the one of the highest term, if several are already primary", []takeover.MemberStatus{primary("a", 2, 9), primary("b", 3, 4)}, 0, false, "b", takeover.CandidateLeads),
 		Entry("none, without members", nil, 0, false, "", takeover.NoCandidate),
 	)
 })
@@ -230,16 +232,18 @@
 var _ = Describe("a promotion", func() {
 	It("requires the intent in the record and makes the old primary unusable", func() {
 		g := newHolder()
-		_, _, ok := g.Promotion(start)
+		_, ok := g.Promotion("q", start)
 		Expect(ok).To(BeFalse())
-		c, ok := g.AnnouncePromotion(start)
+		c, ok := g.AnnouncePromotion(takeover.Announcement{Target: "q", Statuses: []takeover.MemberStatus{replica("q", 5, false)}}, start)
 		Expect(ok).To(BeTrue())
+		Expect(c.Record.TargetTerm).To(Equal(uint64(2)))
 		observeRecord(g, c.Record, c.Revision+1)
-		token, term, ok := g.Promotion(start)
+		_, ok = g.Promotion("r", start)
+		Expect(ok).To(BeFalse(), "another member's promotion isn't announced")
+		token, ok := g.Promotion("q", start)
 		Expect(ok).To(BeTrue())
 		Expect(token).To(Equal(c.Revision + 1))
-		Expect(term).To(Equal(uint64(1)))
-		g.Handle(takeover.PromotionRequested{}, start)
+		g.Handle(takeover.PromotionRequested{Member: "q"}, start)
 		Expect(g.MaySendWork(start)).To(BeFalse())
 		_, ok = g.NamePrimary(start)
 		Expect(ok).To(BeFalse())
@@ -256,10 +260,10 @@
 		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}}, 1)
 		c := g.Acquire(start)
 		observeRecord(g, c.Record, c.Revision+1)
-		_, ok := g.AnnouncePromotion(start)
+		ok := g.MayReplace(start)
 		Expect(ok).To(BeFalse())
 		g.Handle(takeover.LeaseEvent{Event: lease.ProcessEnded{ProcessID: "a"}}, start)
-		_, ok = g.AnnouncePromotion(start)
+		ok = g.MayReplace(start)
 		Expect(ok).To(BeTrue())
 	})
 })
@@ -277,7 +281,7 @@
 		observe(g, lease.Record{Holder: lease.Holder{ID: "z"}, Primary: "q"}, era(1), later)
 		Expect(g.NextAction(f, later)).To(Equal(takeover.RewriteLease{}))
 		Expect(g.MaySendWork(later)).To(BeTrue())
-		_, ok := g.AnnouncePromotion(later)
+		ok := g.MayReplace(later)
 		Expect(ok).To(BeFalse())
 
 		c := g.Rewrite(later)
@@ -288,7 +292,7 @@
 		observe(g, c.Record, era(2), later)
 		Expect(g.NextAction(f, later)).To(BeNil())
 		Expect(g.MaySendWork(later)).To(BeTrue(), "without another discovery")
-		_, ok = g.AnnouncePromotion(later)
+		ok = g.MayReplace(later)
 		Expect(ok).To(BeFalse())
 
 		settled := later.Add(lease.SettleTime)
@@ -297,7 +301,7 @@
 		c, ok = g.NamePrimary(settled)
 		Expect(ok).To(BeTrue())
 		Expect(c.Record.Settled).To(BeTrue())
-		_, ok = g.AnnouncePromotion(settled)
+		ok = g.MayReplace(settled)
 		Expect(ok).To(BeTrue())
 	})
 
