takeover: a successor waits for the promotion that an ended holder has requested

Cause: a host that takes a group over from an ended holder may replace the primary at once. That the holder can't send anything any more doesn't mean that all has arrived: its call for a promotion may be on its way, and the platform carries it out whenever it comes. Ruled out: a token that falls (tokens are positions of the record, which rise), and a holder that still runs.

Change: what a holder has requested binds its successor. While the record names a target, the successor asks that member whether it leads, and uses it as soon as it does. It requests no promotion before the call must have arrived (6 s after no earlier holder can act) and taken effect (2 s). If the promotion is known to have had an effect, but a call may still be carried out, the record says so (calls-pending) until it can't any more. The same holds for a holder's own calls that got no answer: another member's promotion is requested later than those can be carried out, and all calls for one member have the same token. Requests are refused at once as long as they can't be served.

Why this works: no call with a higher token is sent while one with a lower token may be on its way, whoever sent it.

--- a/fleet/group.go
+++ b/fleet/group.go
@@ -146,6 +146,8 @@
 		return f.transferGroupLease
 	case takeover.PollPreviousHolders:
 		return f.pingPreviousHolders
+	case takeover.AwaitPromotion:
+		return func(x context.Context, g *group) { f.awaitInheritedPromotion(x, g, a.Member) }
 	case takeover.RecordPrimary:
 		return f.recordPrimary
 	case takeover.RecordMembers:
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -35,6 +35,9 @@
 	// promotionTimeout.
 	promoteCallTimeout = time.Second
 	promotionTimeout   = 4 * time.Second
+	// inheritedPollTime is how long a member is polled whose promotion an earlier holder
+	// has requested, before the previous holders are polled in turn.
+	inheritedPollTime = 400 * time.Millisecond
 	// statusPollInterval is how often a condition at a member is checked.
 	statusPollInterval = 30 * time.Millisecond
 	// maxDemoteAttempts and demoteRetryDelay bound the attempts to reach a
@@ -238,7 +241,7 @@
 		if !ok || answer == takeover.PromotionRejected {
 			return false
 		}
-		if s, ok := f.awaitPromotion(x, g, a.Member); ok {
+		if s, ok := f.awaitPromotion(x, g, a.Member, lease.PromotionEffectTime); ok {
 			return f.acceptPrimary(g, a.MemberStatus, s)
 		}
 		if answer == takeover.PromotionAccepted {
@@ -254,7 +257,7 @@
 	f.mu.Lock()
 	token, ok := g.Promotion(m.ID, now())
 	if ok {
-		g.Handle(takeover.PromotionRequested{Member: m.ID}, now())
+		g.Handle(takeover.PromotionRequested{Member: m.ID, Token: token}, now())
 	}
 	f.mu.Unlock()
 	if !ok {
@@ -278,10 +281,30 @@
 	return answer, true
 }
 
-// awaitPromotion waits until a member leads as was requested, for as long as a promotion may
-// take.
-func (f *Daemon) awaitPromotion(x context.Context, g *group, m catalog.Member) (query.Status, bool) {
-	x, stop := context.WithTimeout(x, lease.PromotionEffectTime)
+// awaitInheritedPromotion asks a member, whose promotion an earlier holder has requested,
+// whether it leads, and then finds out about the primary.
+func (f *Daemon) awaitInheritedPromotion(x context.Context, g *group, member string) {
+	f.mu.Lock()
+	m, ok := f.table.Member(member)
+	f.mu.Unlock()
+	if !ok {
+		sleep(x, inheritedPollTime)
+		return
+	}
+	s, ok := f.awaitPromotion(x, g, m, inheritedPollTime)
+	if !ok {
+		return
+	}
+	f.config.Log.Info("promotion by an earlier holder has taken effect", "group", g.name, "member", member, "term", s.Term, "position", s.Received.String())
+	f.mu.Lock()
+	g.Handle(takeover.PromotionEffective{}, now())
+	f.mu.Unlock()
+	f.discoverPrimary(x, g)
+}
+
+// awaitPromotion waits until a member leads as was requested.
+func (f *Daemon) awaitPromotion(x context.Context, g *group, m catalog.Member, d time.Duration) (query.Status, bool) {
+	x, stop := context.WithTimeout(x, d)
 	defer stop()
 	for x.Err() == nil {
 		s, err := f.memberStatus(x, m)
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -260,7 +260,7 @@
 	before := g.RecordPosition()
 	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Position: i.Position, Removed: i.Removed, RequestedAt: requested}}, now())
 	if before.Before(i.Position) {
-		f.config.Log.Info("group record updated", "group", g.name, "position", i.Position.String(), "restored", g.RecordRestored(), "holder", r.Holder.ID, "was", was.Holder.ID, "prior", r.PreviousHolders, "primary", r.Primary, "term", r.Term, "target", r.Target, "target-term", r.TargetTerm, "earlier-targets", r.EarlierTargets)
+		f.config.Log.Info("group record updated", "group", g.name, "position", i.Position.String(), "restored", g.RecordRestored(), "holder", r.Holder.ID, "was", was.Holder.ID, "prior", r.PreviousHolders, "primary", r.Primary, "term", r.Term, "target", r.Target, "target-term", r.TargetTerm, "earlier-targets", r.EarlierTargets, "calls-pending", r.CallsPending)
 	}
 }
 
--- a/lease/record.go
+++ b/lease/record.go
@@ -51,6 +51,9 @@
 	// EarlierTargets are the IDs of the other members whose promotion may have been
 	// requested since Term, sorted.
 	EarlierTargets []string `json:"earlier-targets,omitempty"`
+	// CallsPending is set while a call that requested a promotion may yet be carried out,
+	// although Target is empty.
+	CallsPending bool `json:"calls-pending,omitempty"`
 	// Era is the store's era in which the record was written.
 	Era uint64 `json:"era,omitempty"`
 	// Settled is set if no holder of an earlier era can act any more. It isn't
--- a/matrix/takeover.go
+++ b/matrix/takeover.go
@@ -46,6 +46,8 @@
 	// PromotedMembersCut cuts each of the next two members that are promoted off when its
 	// promotion takes effect.
 	PromotedMembersCut TakeoverFault = "promoted-members-cut"
+	// PromotionsLate carries the calls that request promotions out seconds later.
+	PromotionsLate TakeoverFault = "promotions-late"
 )
 
 // TakeoverFaults returns all faults except NoFault.
@@ -54,7 +56,7 @@
 		HolderKilled, HolderRestarted, HolderFrozen, HolderFrozenPastLease, HolderRejectedByStore, HolderCutFromMembers, HolderCutFromAll,
 		HolderInboundCut, HolderOutboundCut, HolderDraining, GroupPrimaryKilled, GroupPrimaryRestartedEmpty, GroupPrimaryFrozen,
 		GroupPrimaryFrozenBriefly, GroupPrimaryCut, GroupPrimaryDraining, MostAdvancedReplicaKilled, StoreDown, StoreSlow, StoreAnswersLost,
-		StoreWritesLate, StoreRestored, StoreRestoredTwice, MessagesDelayed, FailureDomainCut, ReplicasLagging, PromotedMembersCut,
+		StoreWritesLate, StoreRestored, StoreRestoredTwice, MessagesDelayed, FailureDomainCut, ReplicasLagging, PromotedMembersCut, PromotionsLate,
 	}
 }
 
@@ -82,7 +84,7 @@
 	copyAgeStep = 370 * time.Millisecond
 	// restoreInterval is the time between the two restorations of StoreRestoredTwice.
 	restoreInterval = 2 * time.Second
-	// lateWritesTime is the duration of StoreWritesLate.
+	// lateWritesTime is the duration of StoreWritesLate and of PromotionsLate.
 	lateWritesTime = 4 * time.Second
 	// promotedMembersCut is the number of members that PromotedMembersCut cuts off, and
 	// memberCutTime for how long.
@@ -247,6 +249,9 @@
 		}
 	case PromotedMembersCut:
 		r.membersToCut = promotedMembersCut
+	case PromotionsLate:
+		r.world.LatePromotions = true
+		r.world.After(lateWritesTime, func() { r.world.LatePromotions = false })
 	}
 }
 
@@ -349,6 +354,7 @@
 	r.world.EndNetworkFaults()
 	r.world.Platform.ExtraDelay, r.world.Platform.LoseAnswers, r.world.Platform.LateWrites = 0, false, false
 	r.world.Platform.Restart()
+	r.world.LatePromotions = false
 	clear(r.world.RejectedByStore)
 	for _, m := range r.world.Members {
 		m.Lag, m.Draining = 0, false
--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -138,6 +138,23 @@
 	Entry("by a holder that ends between them", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, Second: matrix.HolderKilled, After: 2500 * time.Millisecond}),
 )
 
+// Guards against a promotion that is requested while the call of an earlier holder, which has
+// ended, is still on its way (case 7 of the review, ONE).
+var _ = DescribeTable("on the users' platform, no promotion overtakes one that is carried out late",
+	func(p matrix.TakeoverPlan) {
+		p.Step, p.First = model.IntentRecorded, matrix.PromotionsLate
+		for p.Seed = range uint64(20) {
+			Expect(matrix.RunTakeover(p).Violations).To(BeEmpty(), "seed %d", p.Seed)
+		}
+	},
+	Entry("by a holder that goes on", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining}),
+	Entry("by a holder that ends", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Second: matrix.HolderKilled, After: 100 * time.Millisecond}),
+	Entry("by a holder that starts again", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Second: matrix.HolderRestarted, After: 100 * time.Millisecond}),
+	Entry("by a holder that starts again after the loss of the primary", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryKilled, Second: matrix.HolderRestarted, After: 100 * time.Millisecond}),
+	Entry("by a holder that drains", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Second: matrix.HolderDraining, After: 100 * time.Millisecond}),
+	Entry("by a holder that is cut off", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Second: matrix.HolderCutFromAll, After: 100 * time.Millisecond}),
+)
+
 var _ = DescribeTable("on the users' platform, writes resume within 5 s after a single fault",
 	func(f matrix.TakeoverFault) {
 		for seed := range uint64(5) {
--- a/model/platform.go
+++ b/model/platform.go
@@ -53,6 +53,11 @@
 	maxWriteLateness = 6 * time.Second
 )
 
+// lateness draws how much later than its arrival a call is carried out.
+func (w *World) lateness(most time.Duration) time.Duration {
+	return minWriteLateness + time.Duration(w.random.Float64()*float64(most-minWriteLateness))
+}
+
 // startRequest runs handle at the service. Only writes are subject to LoseAnswers and
 // LateWrites.
 func (p *Platform) startRequest(from *Node, handle func() any, write bool, done func(any, bool)) {
@@ -60,8 +65,7 @@
 		from: from, to: p.Node, purpose: "platform", timeout: platformTimeout, done: done,
 		handle: func(answer func(any)) {
 			if write && p.LateWrites {
-				d := minWriteLateness + time.Duration(p.world.random.Float64()*float64(maxWriteLateness-minWriteLateness))
-				p.after(d, func() { handle() })
+				p.after(p.world.lateness(maxWriteLateness), func() { handle() })
 				return
 			}
 			p.after(p.ExtraDelay/2, func() {
--- a/model/platform_takeover.go
+++ b/model/platform_takeover.go
@@ -42,6 +42,8 @@
 		d.swapRecord(c, func(bool) { done() })
 	case takeover.PollPreviousHolders:
 		d.pollPreviousHolders(done)
+	case takeover.AwaitPromotion:
+		d.awaitInheritedPromotion(a.Member, done)
 	case takeover.RecordPrimary:
 		d.recordPrimary(1, done)
 	case takeover.ProbePrimary:
@@ -294,8 +296,8 @@
 		d.after(actionRetryDelay, r.done)
 		return
 	}
-	d.group.Handle(takeover.PromotionRequested{Member: m.Name}, d.world.now)
-	d.world.callStoreDirectly(d, func() any { return d.world.handlePromotionRequest(d, m, token) }, true, func(v any, answered bool) {
+	d.group.Handle(takeover.PromotionRequested{Member: m.Name, Token: token}, d.world.now)
+	d.world.callPromotionService(d, func() any { return d.world.handlePromotionRequest(d, m, token) }, func(v any, answered bool) {
 		answer := takeover.NoPromotionAnswer
 		if accepted, is := v.(bool); answered && is {
 			answer = takeover.PromotionRejected
@@ -312,6 +314,20 @@
 	})
 }
 
+// awaitInheritedPromotion asks a member, whose promotion an earlier holder has requested,
+// whether it leads, and then finds out about the primary.
+func (d *PlatformDaemon) awaitInheritedPromotion(member string, done func()) {
+	m := d.world.member(member)
+	d.requestStatus(m, func(s query.Status, ok bool) {
+		if !ok || !d.group.LeadsAsRequested(takeover.MemberStatus{Member: m.catalogMember(), Status: s}) {
+			d.after(promotionPollInterval, done)
+			return
+		}
+		d.group.Handle(takeover.PromotionEffective{}, d.world.now)
+		d.discoverPrimary(done)
+	})
+}
+
 // awaitPromotion waits until the member leads as was requested, for as long as a promotion
 // may take.
 func (r *replacement) awaitPromotion(a takeover.MemberStatus, answer takeover.PromotionAnswer, since, answeredAt time.Time) {
--- a/model/platform_world.go
+++ b/model/platform_world.go
@@ -55,6 +55,9 @@
 	Trace func(string)
 	// RejectedByStore are the daemons whose requests the store rejects.
 	RejectedByStore map[*PlatformDaemon]bool
+	// LatePromotions carries each call that requests a promotion out seconds later, without an
+	// answer.
+	LatePromotions bool
 	// AcknowledgedWrites counts the acknowledged writes.
 	AcknowledgedWrites int
 	// AnsweredReads counts the answered reads.
@@ -200,6 +203,20 @@
 	w.Platform.startRequest(d.Node, handle, write, done)
 }
 
+// callPromotionService sends a daemon's call that requests a promotion.
+func (w *PlatformWorld) callPromotionService(d *PlatformDaemon, handle func() any, done func(any, bool)) {
+	if w.LatePromotions {
+		late := w.lateness(lease.PromotionCallTime)
+		w.callStoreDirectly(d, func() any {
+			w.After(late, func() { handle() })
+			return nil
+		}, true, func(any, bool) {})
+		d.after(callTimeout, func() { done(nil, false) })
+		return
+	}
+	w.callStoreDirectly(d, handle, true, done)
+}
+
 func (w *PlatformWorld) readRecord() any {
 	return w.currentRecord()
 }
--- a/standin/site/replace_test.go
+++ b/standin/site/replace_test.go
@@ -49,3 +49,28 @@
 	Expect(promoted).To(HaveLen(2))
 	Expect(o.Served).To(BeNumerically(">", 500))
 })
+
+// Guards against a promotion that is requested while the call of an earlier holder, which has
+// ended, is still on its way (case 7 of the review, ONE). The call arrives after the process
+// that follows the holder has been ready for a while.
+var _ = It("the successor of a holder that ended while its promotion was on its way requests none before that arrives", func() {
+	const callTime = 4500 * time.Millisecond
+	f := newFleet(site.Config{Groups: 1, Lag: 15 * time.Millisecond, StatementTime: time.Millisecond, PromotionTime: 300 * time.Millisecond}, 5)
+	var w sync.WaitGroup
+	w.Add(1)
+	f.site.DelayPromotion(callTime, func(host string) {
+		w.Go(func() {
+			defer GinkgoRecover()
+			defer w.Done()
+			d := f.daemon(host)
+			d.stop()
+			Eventually(d.done, 10*time.Second).Should(BeClosed())
+			f.restart(d)
+		})
+	})
+	time.AfterFunc(500*time.Millisecond, func() { f.site.DrainPrimary(0) })
+	o := f.runLoad(25, 12*time.Second)
+	w.Wait()
+	Expect(f.site.Promotions(0)).To(Equal(1))
+	Expect(o.Served).To(BeNumerically(">", 500))
+})
--- a/standin/site/restart_test.go
+++ b/standin/site/restart_test.go
@@ -1,6 +1,7 @@
 package site_test
 
 import (
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -16,6 +17,15 @@
 	f.run(&daemon{done: make(chan error, 1), settings: d.settings})
 }
 
+// daemon returns the first daemon of a host.
+func (f *fleet) daemon(host string) *daemon {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := slices.IndexFunc(f.daemons, func(d *daemon) bool { return d.settings.Host == host })
+	Expect(i).To(BeNumerically(">=", 0))
+	return f.daemons[i]
+}
+
 // stopAll stops all processes, which it returns, and waits for their ends.
 func (f *fleet) stopAll() []*daemon {
 	f.mu.Lock()
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -66,7 +67,9 @@
 	// tokenHolders the lease holder that sent it.
 	fencingTokens map[string]int
 	tokenHolders  map[string]string
-	configVersion int
+	// promotionDelays holds what is to be done with the next calls that request promotions.
+	promotionDelays []promotionDelay
+	configVersion   int
 	// configuration is the encoding of the newest configuration.
 	configuration []byte
 	// keys holds who has held each key, in order.
@@ -237,6 +240,7 @@
 		return
 	}
 	h := r.Header.Get("Dragonflypick-Duty-Holder")
+	s.delayPromotion(h)
 	s.mu.Lock()
 	if token < s.fencingTokens[b.Service] || token == s.fencingTokens[b.Service] && h != s.tokenHolders[b.Service] {
 		s.violations = append(s.violations, fmt.Sprintf("ONE: %s requested a promotion with token %d after token %d of %s", h, token, s.fencingTokens[b.Service], s.tokenHolders[b.Service]))
@@ -254,6 +258,36 @@
 	w.WriteHeader(http.StatusConflict)
 }
 
+// promotionDelay is how long a call is on its way, and what happens meanwhile.
+type promotionDelay struct {
+	time time.Duration
+	held func(host string)
+}
+
+// DelayPromotion makes the next call that requests a promotion arrive later by d. held is
+// called with the name of the host that has sent it.
+func (s *Site) DelayPromotion(d time.Duration, held func(host string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.promotionDelays = append(s.promotionDelays, promotionDelay{time: d, held: held})
+}
+
+// delayPromotion waits until a call from a holder arrives.
+func (s *Site) delayPromotion(holder string) {
+	s.mu.Lock()
+	l := s.promotionDelays
+	if len(l) > 0 {
+		s.promotionDelays = l[1:]
+	}
+	s.mu.Unlock()
+	if len(l) == 0 {
+		return
+	}
+	host, _, _ := strings.Cut(holder, ".")
+	l[0].held(host)
+	time.Sleep(l[0].time)
+}
+
 // startPromotion starts a promotion and returns the HTTP status of the answer.
 func (s *Site) startPromotion(m *member) int {
 	g := m.group
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -73,6 +73,10 @@
 // processes have ended.
 type PollPreviousHolders struct{}
 
+// AwaitPromotion asks a member, whose promotion an earlier holder has requested, whether it
+// is primary.
+type AwaitPromotion struct{ Member string }
+
 // RecordPrimary writes the primary and its term into the group's record, from
 // which the next holder reads them.
 type RecordPrimary struct{}
@@ -104,6 +108,7 @@
 func (DiscoverPrimary) action()     {}
 func (TransferLease) action()       {}
 func (PollPreviousHolders) action() {}
+func (AwaitPromotion) action()      {}
 func (RecordPrimary) action()       {}
 func (RecordMembers) action()       {}
 func (ProbePrimary) action()        {}
@@ -148,6 +153,8 @@
 
 // holderAction returns the action that the holder must take now, or nil.
 func (g *Group) holderAction(f HostState, now time.Time) Action {
+	r, _ := g.lease.Record()
+	shared := len(g.lease.UnfinishedHolders(now)) > 0
 	switch {
 	case !g.lease.Holds(now):
 		return nil
@@ -159,7 +166,11 @@
 		return RecordPrimary{}
 	case g.membersDue(f.Members):
 		return RecordMembers{}
-	case len(g.lease.UnfinishedHolders(now)) > 0:
+	case g.promotionAwaited(now) && !(shared && g.awaitedLast):
+		g.awaitedLast = true
+		return AwaitPromotion{Member: r.Target}
+	case shared:
+		g.awaitedLast = false
 		return g.waitingAction(f, now)
 	case g.primaryUnusable:
 		return ReplacePrimary{Reason: PrimaryUnusable}
@@ -176,7 +187,7 @@
 		return TransferLease{}
 	case g.dropDue(f.Members, now):
 		return RecordMembers{}
-	case g.logEndUnrecorded():
+	case g.logEndUnrecorded(), r.CallsPending && !g.callsPending(now):
 		return RecordPrimary{}
 	default:
 		return nil
@@ -200,13 +211,18 @@
 }
 
 // BlockedUntil returns until when the holder can't replace a primary that has failed,
-// since a previous holder may still send work to it; zero if the primary hasn't failed, or
-// can be replaced. A request whose deadline is earlier can't be served.
+// since a previous holder may still send work to it, or a call that requested another
+// promotion may yet be carried out; zero if the primary hasn't failed, or can be replaced.
+// A request whose deadline is earlier can't be served.
 func (g *Group) BlockedUntil(primaryListed bool, now time.Time) time.Time {
 	if primaryListed && !g.primaryUnusable && g.failedProbes < MaxFailedProbes {
 		return time.Time{}
 	}
-	return g.lease.UnfinishedUntil(now)
+	t := g.lease.UnfinishedUntil(now)
+	if s, known := g.settledAt(); known && now.Before(s) && !g.promotionExpected(now) {
+		t = latest(t, s)
+	}
+	return t
 }
 
 // primaryUnrecorded reports whether the record lacks the current primary or its
--- a/takeover/change.go
+++ b/takeover/change.go
@@ -29,13 +29,16 @@
 	if g.term > r.Term {
 		r = withoutTargets(r)
 	}
+	r.CallsPending = g.callsPending(now)
 	r.Primary, r.Term = g.primary, g.term
 	return g.lease.Change(r)
 }
 
 // Transfer returns the change that transfers the lease to another process.
 func (g *Group) Transfer(to lease.Holder, now time.Time) lease.Change {
-	return g.lease.Change(g.lease.TransferRecord(to, now))
+	r := g.lease.TransferRecord(to, now)
+	r.CallsPending = g.callsPending(now)
+	return g.lease.Change(r)
 }
 
 // NamePrimary returns the change that names the primary, and whether the host may make
@@ -45,7 +48,7 @@
 	ok := r.Holder.ID == g.self.ID && !g.lease.Restored() && !g.primaryUnusable
 	r.LogEnd = g.reachedEnd(r)
 	r = withoutTargets(r)
-	r.Primary, r.Term = g.primary, g.term
+	r.Primary, r.Term, r.CallsPending = g.primary, g.term, g.callsPending(now)
 	r.PrimaryUncertain = r.PrimaryUncertain && !g.primaryDiscovered
 	return g.lease.Change(r), ok
 }
--- a/takeover/promotion.go
+++ b/takeover/promotion.go
@@ -7,9 +7,12 @@
 	"github.com/dragonflypick/dragonflypick/lease"
 )
 
-// PromotionRequested reports that a promotion is being requested. It may take
-// effect at any time from then on.
-type PromotionRequested struct{ Member string }
+// PromotionRequested reports that a promotion is being requested with a fencing token. It
+// may take effect at any time from then on.
+type PromotionRequested struct {
+	Member string
+	Token  uint64
+}
 
 // PromotionAnswered reports the outcome of the call that PromotionRequested reported.
 type PromotionAnswered struct {
@@ -30,29 +33,40 @@
 	PromotionRejected
 )
 
+// PromotionEffective reports that the promotion which an earlier holder has requested has
+// taken effect.
+type PromotionEffective struct{}
+
 func (PromotionRequested) event() {}
 func (PromotionAnswered) event()  {}
+func (PromotionEffective) event() {}
 
 // promotions is what a holder knows of the promotions that it has requested.
 type promotions struct {
+	// inherited is set if an earlier holder may have requested promotions, with calls that
+	// may have got no answer.
+	inherited bool
 	// target is the member whose promotion it has requested last; empty if it has
-	// requested none since it knows the present primary.
+	// requested none since it knows the present primary. token is the fencing token of the
+	// calls for it, so that none overtakes an earlier one with a higher token.
 	target string
+	token  uint64
 	// calls counts the calls for target, and possible is set if one of them may have been
 	// carried out.
 	calls    int
 	possible bool
-	// sentAt is when the call was sent that hasn't ended yet; zero if there is none.
-	sentAt time.Time
+	// requestedAt is when the first call for target was sent, and sentAt when the one was
+	// sent that hasn't ended yet; zero if there is none.
+	requestedAt, sentAt time.Time
 	// callsUntil is until when a call that got no answer may be carried out, and
 	// effectUntil until when a promotion may take effect.
 	callsUntil, effectUntil time.Time
 }
 
 // request takes note that a promotion is being requested.
-func (p *promotions) request(member string, now time.Time) {
+func (p *promotions) request(member string, token uint64, now time.Time) {
 	if p.target != member {
-		p.target, p.calls, p.possible = member, 0, false
+		p.target, p.token, p.requestedAt, p.calls, p.possible = member, token, now, 0, false
 	}
 	p.calls++
 	p.sentAt = now
@@ -77,7 +91,7 @@
 	if member == p.target && p.calls == 1 && p.callsUntil.IsZero() && p.sentAt.IsZero() {
 		p.effectUntil = time.Time{}
 	}
-	p.target, p.calls, p.possible = "", 0, false
+	p.target, p.token, p.calls, p.possible = "", 0, 0, false
 }
 
 // rejected reports whether no call for target can have any effect.
@@ -98,9 +112,29 @@
 	if !p.sentAt.IsZero() {
 		t = latest(t, p.sentAt.Add(lease.PromotionCallTime+lease.PromotionEffectTime))
 	}
+	if p.inherited {
+		s := g.durability.soleSince
+		return latest(t, s.Add(lease.PromotionCallTime+lease.PromotionEffectTime)), !s.IsZero()
+	}
 	return t, true
 }
 
+// callsPending reports whether a call that requested a promotion, of this holder or an
+// earlier one, may yet be carried out.
+func (g *Group) callsPending(now time.Time) bool {
+	p, s := &g.promotions, g.durability.soleSince
+	inherited := p.inherited && (s.IsZero() || now.Before(s.Add(lease.PromotionCallTime)))
+	return inherited || !p.sentAt.IsZero() || now.Before(p.callsUntil)
+}
+
+// promotionAwaited reports whether the promotion that an earlier holder has requested last
+// may yet take effect. Its call may still be on its way, so that none is sent that has a
+// higher token.
+func (g *Group) promotionAwaited(now time.Time) bool {
+	r, _ := g.lease.Record()
+	return g.promotions.inherited && g.promotions.target == "" && r.Target != "" && g.primaryUnusable && !g.promotionsSettled(now)
+}
+
 // promotionsSettled reports whether a status that was requested at t shows the effect of all
 // promotions that were requested before.
 func (g *Group) promotionsSettled(t time.Time) bool {
@@ -108,6 +142,16 @@
 	return known && !t.Before(s)
 }
 
+// promotionExpected reports whether a member whose promotion was requested should lead soon.
+func (g *Group) promotionExpected(now time.Time) bool {
+	all, _ := g.pendingTargets()
+	since := g.durability.soleSince
+	if g.promotions.target != "" {
+		since = g.promotions.requestedAt
+	}
+	return len(all) > 0 && now.Sub(since) <= lease.PromotionEffectTime
+}
+
 // pendingTargets returns the members whose promotion may have been requested since the
 // recorded term, and the last of them; empty if there is none.
 func (g *Group) pendingTargets() (all []string, last string) {
@@ -190,7 +234,7 @@
 	r.EarlierTargets = slices.DeleteFunc(all, func(id string) bool { return id == a.Target })
 	slices.Sort(r.EarlierTargets)
 	r.EarlierTargets = slices.Compact(r.EarlierTargets)
-	r.Target = a.Target
+	r.Target, r.CallsPending = a.Target, g.callsPending(now)
 	return g.lease.Change(r), g.MayRequestPromotion(a.Target, now)
 }
 
@@ -213,5 +257,9 @@
 // Promotion returns the fencing token of a member's promotion, and whether the host may
 // request it.
 func (g *Group) Promotion(member string, now time.Time) (token uint64, ok bool) {
-	return g.lease.Position().Token(), g.Announced(member) && g.MayRequestPromotion(member, now)
+	token = g.lease.Position().Token()
+	if p := &g.promotions; member == p.target {
+		token = p.token
+	}
+	return token, g.Announced(member) && g.MayRequestPromotion(member, now)
 }
--- a/takeover/promotion_test.go
+++ b/takeover/promotion_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
+	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -149,3 +150,98 @@
 		Expect(g.LeadsAsRequested(primary("a", 3, 5))).To(BeTrue())
 	})
 })
+
+// Guards against a promotion that is requested while the call of an earlier holder, which has
+// ended, is still on its way (case 7 of the review, ONE).
+var _ = Describe("the successor of a holder that ended after it had announced a promotion", func() {
+	var g *takeover.Group
+	f := healthyState()
+	f.PrimaryDraining = true
+	arrived := start.Add(lease.PromotionCallTime)
+	settled := arrived.Add(lease.PromotionEffectTime)
+
+	// hold makes g the holder by a record of the host h, which has ended.
+	hold := func(r lease.Record) {
+		r.Holder, r.Primary, r.Term, r.LogEnd = lease.Holder{ID: "h"}, "p", max(r.Term, 1), logpos.Position{Term: 1, Offset: 5}
+		g = takeover.New(lease.Holder{ID: "a"})
+		observeRecord(g, r, 1)
+		c := g.Acquire(start)
+		observeRecord(g, c.Record, 2)
+		g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("p", 1, 5), replica("a", 5, false), replica("b", 5, false)}, RequestedAt: start}, start)
+		g.Handle(takeover.LeaseEvent{Event: lease.ProcessEnded{ProcessID: "h"}}, start)
+	}
+
+	It("requests none until the other holder's call must have arrived and taken effect", func() {
+		hold(lease.Record{Target: "a", TargetTerm: 2})
+		Expect(g.MayReplace(start)).To(BeTrue())
+		for _, id := range []string{"a", "b"} {
+			Expect(g.MayRequestPromotion(id, settled.Add(-1))).To(BeFalse())
+			Expect(g.MayRequestPromotion(id, settled)).To(BeTrue())
+		}
+		Expect(g.NextAction(f, start)).To(Equal(takeover.AwaitPromotion{Member: "a"}))
+		Expect(g.BlockedUntil(true, start.Add(time.Second))).To(BeZero(), "the member may lead at any time")
+		Expect(g.BlockedUntil(true, start.Add(lease.PromotionEffectTime+1))).To(Equal(settled))
+		observeRecordAt(g, 2, settled)
+		Expect(g.NextAction(f, settled)).To(Equal(takeover.ReplacePrimary{Reason: takeover.PrimaryUnusable}))
+	})
+
+	It("uses the member whose promotion was announced once it leads", func() {
+		hold(lease.Record{Target: "a", TargetTerm: 2})
+		g.Handle(takeover.PromotionEffective{}, start)
+		Expect(g.NextAction(f, start)).To(Equal(takeover.DiscoverPrimary{}))
+		l := []takeover.MemberStatus{primary("a", 2, 5)}
+		Expect(g.MayDiscover(l, 3)).To(BeTrue())
+		g.Handle(takeover.MembersPolled{Statuses: l, RequestedAt: start}, start)
+		Expect(g.MaySendWork(start)).To(BeTrue())
+	})
+
+	It("tells the next holder that the call may yet be carried out, and takes that back in time", func() {
+		hold(lease.Record{Target: "a", TargetTerm: 2})
+		g.Handle(takeover.PromotionEffective{}, start)
+		g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("a", 2, 5)}, RequestedAt: start}, start)
+		c, ok := g.NamePrimary(start)
+		Expect(ok).To(BeTrue())
+		Expect(c.Record.Target).To(BeEmpty())
+		Expect(c.Record.CallsPending).To(BeTrue())
+		observeRecord(g, c.Record, 3)
+		f := healthyState()
+		Expect(g.NextAction(f, start)).To(BeNil())
+		Expect(g.Transfer(lease.Holder{ID: "b"}, start).Record.CallsPending).To(BeTrue())
+		observeRecordAt(g, 3, arrived)
+		f.PrimaryHealth = nil
+		Expect(g.NextAction(f, arrived)).To(Equal(takeover.RecordPrimary{}))
+		c, _ = g.NamePrimary(arrived)
+		Expect(c.Record.CallsPending).To(BeFalse())
+	})
+
+	It("waits also if it is told only that a call may yet be carried out", func() {
+		hold(lease.Record{CallsPending: true})
+		Expect(g.MaySendWork(start)).To(BeTrue())
+		Expect(g.MayRequestPromotion("b", settled.Add(-1))).To(BeFalse())
+		Expect(g.MayRequestPromotion("b", settled)).To(BeTrue())
+	})
+
+	It("asks in turn whether the previous holder has ended, while it may not have", func() {
+		g = takeover.New(lease.Holder{ID: "a"})
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "h"}, Primary: "p", Term: 1, Target: "a", TargetTerm: 2}, 1)
+		observeRecord(g, g.Acquire(start).Record, 2)
+		g.Handle(takeover.MembersPolled{Statuses: []takeover.MemberStatus{primary("p", 1, 5)}, RequestedAt: start}, start)
+		Expect(g.NextAction(f, start)).To(Equal(takeover.AwaitPromotion{Member: "a"}))
+		Expect(g.NextAction(f, start)).To(Equal(takeover.PollPreviousHolders{}))
+		Expect(g.NextAction(f, start)).To(Equal(takeover.AwaitPromotion{Member: "a"}))
+	})
+})
+
+var _ = It("all calls for one member's promotion have the same fencing token", func() {
+	g := newHolder()
+	l := []takeover.MemberStatus{replica("a", 5, false)}
+	Expect(announce(g, "a", l, start)).To(BeTrue())
+	token, _ := g.Promotion("a", start)
+	g.Handle(takeover.PromotionRequested{Member: "a", Token: token}, start)
+	g.Handle(takeover.PromotionAnswered{Member: "a"}, start)
+	r, _ := g.Record()
+	observeRecord(g, r, 9)
+	again, ok := g.Promotion("a", start)
+	Expect(ok).To(BeTrue())
+	Expect(again).To(Equal(token))
+})
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -152,8 +152,9 @@
 	// failedProbes counts the fresh connections to the primary that failed in a
 	// row.
 	failedProbes int
-	// probedLast is set if waitingAction has last returned ProbePrimary.
-	probedLast bool
+	// probedLast is set if waitingAction has last returned ProbePrimary, and awaitedLast if
+	// holderAction has last returned AwaitPromotion.
+	probedLast, awaitedLast bool
 	// nearerSince is since when another host has been nearer to the primary;
 	// zero if none is.
 	nearerSince time.Time
@@ -201,9 +202,11 @@
 		g.durability.block, g.durability.blockedAt = e.Block, now
 	case PromotionRequested:
 		g.primaryUnusable = true
-		g.promotions.request(e.Member, now)
+		g.promotions.request(e.Member, e.Token, now)
 	case PromotionAnswered:
 		g.promotions.answer(e.Answer, now)
+	case PromotionEffective:
+		g.primaryDiscovered, g.primaryUnusable = false, false
 	case PrimaryConfirmed:
 		g.promotions.confirm(e.Member)
 		g.setPrimary(e.Member, e.Status.Term)
@@ -225,7 +228,7 @@
 	rewritten := old.Holder.ID == g.self.ID && r.Era > old.Era && !r.PrimaryUncertain
 	if r.Holder.ID == g.self.ID && r.Epoch != old.Epoch && !rewritten {
 		g.primaryDiscovered, g.logDoubted, g.primaryUnusable, g.failedProbes, g.nearerSince = false, false, false, 0, time.Time{}
-		g.durability, g.promotions = durability{}, promotions{}
+		g.durability, g.promotions = durability{}, promotions{inherited: r.Target != "" || r.CallsPending}
 	}
 	if r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
 		g.setPrimary(r.Primary, r.Term)
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -43,6 +43,13 @@
 	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Position: store.Position{Revision: rev}, RequestedAt: start}}, start)
 }
 
+// observeRecordAt passes the group's present record to it as the store's reply to a request
+// sent at a time.
+func observeRecordAt(g *takeover.Group, rev uint64, at time.Time) {
+	r, _ := g.Record()
+	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: r, Position: store.Position{Revision: rev}, RequestedAt: at}}, at)
+}
+
 // newHolder returns the group of a holder that has discovered its primary p.
 func newHolder() *takeover.Group {
 	g := takeover.New(lease.Holder{ID: "a"})
