drain: a draining primary gets no new work past its bound, whatever else may wait

Cause: nothing bounds the use of a draining primary. Its holder replaces it as soon as it may, and sends it all work until then; each thing that a replacement waits for (an era of the store to settle, a previous holder that may still act, a member that can be promoted) so lasts past the bound. Ruled out: a late notice (the holder logs "member updated, draining" within the report's second).

Change: package drain holds since when a member can have been draining, and when new work ends: a second before what the settings allow (bounds.drain_ms). The start is the latest time at which this daemon's copy of the store was known not to have the report, at most 4 s ago. The check is made when a request arrives and right before each send, at the primary and at replicas, also after the session was set up. Requests that can't be served are refused at once, as not run, with the time at which the primary can be replaced; so are those for a primary that has failed while an era settles. If no member can take its place, the primary serves until the bound, without pauses for attempts in vain, and then refuses. A log line, a metric (dragonflypick_closed_primaries_total) and explain tell it.

Why this works: the bound is looked at where work is sent, and depends on the member's report alone.

--- a/fleet/candidate.go
+++ b/fleet/candidate.go
@@ -75,16 +75,11 @@
 // waits up to catchUpTimeout for a replica to hold the primary's complete log.
 func (f *Daemon) selectPromotionTarget(x context.Context, g *group, old string, planned bool) (selection, bool) {
 	t := time.Now()
-	n, _ := f.syncReplicas(g)
-	c := takeover.SelectionInput{OldPrimary: old, Planned: planned, Nearer: f.nearer, SyncReplicas: n}
-	skip := old
+	c := f.selectionInput(g, old, planned)
+	n, skip := c.SyncReplicas, old
 	if planned {
 		skip = ""
 	}
-	f.mu.Lock()
-	_, listed := f.table.Member(old)
-	c.OldPrimaryGone = !listed || !f.evictAt[old].IsZero()
-	f.mu.Unlock()
 	for {
 		c.RequestedAt = now()
 		c.Statuses, c.CatchUpExpired = f.pollStatus(x, g, skip), time.Since(t) > catchUpTimeout
@@ -106,11 +101,7 @@
 			f.logPending(g, c)
 			return selection{}, false
 		case takeover.CandidateUnsafe, takeover.NoCandidate:
-			if n > 0 {
-				f.blockReplacement(g, b)
-			} else {
-				f.config.Log.Warn("no member can be promoted", "group", g.name, "primary", old, "candidate", b.Candidate, "position", b.Position.String(), "needed", b.Needed.String())
-			}
+			f.giveUpReplacement(g, b, replacementTry{syncReplicas: n, planned: planned, statuses: c.Statuses})
 			return selection{}, false
 		}
 		if !sleep(x, statusPollInterval) {
@@ -119,6 +110,60 @@
 	}
 }
 
+// selectionInput returns the input of a selection but for the statuses.
+func (f *Daemon) selectionInput(g *group, old string, planned bool) takeover.SelectionInput {
+	n, _ := f.syncReplicas(g)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, listed := f.table.Member(old)
+	return takeover.SelectionInput{OldPrimary: old, OldPrimaryGone: !listed || !f.evictAt[old].IsZero(), Planned: planned, Nearer: f.nearer, SyncReplicas: n}
+}
+
+// hasCandidate reports whether a draining primary can be replaced, so that its work isn't held
+// back in vain.
+func (f *Daemon) hasCandidate(x context.Context, g *group, old string) bool {
+	c := f.selectionInput(g, old, true)
+	c.RequestedAt = now()
+	c.Statuses = f.pollStatus(x, g, "")
+	f.mu.Lock()
+	_, r := g.SelectCandidate(c)
+	b := g.DescribeBlock(c)
+	f.mu.Unlock()
+	switch r {
+	case takeover.CandidatePending:
+		f.logPending(g, c)
+		return false
+	case takeover.CandidateUnsafe, takeover.NoCandidate:
+		f.giveUpReplacement(g, b, replacementTry{syncReplicas: c.SyncReplicas, planned: true, statuses: c.Statuses})
+		return false
+	default:
+		return true
+	}
+}
+
+// replacementTry is an attempt to replace a primary for which no member was found.
+type replacementTry struct {
+	syncReplicas int
+	planned      bool
+	statuses     []takeover.MemberStatus
+}
+
+// giveUpReplacement takes note that no member can be promoted now. Requests are refused at once
+// if the primary can't serve them either: it has failed and no member is sure to have all
+// commits, or it has been draining for too long.
+func (f *Daemon) giveUpReplacement(g *group, b takeover.Block, a replacementTry) {
+	f.mu.Lock()
+	id, _ := g.Primary()
+	open := f.drains.MayStart(id, now())
+	f.mu.Unlock()
+	switch {
+	case a.planned && open, !a.planned && a.syncReplicas == 0:
+	default:
+		f.blockReplacement(g, b)
+	}
+	f.config.Log.Warn("no member can be promoted", "group", g.name, "primary", id, "planned", a.planned, "open", open, "candidate", b.Candidate, "position", b.Position.String(), "needed", b.Needed.String(), "statuses", describeStatuses(a.statuses))
+}
+
 // logPending logs that no member is promoted, since promotions that were requested before
 // may yet take effect.
 func (f *Daemon) logPending(g *group, c takeover.SelectionInput) {
--- a/fleet/durability.go
+++ b/fleet/durability.go
@@ -13,8 +13,8 @@
 // not be replaced without the loss of an acknowledged commit.
 const blockedRetryDelay = 500 * time.Millisecond
 
-// blockedReplacementRetryAfter is the retry-after interval of a request whose primary has
-// failed and can't be replaced without the loss of an acknowledged commit.
+// blockedReplacementRetryAfter is the retry-after interval of a request whose primary can't be
+// used, and not be replaced either.
 const blockedReplacementRetryAfter = time.Second
 
 // listedMembers returns the members of a group that the store lists; f.mu is held.
@@ -54,12 +54,12 @@
 	g.Handle(takeover.ReplacementBlocked{Block: b}, now())
 	f.mu.Unlock()
 	f.metrics.blockedReplacements.WithLabelValues(g.name).Inc()
-	f.config.Log.Warn("primary not replaced: an acknowledged commit may be lost", "group", g.name, "primary", id, "term", term,
+	f.config.Log.Warn("primary not replaced: an acknowledged commit may be lost, or no member takes new work", "group", g.name, "primary", id, "term", term,
 		"candidate", b.Candidate, "position", b.Position.String(), "needed", b.Needed.String(), "missing", b.Missing)
 }
 
-// replacementBlocked reports whether a group's primary has failed and can't be replaced
-// without the loss of an acknowledged commit; f.mu is held.
+// replacementBlocked reports whether a group's primary can't be used, and not be replaced
+// either; f.mu is held.
 func (f *Daemon) replacementBlocked(g *group) bool {
 	t := now()
 	_, blocked := g.Blocked(t)
@@ -68,7 +68,7 @@
 
 // blockedReplacementResponse refuses a request whose primary can't be replaced now.
 func blockedReplacementResponse(member string) query.Response {
-	o := query.Response{Reply: query.Refusal(query.Overloaded, "the primary has failed, and no member that answers is sure to have all acknowledged commits"), Member: member}
+	o := query.Response{Reply: query.Refusal(query.Overloaded, "the primary can't be used, and no member that answers takes new work and is sure to have all acknowledged commits"), Member: member}
 	o.Failure.RetryAfter, o.QueueWait = blockedReplacementRetryAfter, blockedReplacementRetryAfter
 	return o
 }
--- a/fleet/explainroute.go
+++ b/fleet/explainroute.go
@@ -32,6 +32,7 @@
 		s.Verdict, s.Reason = explanation.Waits, "no reachable holder of group "+r.Group+" is known"
 		s.Change = "a reachable host holds the group within the database's timeout"
 	case h.ID == f.config.Self.ID && f.explainBlock(r.Group, &s):
+	case h.ID == f.config.Self.ID && f.explainWait(r, &s):
 	case h.ID == f.config.Self.ID && !p.Serving:
 		s.Verdict, s.Reason = explanation.Waits, "the primary is being replaced, or the group's lease is not confirmed"
 		s.RetryAfterMS = max(s.RetryAfterMS, replacementRetryAfter.Milliseconds())
@@ -55,11 +56,31 @@
 	}
 	b, _ := g.Blocked(now())
 	s.Verdict, s.RetryAfterMS = explanation.Refuses, blockedReplacementRetryAfter.Milliseconds()
-	s.Reason = "the primary has failed; the furthest member that answers (" + b.Candidate + " at " + b.Position.String() + ") may lack acknowledged commits, needed is " + b.Needed.String()
+	s.Reason = "the primary has failed, or is to be returned; the furthest member that answers (" + b.Candidate + " at " + b.Position.String() + ") may lack acknowledged commits, needed is " + b.Needed.String()
 	s.Change = "the primary or one of the members " + strings.Join(b.Missing, ", ") + " answers again; or an operator accepts the loss, by a configuration in which the group's commits wait for no replica"
 	return true
 }
 
+// explainWait tells that and why a group's primary can't be used and is replaced too late for a
+// request, if so.
+func (f *Daemon) explainWait(r *query.Request, s *explanation.Step) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g, t := f.group(r.Group), now()
+	d := f.primaryBlockedFor(g)
+	if d <= r.Remaining {
+		return false
+	}
+	why := "has failed"
+	if id, _ := g.Primary(); !f.drains.MayStart(id, t) {
+		why = "is to be returned and gets no new work any more"
+	}
+	s.Verdict, s.RetryAfterMS = explanation.Refuses, (d + replacementRetryAfter).Milliseconds()
+	s.Reason = "the primary " + why + "; it can be replaced in " + d.Round(time.Millisecond).String() + ", when what an earlier holder of the group has sent can't arrive any more"
+	s.Change = "that time has passed, or the earlier holder has ended or released the group"
+	return true
+}
+
 // describeQueue tells what the queue at the primary's owner decides, and by what was last
 // told of it.
 func describeQueue(p *explanation.Report, r *query.Request) string {
@@ -75,7 +96,8 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	g, t := f.group(r.Group), now()
-	o := &explanation.Primary{Serving: g.MaySendWork(t), LevelMS: -1}
+	id, _ := g.Primary()
+	o := &explanation.Primary{Serving: g.MaySendWork(t) && f.drains.MayStart(id, t), LevelMS: -1}
 	if m, ok := f.table.AssumedPrimary(r.Group); ok {
 		o.Member = m.ID
 		o.Report = describeReport(f.peekReport(g, m.ID, r.Rank, t), t)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/dragonflypick/dragonflypick/budget"
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/contain"
+	"github.com/dragonflypick/dragonflypick/drain"
 	"github.com/dragonflypick/dragonflypick/gossip"
 	"github.com/dragonflypick/dragonflypick/membership"
 	"github.com/dragonflypick/dragonflypick/outlier"
@@ -87,6 +88,9 @@
 	Promoter             Promoter
 	Dialer               pool.Dialer
 	Decoder              Decoder
+	// DrainTime is how long a member that is to be returned may get new work, from its report
+	// in the store on; zero for a few seconds.
+	DrainTime time.Duration
 	// LogEvery logs one in this many successful requests; zero logs none. Of the failed
 	// ones maxFailureLines are logged in a second.
 	LogEvery uint64
@@ -132,6 +136,9 @@
 	// applying is held while an update changes copy and its items are applied, so that
 	// the items of two updates take effect in the order in which copy took them.
 	applying sync.Mutex
+	// appliedAfter is the latest time at which the store was known not to have the items that
+	// are being applied; guarded by applying.
+	appliedAfter time.Time
 	// configurationConfirmed is set once confirmation is given.
 	configurationConfirmed atomic.Bool
 	// staleCopyAllowed is set once the store couldn't be read. Before that, a daemon
@@ -196,6 +203,8 @@
 	pinging    map[string]bool
 	// hostRecords holds the hosts' records in the store, by key.
 	hostRecords map[string]hostRecord
+	// drains holds the members that are to be returned.
+	drains *drain.Notices
 	// era is what is known of the store's era.
 	era eraState
 	// confirmation decides whether callers with keys may be served.
@@ -218,7 +227,7 @@
 	f := &Daemon{
 		config: c, copy: m, failed: make(chan error, 1), registerAgain: make(chan struct{}, 1), sequences: map[string]uint64{}, metrics: newMetrics(m), room: newRoom(), overload: newOverloadState(), ctx: x, stop: stop, view: membership.New(c.Self),
 		unheldLogged: map[string]time.Time{}, replicaReads: map[*group]bool{}, evictAt: map[string]time.Time{}, groups: map[string]*group{}, lastExecuteReply: map[string]time.Time{}, lastSeen: map[string]time.Time{}, lastPinged: map[string]time.Time{},
-		pools: map[string]*ownedPool{}, loads: newLoadTable(), paces: map[string]knownPace{}, outliers: outlier.New(), hedges: budget.NewRetry(hedgeBudget()), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{},
+		pools: map[string]*ownedPool{}, loads: newLoadTable(), paces: map[string]knownPace{}, outliers: outlier.New(), hedges: budget.NewRetry(hedgeBudget()), exchanging: map[string]bool{}, pinging: map[string]bool{}, hostRecords: map[string]hostRecord{}, drains: drain.New(newWorkLimit(c)),
 	}
 	f.rates.borrowers = map[string]*borrower{}
 	f.table = assignment.New(c.Self.ID, f.view)
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -45,6 +45,8 @@
 	seen       placement.Seen
 	surveyedAt time.Time
 	reportedAt time.Time
+	// closedPrimary is the draining primary that was last logged because it gets no new work.
+	closedPrimary string
 	// handovers are those of the group by this host.
 	handovers handovers
 	// positionRequest is set while the end of the log is being requested from the
@@ -309,7 +311,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := now()
-	ok := u.group.MaySendWork(t)
+	ok := f.maySendNewWork(u.group, t)
 	if u.request.Stage == query.Later {
 		ok = u.group.MayFinishTransactions(t)
 	}
--- a/fleet/metrics.go
+++ b/fleet/metrics.go
@@ -39,6 +39,9 @@
 	// blockedReplacements counts the replacements of a primary that were given up since an
 	// acknowledged commit might have been lost, by group.
 	blockedReplacements *prometheus.CounterVec
+	// closedPrimaries counts the draining primaries that got no new work any more before
+	// they were replaced, by group.
+	closedPrimaries *prometheus.CounterVec
 	// paceDecisions counts the decisions on members' limits.
 	paceDecisions *prometheus.CounterVec
 }
@@ -74,6 +77,9 @@
 		blockedReplacements: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_blocked_replacements_total", Help: "Attempts to replace a failed primary that were given up, since an acknowledged commit might have been lost, by group.",
 		}, []string{"group"}),
+		closedPrimaries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "dragonflypick_closed_primaries_total", Help: "Draining primaries that got no new work any more before they were replaced, by group.",
+		}, []string{"group"}),
 		pool: pool.NewMetrics(),
 		denied: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "dragonflypick_denied_total", Help: "Sessions, operations and statements of transactions whose key belongs to no team, by stage.",
@@ -105,7 +111,7 @@
 // Collectors returns the collectors to register with a metrics server.
 func (f *Daemon) Collectors() []prometheus.Collector {
 	l := append(append(f.node.Collectors(), contain.Collectors()...), f.metrics.pool.Collectors()...)
-	return append(l, f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.blockedReplacements, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.schedulingDelay, f.metrics.denied,
+	return append(l, f.metrics.requests, f.metrics.latency, f.metrics.storeCalls, f.metrics.configurationVersion, f.metrics.storeEra, f.metrics.rewrites, f.metrics.blockedReplacements, f.metrics.closedPrimaries, f.metrics.unheldGroups, f.metrics.copyAge, f.metrics.schedulingDelay, f.metrics.denied,
 		f.metrics.admitted, f.metrics.refused, f.metrics.lent, f.metrics.lendCalls, f.metrics.paceDecisions, paceCollector{f},
 		f.metrics.placements, f.metrics.catchUp, f.metrics.hedgedReads, f.metrics.outlierEvents, f.overload.refusals, f.overload.level, f.room.gapCount, f.room.refusals, pressureCollector{f})
 }
--- a/fleet/reconcile.go
+++ b/fleet/reconcile.go
@@ -94,6 +94,7 @@
 			delete(f.evictAt, id)
 			delete(f.sequences, id)
 			f.table.RemoveMember(id)
+			f.drains.Unlist(id, now())
 			f.outliers.Forget(id)
 			f.loads.forget(id)
 		}
--- a/fleet/replace.go
+++ b/fleet/replace.go
@@ -178,10 +178,17 @@
 		return
 	}
 	old, term := g.Primary()
+	f.mu.Unlock()
+	planned := why == takeover.PrimaryDraining
+	if planned && !f.hasCandidate(x, g, old) {
+		sleep(x, blockedRetryDelay)
+		return
+	}
+	f.mu.Lock()
 	g.Handle(takeover.ReplacementStarted{}, t)
 	f.mu.Unlock()
 	f.config.Log.Info("primary replacement started", "group", g.name, "member", old, "term", term, "why", why)
-	n, ok := f.preparePromotion(x, g, old, why == takeover.PrimaryDraining)
+	n, ok := f.preparePromotion(x, g, old, planned)
 	if ok {
 		ok = f.promoteMember(x, g, n)
 	}
--- a/fleet/serve.go
+++ b/fleet/serve.go
@@ -177,37 +177,6 @@
 	return query.Response{Reply: query.Reply{State: query.Idle}}
 }
 
-// awaitPrimary waits until work may be sent to a group's primary, as long as a request that
-// arrived at t may wait. It returns false with the refusal if that isn't so in time; f.mu
-// is held, but not all the while.
-func (f *Daemon) awaitPrimary(x context.Context, g *group, r *query.Request, t time.Time) (query.Response, bool) {
-	for !g.MaySendWork(now()) || f.replacementBlocked(g) {
-		rec, _ := g.Record()
-		held := rec.Holder.ID == f.config.Self.ID
-		left := r.Remaining - time.Since(t)
-		switch {
-		case f.replacementBlocked(g):
-			id, _ := g.Primary()
-			o := blockedReplacementResponse(id)
-			o.Unavailable = f.config.Features.Pressure
-			return o, false
-		case !held:
-			return query.Response{Reply: query.Refusal(query.Moved, "the group is not held here"), Holder: rec.Holder.ID}, false
-		case left <= holderRetryDelay:
-			o := query.Response{Reply: query.Refusal(query.Overloaded, "the primary is being replaced"), Holder: rec.Holder.ID}
-			o.Failure.RetryAfter, o.Unavailable = replacementRetryAfter, f.config.Features.Pressure
-			return o, false
-		}
-		f.mu.Unlock()
-		awake := sleep(x, holderRetryDelay)
-		f.mu.Lock()
-		if !awake {
-			return query.Response{Reply: query.Refusal(query.Overloaded, "the daemon that asked is gone")}, false
-		}
-	}
-	return query.Response{}, true
-}
-
 // servePrimary runs a request at the primary if this host holds the group. It
 // waits while the primary is not available.
 func (f *Daemon) servePrimary(x context.Context, r *query.Request) query.Response {
@@ -220,7 +189,7 @@
 	}
 	id, term := g.Primary()
 	m, ok := f.table.Member(id)
-	blocked := f.primaryBlockedFor(g, id)
+	blocked := f.primaryBlockedFor(g)
 	var p *pool.Pool
 	if ok {
 		p = f.memberPool(m)
@@ -241,26 +210,6 @@
 	return o
 }
 
-// primaryBlockedFor returns for how long a primary that has failed can't be replaced yet,
-// zero if it hasn't failed or can be replaced; f.mu is held.
-func (f *Daemon) primaryBlockedFor(g *group, id string) time.Duration {
-	_, ok := f.table.Member(id)
-	t := now()
-	u := g.BlockedUntil(ok && f.evictAt[id].IsZero(), t)
-	if u.IsZero() || g.Holder().ID != f.config.Self.ID {
-		return 0
-	}
-	return u.Sub(t)
-}
-
-// blockedResponse refuses a request for a primary that has failed and can't be replaced
-// before the request's deadline.
-func blockedResponse(member string, blocked time.Duration) query.Response {
-	o := query.Response{Reply: query.Refusal(query.Overloaded, "the primary has failed, and an earlier holder of the group may still use it"), Member: member}
-	o.Failure.RetryAfter, o.QueueWait = blocked+replacementRetryAfter, blocked
-	return o
-}
-
 // serveRead runs a read on the member that the request names.
 func (f *Daemon) serveRead(x context.Context, r *query.Request) query.Response {
 	t, n := time.Now(), now()
@@ -274,7 +223,7 @@
 	}
 	blocked := time.Duration(0)
 	if id, _ := g.Primary(); id == m.ID {
-		blocked = f.primaryBlockedFor(g, id)
+		blocked = f.primaryBlockedFor(g)
 	}
 	p := f.memberPool(m)
 	f.mu.Unlock()
@@ -296,7 +245,7 @@
 		o.Reply = query.Refusal(query.Lagging, "the member lacks "+after.String())
 		o.Position, o.Failure.RetryAfter = w.position, w.retryAfter
 	default:
-		o.Reply = p.Execute(x, &q, w.floor, func() *query.Failure { return nil })
+		o.Reply = p.Execute(x, &q, w.floor, func() *query.Failure { return f.refuseClosed(m.ID) })
 	}
 	o.QueueWait, o.Pressure = p.EstimateWait(r.Rank), p.Pressure()
 	if o.Failure != nil && o.Failure.Reason == query.Lagging && w.retryAfter == 0 {
--- a/fleet/storewatch.go
+++ b/fleet/storewatch.go
@@ -136,6 +136,12 @@
 	f.applying.Lock()
 	defer f.applying.Unlock()
 	was, listed := f.copy.Position(), f.hostListed()
+	f.appliedAfter = time.Time{}
+	if t := now(); f.copy.Position().Era == u.Position.Era {
+		if age, ok := f.copy.Age(t); ok {
+			f.appliedAfter = t.Add(-age)
+		}
+	}
 	f.applyItems(f.copy.Apply(u, time.Now()), from)
 	// If the copy before had not shown this host's record yet, no removal tells that a later
 	// era lacks it, and the number of its lease may have been given out again.
@@ -234,6 +240,7 @@
 		m.ColdRemaining = 0
 	}
 	f.table.SetMember(m)
+	f.observeDrain(m, known, f.appliedAfter)
 	if known {
 		f.observeRestart(old, m)
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -363,6 +363,15 @@
 	return o
 }
 
+// UnsettledUntil returns until when a holder of an earlier era of the store may act, zero if none
+// may.
+func (s *Lease) UnsettledUntil(now time.Time) time.Time {
+	if s.settled(now) {
+		return time.Time{}
+	}
+	return s.eraSince.Add(SettleTime)
+}
+
 // ConfirmDue reports whether the record must be requested from the store now.
 func (s *Lease) ConfirmDue(now time.Time) bool {
 	return s.recordKnown && !s.restored && s.record.Holder.ID == s.self.ID && !now.Before(s.confirmAt)
--- a/matrix/takeover.go
+++ b/matrix/takeover.go
@@ -331,7 +331,7 @@
 			r.world.Cut(m.Node, n)
 		}
 	case GroupPrimaryDraining:
-		m.Draining = true
+		m.SetDraining(true)
 	case MostAdvancedReplicaKilled:
 		var h *model.PlatformMember
 		for _, o := range r.world.Members {
@@ -357,7 +357,8 @@
 	r.world.LatePromotions = false
 	clear(r.world.RejectedByStore)
 	for _, m := range r.world.Members {
-		m.Lag, m.Draining = 0, false
+		m.Lag = 0
+		m.SetDraining(false)
 		m.Restart(false)
 		if m.Frozen() {
 			m.Thaw()
--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -107,6 +107,8 @@
 		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderKilled}),
 	Entry("the wait after the start of an era", model.Options{NoEraWait: true}, "a replaced primary's write was acknowledged",
 		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderRestarted, After: 500 * time.Millisecond}),
+	Entry("the bound on a draining primary", model.Options{NoDrainBound: true}, "a draining member got new work",
+		matrix.TakeoverPlan{Trigger: matrix.NoFault, Step: model.Idle, First: matrix.HolderKilled, Second: matrix.GroupPrimaryDraining, After: 1500 * time.Millisecond}),
 	Entry("floors of replicas", model.Options{NoFloor: true}, "a read at a replica doesn't show",
 		matrix.TakeoverPlan{Trigger: matrix.NoFault, Step: model.Idle, First: matrix.GroupPrimaryKilled}),
 )
@@ -155,6 +157,23 @@
 	Entry("by a holder that is cut off", matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Second: matrix.HolderCutFromAll, After: 100 * time.Millisecond}),
 )
 
+// Guards against new work for a draining primary that may not be replaced yet (case 8 and case 3
+// of the reviews, DRAIN).
+var _ = DescribeTable("on the users' platform, a draining primary gets no new work after a few seconds",
+	func(p matrix.TakeoverPlan) {
+		p.Step, p.Second = model.Idle, matrix.GroupPrimaryDraining
+		for p.Seed = range uint64(10) {
+			Expect(matrix.RunTakeover(p).Violations).To(BeEmpty(), "seed %d", p.Seed)
+		}
+	},
+	Entry("after the store has come back from an older copy", matrix.TakeoverPlan{Trigger: matrix.NoFault, First: matrix.StoreRestored, After: 2 * time.Second}),
+	Entry("after the store has come back from older copies twice", matrix.TakeoverPlan{Trigger: matrix.NoFault, First: matrix.StoreRestoredTwice, After: time.Second}),
+	Entry("after the loss of the holder", matrix.TakeoverPlan{Trigger: matrix.NoFault, First: matrix.HolderKilled, After: 1500 * time.Millisecond}),
+	Entry("after the holder was cut off", matrix.TakeoverPlan{Trigger: matrix.NoFault, First: matrix.HolderCutFromAll, After: 1500 * time.Millisecond}),
+	Entry("after the holder was frozen", matrix.TakeoverPlan{Trigger: matrix.NoFault, First: matrix.HolderFrozenPastLease, After: 1500 * time.Millisecond}),
+	Entry("while the store is away", matrix.TakeoverPlan{Trigger: matrix.NoFault, First: matrix.StoreDown, After: time.Second}),
+)
+
 var _ = DescribeTable("on the users' platform, writes resume within 5 s after a single fault",
 	func(f matrix.TakeoverFault) {
 		for seed := range uint64(5) {
--- a/model/platform_daemon.go
+++ b/model/platform_daemon.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/bundle"
+	"github.com/dragonflypick/dragonflypick/drain"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
 	"github.com/dragonflypick/dragonflypick/membership"
@@ -39,6 +40,8 @@
 	promotionPollInterval = 30 * time.Millisecond
 	demoteRetryDelay      = 300 * time.Millisecond
 	maxDemoteAttempts     = 10
+	// drainMargin is how much sooner the last new work is sent to a draining member.
+	drainMargin = time.Second
 )
 
 // PlatformDaemon is a daemon that agrees on the group's holder and primary with
@@ -59,6 +62,8 @@
 	// registered means that the store has the daemon's host record.
 	registered bool
 	draining   bool
+	// drains holds the members that are to be returned to the platform.
+	drains *drain.Notices
 	// lastPrimaryReply is when the primary last answered this daemon.
 	lastPrimaryReply time.Time
 	// primaryFailures counts the calls to the primary that failed since then.
@@ -87,7 +92,8 @@
 	}
 	d := &PlatformDaemon{
 		Node: w.newNode(id, p), world: w, lastPrimaryReply: w.now, lastHolderReply: w.now, positionChecked: map[*connection]bool{},
-		host: membership.Host{ID: id, PeerAddress: address, FailureDomain: p.FailureDomain, Region: p.Region},
+		drains: drain.New(platformDrainTime - drainMargin),
+		host:   membership.Host{ID: id, PeerAddress: address, FailureDomain: p.FailureDomain, Region: p.Region},
 	}
 	d.group, d.view = takeover.New(d.identity()), membership.New(d.host)
 	w.Daemons = append(w.Daemons, d)
@@ -148,6 +154,9 @@
 // action.
 func (d *PlatformDaemon) tick() {
 	n := d.world.now
+	for _, m := range d.world.Members {
+		d.drains.Observe(drain.Observed{Server: m.Name, Draining: m.draining, After: n}, n)
+	}
 	if d.group.ConfirmDue(n) && !d.confirmPending {
 		d.confirmPending = true
 		d.handleLeaseEvent(lease.ConfirmAttempt{})
@@ -198,11 +207,17 @@
 	f.PreferredHolder = ok && h.ID == d.host.ID
 	f.NearerHostExists = ok && d.Location.FailureDomain != m.Location.FailureDomain && h.FailureDomain == m.Location.FailureDomain
 	f.FarFromPrimary = d.Location.Region != m.Location.Region
-	f.PrimaryListed, f.PrimaryDraining = true, m.Draining
+	f.PrimaryListed, f.PrimaryDraining = true, m.draining
 	f.PrimaryHealth = &takeover.ConnectionHealth{Failures: d.primaryFailures, LastReply: d.lastPrimaryReply}
 	return f
 }
 
+// maySendNewWork reports whether new work may be sent to the primary.
+func (d *PlatformDaemon) maySendNewWork() bool {
+	n := d.world.now
+	return d.group.MaySendWork(n) && (d.world.Options.NoDrainBound || d.drains.MayStart(d.knownPrimary().Name, n))
+}
+
 // observePosition handles a position that a member reported.
 func (d *PlatformDaemon) observePosition(m *PlatformMember, p logpos.Position, sent time.Time) {
 	if !d.group.ReportsLogEnd(m.Name, d.world.now) {
--- a/model/platform_member.go
+++ b/model/platform_member.go
@@ -24,10 +24,14 @@
 	log    Log
 	// Lag delays the replication to this member.
 	Lag time.Duration
-	// Draining means that the member is to be returned to the platform.
-	Draining bool
+	// draining means that the member is to be returned to the platform, since drainingAt.
+	draining   bool
+	drainingAt time.Time
 }
 
+// platformDrainTime is how long a draining member may get new work.
+const platformDrainTime = 7 * time.Second
+
 func (w *PlatformWorld) newMember(name string, p Location) {
 	m := &PlatformMember{Node: w.newNode(name, p), world: w, term: 1}
 	if len(w.Members) > 0 {
@@ -37,6 +41,21 @@
 	m.pullLog()
 }
 
+// SetDraining sets whether the member is to be returned to the platform.
+func (m *PlatformMember) SetDraining(draining bool) {
+	if draining && !m.draining {
+		m.drainingAt = m.world.now
+	}
+	m.draining = draining
+}
+
+// checkDrain checks that the member may get new work.
+func (m *PlatformMember) checkDrain() {
+	if m.draining && m.world.now.Sub(m.drainingAt) > platformDrainTime {
+		m.world.addViolation("a draining member got new work")
+	}
+}
+
 // Log returns the member's log.
 func (m *PlatformMember) Log() Log { return m.log }
 
@@ -58,7 +77,7 @@
 
 // catalogMember returns the member as the platform's catalog lists it.
 func (m *PlatformMember) catalogMember() catalog.Member {
-	return catalog.Member{ID: m.Name, Group: "g", Address: m.Name, FailureDomain: m.Location.FailureDomain, Region: m.Location.Region, Slots: slotsPerMember, Draining: m.Draining}
+	return catalog.Member{ID: m.Name, Group: "g", Address: m.Name, FailureDomain: m.Location.FailureDomain, Region: m.Location.Region, Slots: slotsPerMember, Draining: m.draining}
 }
 
 // position returns the end of the log as the member reports it.
@@ -127,6 +146,7 @@
 
 // executeWrite runs a write on a primary.
 func (m *PlatformMember) executeWrite(x *platformWrite) platformMemberAnswer {
+	m.checkDrain()
 	if !m.primary {
 		return platformMemberAnswer{position: m.position()}
 	}
@@ -139,6 +159,7 @@
 // executeRead runs a read, on a primary or on a replica whose log has reached
 // the given position.
 func (m *PlatformMember) executeRead(after logpos.Position, primary bool) platformMemberAnswer {
+	m.checkDrain()
 	if primary && !m.primary || !primary && m.log.Last().Less(after) {
 		return platformMemberAnswer{position: m.position()}
 	}
--- a/model/platform_session.go
+++ b/model/platform_session.go
@@ -153,7 +153,7 @@
 // runWrite runs a write through the holder.
 func (d *PlatformDaemon) runWrite(x *platformWrite, reply func(any)) {
 	d.runAtHolder("write", func(o *PlatformDaemon, reply func(any)) {
-		if !o.group.MaySendWork(d.world.now) {
+		if !o.maySendNewWork() {
 			reply(callerAnswer{notRun: true})
 			return
 		}
@@ -173,7 +173,7 @@
 // runPrimaryRead runs a read at the primary through the holder.
 func (d *PlatformDaemon) runPrimaryRead(reply func(any)) {
 	d.runAtHolder("read", func(o *PlatformDaemon, reply func(any)) {
-		if !o.group.MaySendWork(d.world.now) {
+		if !o.maySendNewWork() {
 			reply(callerAnswer{notRun: true})
 			return
 		}
@@ -192,7 +192,7 @@
 func (d *PlatformDaemon) runReplicaRead(m *PlatformMember, reply func(any)) {
 	h, ok := d.owner(m)
 	o := d.world.Daemon(h.ID)
-	if !ok || o == nil {
+	if !ok || o == nil || m.draining {
 		reply(callerAnswer{notRun: true})
 		return
 	}
--- a/model/world.go
+++ b/model/world.go
@@ -57,6 +57,8 @@
 	NoEraStamp bool
 	// NoEraWait doesn't wait after the start of an era.
 	NoEraWait bool
+	// NoDrainBound sends new work to a draining member until it is replaced.
+	NoDrainBound bool
 	// NoIntent promotes without writing the intent into the record.
 	NoIntent bool
 	// NoPositionCheck doesn't compare a position that a primary reports with
--- a/platformdaemon/platformdaemon.go
+++ b/platformdaemon/platformdaemon.go
@@ -69,7 +69,7 @@
 		PeerListen: s.PeerListen, Secret: c.Secret, Seeds: s.Seeds, Log: c.Log, LogEvery: c.LogEvery,
 		Bootstrap: s.Bootstrap, StoreWritesPerSecond: s.StoreWritesPerSecond,
 		Store: platform.NewStoreClient(s.StoreAddress), Promoter: platform.NewPromotionClient(s.PromotionAddress),
-		Dialer: platform.MemberDialer{Name: s.Host}, Decoder: newDecoder(s), Features: s.Features,
+		Dialer: platform.MemberDialer{Name: s.Host}, Decoder: newDecoder(s), DrainTime: s.DrainTime, Features: s.Features,
 	})
 	if err != nil {
 		return err
--- a/pool/execute.go
+++ b/pool/execute.go
@@ -169,6 +169,10 @@
 		}
 		return setUpFailedReply(o, err), connBroken
 	}
+	// Setting the session up may have taken round trips.
+	if f := g(); f != nil {
+		return query.Reply{Failure: f, State: query.Idle}, connUsable
+	}
 	if r.Stage == query.First {
 		o, err := p.runStep(c, query.BeginTransaction{ID: r.BeginID, ReadOnly: r.ReadOnly, Floor: floor}, d)
 		if err != nil {
--- a/standin/site/fault.go
+++ b/standin/site/fault.go
@@ -195,9 +195,19 @@
 func (s *Site) DrainPrimary(i int) {
 	g := s.groups[i]
 	g.mu.Lock()
-	g.newestPrimary().draining = true
+	m := g.newestPrimary()
 	g.mu.Unlock()
-	s.publishMembers(g)
+	s.drain(m)
+}
+
+// DrainReplica sets the state of the n-th replica of group i to draining.
+func (s *Site) DrainReplica(i, n int) { s.drain(s.replica(i, n)) }
+
+func (s *Site) drain(m *member) {
+	m.group.mu.Lock()
+	m.draining, m.drainingAt = true, time.Now()
+	m.group.mu.Unlock()
+	s.publishMembers(m.group)
 }
 
 // EndDrains sets the state of all members of group i to ready.
--- a/standin/site/member.go
+++ b/standin/site/member.go
@@ -31,6 +31,8 @@
 	// muteTime.
 	mute     bool
 	draining bool
+	// drainingAt is when the store got the report that the member is draining.
+	drainingAt time.Time
 	// unreachable is true if no daemon reaches the member; the other members do.
 	unreachable bool
 	// cutFromStore is true if the member's reports don't reach the store.
@@ -166,6 +168,7 @@
 // requires the member to have applied that position.
 func (s *backendSession) handleQuery(id, text string) {
 	g := s.member.group
+	s.checkDrain(id, text)
 	var after Position
 	if arguments, ok := strings.CutPrefix(text, "AFTER "); ok {
 		p, t := cutWord(arguments)
@@ -208,6 +211,20 @@
 	}
 }
 
+// checkDrain reports new work of a client that reaches a member later than DrainTime after the
+// store's report that it is draining.
+func (s *backendSession) checkDrain(id, text string) {
+	m, d := s.member, s.member.site.config.DrainTime
+	if d == 0 || id == "-" || s.state != 'I' {
+		return
+	}
+	m.group.mu.Lock()
+	defer m.group.mu.Unlock()
+	if t := time.Since(m.drainingAt); m.draining && t > d {
+		m.site.reportViolation("DRAIN", "%s got %s %s after the report that it is draining", m.id, quote(text), t)
+	}
+}
+
 func (s *backendSession) sendStatus() {
 	g := s.member.group
 	g.mu.Lock()
--- a/standin/site/replace_test.go
+++ b/standin/site/replace_test.go
@@ -45,7 +45,7 @@
 	}
 	f = newFleet(c, 3)
 	time.AfterFunc(500*time.Millisecond, func() { f.site.DrainPrimary(0) })
-	o := f.runLoad(24, 14*time.Second)
+	o := f.runLoad(24, 11*time.Second)
 	Expect(promoted).To(HaveLen(2))
 	Expect(o.Served).To(BeNumerically(">", 500))
 })
@@ -69,7 +69,7 @@
 		})
 	})
 	time.AfterFunc(500*time.Millisecond, func() { f.site.DrainPrimary(0) })
-	o := f.runLoad(25, 12*time.Second)
+	o := f.runLoad(25, 9*time.Second)
 	w.Wait()
 	Expect(f.site.Promotions(0)).To(Equal(1))
 	Expect(o.Served).To(BeNumerically(">", 500))
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -30,6 +30,8 @@
 	// Advertise returns the address at which daemons reach a member that listens at the
 	// given one; nil if they connect to that.
 	Advertise func(member, address string) (string, error)
+	// DrainTime is how long a draining member may get new work; zero if that isn't checked.
+	DrainTime time.Duration
 	// OnPromotion is called with the member of each promotion that is accepted; it may be nil.
 	OnPromotion func(member string)
 	// AnyBytes lets the texts of clients and members be other than UTF-8.
--- a/standin/site/site_test.go
+++ b/standin/site/site_test.go
@@ -41,8 +41,10 @@
 type fleet struct {
 	site     *site.Site
 	features daemonfleet.Features
-	mu       sync.Mutex
-	daemons  []*daemon
+	// drainTime is how long a draining member may get new work.
+	drainTime time.Duration
+	mu        sync.Mutex
+	daemons   []*daemon
 	// logs holds all lines of the daemons.
 	logs logBuffer
 }
@@ -91,7 +93,7 @@
 func newFleetWith(c site.Config, n int, features daemonfleet.Features) *fleet {
 	at, err := site.New(c)
 	Expect(err).NotTo(HaveOccurred())
-	f := &fleet{site: at, features: features}
+	f := &fleet{site: at, features: features, drainTime: c.DrainTime}
 	failureDomains := []string{"west-a", "west-b", "north-a"}
 	for i := range n {
 		f.start(fmt.Sprintf("n%d", i), failureDomains[i%3])
@@ -119,7 +121,7 @@
 	d := &daemon{done: make(chan error, 1), settings: platform.Settings{
 		Host: name, FailureDomain: failureDomain, Region: site.Regions[failureDomain], Regions: site.Regions,
 		CallerListen: freeAddress(), ReadinessListen: freeAddress(), PeerListen: freeAddress(), MetricsListen: freeAddress(),
-		StoreAddress: store, Seeds: seeds, PromotionAddress: f.site.PromotionAddress, GracePeriod: 3 * time.Second, Features: f.features,
+		StoreAddress: store, Seeds: seeds, PromotionAddress: f.site.PromotionAddress, GracePeriod: 3 * time.Second, DrainTime: f.drainTime, Features: f.features,
 	}}
 	f.run(d)
 	return d
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -210,15 +210,23 @@
 	return PollPreviousHolders{}
 }
 
-// BlockedUntil returns until when the holder can't replace a primary that has failed,
-// since a previous holder may still send work to it, or a call that requested another
-// promotion may yet be carried out; zero if the primary hasn't failed, or can be replaced.
-// A request whose deadline is earlier can't be served.
-func (g *Group) BlockedUntil(primaryListed bool, now time.Time) time.Time {
-	if primaryListed && !g.primaryUnusable && g.failedProbes < MaxFailedProbes {
+// PrimaryState is what a host knows of the primary in addition to the state in Group.
+type PrimaryState struct {
+	// Listed is set if the store lists the primary.
+	Listed bool
+	// Closed is set if the primary gets no new work any more, since it is to be returned.
+	Closed bool
+}
+
+// BlockedUntil returns until when the holder can't replace a primary that has failed or is
+// closed, since a previous holder may still send work to it, or a call that requested another
+// promotion may yet be carried out; zero if the primary may be used, or can be replaced. A
+// request whose deadline is earlier can't be served.
+func (g *Group) BlockedUntil(p PrimaryState, now time.Time) time.Time {
+	if p.Listed && !p.Closed && !g.primaryUnusable && g.failedProbes < MaxFailedProbes {
 		return time.Time{}
 	}
-	t := g.lease.UnfinishedUntil(now)
+	t := latest(g.lease.UnfinishedUntil(now), g.lease.UnsettledUntil(now))
 	if s, known := g.settledAt(); known && now.Before(s) && !g.promotionExpected(now) {
 		t = latest(t, s)
 	}
--- a/takeover/promotion_test.go
+++ b/takeover/promotion_test.go
@@ -179,8 +179,8 @@
 			Expect(g.MayRequestPromotion(id, settled)).To(BeTrue())
 		}
 		Expect(g.NextAction(f, start)).To(Equal(takeover.AwaitPromotion{Member: "a"}))
-		Expect(g.BlockedUntil(true, start.Add(time.Second))).To(BeZero(), "the member may lead at any time")
-		Expect(g.BlockedUntil(true, start.Add(lease.PromotionEffectTime+1))).To(Equal(settled))
+		Expect(g.BlockedUntil(takeover.PrimaryState{Listed: true}, start.Add(time.Second))).To(BeZero(), "the member may lead at any time")
+		Expect(g.BlockedUntil(takeover.PrimaryState{Listed: true}, start.Add(lease.PromotionEffectTime+1))).To(Equal(settled))
 		observeRecordAt(g, 2, settled)
 		Expect(g.NextAction(f, settled)).To(Equal(takeover.ReplacePrimary{Reason: takeover.PrimaryUnusable}))
 	})
--- a/takeover/takeover_test.go
+++ b/takeover/takeover_test.go
@@ -136,17 +136,17 @@
 		Expect(g.NextAction(f, start)).To(Equal(takeover.ProbePrimary{}))
 		Expect(g.NextAction(f, start)).To(Equal(takeover.PollPreviousHolders{}))
 		Expect(g.NextAction(f, start)).To(Equal(takeover.ProbePrimary{}))
-		Expect(g.BlockedUntil(true, start)).To(BeZero())
+		Expect(g.BlockedUntil(takeover.PrimaryState{Listed: true}, start)).To(BeZero())
 		for range takeover.MaxFailedProbes {
 			g.Handle(takeover.PrimaryProbed{Failed: true}, start)
 		}
-		Expect(g.BlockedUntil(true, start).Sub(start)).To(BeNumerically(">", 10*time.Second))
+		Expect(g.BlockedUntil(takeover.PrimaryState{Listed: true}, start).Sub(start)).To(BeNumerically(">", 10*time.Second))
 		f.PrimaryHealth.LastReply = start
 		g.NextAction(f, start)
-		Expect(g.BlockedUntil(true, start)).To(BeZero(), "the primary answers again")
-		Expect(g.BlockedUntil(false, start).Sub(start)).To(BeNumerically(">", 10*time.Second))
+		Expect(g.BlockedUntil(takeover.PrimaryState{Listed: true}, start)).To(BeZero(), "the primary answers again")
+		Expect(g.BlockedUntil(takeover.PrimaryState{}, start).Sub(start)).To(BeNumerically(">", 10*time.Second))
 		g.Handle(takeover.LeaseEvent{Event: lease.ProcessEnded{ProcessID: "b"}}, start)
-		Expect(g.BlockedUntil(false, start)).To(BeZero(), "it can be replaced")
+		Expect(g.BlockedUntil(takeover.PrimaryState{}, start)).To(BeZero(), "it can be replaced")
 	})
 
 	It("is to transfer the lease once another host has been nearer for 3 s", func() {
