matrix: plans with three drawn faults, and checks that the driver lacked

It plays three faults besides the trigger now, drawn by seed, each after a time or at a step of the takeover. New are: both members that are promoted cut off one after the other, promotions carried out late, a draining replica, all daemons started again so that they know the record alone.

The check of late replies, which the driver lacked and package fleet has, is in takeover now (PassesReply) and used by both.

- After a holder that may be alive had announced a promotion, its successor waited 11.5 s for the holder and then 8 s more.
- A daemon that starts while a member drains doesn't know for how long; it sent new work for 2 s more.

--- a/command/standin/standin.go
+++ b/command/standin/standin.go
@@ -7,6 +7,7 @@
 	"github.com/dragonflypick/dragonflypick/command/standin/database"
 	"github.com/dragonflypick/dragonflypick/command/standin/experiment"
 	"github.com/dragonflypick/dragonflypick/command/standin/load"
+	"github.com/dragonflypick/dragonflypick/command/standin/matrix"
 	"github.com/dragonflypick/dragonflypick/command/standin/measure"
 	"github.com/dragonflypick/dragonflypick/command/standin/platform"
 	"github.com/dragonflypick/dragonflypick/command/standin/rollout"
@@ -22,6 +23,7 @@
 			experiment.NewCmdExperiment(f, nil),
 			database.NewCmdDatabase(f, nil),
 			load.NewCmdLoad(f, nil),
+			matrix.NewCmdMatrix(f, nil),
 			measure.NewCmdMeasure(f),
 			rollout.NewCmdRollout(f, nil),
 			soak.NewCmdSoak(f, nil),
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -18,8 +18,7 @@
 
 // notice is what is known of a draining server.
 type notice struct {
-	// since is a time by which the server hadn't announced that it drains, or the latest at
-	// which it can have done so.
+	// since is a time by which the server can have announced that it drains.
 	since time.Time
 	// unlistedAt is when the server was last unlisted; zero if it is listed.
 	unlistedAt time.Time
@@ -40,8 +39,10 @@
 	Server string
 	// Draining is set if the server drains.
 	Draining bool
-	// After is the latest time at which the server was known not to drain; zero if it wasn't
-	// known then.
+	// Known is set if the server was known before. One that wasn't may have been draining for
+	// any time.
+	Known bool
+	// After is the latest time at which it was known not to drain; zero if that isn't known.
 	After time.Time
 }
 
@@ -52,7 +53,10 @@
 	case !o.Draining:
 		delete(n.notices, o.Server)
 		return
-	case !known:
+	case known:
+	case !o.Known:
+		x.since = now.Add(-n.limit)
+	default:
 		x.since = now.Add(-MaxNoticeDelay)
 		if o.After.After(x.since) {
 			x.since = o.After
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -23,7 +23,7 @@
 	var n *drain.Notices
 	BeforeEach(func() { n = drain.New(limit) })
 	draining := func(after time.Time) drain.Observed {
-		return drain.Observed{Server: "m", Draining: true, After: after}
+		return drain.Observed{Server: "m", Draining: true, Known: true, After: after}
 	}
 
 	DescribeTable("gets new work until the limit after the time at which it was last known not to drain",
@@ -34,10 +34,15 @@
 			Expect(n.MayStart("o", start.Add(first))).To(BeTrue())
 		},
 		Entry("if it was known a short time before", start.Add(-time.Second), limit-time.Second),
-		Entry("if it was unknown", time.Time{}, limit-drain.MaxNoticeDelay),
+		Entry("if that time isn't known", time.Time{}, limit-drain.MaxNoticeDelay),
 		Entry("if it was known so long before that the notice can't have been under way since", start.Add(-time.Minute), limit-drain.MaxNoticeDelay),
 	)
 
+	It("gets no new work from a daemon that hasn't known it before", func() {
+		n.Observe(drain.Observed{Server: "m", Draining: true}, start)
+		Expect(n.MayStart("m", start)).To(BeFalse())
+	})
+
 	It("doesn't get new work for longer because it is reported again, or was unlisted meanwhile", func() {
 		n.Observe(draining(start), start)
 		n.Observe(draining(start.Add(time.Second)), start.Add(time.Second))
--- a/fleet/awaitprimary.go
+++ b/fleet/awaitprimary.go
@@ -29,11 +29,7 @@
 // observeDrain takes note of whether a member drains, which wasn't so at the given time if it
 // was known then; f.mu is held.
 func (f *Daemon) observeDrain(m catalog.Member, known bool, after time.Time) {
-	o := drain.Observed{Server: m.ID, Draining: m.Draining}
-	if known {
-		o.After = after
-	}
-	f.drains.Observe(o, now())
+	f.drains.Observe(drain.Observed{Server: m.ID, Draining: m.Draining, Known: known, After: after}, now())
 }
 
 // refuseClosed refuses new work for a member that has been draining for too long.
--- a/fleet/group.go
+++ b/fleet/group.go
@@ -323,25 +323,22 @@
 	return nil
 }
 
-// validate returns a reply of the member, or a failure if it can't be relied on: it
-// arrived after this host's lease of the group had ended, so that another holder may have
-// replaced the primary since the request was sent; or it tells of a change of data, and
-// the member isn't the primary of that term any more, or is being replaced.
+// validate returns a reply of the member, or a failure if it may not be passed on.
 func (u *primaryUse) validate(o query.Reply) query.Reply {
 	f, r := u.daemon, u.request
 	f.mu.Lock()
-	ok := u.group.MayFinishTransactions(now())
+	ok := u.group.PassesReply(takeover.PrimaryUse{Member: u.member, Term: u.term, Change: r.Action != query.ActionRead}, now())
+	lease := u.group.MayFinishTransactions(now())
 	id, term := u.group.Primary()
-	same := id == u.member && term == u.term && u.group.PassesReplies() || r.Action == query.ActionRead
 	f.mu.Unlock()
-	if ok && same || o.Failure != nil {
+	if ok || o.Failure != nil {
 		return o
 	}
 	why := &query.Failure{Reason: query.Aborted, Text: "the answer came after the holder's time"}
 	if r.Action == query.ActionCommit || r.Action == query.ActionWrite && r.Stage == query.Single {
 		why.Reason = query.InDoubt
 	}
-	f.config.Log.Warn("reply of the primary discarded", "group", u.group.name, "id", r.ID, "reason", why.Reason, "member", u.member, "term", u.term, "primary", id, "primary-term", term, "lease-valid", ok)
+	f.config.Log.Warn("reply of the primary discarded", "group", u.group.name, "id", r.ID, "reason", why.Reason, "member", u.member, "term", u.term, "primary", id, "primary-term", term, "lease-valid", lease)
 	if o.State == query.Open {
 		o.State = query.Failed
 	}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -45,6 +45,9 @@
 	// its lease was confirmed before that. In addition to the work in flight, a
 	// promotion that it requested may take seconds until it has taken effect.
 	SettleTime = Validity + 4*time.Second
+	// PromotionValidity is how long after the request for the record that last confirmed its
+	// lease a holder may request a promotion.
+	PromotionValidity = 4 * time.Second
 	// PromotionCallTime is how long a call that requests a promotion may be on its way
 	// after it was sent, also if its sender has given it up or has ended.
 	PromotionCallTime = 6 * time.Second
@@ -131,6 +134,10 @@
 	// unfinishedUntil maps the ID of a previous holder to the time until which
 	// it may still send work.
 	unfinishedUntil map[string]time.Time
+	// mayPromoteUntil is a time after which no earlier holder whose process has ended since
+	// this host became the holder, or that isn't among the previous holders, has requested a
+	// promotion.
+	mayPromoteUntil time.Time
 	// displacedAt maps the ID of a previous holder to when this host first knew that
 	// another process was the holder, and has known of no record since that names it.
 	displacedAt map[string]time.Time
@@ -158,6 +165,9 @@
 	case EraObserved:
 		s.observeEra(x)
 	case ProcessEnded:
+		if t := s.promotesUntil(x.ProcessID); !t.IsZero() {
+			s.mayPromoteUntil = latest(s.mayPromoteUntil, earliest(t, now))
+		}
 		s.endedProcesses[x.ProcessID] = true
 		delete(s.unfinishedUntil, x.ProcessID)
 	case WorkFinished:
@@ -215,10 +225,13 @@
 	}
 	for h := range s.unfinishedUntil {
 		if !containsHolder(x.Record.PreviousHolders, h) {
+			// It has released the group, and so requests nothing any more.
+			s.mayPromoteUntil = latest(s.mayPromoteUntil, earliest(s.promotesUntil(h), now))
 			delete(s.unfinishedUntil, h)
 		}
 	}
 	if !held {
+		s.mayPromoteUntil = now
 		for _, h := range x.Record.PreviousHolders {
 			if !s.endedProcesses[h.ID] {
 				s.unfinishedUntil[h.ID] = s.displacedAt[h.ID].Add(Validity + inFlightTime)
@@ -334,6 +347,45 @@
 	return o
 }
 
+// MayRequestPromotion reports whether the host may request a promotion: its lease was confirmed
+// so recently that a later holder knows when it requests none any more.
+func (s *Lease) MayRequestPromotion(now time.Time) bool {
+	return s.MayReplacePrimary(now) && now.Before(s.ConfirmedAt().Add(PromotionValidity))
+}
+
+// EarlierCallsUntil returns until when a call by which an earlier holder requested a promotion
+// may be carried out. The host is the holder.
+func (s *Lease) EarlierCallsUntil() time.Time {
+	t := s.mayPromoteUntil
+	for h := range s.unfinishedUntil {
+		t = latest(t, s.promotesUntil(h))
+	}
+	return t.Add(PromotionCallTime)
+}
+
+// promotesUntil returns until when a previous holder may request a promotion, unless it ends
+// sooner; zero if it isn't known as one that may still act.
+func (s *Lease) promotesUntil(id string) time.Time {
+	if _, ok := s.unfinishedUntil[id]; !ok {
+		return time.Time{}
+	}
+	return s.displacedAt[id].Add(PromotionValidity)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // Succeeds reports whether the lease is held by a process that has ended, since this one
 // has started at its address.
 func (s *Lease) Succeeds() bool {
--- a/matrix/takeover.go
+++ b/matrix/takeover.go
@@ -1,6 +1,7 @@
 package matrix
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,6 +47,11 @@
 	// PromotedMembersCut cuts each of the next two members that are promoted off when its
 	// promotion takes effect.
 	PromotedMembersCut TakeoverFault = "promoted-members-cut"
+	// GroupReplicaDraining drains a replica.
+	GroupReplicaDraining TakeoverFault = "replica-draining"
+	// AllRestarted ends all daemons and starts others in their places, which know the record
+	// alone.
+	AllRestarted TakeoverFault = "all-restarted"
 	// PromotionsLate carries the calls that request promotions out seconds later.
 	PromotionsLate TakeoverFault = "promotions-late"
 )
@@ -57,6 +63,7 @@
 		HolderInboundCut, HolderOutboundCut, HolderDraining, GroupPrimaryKilled, GroupPrimaryRestartedEmpty, GroupPrimaryFrozen,
 		GroupPrimaryFrozenBriefly, GroupPrimaryCut, GroupPrimaryDraining, MostAdvancedReplicaKilled, StoreDown, StoreSlow, StoreAnswersLost,
 		StoreWritesLate, StoreRestored, StoreRestoredTwice, MessagesDelayed, FailureDomainCut, ReplicasLagging, PromotedMembersCut, PromotionsLate,
+		GroupReplicaDraining, AllRestarted,
 	}
 }
 
@@ -95,15 +102,20 @@
 )
 
 // TakeoverPlan describes one run: Trigger causes a takeover, First is injected
-// when the takeover reaches Step, and Second, if set, is injected After later.
+// when the takeover reaches Step, and Second and Third, if set, After and ThirdAfter later, or
+// as soon as the takeover then reaches SecondStep or ThirdStep, if that is set.
 type TakeoverPlan struct {
-	Seed    uint64
-	Trigger TakeoverFault
-	Step    model.TakeoverStep
-	First   TakeoverFault
-	Second  TakeoverFault
-	After   time.Duration
-	Options model.Options
+	Seed       uint64
+	Trigger    TakeoverFault
+	Step       model.TakeoverStep
+	First      TakeoverFault
+	Second     TakeoverFault
+	SecondStep model.TakeoverStep
+	After      time.Duration
+	Third      TakeoverFault
+	ThirdStep  model.TakeoverStep
+	ThirdAfter time.Duration
+	Options    model.Options
 	// Trace, if not nil, is called with a line for each event.
 	Trace func(string)
 }
@@ -111,12 +123,22 @@
 // String describes the plan.
 func (p TakeoverPlan) String() string {
 	s := string(p.First) + " at " + string(p.Step) + " after " + string(p.Trigger)
-	if p.Second != "" {
-		s += " and " + string(p.Second) + " " + p.After.String() + " later"
-	}
+	s += describeLater(p.Second, p.SecondStep, p.After) + describeLater(p.Third, p.ThirdStep, p.ThirdAfter)
 	return s + ", seed " + strconv.FormatUint(p.Seed, 10)
 }
 
+// describeLater describes a later fault of a plan, if there is one.
+func describeLater(f TakeoverFault, step model.TakeoverStep, after time.Duration) string {
+	if f == "" {
+		return ""
+	}
+	s := " and " + string(f) + " " + after.String() + " later"
+	if step != "" {
+		s += " at " + string(step)
+	}
+	return s
+}
+
 // TakeoverReport is the result of a run.
 type TakeoverReport struct {
 	// Violations are the guarantees that were violated; empty if none.
@@ -139,13 +161,15 @@
 	// lastAcknowledgedAt the time when it last increased.
 	lastAcknowledged   int
 	lastAcknowledgedAt time.Time
+	// awaited holds the faults that are injected as soon as the takeover reaches a step.
+	awaited map[model.TakeoverStep][]TakeoverFault
 	// membersToCut is the number of members that are cut off once they are promoted.
 	membersToCut int
 }
 
 // RunTakeover executes a plan and checks the guarantees.
 func RunTakeover(p TakeoverPlan) TakeoverReport {
-	r := &takeoverRun{plan: p, world: model.NewPlatformWorld(model.Config{Seed: p.Seed, Options: p.Options})}
+	r := &takeoverRun{plan: p, world: model.NewPlatformWorld(model.Config{Seed: p.Seed, Options: p.Options}), awaited: map[model.TakeoverStep][]TakeoverFault{}}
 	r.world.Trace = p.Trace
 	r.world.Advance(takeoverWarmUpTime)
 	r.lastAcknowledgedAt, r.lastAcknowledged = r.world.Now(), r.world.AcknowledgedWrites
@@ -196,20 +220,35 @@
 }
 
 // handleStep injects the first fault when the takeover reaches the planned
-// step, and schedules the second one. Faults of a holder concern the holder at
+// step, and schedules the others. Faults of a holder concern the holder at
 // that time.
 func (r *takeoverRun) handleStep(s model.TakeoverStep, _ *model.PlatformDaemon) {
 	if s == model.PromotionEffective && r.membersToCut > 0 && !r.faultsEnded {
 		r.membersToCut--
 		r.cutMember(r.world.Primary())
 	}
+	l := r.awaited[s]
+	delete(r.awaited, s)
+	for _, f := range l {
+		r.injectFault(f)
+	}
 	if s != r.plan.Step || r.report.StepReached || r.faultsEnded {
 		return
 	}
 	r.report.StepReached = true
 	r.injectFault(r.plan.First)
-	if r.plan.Second != "" {
-		r.world.After(r.plan.After, func() { r.injectFault(r.plan.Second) })
+	r.injectLater(r.plan.Second, r.plan.SecondStep, r.plan.After)
+	r.injectLater(r.plan.Third, r.plan.ThirdStep, r.plan.ThirdAfter)
+}
+
+// injectLater injects a fault, if there is one, after a time and at a step, if that is set.
+func (r *takeoverRun) injectLater(f TakeoverFault, step model.TakeoverStep, after time.Duration) {
+	switch {
+	case f == "":
+	case step == "":
+		r.world.After(after, func() { r.injectFault(f) })
+	default:
+		r.world.After(after, func() { r.awaited[step] = append(r.awaited[step], f) })
 	}
 }
 
@@ -249,6 +288,12 @@
 		}
 	case PromotedMembersCut:
 		r.membersToCut = promotedMembersCut
+	case AllRestarted:
+		for _, d := range slices.Clone(r.world.Daemons) {
+			if d.Alive() {
+				d.ReplaceProcess(restartDelay)
+			}
+		}
 	case PromotionsLate:
 		r.world.LatePromotions = true
 		r.world.After(lateWritesTime, func() { r.world.LatePromotions = false })
@@ -332,6 +377,13 @@
 		}
 	case GroupPrimaryDraining:
 		m.SetDraining(true)
+	case GroupReplicaDraining:
+		for _, o := range r.world.Members {
+			if o != m && o.Alive() {
+				o.SetDraining(true)
+				break
+			}
+		}
 	case MostAdvancedReplicaKilled:
 		var h *model.PlatformMember
 		for _, o := range r.world.Members {
--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -16,25 +16,12 @@
 // 1.
 const takeoverFaultPairs = 40
 
-// takeoverTriggers lists the triggers with the steps of the takeover that each
-// causes.
-var takeoverTriggers = []struct {
-	trigger matrix.TakeoverFault
-	steps   []model.TakeoverStep
-}{
-	{matrix.NoFault, []model.TakeoverStep{model.Idle}},
-	{matrix.GroupPrimaryKilled, []model.TakeoverStep{model.Idle, model.IntentRecorded, model.PromotionRequested, model.PromotionEffective, model.PrimaryRecorded}},
-	{matrix.GroupPrimaryDraining, []model.TakeoverStep{model.IntentRecorded, model.PromotionRequested, model.PromotionEffective, model.PrimaryRecorded}},
-	{matrix.HolderDraining, []model.TakeoverStep{model.LeaseAcquired, model.LeaseReleased}},
-	{matrix.HolderKilled, []model.TakeoverStep{model.LeaseAcquired}},
-}
-
 func singleFaultTakeoverPlans() []matrix.TakeoverPlan {
 	var o []matrix.TakeoverPlan
-	for _, x := range takeoverTriggers {
-		for _, s := range x.steps {
+	for _, x := range matrix.TakeoverTriggers() {
+		for _, s := range x.Steps {
 			for _, f := range matrix.TakeoverFaults() {
-				o = append(o, matrix.TakeoverPlan{Seed: uint64(len(o) + 1), Trigger: x.trigger, Step: s, First: f})
+				o = append(o, matrix.TakeoverPlan{Seed: uint64(len(o) + 1), Trigger: x.Fault, Step: s, First: f})
 			}
 		}
 	}
@@ -43,10 +30,10 @@
 
 func twoFaultTakeoverPlans() []matrix.TakeoverPlan {
 	g := rapid.Custom(func(t *rapid.T) matrix.TakeoverPlan {
-		x := rapid.SampledFrom(takeoverTriggers).Draw(t, "trigger")
+		x := rapid.SampledFrom(matrix.TakeoverTriggers()).Draw(t, "trigger")
 		return matrix.TakeoverPlan{
-			Seed: rapid.Uint64().Draw(t, "seed"), Trigger: x.trigger,
-			Step:   rapid.SampledFrom(x.steps).Draw(t, "step"),
+			Seed: rapid.Uint64().Draw(t, "seed"), Trigger: x.Fault,
+			Step:   rapid.SampledFrom(x.Steps).Draw(t, "step"),
 			First:  rapid.SampledFrom(matrix.TakeoverFaults()).Draw(t, "first"),
 			Second: rapid.SampledFrom(matrix.TakeoverFaults()).Draw(t, "second"),
 			After:  time.Duration(rapid.Int64Range(0, int64(maxFaultInterval)).Draw(t, "after")),
@@ -83,6 +70,32 @@
 	_ = describeTakeoverPlans("on the users' platform, two random faults, with seeds from 1", twoFaultTakeoverPlans(), false)
 )
 
+// drawnPlans is the number of drawn plans; "standin matrix" plays more.
+const drawnPlans = 300
+
+var _ = Describe("on the users' platform, three drawn faults", func() {
+	draw := func(n int) []matrix.TakeoverPlan {
+		l := make([]matrix.TakeoverPlan, n)
+		for i := range l {
+			l[i] = matrix.DrawTakeoverPlan(uint64(i + 1))
+		}
+		return l
+	}
+
+	It("break no promise", func() {
+		l := draw(drawnPlans)
+		for i, r := range matrix.RunAllTakeovers(l) {
+			Expect(r.Violations).To(BeEmpty(), l[i].String())
+		}
+	})
+
+	It("are the same for one seed, and so is the run", func() {
+		const n = 20
+		Expect(draw(n)).To(Equal(draw(n)))
+		Expect(matrix.RunAllTakeovers(draw(n))).To(Equal(matrix.RunAllTakeovers(draw(n))))
+	})
+})
+
 var _ = DescribeTable("on the users' platform, without a mechanism some seed shows the violation; with it the same run shows no violation",
 	func(o model.Options, violation string, p matrix.TakeoverPlan) {
 		p.Options = o
@@ -106,7 +119,11 @@
 	Entry("the era in which a record was written", model.Options{NoEraStamp: true}, "a replaced primary's write was acknowledged",
 		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderKilled}),
 	Entry("the wait after the start of an era", model.Options{NoEraWait: true}, "a replaced primary's write was acknowledged",
-		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderRestarted, After: 500 * time.Millisecond}),
+		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderRestarted, After: 100 * time.Millisecond}),
+	Entry("the member of a requested promotion", model.Options{AnyPromotedMember: true}, "a replaced primary's write was acknowledged",
+		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.PromotionRequested, First: matrix.PromotedMembersCut}),
+	Entry("the wait for a promotion under way", model.Options{NoPromotionWait: true}, "a promotion came with a lower fencing token",
+		matrix.TakeoverPlan{Trigger: matrix.GroupPrimaryDraining, Step: model.IntentRecorded, First: matrix.PromotionsLate, Second: matrix.HolderRestarted, After: 100 * time.Millisecond}),
 	Entry("the bound on a draining primary", model.Options{NoDrainBound: true}, "a draining member got new work",
 		matrix.TakeoverPlan{Trigger: matrix.NoFault, Step: model.Idle, First: matrix.HolderKilled, Second: matrix.GroupPrimaryDraining, After: 1500 * time.Millisecond}),
 	Entry("floors of replicas", model.Options{NoFloor: true}, "a read at a replica doesn't show",
--- a/model/daemon.go
+++ b/model/daemon.go
@@ -151,11 +151,7 @@
 			preference = 1
 		}
 		l = append(l, failover.Member{Name: m.Name, Address: m.Name, Preference: preference, Draining: m.draining})
-		o := drain.Observed{Server: m.Name, Draining: m.draining}
-		if d.configured {
-			o.After = d.world.now
-		}
-		d.drains.Observe(o, d.world.now)
+		d.drains.Observe(drain.Observed{Server: m.Name, Draining: m.draining, Known: d.configured, After: d.world.now}, d.world.now)
 	}
 	d.configured = true
 	d.group.Handle(failover.Configured{Members: l, WatcherIndex: d.watcherIndex}, d.world.now)
--- a/model/platform_daemon.go
+++ b/model/platform_daemon.go
@@ -62,8 +62,10 @@
 	// registered means that the store has the daemon's host record.
 	registered bool
 	draining   bool
-	// drains holds the members that are to be returned to the platform.
+	// drains holds the members that are to be returned to the platform. ticked is set after
+	// the first tick.
 	drains *drain.Notices
+	ticked bool
 	// lastPrimaryReply is when the primary last answered this daemon.
 	lastPrimaryReply time.Time
 	// primaryFailures counts the calls to the primary that failed since then.
@@ -155,8 +157,9 @@
 func (d *PlatformDaemon) tick() {
 	n := d.world.now
 	for _, m := range d.world.Members {
-		d.drains.Observe(drain.Observed{Server: m.Name, Draining: m.draining, After: n}, n)
+		d.drains.Observe(drain.Observed{Server: m.Name, Draining: m.draining, Known: d.ticked, After: n}, n)
 	}
+	d.ticked = true
 	if d.group.ConfirmDue(n) && !d.confirmPending {
 		d.confirmPending = true
 		d.handleLeaseEvent(lease.ConfirmAttempt{})
--- a/model/platform_session.go
+++ b/model/platform_session.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
 // Error is the class of all errors of this package.
@@ -150,6 +151,17 @@
 	})
 }
 
+// primaryUse returns the use of the known primary for a step that is sent now.
+func (d *PlatformDaemon) primaryUse(change bool) takeover.PrimaryUse {
+	id, term := d.group.Primary()
+	return takeover.PrimaryUse{Member: id, Term: term, Change: change}
+}
+
+// passesReply reports whether the reply to a step may be passed on.
+func (d *PlatformDaemon) passesReply(u takeover.PrimaryUse) bool {
+	return d.world.Options.AcceptAfterLease || d.group.PassesReply(u, d.world.now)
+}
+
 // runWrite runs a write through the holder.
 func (d *PlatformDaemon) runWrite(x *platformWrite, reply func(any)) {
 	d.runAtHolder("write", func(o *PlatformDaemon, reply func(any)) {
@@ -158,14 +170,14 @@
 			return
 		}
 		m := o.knownPrimary()
+		u := o.primaryUse(true)
 		o.pendingWrites++
 		o.callMember(m, "work", platformCallerTimeout, func(r func(any)) {
 			m.after(statementCost, func() { r(m.executeWrite(x)) })
 		}, func(v any, _ time.Time, ok bool) {
 			o.pendingWrites--
 			r, is := v.(platformMemberAnswer)
-			valid := o.group.MayFinishTransactions(d.world.now) || d.world.Options.AcceptAfterLease
-			reply(callerAnswer{done: ok && is && r.ok && valid, notRun: ok && is && !r.ok})
+			reply(callerAnswer{done: ok && is && r.ok && o.passesReply(u), notRun: ok && is && !r.ok})
 		})
 	}, reply)
 }
@@ -178,12 +190,12 @@
 			return
 		}
 		m := o.knownPrimary()
+		u := o.primaryUse(false)
 		o.callMember(m, "work", platformCallerTimeout, func(r func(any)) {
 			m.after(statementCost, func() { r(m.executeRead(logpos.Position{}, true)) })
 		}, func(v any, _ time.Time, ok bool) {
 			r, is := v.(platformMemberAnswer)
-			valid := o.group.MayFinishTransactions(d.world.now) || d.world.Options.AcceptAfterLease
-			reply(callerAnswer{done: ok && is && r.ok && valid, log: r.log})
+			reply(callerAnswer{done: ok && is && r.ok && o.passesReply(u), log: r.log})
 		})
 	}, reply)
 }
--- a/model/platform_takeover.go
+++ b/model/platform_takeover.go
@@ -43,6 +43,10 @@
 	case takeover.PollPreviousHolders:
 		d.pollPreviousHolders(done)
 	case takeover.AwaitPromotion:
+		if d.world.Options.NoPromotionWait && d.group.MayReplace(n) {
+			d.replacePrimary(takeover.PrimaryUnusable, done)
+			return
+		}
 		d.awaitInheritedPromotion(a.Member, done)
 	case takeover.RecordPrimary:
 		d.recordPrimary(1, done)
@@ -239,7 +243,15 @@
 		skip = nil
 	}
 	t := d.world.now
+	if d.world.Options.NoPromotionWait {
+		t = t.Add(lease.PromotionCallTime + lease.Validity)
+	}
 	d.pollMembers(skip, func(l []takeover.MemberStatus) {
+		if p, ok := r.promotedMember(l); ok && d.world.Options.AnyPromotedMember {
+			d.closeConnections(r.oldPrimary)
+			r.finish(p, p.Status)
+			return
+		}
 		a, ready := d.group.SelectCandidate(takeover.SelectionInput{
 			Statuses: l, RequestedAt: t, OldPrimary: r.oldPrimary.Name, Planned: r.planned, CatchUpExpired: d.world.now.Sub(r.startedAt) > catchUpTimeout,
 			Nearer: func(catalog.Member, catalog.Member) bool { return false },
@@ -258,6 +270,17 @@
 	})
 }
 
+// promotedMember returns the first member that leads a later term than the known primary.
+func (r *replacement) promotedMember(l []takeover.MemberStatus) (takeover.MemberStatus, bool) {
+	_, term := r.daemon.group.Primary()
+	for _, a := range l {
+		if a.Err == nil && a.Status.Primary && a.Status.Term > term && a.Member.ID != r.oldPrimary.Name {
+			return a, true
+		}
+	}
+	return takeover.MemberStatus{}, false
+}
+
 // recordIntent records that the promotion of a member may be requested, and requests it.
 func (r *replacement) recordIntent(a takeover.MemberStatus, l []takeover.MemberStatus) {
 	d := r.daemon
@@ -270,7 +293,7 @@
 		return
 	}
 	c, ok := d.group.AnnouncePromotion(takeover.Announcement{Target: a.Member.ID, Statuses: l}, d.world.now)
-	if !ok {
+	if !ok && !d.world.Options.NoPromotionWait {
 		d.after(actionRetryDelay, r.done)
 		return
 	}
@@ -289,7 +312,7 @@
 	d := r.daemon
 	m := d.world.member(a.Member.ID)
 	token, ok := d.group.Promotion(m.Name, d.world.now)
-	if d.world.Options.NoIntent {
+	if d.world.Options.NoIntent || d.world.Options.NoPromotionWait {
 		ok = d.group.MayReplace(d.world.now)
 	}
 	if !ok || d.world.now.Sub(since) > promotionTimeout {
--- a/model/platform_world.go
+++ b/model/platform_world.go
@@ -76,8 +76,9 @@
 	// hostsRegistered holds the time of the first write of each host record.
 	hostsRegistered map[string]time.Time
 	// highestToken is the highest fencing token among the requests for a
-	// promotion.
+	// promotion, and tokenHolder the daemon that sent the last one.
 	highestToken uint64
+	tokenHolder  string
 	// promotions are the promotions that took effect, oldest first.
 	promotions   []promotion
 	writes       []*platformWrite
@@ -322,13 +323,15 @@
 }
 
 // handlePromotionRequest handles a daemon's request to promote a member, and
-// reports whether it was accepted.
+// reports whether it was accepted. The platform doesn't check the token.
 func (w *PlatformWorld) handlePromotionRequest(d *PlatformDaemon, m *PlatformMember, token uint64) bool {
-	if token < w.highestToken {
+	switch {
+	case token < w.highestToken:
 		w.addViolation("a promotion came with a lower fencing token")
-		return false
+	case token == w.highestToken && d.Name != w.tokenHolder:
+		w.addViolation("two holders requested promotions with one fencing token")
 	}
-	w.highestToken = token
+	w.highestToken, w.tokenHolder = max(token, w.highestToken), d.Name
 	w.trace("promotion of %s requested by %s with token %d", m.Name, d.Name, token)
 	w.notifyTakeoverStep(PromotionRequested, d)
 	if !m.alive {
--- a/model/world.go
+++ b/model/world.go
@@ -57,6 +57,10 @@
 	NoEraStamp bool
 	// NoEraWait doesn't wait after the start of an era.
 	NoEraWait bool
+	// AnyPromotedMember takes any member that leads a later term for the new primary.
+	AnyPromotedMember bool
+	// NoPromotionWait requests a promotion while another one may be on its way.
+	NoPromotionWait bool
 	// NoDrainBound sends new work to a draining member until it is replaced.
 	NoDrainBound bool
 	// NoIntent promotes without writing the intent into the record.
--- a/owner/drain.go
+++ b/owner/drain.go
@@ -19,16 +19,12 @@
 // observeDrains takes note of the draining servers of a bundle that is in force now. Those of
 // the first bundle may have been draining for a while. o.mu is held.
 func (o *Owner) observeDrains(b *bundle.Bundle, now time.Time) {
-	var after time.Time
-	if o.configured {
-		after = now
-	}
-	o.configured = true
 	for i := range b.Groups {
 		for _, m := range b.Groups[i].Members {
-			o.drains.Observe(drain.Observed{Server: m.Name, Draining: m.Draining, After: after}, now)
+			o.drains.Observe(drain.Observed{Server: m.Name, Draining: m.Draining, Known: o.configured, After: now}, now)
 		}
 	}
+	o.configured = true
 }
 
 // refuseClosed returns the verdict on new work for a server that has been draining for too
--- a/takeover/action.go
+++ b/takeover/action.go
@@ -227,7 +227,7 @@
 		return time.Time{}
 	}
 	t := latest(g.lease.UnfinishedUntil(now), g.lease.UnsettledUntil(now))
-	if s, known := g.settledAt(); known && now.Before(s) && !g.promotionExpected(now) {
+	if s := g.settledAt(); now.Before(s) && !g.promotionExpected(now) {
 		t = latest(t, s)
 	}
 	return t
--- a/takeover/promotion.go
+++ b/takeover/promotion.go
@@ -105,25 +105,24 @@
 }
 
 // settledAt returns from when on every promotion that was requested has taken effect, or
-// never will. It returns false if that isn't known yet.
-func (g *Group) settledAt() (time.Time, bool) {
+// never will.
+func (g *Group) settledAt() time.Time {
 	p := &g.promotions
 	t := p.effectUntil
 	if !p.sentAt.IsZero() {
 		t = latest(t, p.sentAt.Add(lease.PromotionCallTime+lease.PromotionEffectTime))
 	}
 	if p.inherited {
-		s := g.durability.soleSince
-		return latest(t, s.Add(lease.PromotionCallTime+lease.PromotionEffectTime)), !s.IsZero()
+		t = latest(t, g.lease.EarlierCallsUntil().Add(lease.PromotionEffectTime))
 	}
-	return t, true
+	return t
 }
 
 // callsPending reports whether a call that requested a promotion, of this holder or an
 // earlier one, may yet be carried out.
 func (g *Group) callsPending(now time.Time) bool {
-	p, s := &g.promotions, g.durability.soleSince
-	inherited := p.inherited && (s.IsZero() || now.Before(s.Add(lease.PromotionCallTime)))
+	p := &g.promotions
+	inherited := p.inherited && now.Before(g.lease.EarlierCallsUntil())
 	return inherited || !p.sentAt.IsZero() || now.Before(p.callsUntil)
 }
 
@@ -137,15 +136,12 @@
 
 // promotionsSettled reports whether a status that was requested at t shows the effect of all
 // promotions that were requested before.
-func (g *Group) promotionsSettled(t time.Time) bool {
-	s, known := g.settledAt()
-	return known && !t.Before(s)
-}
+func (g *Group) promotionsSettled(t time.Time) bool { return !t.Before(g.settledAt()) }
 
 // promotionExpected reports whether a member whose promotion was requested should lead soon.
 func (g *Group) promotionExpected(now time.Time) bool {
 	all, _ := g.pendingTargets()
-	since := g.durability.soleSince
+	since := g.heldSince
 	if g.promotions.target != "" {
 		since = g.promotions.requestedAt
 	}
@@ -250,8 +246,7 @@
 // MayRequestPromotion reports whether the host may request the promotion of a member: not
 // that of another one than the last while that one may yet take effect.
 func (g *Group) MayRequestPromotion(member string, now time.Time) bool {
-	p := &g.promotions
-	return g.MayReplace(now) && (member == p.target || g.promotionsSettled(now))
+	return g.MayReplace(now) && (member == g.promotions.target || g.promotionsSettled(now))
 }
 
 // Promotion returns the fencing token of a member's promotion, and whether the host may
@@ -261,5 +256,5 @@
 	if p := &g.promotions; member == p.target {
 		token = p.token
 	}
-	return token, g.Announced(member) && g.MayRequestPromotion(member, now)
+	return token, g.Announced(member) && g.MayRequestPromotion(member, now) && g.lease.MayRequestPromotion(now)
 }
--- a/takeover/promotion_test.go
+++ b/takeover/promotion_test.go
@@ -9,6 +9,7 @@
 	"github.com/dragonflypick/dragonflypick/catalog"
 	"github.com/dragonflypick/dragonflypick/lease"
 	"github.com/dragonflypick/dragonflypick/logpos"
+	"github.com/dragonflypick/dragonflypick/store"
 	"github.com/dragonflypick/dragonflypick/takeover"
 )
 
@@ -19,7 +20,7 @@
 	if !ok {
 		return false
 	}
-	observeRecord(g, c.Record, c.Revision+1)
+	g.Handle(takeover.LeaseEvent{Event: lease.RecordObserved{Record: c.Record, Position: store.Position{Revision: c.Revision + 1}, RequestedAt: now}}, now)
 	return true
 }
 
@@ -221,6 +222,17 @@
 		Expect(g.MayRequestPromotion("b", settled)).To(BeTrue())
 	})
 
+	It("knows when a holder that may be alive has requested the last one", func() {
+		g = takeover.New(lease.Holder{ID: "a"})
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "h"}, Primary: "p", Term: 1, Target: "a", TargetTerm: 2}, 1)
+		observeRecord(g, g.Acquire(start).Record, 2)
+		expired := start.Add(lease.PromotionValidity + lease.PromotionCallTime + lease.PromotionEffectTime)
+		observeRecordAt(g, 2, expired)
+		Expect(g.MayReplace(expired)).To(BeTrue())
+		Expect(g.MayRequestPromotion("a", expired.Add(-1))).To(BeFalse())
+		Expect(g.MayRequestPromotion("a", expired)).To(BeTrue())
+	})
+
 	It("asks in turn whether the previous holder has ended, while it may not have", func() {
 		g = takeover.New(lease.Holder{ID: "a"})
 		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "h"}, Primary: "p", Term: 1, Target: "a", TargetTerm: 2}, 1)
@@ -232,6 +244,16 @@
 	})
 })
 
+var _ = It("a promotion is requested only soon after the lease was confirmed", func() {
+	g := newHolder()
+	Expect(announce(g, "a", []takeover.MemberStatus{replica("a", 5, false)}, start)).To(BeTrue())
+	_, ok := g.Promotion("a", start.Add(lease.PromotionValidity-1))
+	Expect(ok).To(BeTrue())
+	_, ok = g.Promotion("a", start.Add(lease.PromotionValidity))
+	Expect(ok).To(BeFalse())
+	Expect(g.HoldsLease(start.Add(lease.PromotionValidity))).To(BeTrue())
+})
+
 var _ = It("all calls for one member's promotion have the same fencing token", func() {
 	g := newHolder()
 	l := []takeover.MemberStatus{replica("a", 5, false)}
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -147,8 +147,9 @@
 	shownEnd logpos.Position
 	// durability is what this host knows of the acknowledged commits.
 	durability durability
-	// promotions are those that this host has requested as the holder.
+	// promotions are those that this host has requested as the holder, since heldSince.
 	promotions promotions
+	heldSince  time.Time
 	// failedProbes counts the fresh connections to the primary that failed in a
 	// row.
 	failedProbes int
@@ -229,6 +230,7 @@
 	if r.Holder.ID == g.self.ID && r.Epoch != old.Epoch && !rewritten {
 		g.primaryDiscovered, g.logDoubted, g.primaryUnusable, g.failedProbes, g.nearerSince = false, false, false, 0, time.Time{}
 		g.durability, g.promotions = durability{}, promotions{inherited: r.Target != "" || r.CallsPending}
+		g.heldSince = now
 	}
 	if r.Term >= g.term && r.Primary != "" && (r.Primary != g.primary || r.Term != g.term) {
 		g.setPrimary(r.Primary, r.Term)
@@ -364,6 +366,24 @@
 // MayFinishTransactions reports whether the host may continue open transactions.
 func (g *Group) MayFinishTransactions(now time.Time) bool { return g.lease.MayFinishTransactions(now) }
 
+// PrimaryUse is the use of a member as the primary for one step.
+type PrimaryUse struct {
+	Member string
+	// Term is the primary's term when the step was allowed to be sent.
+	Term uint64
+	// Change is set if the step changes data.
+	Change bool
+}
+
+// PassesReply reports whether the reply to a step may be passed on. It may not after this
+// host's lease has ended, since another holder may have replaced the primary since the step was
+// sent. One about a change may not either if the member isn't the primary of that term any more,
+// or is being replaced.
+func (g *Group) PassesReply(u PrimaryUse, now time.Time) bool {
+	same := g.primary == u.Member && g.term == u.Term && g.PassesReplies()
+	return g.MayFinishTransactions(now) && (same || !u.Change)
+}
+
 // PrimaryUsable reports whether work may be sent to the primary: it hasn't lost
 // log entries, and no promotion has been requested.
 func (g *Group) PrimaryUsable() bool { return !g.primaryUnusable }
