takeover: a promoted member without its log doesn't hide the others' entries

Cause: the end of the log was the greatest position by term and number. A member that leads term 2 with an empty log told 2/0, which is above 1/44 of the others, so that a later holder took the log for empty and used that member. Besides, a holder that wrote its record again after the drill left the known end out, since it was of the earlier term, and forgot its own when such a member was confirmed. Ruled out by a trace of the statuses at the discovery: a lost answer (the replica with 44 entries had answered).

Change: a position without entries raises nothing; the end is kept if the promoted member lacks it; the rewritten record keeps the earlier end.

--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -139,6 +139,9 @@
 	},
 	Entry("and writes in the term that it led", matrix.TakeoverPlan{Seed: 40, Trigger: matrix.GroupPrimaryDraining, Step: model.PrimaryRecorded, Second: matrix.HolderDraining, After: 923}),
 	Entry("while an earlier holder is frozen", matrix.TakeoverPlan{Seed: 724, Trigger: matrix.GroupPrimaryKilled, Step: model.PrimaryRecorded, Second: matrix.HolderFrozenPastLease, After: 2}),
+	Entry("as it is promoted, after the store has come back from an older copy", matrix.TakeoverPlan{
+		Seed: 1440, Trigger: matrix.GroupPrimaryKilled, Step: model.PromotionEffective, Second: matrix.StoreRestored, After: 75922830, Third: matrix.HolderCutFromAll, ThirdAfter: 2265488546,
+	}),
 	Entry("while it reaches no member", matrix.TakeoverPlan{Seed: 48, Trigger: matrix.HolderDraining, Step: model.LeaseAcquired, Second: matrix.HolderCutFromMembers, After: 6}),
 )
 
--- a/takeover/change.go
+++ b/takeover/change.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/dragonflypick/dragonflypick/lease"
-	"github.com/dragonflypick/dragonflypick/logpos"
 )
 
 // Release returns the change that removes the host from the previous holders, and
@@ -23,8 +22,9 @@
 // Rewrite returns the change by which the holder of an earlier era goes on.
 func (g *Group) Rewrite(now time.Time) lease.Change {
 	r := g.lease.RewriteRecord(now)
-	if r.Term != g.term {
-		r.LogEnd = logpos.Position{}
+	// A primary that has lost its log doesn't hide that there were entries.
+	if p := g.reachedEnd(r); p.Offset > 0 {
+		r.LogEnd = p
 	}
 	if g.term > r.Term {
 		r = withoutTargets(r)
--- a/takeover/lostlog.go
+++ b/takeover/lostlog.go
@@ -32,6 +32,14 @@
 	g.observeComplete(o.RequestedAt)
 }
 
+// raiseEnd raises the end of the log to what a member has received. One without entries tells
+// none, whatever its term.
+func (g *Group) raiseEnd(a MemberStatus, now time.Time) {
+	if p := a.Status.Received; a.Err == nil && p.Offset > 0 && g.logEnd.Less(p) {
+		g.logEnd, g.logEndAt = p, now
+	}
+}
+
 // doubtLog takes note that the primary may have lost its log, if doubted is set.
 func (g *Group) doubtLog(doubted bool) {
 	if doubted {
--- a/takeover/lostlog_test.go
+++ b/takeover/lostlog_test.go
@@ -151,6 +151,32 @@
 	)
 })
 
+// Guards against the use of a promoted member that has lost its log, by a holder that starts
+// with the record alone.
+var _ = Describe("a member that leads a later term without a log", func() {
+	empty := takeover.MemberStatus{Member: replica("q", 0, false).Member, Status: query.Status{Primary: true, Term: 2, Received: logpos.Position{Term: 2}}}
+
+	DescribeTable("isn't used by a later holder, whichever member answers first", func(l ...takeover.MemberStatus) {
+		g := takeover.New(lease.Holder{ID: "a"})
+		observeRecord(g, lease.Record{Holder: lease.Holder{ID: "a"}, Primary: "q", Term: 2}, 1)
+		g.Handle(takeover.MembersPolled{Statuses: l, RequestedAt: start}, start)
+		Expect(g.PrimaryDiscovered()).To(BeTrue())
+		Expect(g.MaySendWork(start)).To(BeFalse())
+	},
+		Entry("itself", empty, replica("s", 44, false)),
+		Entry("another", replica("s", 44, false), empty),
+	)
+
+	It("doesn't hide that there were entries from a later holder if the store comes back from an older copy", func() {
+		g := newHolder()
+		g.Handle(takeover.PrimaryConfirmed{Member: "q", Status: empty.Status, LogEnd: logpos.Position{Term: 1, Offset: 5}}, start)
+		Expect(g.PrimaryUsable()).To(BeFalse())
+		g.Handle(takeover.LeaseEvent{Event: lease.EraObserved{Era: 1, Since: start}}, start)
+		c := g.Rewrite(start)
+		Expect(c.Record.LogEnd.Offset).To(Equal(uint64(5)))
+	})
+})
+
 var _ = Describe("the end of the log in a group's record", func() {
 	It("is written with the primary", func() {
 		c, ok := newHolder().NamePrimary(start)
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -183,9 +183,7 @@
 		g.discoverPrimary(e, now)
 		g.observePolled(e)
 	case MemberAnswered:
-		if e.Err == nil && g.logEnd.Less(e.Status.Received) {
-			g.logEnd, g.logEndAt = e.Status.Received, now
-		}
+		g.raiseEnd(e.MemberStatus, now)
 	case MemberRestarted:
 		g.doubtLog(e.Member == g.primary)
 	case PrimaryProbed:
@@ -213,7 +211,9 @@
 		g.setPrimary(e.Member, e.Status.Term)
 		g.logDoubted, g.shownEnd = false, e.Status.Received
 		g.primaryUnusable = e.Status.Received.Offset < e.LogEnd.Offset
-		g.logEnd, g.logEndAt = e.Status.Received, now
+		if !g.primaryUnusable {
+			g.logEnd, g.logEndAt = e.Status.Received, now
+		}
 		// No commit of the new term has been acknowledged yet.
 		g.durability.complete, g.durability.blockedAt = true, time.Time{}
 	}
@@ -301,9 +301,7 @@
 	best, ok := g.reportedPrimary(l)
 	lost := ok && g.belowEnd(best.Status) && e.RequestedAt.After(g.logEndAt)
 	for _, a := range l {
-		if a.Err == nil && g.logEnd.Less(a.Status.Received) {
-			g.logEnd, g.logEndAt = a.Status.Received, now
-		}
+		g.raiseEnd(a, now)
 	}
 	switch {
 	case r.PrimaryUncertain && slices.ContainsFunc(l, func(a MemberStatus) bool { return a.Err != nil }):
