--- a/fleet/group.go
+++ b/fleet/group.go
@@ -304,6 +304,12 @@
 	term uint64
 }
 
+// use returns the use of the member for the request's step.
+func (u *primaryUse) use() takeover.PrimaryUse {
+	r := u.request
+	return takeover.PrimaryUse{Member: u.member, Term: u.term, Change: r.Action != query.ActionRead, InTransaction: r.Stage == query.Later}
+}
+
 // guard is the check that runs right before a step is sent to the member: whether this
 // host may still use it as the primary.
 func (u *primaryUse) guard() *query.Failure {
@@ -311,15 +317,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := now()
-	ok := f.maySendNewWork(u.group, t)
-	if u.request.Stage == query.Later {
-		ok = u.group.MayFinishTransactions(t)
-	}
-	id, term := u.group.Primary()
-	if !ok || id != u.member {
+	if !u.group.MaySend(u.use(), t) || u.request.Stage != query.Later && !f.maySendNewWork(u.group, t) {
 		return &query.Failure{Reason: query.Moved, Text: "the primary or its holder has changed"}
 	}
-	u.term = term
+	_, u.term = u.group.Primary()
 	return nil
 }
 
@@ -327,7 +328,7 @@
 func (u *primaryUse) validate(o query.Reply) query.Reply {
 	f, r := u.daemon, u.request
 	f.mu.Lock()
-	ok := u.group.PassesReply(takeover.PrimaryUse{Member: u.member, Term: u.term, Change: r.Action != query.ActionRead}, now())
+	ok := u.group.PassesReply(u.use(), now())
 	lease := u.group.MayFinishTransactions(now())
 	id, term := u.group.Primary()
 	f.mu.Unlock()
--- a/standin/site/site.go
+++ b/standin/site/site.go
@@ -69,6 +69,8 @@
 	// tokenHolders the lease holder that sent it.
 	fencingTokens map[string]int
 	tokenHolders  map[string]string
+	// drainsExcusedUntil is until when late work at draining members isn't reported.
+	drainsExcusedUntil time.Time
 	// promotionDelays holds what is to be done with the next calls that request promotions.
 	promotionDelays []promotionDelay
 	configVersion   int
@@ -266,6 +268,19 @@
 	held func(host string)
 }
 
+// ExcuseDrains reports no late work at draining members for the next d: faults may hold it up.
+func (s *Site) ExcuseDrains(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.drainsExcusedUntil = time.Now().Add(d)
+}
+
+func (s *Site) drainsExcused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Now().Before(s.drainsExcusedUntil)
+}
+
 // DelayPromotion makes the next call that requests a promotion arrive later by d. held is
 // called with the name of the host that has sent it.
 func (s *Site) DelayPromotion(d time.Duration, held func(host string)) {
--- a/takeover/takeover.go
+++ b/takeover/takeover.go
@@ -371,6 +371,19 @@
 	Term uint64
 	// Change is set if the step changes data.
 	Change bool
+	// InTransaction is set if the step belongs to an open transaction.
+	InTransaction bool
+}
+
+// MaySend reports whether a step may be sent now.
+func (g *Group) MaySend(u PrimaryUse, now time.Time) bool {
+	if g.primary != u.Member {
+		return false
+	}
+	if u.InTransaction {
+		return g.MayFinishTransactions(now)
+	}
+	return g.MaySendWork(now)
 }
 
 // PassesReply reports whether the reply to a step may be passed on. It may not after this
