--- a/lease/proofs_test.go
+++ b/lease/proofs_test.go
@@ -21,6 +21,6 @@
 	t := reflect.TypeFor[lease.Record]()
 	for i := range t.NumField() {
 		name, _, _ := strings.Cut(t.Field(i).Tag.Get("json"), ",")
-		Expect(table).To(ContainSubstring("`" + name + "`"), "field %s", t.Field(i).Name)
+		Expect(table).To(ContainSubstring("`"+name+"`"), "field %s", t.Field(i).Name)
 	}
 })
