--- a/model/platform_daemon.go
+++ b/model/platform_daemon.go
@@ -99,7 +99,7 @@
 	}
 	d.group, d.view = takeover.New(d.identity()), membership.New(d.host)
 	w.Daemons = append(w.Daemons, d)
-	for _, f := range []func(){d.tick, d.exchangeRecords, d.renewHostRecord, d.pollHostList, d.pingHolder, d.queryLogEnd} {
+	for _, f := range []func(){d.tick, d.loadRecord, d.exchangeRecords, d.renewHostRecord, d.pollHostList, d.pingHolder, d.queryLogEnd} {
 		d.after(time.Duration(w.random.Float64()*float64(platformTickInterval)), f)
 	}
 	return d
@@ -269,6 +269,20 @@
 	})
 }
 
+// loadRecord reads the group's record when the daemon starts, until the store or another daemon
+// has told it.
+func (d *PlatformDaemon) loadRecord() {
+	if _, known := d.group.Record(); known {
+		return
+	}
+	d.world.callStoreDirectly(d, d.world.readRecord, false, func(v any, ok bool) {
+		if s, is := v.(recordAnswer); ok && is {
+			d.observeRecord(s, time.Time{})
+		}
+	})
+	d.after(platformHostListPollInterval, d.loadRecord)
+}
+
 // pollHostList reads the host records every platformHostListPollInterval.
 func (d *PlatformDaemon) pollHostList() {
 	d.world.callStoreDirectly(d, d.world.validHosts, false, func(v any, ok bool) {
@@ -361,6 +375,13 @@
 // the daemon may send work to it.
 func (d *PlatformDaemon) callCheckedMember(m *PlatformMember, purpose string, timeout time.Duration, handle func(func(any)), done func(v any, sent time.Time, ok bool)) {
 	sent := d.world.now
+	if purpose == "work" {
+		h := handle
+		handle = func(reply func(any)) {
+			m.checkDrain(sent)
+			h(reply)
+		}
+	}
 	if !d.group.MaySend(takeover.PrimaryUse{Member: m.Name}, sent) || purpose == "work" && !d.maySendNewWork() {
 		done(nil, sent, false)
 		return
--- a/model/platform_member.go
+++ b/model/platform_member.go
@@ -49,9 +49,17 @@
 	m.draining = draining
 }
 
-// checkDrain checks that the member may get new work.
-func (m *PlatformMember) checkDrain() {
-	if m.draining && m.world.now.Sub(m.drainingAt) > platformDrainTime {
+// maxTransit is longer than any message is on its way; what a member handles later was held up
+// by it.
+const maxTransit = 900 * time.Millisecond
+
+// checkDrain checks that the member may get new work that was sent at a time.
+func (m *PlatformMember) checkDrain(sent time.Time) {
+	arrived := m.world.now
+	if t := sent.Add(maxTransit); t.Before(arrived) {
+		arrived = t
+	}
+	if m.draining && arrived.Sub(m.drainingAt) > platformDrainTime {
 		m.world.addViolation("a draining member got new work")
 	}
 }
@@ -146,7 +154,6 @@
 
 // executeWrite runs a write on a primary.
 func (m *PlatformMember) executeWrite(x *platformWrite) platformMemberAnswer {
-	m.checkDrain()
 	if !m.primary {
 		return platformMemberAnswer{position: m.position()}
 	}
@@ -159,7 +166,6 @@
 // executeRead runs a read, on a primary or on a replica whose log has reached
 // the given position.
 func (m *PlatformMember) executeRead(after logpos.Position, primary bool) platformMemberAnswer {
-	m.checkDrain()
 	if primary && !m.primary || !primary && m.log.Last().Less(after) {
 		return platformMemberAnswer{position: m.position()}
 	}
--- a/model/platform_session.go
+++ b/model/platform_session.go
@@ -217,9 +217,13 @@
 		if d.world.Options.NoFloor {
 			p = logpos.Position{}
 		}
+		sent := d.world.now
 		o.world.startCall(&call{
 			from: o.Node, to: m.Node, purpose: "replica", timeout: callTimeout,
-			handle: func(r func(any)) { m.after(statementCost, func() { r(m.executeRead(p, false)) }) },
+			handle: func(r func(any)) {
+				m.checkDrain(sent)
+				m.after(statementCost, func() { r(m.executeRead(p, false)) })
+			},
 			done: func(v any, ok bool) {
 				r, is := v.(platformMemberAnswer)
 				reply(callerAnswer{done: ok && is && r.ok, log: r.log})
