standin/measure: the cut concerns the primary of its moment

That one's replication wasn't stopped, the taken one was never ahead, and nobody was killed. The primary is taken when the cut begins now, and the cut begins again if another member becomes primary before the kill.

--- a/standin/measure/writes.go
+++ b/standin/measure/writes.go
@@ -144,12 +144,11 @@
 	}
 	defer s.Stop()
 	g := s.Config.Groups[0]
-	p := s.Primary(g)
 	y, stop := context.WithCancel(x)
 	defer stop()
 	var w errgroup.Group
 	w.Go(func() error {
-		cutAndKill(y, s.Members, p, majority)
+		cutAndKill(y, s, g, majority)
 		return nil
 	})
 	l := load.Config{
@@ -172,33 +171,50 @@
 	}, nil
 }
 
-// cutAndKill stops replication, kills the primary p and lets the replicas go on, or
-// returns when the context ends.
-func cutAndKill(x context.Context, members []*cluster.Member, p *cluster.Member, majority bool) {
-	replication := func(stop bool) {
-		for _, m := range members {
-			if m != p {
-				m.SetFault(database.Fault{StopReplication: stop})
-			}
-		}
-	}
+// cutAndKill stops replication, kills the primary and lets the replicas go on, or returns when
+// the context ends. If another member becomes primary meanwhile, it begins again with that.
+func cutAndKill(x context.Context, s *cluster.Cluster, group string, majority bool) {
 	if !sleep(x, cutAt) {
 		return
 	}
-	replication(true)
+	for x.Err() == nil {
+		p := s.Primary(group)
+		if p == nil {
+			sleep(x, commitPollInterval)
+			continue
+		}
+		stopReplication(s.Members, p)
+		if awaitCut(x, s, p, majority) {
+			p.Kill()
+			stopReplication(s.Members, nil)
+			return
+		}
+	}
+}
+
+// stopReplication lets all members but p receive nothing; all receive again if p is nil.
+func stopReplication(members []*cluster.Member, p *cluster.Member) {
+	for _, m := range members {
+		m.SetFault(database.Fault{StopReplication: p != nil && m != p})
+	}
+}
+
+// awaitCut waits until the primary p is to be killed: with a majority for killDelay, at commit
+// until some acknowledged writes are on no replica. It returns false if another member has
+// become primary, or the context ends.
+func awaitCut(x context.Context, s *cluster.Cluster, p *cluster.Member, majority bool) bool {
 	if !sleep(x, pullTime) {
-		return
+		return false
 	}
-	if majority && !sleep(x, killDelay) {
-		return
+	if majority {
+		return sleep(x, killDelay) && s.Primary(p.Group) == p
 	}
-	for !majority && p.Status().Position.Offset <= furthestReplica(members, p)+loadSessions {
-		if !sleep(x, commitPollInterval) {
-			return
+	for p.Status().Position.Offset <= furthestReplica(s.Members, p)+loadSessions {
+		if s.Primary(p.Group) != p || !sleep(x, commitPollInterval) {
+			return false
 		}
 	}
-	p.Kill()
-	replication(false)
+	return s.Primary(p.Group) == p
 }
 
 // furthestReplica returns the offset of the furthest replica of p's group.
