model: a daemon that was frozen knows when it last looked at the members

The driver told `drain` that the member didn't drain at the moment of the first look after that; `fleet` tells when its copy of the store was last current (appliedAfter).

Change: the driver tells the time of the look before.

--- a/matrix/takeover_test.go
+++ b/matrix/takeover_test.go
@@ -213,6 +213,14 @@
 	Entry("of a holder that the store rejects", matrix.HolderRejectedByStore),
 )
 
+// Guards against a bound that counts from when a frozen daemon goes on, not from when it last
+// knew that the member didn't drain.
+var _ = DescribeTable("a primary that begins to drain while its holder is frozen gets no new work past its bound",
+	func(seed uint64) { Expect(matrix.RunTakeover(matrix.DrawTakeoverPlan(seed)).Violations).To(BeEmpty()) },
+	Entry("a holder that has released the group", uint64(305943)),
+	Entry("a holder that is cut off as well", uint64(318163)),
+)
+
 var _ = It("on the users' platform, a group is held again after a restored store and a frozen holder that alone knows of the promotion", func() {
 	for _, seed := range []uint64{1, 57} {
 		r := matrix.RunTakeover(matrix.TakeoverPlan{Seed: seed, Trigger: matrix.GroupPrimaryKilled, Step: model.PromotionRequested, First: matrix.StoreRestored, Second: matrix.HolderFrozenPastLease})
--- a/model/platform_daemon.go
+++ b/model/platform_daemon.go
@@ -62,10 +62,10 @@
 	// registered means that the store has the daemon's host record.
 	registered bool
 	draining   bool
-	// drains holds the members that are to be returned to the platform. ticked is set after
-	// the first tick.
+	// drains holds the members that are to be returned to the platform.
 	drains *drain.Notices
-	ticked bool
+	// tickedAt is when the daemon last looked at the members; zero before the first tick.
+	tickedAt time.Time
 	// lastPrimaryReply is when the primary last answered this daemon.
 	lastPrimaryReply time.Time
 	// primaryFailures counts the calls to the primary that failed since then.
@@ -157,9 +157,9 @@
 func (d *PlatformDaemon) tick() {
 	n := d.world.now
 	for _, m := range d.world.Members {
-		d.drains.Observe(drain.Observed{Server: m.Name, Draining: m.draining, Known: d.ticked, After: n}, n)
+		d.drains.Observe(drain.Observed{Server: m.Name, Draining: m.draining, Known: !d.tickedAt.IsZero(), After: d.tickedAt}, n)
 	}
-	d.ticked = true
+	d.tickedAt = n
 	if d.group.ConfirmDue(n) && !d.confirmPending {
 		d.confirmPending = true
 		d.handleLeaseEvent(lease.ConfirmAttempt{})
